--- /dev/null
+++ b/src/savoryrelay/state/core/identifier.h
@@ -0,0 +1,56 @@
+// Strongly typed string identifiers, so that a host cannot be passed where an
+// endpoint is expected.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace savoryrelay::state {
+
+/// A string identifier whose type carries what it names.
+/// `Tag` is an empty struct that only makes the type unique.
+template <typename Tag>
+class identifier {
+public:
+    identifier() = default;
+    explicit identifier(std::string value) : m_value(std::move(value)) {}
+
+    /// The identifier's text.
+    [[nodiscard]] const std::string& value() const { return m_value; }
+
+    /// True when no identifier has been assigned.
+    [[nodiscard]] bool empty() const { return m_value.empty(); }
+
+    friend auto operator<=>(const identifier&, const identifier&) = default;
+
+    friend std::ostream& operator<<(std::ostream& out, const identifier& id) {
+        return out << id.m_value;
+    }
+
+private:
+    std::string m_value;
+};
+
+using availability_zone_id = identifier<struct availability_zone_tag>;
+using customer_id = identifier<struct customer_tag>;
+using deployment_id = identifier<struct deployment_tag>;
+using endpoint_id = identifier<struct endpoint_tag>;
+using fabric_domain_id = identifier<struct fabric_domain_tag>;
+using group_id = identifier<struct group_tag>;
+using host_id = identifier<struct host_tag>;
+using member_id = identifier<struct member_tag>;
+using request_id = identifier<struct request_tag>;
+
+} // namespace savoryrelay::state
+
+/// Hashes an identifier by its text.
+template <typename Tag>
+struct std::hash<savoryrelay::state::identifier<Tag>> {
+    std::size_t operator()(const savoryrelay::state::identifier<Tag>& id) const noexcept {
+        return std::hash<std::string>{}(id.value());
+    }
+};
--- /dev/null
+++ b/src/savoryrelay/state/platform/memory_platform.h
@@ -0,0 +1,50 @@
+// The embedded platform: table, object store and host list in memory. It is
+// the default of a single-node trial, the store of the platform stand-in, and
+// the fake of tests. It keeps nothing across restarts.
+#pragma once
+
+#include "savoryrelay/state/platform/table_row.h"
+
+#include <map>
+#include <mutex>
+
+namespace savoryrelay::state {
+
+/// Table, object store and host list in the memory of one process.
+class memory_platform {
+public:
+    memory_platform() = default;
+    ~memory_platform() = default;
+    memory_platform(const memory_platform&) = delete;
+    memory_platform& operator=(const memory_platform&) = delete;
+
+    [[nodiscard]] result<transaction_result> transact(const table_transaction& transaction);
+    [[nodiscard]] result<std::optional<transaction_result>>
+    read_write_result(const std::string& write_key) const;
+    /// The row of `key`; an absent row has version 0.
+    [[nodiscard]] result<table_row> read_row(const std::string& key) const;
+    /// Rows whose keys begin with `prefix`, in the order of their keys.
+    [[nodiscard]] result<std::vector<table_row>> scan_rows(const std::string& prefix) const;
+    [[nodiscard]] result<void> put_object(const std::string& name, const std::string& content);
+    [[nodiscard]] result<std::string> get_object(const std::string& name) const;
+    [[nodiscard]] result<std::vector<std::string>> list_objects(const std::string& prefix) const;
+    [[nodiscard]] result<std::vector<platform_host>> list_hosts() const;
+
+    /// Replaces the host list.
+    void set_hosts(std::vector<platform_host> hosts);
+
+    /// Hooks that call this object, which must outlive them.
+    [[nodiscard]] platform_hooks hooks();
+
+private:
+    // One lock: the platform's transactions are serial by contract, and the
+    // several hundred writes a second that it offers do not need more.
+    mutable std::mutex m_mutex;
+    std::uint64_t m_version = 0;                               // guarded by m_mutex
+    std::map<std::string, table_row> m_rows;                   // guarded by m_mutex
+    std::map<std::string, transaction_result> m_write_results; // guarded by m_mutex
+    std::map<std::string, std::string> m_objects;              // guarded by m_mutex
+    std::vector<platform_host> m_hosts;                        // guarded by m_mutex
+};
+
+} // namespace savoryrelay::state
