--- /dev/null
+++ b/src/savoryrelay/protocol/event_stream/event_splitter.cpp
@@ -0,0 +1,80 @@
+// Event boundaries, numbers and the end mark.
+#include "savoryrelay/protocol/event_stream/event_splitter.h"
+
+#include <charconv>
+#include <optional>
+
+namespace savoryrelay::protocol {
+namespace {
+
+constexpr std::string_view boundary = "\n\n";
+constexpr std::string_view id_field = "id: ";
+constexpr std::string_view end_mark = "data: [DONE]";
+
+std::optional<std::uint64_t> number_of(std::string_view event) {
+    if (!event.starts_with(id_field)) {
+        return std::nullopt;
+    }
+    event.remove_prefix(id_field.size());
+    std::uint64_t number = 0;
+    const auto parsed = std::from_chars(event.data(), event.data() + event.size(), number);
+    if (parsed.ec != std::errc{}) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+} // namespace
+
+state::result<void> event_splitter::append(std::string_view bytes) {
+    if (m_taken) {
+        m_ready.clear();
+        m_taken = false;
+    }
+    m_pending.append(bytes);
+
+    // Hand over every whole event and keep the rest.
+    std::size_t begin = 0;
+    for (auto end = m_pending.find(boundary); end != std::string::npos;
+         end = m_pending.find(boundary, begin)) {
+        const auto next = end + boundary.size();
+        admit(std::string_view(m_pending).substr(begin, next - begin));
+        begin = next;
+    }
+    m_pending.erase(0, begin);
+    if (m_pending.size() > max_event_bytes) {
+        return state::fail(state::failure_kind::message_damaged,
+                           "an event of the engine exceeds " + std::to_string(max_event_bytes) +
+                               " bytes");
+    }
+    return {};
+}
+
+void event_splitter::admit(std::string_view event) {
+    if (m_finished) {
+        return;
+    }
+    if (const auto number = number_of(event)) {
+        if (*number < m_next_token) {
+            return;
+        }
+        m_next_token = *number + 1;
+        ++m_tokens;
+    } else if (event.starts_with(end_mark)) {
+        m_finished = true;
+    }
+    m_ready.append(event);
+}
+
+std::string_view event_splitter::take() {
+    m_taken = true;
+    return m_ready;
+}
+
+void event_splitter::resume() {
+    m_pending.clear();
+    m_ready.clear();
+    m_taken = false;
+}
+
+} // namespace savoryrelay::protocol
--- /dev/null
+++ b/src/savoryrelay/protocol/http_api/caller_api.h
@@ -0,0 +1,33 @@
+// Bodies of the callers' HTTP interface.
+#pragma once
+
+#include "savoryrelay/state/configuration/configuration.h"
+#include "savoryrelay/state/core/failure.h"
+#include "savoryrelay/state/core/identifier.h"
+
+#include <cstdint>
+#include <string>
+
+namespace savoryrelay::protocol {
+
+/// What the system needs to know of a completion request.
+struct completion_body {
+    std::string model;
+    bool stream = false;
+    std::uint32_t max_tokens = 256;
+    std::string prompt; ///< text of the prompt or of all messages, for prefix affinity
+};
+
+/// Reads the JSON body of a completion request. Fails with `invalid_request`,
+/// naming the field.
+[[nodiscard]] state::result<completion_body> read_completion_body(const std::string& text);
+
+/// The JSON body of a refusal: kind, message with remedy, outcome, request id.
+[[nodiscard]] std::string write_refusal(const state::failure& error,
+                                        const state::request_id& request);
+
+/// The JSON body of GET /v1/models: the models that `customer` may use.
+[[nodiscard]] std::string write_models(const state::configuration& configuration,
+                                       const state::customer_id& customer);
+
+} // namespace savoryrelay::protocol
--- /dev/null
+++ b/src/savoryrelay/protocol/platform/platform_messages.cpp
@@ -0,0 +1,161 @@
+// JSON by Boost.JSON.
+#include "savoryrelay/protocol/platform/platform_messages.h"
+
+#include <boost/json.hpp>
+
+namespace savoryrelay::protocol {
+namespace {
+
+namespace json = boost::json;
+using state::failure_kind;
+
+/// Runs `read(object)` on the JSON object of `text`. A missing or mistyped
+/// field, which Boost.JSON reports by an exception, becomes `message_damaged`.
+template <typename Read>
+auto read_object(const std::string& text, Read read)
+    -> state::result<decltype(read(std::declval<const json::object&>()))> {
+    try {
+        return read(json::parse(text).as_object());
+    } catch (const std::exception& error) {
+        return state::fail(failure_kind::message_damaged,
+                           std::string("platform message: ") + error.what());
+    }
+}
+
+std::string to_text(const json::value& value) {
+    return std::string(value.as_string());
+}
+
+std::vector<std::string> to_texts(const json::value& value) {
+    std::vector<std::string> texts;
+    for (const auto& each : value.as_array()) {
+        texts.push_back(to_text(each));
+    }
+    return texts;
+}
+
+json::array from_texts(const std::vector<std::string>& texts) {
+    json::array values;
+    for (const auto& text : texts) {
+        values.emplace_back(text);
+    }
+    return values;
+}
+
+} // namespace
+
+std::string write_transaction(const state::table_transaction& transaction) {
+    json::array checks;
+    for (const auto& check : transaction.checks) {
+        checks.push_back(json::object{{"key", check.key}, {"version", check.version}});
+    }
+    json::array puts;
+    for (const auto& put : transaction.puts) {
+        puts.push_back(json::object{{"key", put.key}, {"value", put.value}});
+    }
+    return json::serialize(json::object{{"write_key", transaction.write_key},
+                                        {"checks", checks},
+                                        {"puts", puts},
+                                        {"deletes", from_texts(transaction.deletes)}});
+}
+
+state::result<state::table_transaction> read_transaction(const std::string& text) {
+    return read_object(text, [](const json::object& object) {
+        state::table_transaction transaction;
+        transaction.write_key = to_text(object.at("write_key"));
+        for (const auto& each : object.at("checks").as_array()) {
+            const auto& check = each.as_object();
+            transaction.checks.push_back(
+                {to_text(check.at("key")), check.at("version").to_number<std::uint64_t>()});
+        }
+        for (const auto& each : object.at("puts").as_array()) {
+            const auto& put = each.as_object();
+            transaction.puts.push_back({to_text(put.at("key")), to_text(put.at("value"))});
+        }
+        transaction.deletes = to_texts(object.at("deletes"));
+        return transaction;
+    });
+}
+
+std::string write_transaction_result(const std::optional<state::transaction_result>& outcome) {
+    json::object object{{"known", outcome.has_value()}};
+    if (outcome) {
+        object["committed"] = outcome->committed;
+        object["version"] = outcome->version;
+        object["conflicts"] = from_texts(outcome->conflicts);
+    }
+    return json::serialize(object);
+}
+
+state::result<std::optional<state::transaction_result>>
+read_transaction_result(const std::string& text) {
+    return read_object(text, [](const json::object& object) {
+        std::optional<state::transaction_result> outcome;
+        if (object.at("known").as_bool()) {
+            outcome = state::transaction_result{object.at("committed").as_bool(),
+                                                object.at("version").to_number<std::uint64_t>(),
+                                                to_texts(object.at("conflicts"))};
+        }
+        return outcome;
+    });
+}
+
+std::string write_rows(const std::vector<state::table_row>& rows) {
+    json::array values;
+    for (const auto& row : rows) {
+        values.push_back(
+            json::object{{"key", row.key}, {"value", row.value}, {"version", row.version}});
+    }
+    return json::serialize(json::object{{"rows", values}});
+}
+
+state::result<std::vector<state::table_row>> read_rows(const std::string& text) {
+    return read_object(text, [](const json::object& object) {
+        std::vector<state::table_row> rows;
+        for (const auto& each : object.at("rows").as_array()) {
+            const auto& row = each.as_object();
+            rows.push_back({to_text(row.at("key")), to_text(row.at("value")),
+                            row.at("version").to_number<std::uint64_t>()});
+        }
+        return rows;
+    });
+}
+
+std::string write_names(const std::vector<std::string>& names) {
+    return json::serialize(json::object{{"names", from_texts(names)}});
+}
+
+state::result<std::vector<std::string>> read_names(const std::string& text) {
+    return read_object(text,
+                       [](const json::object& object) { return to_texts(object.at("names")); });
+}
+
+std::string write_hosts(const std::vector<state::platform_host>& hosts) {
+    json::array values;
+    for (const auto& host : hosts) {
+        values.push_back(json::object{{"id", host.id.value()},
+                                      {"availability_zone", host.availability_zone.value()},
+                                      {"fabric_domain", host.fabric_domain.value()},
+                                      {"accelerators", host.accelerators},
+                                      {"entry_host", host.entry_host},
+                                      {"leaving", host.leaving}});
+    }
+    return json::serialize(json::object{{"hosts", values}});
+}
+
+state::result<std::vector<state::platform_host>> read_hosts(const std::string& text) {
+    return read_object(text, [](const json::object& object) {
+        std::vector<state::platform_host> hosts;
+        for (const auto& each : object.at("hosts").as_array()) {
+            const auto& host = each.as_object();
+            hosts.push_back({state::host_id(to_text(host.at("id"))),
+                             state::availability_zone_id(to_text(host.at("availability_zone"))),
+                             state::fabric_domain_id(to_text(host.at("fabric_domain"))),
+                             host.at("accelerators").to_number<std::uint32_t>(),
+                             host.at("entry_host").as_bool(), host.at("leaving").as_bool()});
+        }
+        return hosts;
+    });
+}
+
+} // namespace savoryrelay::protocol
--- /dev/null
+++ b/src/savoryrelay/protocol/settings/daemon_settings.h
@@ -0,0 +1,59 @@
+// The YAML settings of one daemon.
+#pragma once
+
+#include "savoryrelay/state/core/enum_names.h"
+#include "savoryrelay/state/core/failure.h"
+#include "savoryrelay/state/core/identifier.h"
+#include "savoryrelay/state/core/time.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace savoryrelay::protocol {
+
+/// Where a listener is bound, or a peer is met.
+struct network_address {
+    std::string address = "127.0.0.1"; ///< IP address
+    std::uint16_t port = 0;            ///< 0: any free port
+};
+
+/// Where the platform's services are.
+enum class platform_mode {
+    embedded, ///< in the daemon's memory, for trials; keeps nothing
+    remote,   ///< over HTTP
+};
+
+/// The settings of one daemon. docs/settings.md lists them with their ranges.
+struct daemon_settings {
+    state::member_id member;
+    state::availability_zone_id availability_zone;
+    std::string region;
+    network_address callers;
+    network_address operators;
+    network_address peers;
+    std::vector<std::string> seeds; ///< "address:port" of other members
+    std::string peer_key_file;      ///< empty: loopback only
+    platform_mode platform = platform_mode::embedded;
+    network_address platform_address;
+    state::milliseconds platform_timeout{2'000};
+    std::string configuration_file; ///< first configuration of an embedded platform
+    std::uint32_t io_threads = 2;
+    state::milliseconds poll_interval{2'000}; ///< of the configuration's revision
+    bool single_entry_host = false;           ///< serves without peers and without the store
+};
+
+/// Reads settings. Fails with `invalid_settings`, naming the setting.
+[[nodiscard]] state::result<daemon_settings> read_daemon_settings(const std::string& text);
+
+} // namespace savoryrelay::protocol
+
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::protocol::platform_mode> {
+    using m = savoryrelay::protocol::platform_mode;
+    static constexpr std::array rows{
+        enum_name<m>{m::embedded, "embedded"},
+        enum_name<m>{m::remote, "remote"},
+    };
+};
--- a/src/savoryrelay/state/core/failure.h
+++ b/src/savoryrelay/state/core/failure.h
@@ -116,6 +116,8 @@
 template <typename T>
 class attempt {
 public:
+    /// An attempt without a result yet, which counts as an internal failure.
+    attempt() : attempt(failure{failure_kind::internal, "no result", std::nullopt}) {}
     attempt(T value) : m_content(std::in_place_index<0>, std::move(value)) {}
     attempt(failure error) : m_content(std::in_place_index<1>, std::move(error)) {}
 
--- a/src/savoryrelay/state/core/identifier.h
+++ b/src/savoryrelay/state/core/identifier.h
@@ -35,15 +35,15 @@
     std::string m_value;
 };
 
-using availability_zone_id = identifier<struct availability_zone_tag>;
-using customer_id = identifier<struct customer_tag>;
-using deployment_id = identifier<struct deployment_tag>;
-using endpoint_id = identifier<struct endpoint_tag>;
-using fabric_domain_id = identifier<struct fabric_domain_tag>;
-using group_id = identifier<struct group_tag>;
-using host_id = identifier<struct host_tag>;
-using member_id = identifier<struct member_tag>;
-using request_id = identifier<struct request_tag>;
+using availability_zone_id = identifier<struct availability_zone_id_tag>;
+using customer_id = identifier<struct customer_id_tag>;
+using deployment_id = identifier<struct deployment_id_tag>;
+using endpoint_id = identifier<struct endpoint_id_tag>;
+using fabric_domain_id = identifier<struct fabric_domain_id_tag>;
+using group_id = identifier<struct group_id_tag>;
+using host_id = identifier<struct host_id_tag>;
+using member_id = identifier<struct member_id_tag>;
+using request_id = identifier<struct request_id_tag>;
 
 } // namespace savoryrelay::state
 
--- /dev/null
+++ b/src/savoryrelay/transport/caller/caller_front.cpp
@@ -0,0 +1,534 @@
+// Decoding, relaying and refusing.
+#include "savoryrelay/transport/caller/caller_front.h"
+
+#include "savoryrelay/protocol/http_api/caller_api.h"
+#include "savoryrelay/state/digest/digest.h"
+#include "savoryrelay/transport/process/await_completion.h"
+
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <chrono>
+#include <random>
+
+namespace savoryrelay::transport {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using coordination::attempt_end;
+using state::failure_kind;
+
+namespace {
+
+constexpr std::size_t relay_buffer_bytes = 16 * 1024;
+constexpr std::string_view service_path = "/v1/services/";
+constexpr std::string_view json_type = "application/json";
+constexpr unsigned unavailable_status = 503;
+constexpr unsigned not_run_status = 429;
+
+coordination::random_source& thread_random() {
+    thread_local coordination::random_source random{std::random_device{}()};
+    return random;
+}
+
+std::string bearer_token_of(const http_request& request) {
+    static constexpr std::string_view scheme = "Bearer ";
+    const auto field = header_of(request, "Authorization");
+    return field.starts_with(scheme) ? field.substr(scheme.size()) : std::string{};
+}
+
+template <typename Number>
+std::optional<Number> number_of(const std::string& text) {
+    Number value{};
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+/// Reads the headers that every call may carry.
+state::result<void> read_call_headers(const http_request& request,
+                                      coordination::call_request& call) {
+    call.bearer_token = bearer_token_of(request);
+    call.idempotency_key = header_of(request, "Idempotency-Key");
+    constexpr std::size_t max_key_bytes = 200;
+    if (call.idempotency_key.size() > max_key_bytes) {
+        return state::fail(failure_kind::invalid_request, "Idempotency-Key exceeds 200 bytes");
+    }
+    if (const auto text = header_of(request, "Savoryrelay-Deadline-Ms"); !text.empty()) {
+        const auto count = number_of<std::uint32_t>(text);
+        if (!count || *count == 0) {
+            return state::fail(failure_kind::invalid_request,
+                               "Savoryrelay-Deadline-Ms must be a whole number above 0");
+        }
+        call.deadline = state::milliseconds(*count);
+    }
+    if (const auto text = header_of(request, "Savoryrelay-Priority"); !text.empty()) {
+        const auto priority = number_of<int>(text);
+        if (!priority || *priority < -10 || *priority > 10) {
+            return state::fail(failure_kind::invalid_request,
+                               "Savoryrelay-Priority must be a whole number from -10 to 10");
+        }
+        call.priority = *priority;
+    }
+    return {};
+}
+
+state::result<coordination::call_request> read_completion(const http_request& request) {
+    BOOST_LEAF_AUTO(body, protocol::read_completion_body(request.body()));
+    coordination::call_request call;
+    BOOST_LEAF_CHECK(read_call_headers(request, call));
+    call.model = body.model;
+    call.prompt = std::move(body.prompt);
+    call.max_tokens = body.max_tokens;
+    call.body = request.body();
+    return call;
+}
+
+state::result<coordination::call_request> read_service_call(const http_request& request) {
+    const std::string target(request.target());
+    const auto name_end = target.find('/', service_path.size());
+    coordination::call_request call;
+    BOOST_LEAF_CHECK(read_call_headers(request, call));
+    call.service = state::deployment_id(target.substr(
+        service_path.size(),
+        name_end == std::string::npos ? std::string::npos : name_end - service_path.size()));
+    if (call.service.empty()) {
+        return state::fail(failure_kind::invalid_request, "the path names no service");
+    }
+    call.body = std::string(request.method_string()) + ' ' + target + '\n' + request.body();
+    return call;
+}
+
+/// The path that the service sees: what follows its name, or "/".
+std::string service_target(const http_request& request) {
+    const std::string target(request.target());
+    const auto name_end = target.find('/', service_path.size());
+    return name_end == std::string::npos ? "/" : target.substr(name_end);
+}
+
+/// Hands bytes to the splitter. False: the stream is damaged.
+bool append_events(protocol::event_splitter& events, std::string_view bytes) {
+    return state::collect([&] { return events.append(bytes); }).has_value();
+}
+
+/// Header fields of a whole answer or a refusal.
+http_fields answer_fields(std::string type, state::execution_outcome outcome,
+                          const state::request_id& request) {
+    auto fields = content_type_field(std::move(type));
+    fields.push_back({"Savoryrelay-Outcome", std::string(state::to_name(outcome))});
+    fields.push_back({"Savoryrelay-Request-Id", request.value()});
+    return fields;
+}
+
+/// Header fields of a stream of events.
+http_fields stream_fields(const state::request_id& request) {
+    auto fields = content_type_field("text/event-stream");
+    fields.push_back({"Cache-Control", "no-cache"});
+    fields.push_back({"Savoryrelay-Request-Id", request.value()});
+    return fields;
+}
+
+/// True when the endpoint states that it did not run the request.
+bool states_not_run(const endpoint_connection& connection) {
+    return connection.header("Savoryrelay-Outcome") ==
+           state::to_name(state::execution_outcome::not_run);
+}
+
+} // namespace
+
+struct caller_front::exchange {
+    std::shared_ptr<coordination::call> accepted;
+    coordination::call_route route;
+    http_request request; // as the endpoint receives it
+    std::unique_ptr<endpoint_connection> connection;
+    attempt_end end = attempt_end::not_sent; // when the exchange could not be opened
+    protocol::event_splitter* events = nullptr;
+    std::vector<char> buffer = std::vector<char>(relay_buffer_bytes);
+
+    /// The bytes of the last read.
+    [[nodiscard]] std::string_view received(std::size_t size) const {
+        return {buffer.data(), size};
+    }
+
+    [[nodiscard]] state::milliseconds remaining(state::time_point now,
+                                                state::milliseconds limit) const {
+        const auto left = std::chrono::duration_cast<state::milliseconds>(accepted->deadline - now);
+        return std::clamp(left, state::milliseconds(1), limit);
+    }
+};
+
+caller_front::caller_front(coordination::call_coordinator& coordinator,
+                           const state::snapshot_cell<state::configuration>& configuration,
+                           state::metrics& metrics, exchange_limits limits,
+                           caller_front_hooks hooks)
+    : m_coordinator(coordinator), m_configuration(configuration), m_metrics(metrics),
+      m_limits(limits), m_hooks(std::move(hooks)),
+      m_tokens(metrics.counter_of("tokens_relayed_total")),
+      m_first_token(metrics.quantiles_of("first_token_seconds")),
+      m_token_interval(metrics.quantiles_of("token_interval_seconds")) {}
+
+asio::awaitable<void> caller_front::handle(http_request request, response_writer& writer) {
+    const std::string target(request.target());
+    const bool is_post = request.method() == http::verb::post;
+    if (target == "/healthz") {
+        co_await writer.send(200, content_type_field("text/plain"), "ok\n");
+    } else if (target == "/readyz") {
+        const bool ready = m_hooks.ready(m_hooks.now());
+        co_await writer.send(ready ? 200 : unavailable_status, content_type_field("text/plain"),
+                             ready ? "ready\n" : "not ready\n");
+    } else if (target == "/metrics") {
+        co_await writer.send(200, content_type_field("text/plain; version=0.0.4"),
+                             m_metrics.to_prometheus());
+    } else if (target == "/v1/models" && request.method() == http::verb::get) {
+        co_await serve_models(request, writer);
+    } else if (is_post && (target == "/v1/chat/completions" || target == "/v1/completions")) {
+        co_await serve_completion(request, writer);
+    } else if (target.starts_with(service_path)) {
+        co_await serve_service(request, writer);
+    } else {
+        co_await refuse(state::failure{failure_kind::not_found, "no such path or method"},
+                        state::request_id{}, writer);
+    }
+}
+
+asio::awaitable<void> caller_front::refuse(const state::failure& error,
+                                           const state::request_id& request,
+                                           response_writer& writer) {
+    const auto& kind = state::properties_of(error.kind);
+    const auto outcome = error.reported_outcome();
+    m_metrics
+        .counter_of("refusals_" + std::string(kind.name) + "_" +
+                    (outcome == state::execution_outcome::not_run ? "not_run"
+                     : outcome == state::execution_outcome::ran   ? "ran"
+                                                                  : "unknown") +
+                    "_total")
+        .add();
+    const auto body = protocol::write_refusal(error, request);
+    if (writer.started()) {
+        // The status is gone; an error event and a missing end mark tell the
+        // caller that the answer is not whole.
+        co_await writer.write("event: error\ndata: " + body + "\n\n");
+        writer.abandon();
+        co_return;
+    }
+    auto fields = answer_fields(std::string(json_type), outcome, request);
+    if (kind.http_status == not_run_status ||
+        kind.http_status == static_cast<int>(unavailable_status)) {
+        fields.push_back({"Retry-After", "1"});
+    }
+    co_await writer.send(static_cast<unsigned>(kind.http_status), fields, body);
+}
+
+asio::awaitable<void> caller_front::serve_models(const http_request& request,
+                                                 response_writer& writer) {
+    const auto configuration = m_configuration.load();
+    const auto* customer =
+        configuration->find_customer(state::sha256_hex(bearer_token_of(request)));
+    if (customer == nullptr) {
+        co_await refuse(
+            state::failure{failure_kind::unauthenticated, "the bearer token is not known"},
+            state::request_id{}, writer);
+        co_return;
+    }
+    co_await writer.send(200, content_type_field(std::string(json_type)),
+                         protocol::write_models(*configuration, customer->id));
+}
+
+asio::awaitable<void> caller_front::serve_completion(const http_request& request,
+                                                     response_writer& writer) {
+    auto accepted = state::collect([&]() -> state::result<std::shared_ptr<coordination::call>> {
+        BOOST_LEAF_AUTO(call, read_completion(request));
+        return m_coordinator.accept(call, m_hooks.now());
+    });
+    if (!accepted) {
+        co_await refuse(accepted.error(), state::request_id{}, writer);
+        co_return;
+    }
+    co_await relay_call(accepted.value(), request, writer);
+}
+
+asio::awaitable<void> caller_front::serve_service(const http_request& request,
+                                                  response_writer& writer) {
+    auto accepted = state::collect([&]() -> state::result<std::shared_ptr<coordination::call>> {
+        BOOST_LEAF_AUTO(call, read_service_call(request));
+        return m_coordinator.accept(call, m_hooks.now());
+    });
+    if (!accepted) {
+        co_await refuse(accepted.error(), state::request_id{}, writer);
+        co_return;
+    }
+    auto& call = accepted.value();
+    if (call->deployment->repeat == state::repeat_rule::at_most_once) {
+        co_await book(call, request, writer);
+    } else {
+        co_await relay_call(call, request, writer);
+    }
+}
+
+asio::awaitable<bool> caller_front::open_exchange(exchange& attempt) {
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    const auto& route = attempt.route;
+
+    // Take a kept connection unless the attempt needs a fresh one.
+    if (!route.fresh_connection) {
+        attempt.connection = m_pool.take(context, route.address, route.port);
+    }
+    if (attempt.connection == nullptr) {
+        attempt.connection = std::make_unique<endpoint_connection>(context);
+        const auto failed = co_await attempt.connection->connect(
+            route.address, route.port, attempt.remaining(m_hooks.now(), m_limits.connect_timeout));
+        if (failed) {
+            attempt.end = attempt_end::not_sent;
+            co_return false;
+        }
+    }
+
+    // Send the request and wait for the header of its answer.
+    const auto& deployment = *attempt.accepted->deployment;
+    if (co_await attempt.connection->send(attempt.request, m_limits.send_timeout)) {
+        attempt.end = attempt_end::no_answer;
+        co_return false;
+    }
+    if (co_await attempt.connection->read_header(
+            attempt.remaining(m_hooks.now(), deployment.first_token_timeout))) {
+        attempt.end = attempt_end::no_answer;
+        co_return false;
+    }
+    if (states_not_run(*attempt.connection)) {
+        attempt.end = attempt_end::refused;
+        co_return false;
+    }
+
+    // An answer that names another request is not this caller's.
+    const auto answered = attempt.connection->header("Savoryrelay-Request-Id");
+    if (!answered.empty() && answered != attempt.accepted->id.value()) {
+        attempt.end = attempt_end::crossed;
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<attempt_end> caller_front::relay_stream(exchange& attempt,
+                                                        response_writer& writer) {
+    auto& events = *attempt.events;
+    const auto& deployment = *attempt.accepted->deployment;
+    auto last_token_at = m_hooks.now();
+    auto limit = deployment.first_token_timeout;
+    while (!events.finished()) {
+        const auto [failed, size] = co_await attempt.connection->read_some(
+            asio::buffer(attempt.buffer), attempt.remaining(m_hooks.now(), limit));
+        if (failed || size == 0) {
+            co_return attempt_end::interrupted;
+        }
+        if (!append_events(events, attempt.received(size))) {
+            co_return attempt_end::interrupted;
+        }
+
+        // Relay the whole events of this read.
+        const auto tokens_before = events.tokens();
+        const auto ready = events.take();
+        if (ready.empty()) {
+            continue;
+        }
+        error_code not_taken;
+        if (!writer.started()) {
+            not_taken = co_await writer.start(200, stream_fields(attempt.accepted->id));
+        }
+        if (!not_taken) {
+            not_taken = co_await writer.write(ready);
+        }
+        if (not_taken) {
+            co_return attempt_end::caller_gone;
+        }
+
+        // Measure the first token and the interval between tokens.
+        const auto now = m_hooks.now();
+        const auto seconds = [](auto span) { return std::chrono::duration<double>(span).count(); };
+        if (limit == deployment.first_token_timeout) {
+            m_first_token.record(seconds(now - attempt.accepted->accepted_at));
+        } else {
+            m_token_interval.record(seconds(now - last_token_at));
+        }
+        m_tokens.add(events.tokens() - tokens_before);
+        last_token_at = now;
+        limit = deployment.token_timeout;
+    }
+
+    // Read the end of the body, so that the connection can carry another request.
+    co_await attempt.connection->read_some(asio::buffer(attempt.buffer), m_limits.connect_timeout);
+    co_return attempt_end::completed;
+}
+
+asio::awaitable<attempt_end> caller_front::read_answer(exchange& attempt, stored_answer& answer) {
+    const auto& deployment = *attempt.accepted->deployment;
+    answer = {attempt.connection->status(), attempt.connection->header("Content-Type"), {}};
+    while (true) {
+        const auto [failed, size] = co_await attempt.connection->read_some(
+            asio::buffer(attempt.buffer),
+            attempt.remaining(m_hooks.now(), deployment.first_token_timeout));
+        if (failed || answer.body.size() + size > m_limits.max_answer_bytes) {
+            co_return attempt_end::interrupted;
+        }
+        if (size == 0) {
+            co_return attempt_end::completed;
+        }
+        answer.body.append(attempt.received(size));
+    }
+}
+
+asio::awaitable<void> caller_front::send_answer(const coordination::call& accepted,
+                                                const stored_answer& answer,
+                                                response_writer& writer) {
+    auto type = answer.content_type.empty() ? std::string(json_type) : answer.content_type;
+    auto fields = answer_fields(std::move(type), state::execution_outcome::ran, accepted.id);
+    co_await writer.send(answer.status, std::move(fields), answer.body);
+}
+
+asio::awaitable<void> caller_front::relay_call(std::shared_ptr<coordination::call> accepted,
+                                               const http_request& request,
+                                               response_writer& writer) {
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    protocol::event_splitter events;
+    std::optional<state::failure> refusal;
+    while (true) {
+        // Choose an endpoint.
+        auto route = state::collect(
+            [&] { return m_coordinator.next_route(*accepted, m_hooks.now(), thread_random()); });
+        if (!route) {
+            refusal = route.error();
+            break;
+        }
+
+        // Send the request there and relay the answer.
+        exchange attempt{accepted, route.value(), request, nullptr, attempt_end::not_sent, &events};
+        if (accepted->deployment->kind == state::deployment_kind::service) {
+            attempt.request.target(service_target(request));
+        }
+        attempt.request.erase(http::field::authorization);
+        attempt.request.keep_alive(true);
+        attempt.request.set(http::field::host, route.value().address);
+        attempt.request.set("Savoryrelay-Request-Id", accepted->id.value());
+        if (events.next_token() > 0) {
+            events.resume();
+            attempt.request.set("Savoryrelay-Resume-From", std::to_string(events.next_token()));
+        }
+        bool can_resume = false;
+        stored_answer answer;
+        if (co_await open_exchange(attempt)) {
+            const bool is_stream =
+                attempt.connection->header("Content-Type").starts_with("text/event-stream");
+            can_resume =
+                attempt.connection->header("Savoryrelay-Can-Resume") == "true" || !writer.started();
+            if (is_stream) {
+                attempt.end = co_await relay_stream(attempt, writer);
+            } else {
+                attempt.end = co_await read_answer(attempt, answer);
+            }
+            can_resume = can_resume || !writer.started();
+        }
+        if (attempt.end == attempt_end::completed && attempt.connection->reusable()) {
+            m_pool.keep(context, route.value().address, route.value().port,
+                        std::move(attempt.connection));
+        }
+
+        // Ask whether to go on.
+        const auto verdict = state::collect([&] {
+            return m_coordinator.attempt_ended(*accepted, route.value(), attempt.end, can_resume,
+                                               m_hooks.now());
+        });
+        if (!verdict) {
+            refusal = verdict.error();
+            break;
+        }
+        if (attempt.end == attempt_end::completed) {
+            m_coordinator.finish(*accepted, state::execution_outcome::ran, m_hooks.now());
+            if (writer.started()) {
+                co_await writer.finish();
+            } else {
+                co_await send_answer(*accepted, answer, writer);
+            }
+            co_return;
+        }
+    }
+    m_coordinator.finish(*accepted, refusal->reported_outcome(), m_hooks.now());
+    co_await refuse(*refusal, accepted->id, writer);
+}
+
+asio::awaitable<void> caller_front::book(std::shared_ptr<coordination::call> accepted,
+                                         const http_request& request, response_writer& writer) {
+    using begun = state::attempt<std::optional<stored_answer>>;
+    using ended = state::attempt<state::done>;
+
+    // Make the intent durable, or learn the first answer.
+    auto begin = co_await await_completion<begun>([&](auto completion) {
+        m_hooks.bookings.begin(*accepted, m_hooks.now(), std::move(completion));
+    });
+    if (!begin) {
+        m_coordinator.finish(*accepted, begin.error().reported_outcome(), m_hooks.now());
+        co_await refuse(begin.error(), accepted->id, writer);
+        co_return;
+    }
+    if (begin.value()) {
+        m_coordinator.finish(*accepted, state::execution_outcome::ran, m_hooks.now());
+        co_await send_answer(*accepted, *begin.value(), writer);
+        co_return;
+    }
+
+    // Dispatch it. Attempts go on only while it is certain that nothing was sent.
+    stored_answer answer;
+    std::optional<state::failure> refusal;
+    while (!refusal) {
+        auto route = state::collect(
+            [&] { return m_coordinator.next_route(*accepted, m_hooks.now(), thread_random()); });
+        if (!route) {
+            refusal = route.error();
+            break;
+        }
+        exchange attempt{accepted, route.value(), request, nullptr, attempt_end::not_sent, nullptr};
+        attempt.request.target(service_target(request));
+        attempt.request.erase(http::field::authorization);
+        attempt.request.keep_alive(false);
+        attempt.request.set(http::field::host, route.value().address);
+        attempt.request.set("Savoryrelay-Request-Id", accepted->id.value());
+        if (co_await open_exchange(attempt)) {
+            attempt.end = co_await read_answer(attempt, answer);
+        }
+        const auto verdict = state::collect([&] {
+            return m_coordinator.attempt_ended(*accepted, route.value(), attempt.end, false,
+                                               m_hooks.now());
+        });
+        if (!verdict) {
+            refusal = verdict.error();
+        } else if (attempt.end == attempt_end::completed) {
+            break;
+        }
+    }
+
+    // Make the outcome durable before the caller hears of it.
+    const auto end = !refusal               ? booking_end::ran
+                     : accepted->bytes_left ? booking_end::unknown
+                                            : booking_end::not_run;
+    const auto kept = co_await await_completion<ended>([&](auto completion) {
+        m_hooks.bookings.finish(*accepted, end, answer, m_hooks.now(), std::move(completion));
+    });
+    if (!kept && !refusal) {
+        refusal = state::failure{failure_kind::booking_unknown,
+                                 "the booking ran, but its outcome could not be recorded",
+                                 state::execution_outcome::ran};
+    }
+    if (refusal) {
+        m_coordinator.finish(*accepted, refusal->reported_outcome(), m_hooks.now());
+        co_await refuse(*refusal, accepted->id, writer);
+        co_return;
+    }
+    m_coordinator.finish(*accepted, state::execution_outcome::ran, m_hooks.now());
+    co_await send_answer(*accepted, answer, writer);
+}
+
+} // namespace savoryrelay::transport
--- /dev/null
+++ b/src/savoryrelay/transport/caller/caller_front.h
@@ -0,0 +1,78 @@
+// The callers' HTTP interface: decodes requests, carries out the decisions of
+// the call coordinator, and relays answers without collecting a stream.
+#pragma once
+
+#include "savoryrelay/coordination/call/call_coordinator.h"
+#include "savoryrelay/protocol/event_stream/event_splitter.h"
+#include "savoryrelay/state/metrics/metrics.h"
+#include "savoryrelay/transport/caller/booking_hooks.h"
+#include "savoryrelay/transport/http/endpoint_pool.h"
+#include "savoryrelay/transport/http/http_server.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace savoryrelay::transport {
+
+/// Behaviour of the callers' front end that varies.
+struct caller_front_hooks {
+    booking_hooks bookings;
+    /// Whether the balancer may send new work here.
+    std::function<bool(state::time_point now)> ready;
+    /// Reads the clock of the process.
+    std::function<state::time_point()> now;
+};
+
+/// Time limits of the exchange with an endpoint.
+struct exchange_limits {
+    state::milliseconds connect_timeout{1'000};
+    state::milliseconds send_timeout{5'000};
+    std::size_t max_answer_bytes = 16 * 1024 * 1024; ///< of an answer that is not a stream
+};
+
+/// Handles callers' requests. Outlives the server that calls it.
+class caller_front {
+public:
+    caller_front(coordination::call_coordinator& coordinator,
+                 const state::snapshot_cell<state::configuration>& configuration,
+                 state::metrics& metrics, exchange_limits limits, caller_front_hooks hooks);
+
+    /// Answers one request. It is the handler of the callers' HTTP server.
+    boost::asio::awaitable<void> handle(http_request request, response_writer& writer);
+
+private:
+    struct exchange; // one attempt at an endpoint
+
+    boost::asio::awaitable<void> serve_completion(const http_request& request,
+                                                  response_writer& writer);
+    boost::asio::awaitable<void> serve_service(const http_request& request,
+                                               response_writer& writer);
+    boost::asio::awaitable<void> relay_call(std::shared_ptr<coordination::call> accepted,
+                                            const http_request& request, response_writer& writer);
+    boost::asio::awaitable<void> book(std::shared_ptr<coordination::call> accepted,
+                                      const http_request& request, response_writer& writer);
+
+    boost::asio::awaitable<bool> open_exchange(exchange& attempt);
+    boost::asio::awaitable<coordination::attempt_end> relay_stream(exchange& attempt,
+                                                                   response_writer& writer);
+    boost::asio::awaitable<coordination::attempt_end> read_answer(exchange& attempt,
+                                                                  stored_answer& answer);
+    boost::asio::awaitable<void> refuse(const state::failure& error,
+                                        const state::request_id& request, response_writer& writer);
+    boost::asio::awaitable<void> send_answer(const coordination::call& accepted,
+                                             const stored_answer& answer, response_writer& writer);
+    boost::asio::awaitable<void> serve_models(const http_request& request, response_writer& writer);
+
+    coordination::call_coordinator& m_coordinator;
+    const state::snapshot_cell<state::configuration>& m_configuration;
+    state::metrics& m_metrics;
+    exchange_limits m_limits;
+    caller_front_hooks m_hooks;
+    endpoint_pool m_pool;
+    state::counter& m_tokens;
+    state::quantiles& m_first_token;
+    state::quantiles& m_token_interval;
+};
+
+} // namespace savoryrelay::transport
--- /dev/null
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -0,0 +1,120 @@
+// One HTTP exchange with explicit time limits on each step.
+#include "savoryrelay/transport/http/endpoint_connection.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <limits>
+
+namespace savoryrelay::transport {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+// Unacknowledged data for this long means that the path is gone. The progress
+// deadline of a stream is usually shorter; this bounds connections without one.
+constexpr int user_timeout_ms = 20'000;
+constexpr int keepalive_idle_s = 10;
+constexpr int keepalive_interval_s = 5;
+constexpr int keepalive_probes = 3;
+
+constexpr std::uint32_t max_answer_header_bytes = 16 * 1024;
+
+void set_liveness_options(tcp::socket& socket) {
+    const auto set = [&](int level, int name, int value) {
+        ::setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
+    };
+    set(IPPROTO_TCP, TCP_NODELAY, 1);
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+    set(IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
+}
+
+} // namespace
+
+asio::awaitable<error_code> endpoint_connection::connect(const std::string& address,
+                                                         std::uint16_t port,
+                                                         state::milliseconds timeout) {
+    error_code invalid;
+    const auto ip = asio::ip::make_address(address, invalid);
+    if (invalid) {
+        co_return invalid;
+    }
+    m_stream.expires_after(timeout);
+    const auto [failed] = co_await m_stream.async_connect(tcp::endpoint(ip, port), use_tuple);
+    if (!failed) {
+        set_liveness_options(m_stream.socket());
+    }
+    co_return failed;
+}
+
+asio::awaitable<error_code> endpoint_connection::send(const http_request& request,
+                                                      state::milliseconds timeout) {
+    m_parser.emplace();
+    m_parser->header_limit(max_answer_header_bytes);
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_stream.expires_after(timeout);
+    const auto [failed, size] = co_await http::async_write(m_stream, request, use_tuple);
+    co_return failed;
+}
+
+asio::awaitable<error_code> endpoint_connection::read_header(state::milliseconds timeout) {
+    m_stream.expires_after(timeout);
+    const auto [failed, size] =
+        co_await http::async_read_header(m_stream, m_buffer, *m_parser, use_tuple);
+    co_return failed;
+}
+
+asio::awaitable<std::pair<error_code, std::size_t>>
+endpoint_connection::read_some(asio::mutable_buffer buffer, state::milliseconds timeout) {
+    m_stream.expires_after(timeout);
+    while (!m_parser->is_done()) {
+        auto& body = m_parser->get().body();
+        body.data = buffer.data();
+        body.size = buffer.size();
+        auto [failed, size] =
+            co_await http::async_read_some(m_stream, m_buffer, *m_parser, use_tuple);
+        const std::size_t received = buffer.size() - body.size;
+        if (failed == http::error::need_buffer) {
+            failed = {};
+        }
+        if (failed || received > 0) {
+            co_return std::pair{failed, received};
+        }
+    }
+    co_return std::pair{error_code{}, std::size_t{0}};
+}
+
+unsigned endpoint_connection::status() const {
+    return m_parser->get().result_int();
+}
+
+std::string endpoint_connection::header(std::string_view name) const {
+    const auto found = m_parser->get().find(name);
+    return found == m_parser->get().end() ? std::string{} : std::string(found->value());
+}
+
+bool endpoint_connection::reusable() const {
+    return m_parser && m_parser->is_done() && m_parser->keep_alive();
+}
+
+void endpoint_connection::close() {
+    error_code ignored;
+    m_stream.socket().close(ignored);
+}
+
+} // namespace savoryrelay::transport
--- /dev/null
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -0,0 +1,64 @@
+// The client side of HTTP/1.1 towards endpoints and the platform. It never
+// sends a request twice by itself, unlike the cxxtools client, which repeats a
+// POST when a kept connection turns out to be closed.
+#pragma once
+
+#include "savoryrelay/state/core/time.h"
+#include "savoryrelay/transport/http/http_message.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/system/error_code.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace savoryrelay::transport {
+
+/// One connection that carries one exchange at a time. Used on one thread.
+class endpoint_connection {
+public:
+    explicit endpoint_connection(boost::asio::io_context& context) : m_stream(context) {}
+
+    /// Connects to an IP address. Sets TCP keepalive and a user timeout, so that
+    /// a connection whose path has gone silent is noticed.
+    boost::asio::awaitable<boost::system::error_code>
+    connect(const std::string& address, std::uint16_t port, state::milliseconds timeout);
+
+    /// Sends `request`. After this call has begun, bytes may have left.
+    boost::asio::awaitable<boost::system::error_code> send(const http_request& request,
+                                                           state::milliseconds timeout);
+
+    /// Reads the header of the answer.
+    boost::asio::awaitable<boost::system::error_code> read_header(state::milliseconds timeout);
+
+    /// Reads at least one byte of the body into `buffer`. Returns 0 bytes
+    /// without an error at the end of a whole answer.
+    boost::asio::awaitable<std::pair<boost::system::error_code, std::size_t>>
+    read_some(boost::asio::mutable_buffer buffer, state::milliseconds timeout);
+
+    /// The status of the answer. Requires a read header.
+    [[nodiscard]] unsigned status() const;
+    /// Header `name` of the answer, or an empty text. Requires a read header.
+    [[nodiscard]] std::string header(std::string_view name) const;
+    /// True when the answer is whole and the connection may carry another request.
+    [[nodiscard]] bool reusable() const;
+    /// Closes the connection at once.
+    void close();
+
+private:
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
+};
+
+} // namespace savoryrelay::transport
--- /dev/null
+++ b/src/savoryrelay/transport/http/endpoint_pool.cpp
@@ -0,0 +1,34 @@
+// Keeping and taking of connections.
+#include "savoryrelay/transport/http/endpoint_pool.h"
+
+namespace savoryrelay::transport {
+
+std::string endpoint_pool::key_of(boost::asio::io_context& context, const std::string& address,
+                                  std::uint16_t port) {
+    return std::to_string(reinterpret_cast<std::uintptr_t>(&context)) + '/' + address + ':' +
+           std::to_string(port);
+}
+
+std::unique_ptr<endpoint_connection> endpoint_pool::take(boost::asio::io_context& context,
+                                                         const std::string& address,
+                                                         std::uint16_t port) {
+    std::unique_ptr<endpoint_connection> taken;
+    m_kept.update_existing(key_of(context, address, port), [&](auto& connections) {
+        if (!connections.empty()) {
+            taken = std::move(connections.back());
+            connections.pop_back();
+        }
+    });
+    return taken;
+}
+
+void endpoint_pool::keep(boost::asio::io_context& context, const std::string& address,
+                         std::uint16_t port, std::unique_ptr<endpoint_connection> connection) {
+    m_kept.update(key_of(context, address, port), [&](auto& connections) {
+        if (connections.size() < max_kept) {
+            connections.push_back(std::move(connection));
+        }
+    });
+}
+
+} // namespace savoryrelay::transport
--- /dev/null
+++ b/src/savoryrelay/transport/http/http_message.h
@@ -0,0 +1,41 @@
+// HTTP message types shared by the server and the client side.
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace savoryrelay::transport {
+
+/// A request with its whole body.
+using http_request = boost::beast::http::request<boost::beast::http::string_body>;
+
+/// A header field to be sent.
+struct http_field {
+    std::string name;
+    std::string value;
+};
+
+/// Header fields in the order in which they are sent.
+using http_fields = std::vector<http_field>;
+
+/// A single Content-Type field. Lists of fields are made by functions, because
+/// g++ 12 rejects an initializer list inside a co_await expression.
+[[nodiscard]] inline http_fields content_type_field(std::string type) {
+    http_fields fields;
+    fields.push_back({"Content-Type", std::move(type)});
+    return fields;
+}
+
+/// The value of header `name`, or an empty text.
+[[nodiscard]] inline std::string header_of(const http_request& request, std::string_view name) {
+    const auto found = request.find(name);
+    return found == request.end() ? std::string{} : std::string(found->value());
+}
+
+} // namespace savoryrelay::transport
--- /dev/null
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -0,0 +1,210 @@
+// Accepting, reading with bounds, and answering in order.
+#include "savoryrelay/transport/http/http_server.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace savoryrelay::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+std::string_view read_error_text(unsigned status) {
+    return status == 413
+               ? R"({"error":{"kind":"request_too_large","message":"request_too_large: the request exceeds the size limit; send a smaller request"}})"
+               : R"({"error":{"kind":"invalid_request","message":"invalid_request: the request is not well-formed HTTP; correct the request"}})";
+}
+
+} // namespace
+
+/// One accepted connection. Runs on the thread of its socket.
+class http_server::connection : public std::enable_shared_from_this<connection> {
+public:
+    connection(http_server& server, std::uint64_t id, tcp::socket socket)
+        : m_server(server), m_id(id), m_stream(std::move(socket)) {}
+
+    asio::awaitable<void> run() {
+        const auto self = shared_from_this();
+        error_code ignored;
+        m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        while (!m_server.m_stopping.load()) {
+            if (!co_await wait_for_request() || !co_await serve_request()) {
+                break;
+            }
+        }
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        m_server.forget(m_id);
+    }
+
+    /// Ends the wait for the next request. A request that has begun goes on.
+    void close_if_idle() {
+        asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+            if (self->m_idle) {
+                self->m_stream.cancel();
+            }
+        });
+    }
+
+private:
+    /// Waits until a first byte arrives. False: timed out, closed or stopping.
+    asio::awaitable<bool> wait_for_request() {
+        if (m_buffer.size() > 0) {
+            co_return true;
+        }
+        m_idle = true;
+        m_stream.expires_after(m_server.m_limits.idle_timeout);
+        const auto [failed] =
+            co_await m_stream.socket().async_wait(tcp::socket::wait_read, use_tuple);
+        m_idle = false;
+        co_return !failed;
+    }
+
+    /// Reads and answers one request. False: the connection is to be closed.
+    asio::awaitable<bool> serve_request() {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(m_server.m_limits.header_bytes);
+        parser.body_limit(m_server.m_limits.body_bytes);
+        m_stream.expires_after(m_server.m_limits.request_timeout);
+        const auto [failed, size] =
+            co_await http::async_read(m_stream, m_buffer, parser, use_tuple);
+        if (failed) {
+            co_await refuse_unreadable(failed);
+            co_return false;
+        }
+
+        // Answer it; the count of open requests tells a shutdown when to end.
+        m_server.m_open_requests.fetch_add(1);
+        auto request = parser.release();
+        response_writer writer(
+            [this](std::array<asio::const_buffer, 3> buffers) -> asio::awaitable<error_code> {
+                m_stream.expires_after(m_server.m_limits.write_timeout);
+                const auto [error, written] =
+                    co_await asio::async_write(m_stream, buffers, use_tuple);
+                m_stream.expires_never();
+                co_return error;
+            },
+            request.keep_alive() && !m_server.m_stopping.load());
+        m_stream.expires_never();
+        co_await m_server.m_handler(std::move(request), writer);
+        m_server.request_ended();
+        co_return writer.keep_alive();
+    }
+
+    asio::awaitable<void> refuse_unreadable(error_code failed) {
+        const bool too_large =
+            failed == http::error::body_limit || failed == http::error::header_limit;
+        const bool malformed =
+            failed.category() == make_error_code(http::error::bad_method).category() &&
+            failed != http::error::end_of_stream && failed != http::error::partial_message;
+        if (!too_large && !malformed) {
+            co_return;
+        }
+        response_writer writer(
+            [this](std::array<asio::const_buffer, 3> buffers) -> asio::awaitable<error_code> {
+                m_stream.expires_after(m_server.m_limits.write_timeout);
+                const auto [error, written] =
+                    co_await asio::async_write(m_stream, buffers, use_tuple);
+                co_return error;
+            },
+            false);
+        const unsigned status = too_large ? 413 : 400;
+        auto fields = content_type_field("application/json");
+        fields.push_back({"Savoryrelay-Outcome", "not-run"});
+        co_await writer.send(status, std::move(fields), read_error_text(status));
+    }
+
+    http_server& m_server;
+    std::uint64_t m_id;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    bool m_idle = false; // true only while no byte of the next request has arrived
+};
+
+http_server::http_server(io_threads& threads, const std::string& address, std::uint16_t port,
+                         http_limits limits, request_handler handler)
+    : m_threads(threads), m_limits(limits), m_handler(std::move(handler)),
+      m_acceptor(threads.context(0)) {
+    const tcp::endpoint local(asio::ip::make_address(address), port);
+    m_acceptor.open(local.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_acceptor.bind(local);
+    m_acceptor.listen(asio::socket_base::max_listen_connections);
+    m_port = m_acceptor.local_endpoint().port();
+    asio::co_spawn(m_threads.context(0), accept_loop(), asio::detached);
+}
+
+http_server::~http_server() {
+    stop_accepting();
+}
+
+asio::awaitable<void> http_server::accept_loop() {
+    while (!m_stopping.load()) {
+        auto& context = m_threads.next();
+        auto [failed, socket] = co_await m_acceptor.async_accept(context, use_tuple);
+        if (failed == asio::error::operation_aborted || m_stopping.load()) {
+            co_return;
+        }
+        if (failed) {
+            continue;
+        }
+        std::shared_ptr<connection> accepted;
+        {
+            const std::scoped_lock lock(m_connections_mutex);
+            const auto id = m_next_connection++;
+            accepted = std::make_shared<connection>(*this, id, std::move(socket));
+            m_connections.emplace(id, accepted);
+        }
+        asio::co_spawn(
+            context, [accepted]() -> asio::awaitable<void> { co_await accepted->run(); },
+            asio::detached);
+    }
+}
+
+void http_server::stop_accepting() {
+    if (m_stopping.exchange(true)) {
+        return;
+    }
+    asio::post(m_threads.context(0), [this] {
+        error_code ignored;
+        m_acceptor.close(ignored);
+    });
+    const std::scoped_lock lock(m_connections_mutex);
+    for (const auto& [id, weak] : m_connections) {
+        if (const auto open = weak.lock()) {
+            open->close_if_idle();
+        }
+    }
+}
+
+void http_server::wait_until_idle() {
+    std::unique_lock lock(m_idle_mutex);
+    m_became_idle.wait(lock, [this] { return m_open_requests.load() == 0; });
+}
+
+void http_server::request_ended() {
+    if (m_open_requests.fetch_sub(1) == 1) {
+        const std::scoped_lock lock(m_idle_mutex);
+        m_became_idle.notify_all();
+    }
+}
+
+void http_server::forget(std::uint64_t id) {
+    const std::scoped_lock lock(m_connections_mutex);
+    m_connections.erase(id);
+}
+
+} // namespace savoryrelay::transport
--- /dev/null
+++ b/src/savoryrelay/transport/platform_client/platform_client.h
@@ -0,0 +1,49 @@
+// The platform's services over HTTP, as blocking hooks for the threads that
+// decide. It never repeats a request by itself.
+#pragma once
+
+#include "savoryrelay/state/platform/table_row.h"
+#include "savoryrelay/transport/http/endpoint_connection.h"
+#include "savoryrelay/transport/http/endpoint_pool.h"
+#include "savoryrelay/transport/process/io_threads.h"
+
+#include <cstdint>
+#include <string>
+
+namespace savoryrelay::transport {
+
+/// Where the platform answers, and how long a call may take.
+struct platform_client_settings {
+    std::string address;
+    std::uint16_t port = 0;
+    state::milliseconds timeout{2'000};
+};
+
+/// Client of the platform. Its hooks block and must not be called on a socket
+/// thread, which they would wait for.
+class platform_client {
+public:
+    platform_client(io_threads& threads, platform_client_settings settings);
+
+    /// Hooks that call this object, which must outlive them.
+    [[nodiscard]] state::platform_hooks hooks();
+
+private:
+    struct answer {
+        unsigned status = 0;
+        std::string body;
+    };
+
+    /// One exchange. Fails with `store_unavailable` when no byte left, and with
+    /// `store_result_unknown` when the request may have taken effect.
+    [[nodiscard]] state::result<answer>
+    exchange(boost::beast::http::verb method, const std::string& target, const std::string& body);
+    [[nodiscard]] state::result<std::string> get(const std::string& target);
+    boost::asio::awaitable<state::attempt<answer>> run_exchange(http_request request);
+
+    io_threads& m_threads;
+    platform_client_settings m_settings;
+    endpoint_pool m_pool;
+};
+
+} // namespace savoryrelay::transport
--- /dev/null
+++ b/src/savoryrelay/transport/process/worker_thread.h
@@ -0,0 +1,49 @@
+// A thread that runs tasks in order, and one task at fixed intervals.
+#pragma once
+
+#include "savoryrelay/state/core/time.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace savoryrelay::transport {
+
+/// A thread for calls that block. Waits on a condition variable while idle.
+class worker_thread {
+public:
+    worker_thread();
+    /// Runs the tasks that wait, then ends the thread.
+    ~worker_thread();
+    worker_thread(const worker_thread&) = delete;
+    worker_thread& operator=(const worker_thread&) = delete;
+
+    /// Runs `task` after those posted before.
+    void post(std::function<void()> task);
+    /// Runs `task` now and then each `interval` after its end.
+    void repeat(state::milliseconds interval, std::function<void()> task);
+    /// Runs the tasks that wait, then ends the thread. Later posts are dropped.
+    void stop();
+
+private:
+    struct repeated_task {
+        state::milliseconds interval{0};
+        std::function<void()> run;
+        state::time_point next{};
+    };
+
+    void run_tasks();
+    std::optional<std::function<void()>> next_task(std::unique_lock<std::mutex>& lock);
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<std::function<void()>> m_tasks; // guarded by m_mutex
+    std::deque<repeated_task> m_repeated;      // guarded by m_mutex
+    bool m_stopping = false;                   // guarded by m_mutex
+    std::thread m_thread;
+};
+
+} // namespace savoryrelay::transport
