Add stand-ins of a model engine, a plain service and the platform

Each role serves its published paths and can be told over its own port to be down, slow, frozen, to lose a reply after its effect, to break a stream or to answer for another request.

--- /dev/null
+++ b/src/standin/main.cpp
@@ -0,0 +1,82 @@
+// savoryrelay_standin: small stand-ins of the systems around savoryrelay, for
+// trials and tests.
+#include "engine_standin.h"
+#include "platform_standin.h"
+#include "service_standin.h"
+
+#include "savoryrelay/transport/process/signals.h"
+
+#include <docopt.h>
+
+#include <iostream>
+
+namespace {
+
+using namespace savoryrelay;
+
+constexpr const char* usage = R"(savoryrelay_standin: stand-ins for trials and tests.
+
+Usage:
+  savoryrelay_standin engine [--address=IP] [--port=N] [--token-ms=N] [--fencing=RULE]
+  savoryrelay_standin service [--address=IP] [--port=N]
+  savoryrelay_standin platform [--address=IP] [--port=N] [--hosts=FILE]
+  savoryrelay_standin --help
+
+Options:
+  --address=IP     IP address to listen at [default: 127.0.0.1].
+  --port=N         Port to listen at; 0 takes a free one [default: 0].
+  --token-ms=N     Milliseconds between tokens [default: 5].
+  --fencing=RULE   Treatment of old fencing numbers: enforced or ignored [default: ignored].
+  --hosts=FILE     JSON host list as GET /v1/hosts answers it.
+
+Faults are set by POST /control, for example {"delay_ms": 200}.
+Prints "listening ADDRESS:PORT" and runs until SIGTERM or SIGINT.
+)";
+
+constexpr std::uint64_t max_body_bytes = 64 * 1024 * 1024;
+
+} // namespace
+
+int main(int argc, char** argv) {
+    const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc}, true, "");
+    transport::process_signals signals;
+    standin::control_switches switches;
+    switches.token_ms = static_cast<std::uint32_t>(arguments.at("--token-ms").asLong());
+
+    // The role and its handler.
+    standin::engine_settings engine_settings;
+    engine_settings.fencing =
+        state::from_name<state::fencing_rule>(arguments.at("--fencing").asString())
+            .value_or(state::fencing_rule::ignored);
+    standin::engine_standin engine(engine_settings, switches);
+    standin::service_standin service(switches);
+    standin::platform_standin platform(switches);
+    transport::request_handler role;
+    if (arguments.at("engine").asBool()) {
+        role = [&](transport::http_request request, transport::response_writer& writer) {
+            return engine.handle(std::move(request), writer);
+        };
+    } else if (arguments.at("service").asBool()) {
+        role = [&](transport::http_request request, transport::response_writer& writer) {
+            return service.handle(std::move(request), writer);
+        };
+    } else {
+        role = [&](transport::http_request request, transport::response_writer& writer) {
+            return platform.handle(std::move(request), writer);
+        };
+    }
+
+    // Serve until a signal asks to end. The threads end before the server goes.
+    transport::io_threads threads(2);
+    transport::http_limits limits;
+    limits.body_bytes = max_body_bytes;
+    transport::http_server server(threads, arguments.at("--address").asString(),
+                                  static_cast<std::uint16_t>(arguments.at("--port").asLong()),
+                                  limits, standin::with_control(switches, std::move(role)));
+    std::cout << "listening " << arguments.at("--address").asString() << ':' << server.port()
+              << std::endl;
+    signals.wait();
+    server.stop_accepting();
+    threads.stop();
+    return 0;
+}
--- /dev/null
+++ b/src/standin/platform_standin.cpp
@@ -0,0 +1,98 @@
+// Paths of the platform's interface.
+#include "platform_standin.h"
+
+#include "savoryrelay/protocol/platform/platform_messages.h"
+
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
+
+#include <vector>
+
+namespace savoryrelay::standin {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_conflict = 409;
+
+} // namespace
+
+platform_standin::answer platform_standin::answer_object(const transport::http_request& request,
+                                                         const std::string& name) {
+    if (request.method() == http::verb::put) {
+        const auto put = state::collect([&] { return m_store.put_object(name, request.body()); });
+        return {put ? status_ok : status_conflict, "{}", true};
+    }
+    const auto read = state::collect([&] { return m_store.get_object(name); });
+    return read ? answer{status_ok, read.value()} : answer{status_not_found, "{}"};
+}
+
+platform_standin::answer platform_standin::answer_to(const transport::http_request& request) {
+    const auto parsed = boost::urls::parse_origin_form(request.target());
+    if (parsed.has_error()) {
+        return {status_bad_request, "{}"};
+    }
+    std::vector<std::string> path;
+    for (const auto& segment : parsed->segments()) {
+        path.emplace_back(segment);
+    }
+    const auto parameter = [&](const char* name) {
+        const auto params = parsed->params();
+        const auto found = params.find(name);
+        return found == params.end() ? std::string{} : std::string((*found).value);
+    };
+    const auto place = path.size() < 2 ? std::string{} : path[1];
+    const auto item = path.size() < 3 ? std::string{} : path[2];
+    if (place == "table" && item == "transact") {
+        const auto read =
+            state::collect([&] { return protocol::read_transaction(request.body()); });
+        if (!read) {
+            return {status_bad_request, "{}"};
+        }
+        const auto done = state::collect([&] { return m_store.transact(read.value()); });
+        return {status_ok, protocol::write_transaction_result(done.value()), true};
+    }
+    if (place == "table" && item == "writes" && path.size() == 4) {
+        const auto kept = state::collect([&] { return m_store.read_write_result(path[3]); });
+        return {status_ok, protocol::write_transaction_result(kept.value())};
+    }
+    if (place == "table" && item == "rows") {
+        const auto row = state::collect([&] { return m_store.read_row(parameter("key")); });
+        return {status_ok, protocol::write_rows({row.value()})};
+    }
+    if (place == "table" && item == "scan") {
+        const auto rows = state::collect([&] { return m_store.scan_rows(parameter("prefix")); });
+        return {status_ok, protocol::write_rows(rows.value())};
+    }
+    if (place == "objects" && path.size() == 3) {
+        return answer_object(request, item);
+    }
+    if (place == "objects") {
+        const auto names =
+            state::collect([&] { return m_store.list_objects(parameter("prefix")); });
+        return {status_ok, protocol::write_names(names.value())};
+    }
+    if (place == "hosts") {
+        const auto hosts = state::collect([&] { return m_store.list_hosts(); });
+        return {status_ok, protocol::write_hosts(hosts.value())};
+    }
+    return {status_not_found, "{}"};
+}
+
+asio::awaitable<void> platform_standin::handle(transport::http_request request,
+                                               transport::response_writer& writer) {
+    const auto reply = answer_to(request);
+    if (reply.has_effect && m_switches.lose_replies > 0) {
+        --m_switches.lose_replies;
+        writer.abandon();
+        co_return;
+    }
+    co_await send_json(writer, reply.status, reply.body);
+}
+
+} // namespace savoryrelay::standin
--- /dev/null
+++ b/src/standin/standin_control.cpp
@@ -0,0 +1,49 @@
+// Reading of control messages.
+#include "standin_control.h"
+
+#include <boost/json.hpp>
+
+#include <cstdlib>
+#include <functional>
+#include <map>
+
+namespace savoryrelay::standin {
+
+state::result<void> apply_control(const std::string& text, control_switches& switches) {
+    namespace json = boost::json;
+    using setter = std::function<void(const json::value&)>;
+    const auto flag = [](std::atomic<bool>& target) {
+        return setter([&target](const json::value& value) { target = value.as_bool(); });
+    };
+    const auto number = [](std::atomic<std::uint32_t>& target) {
+        return setter(
+            [&target](const json::value& value) { target = value.to_number<std::uint32_t>(); });
+    };
+    const std::map<std::string, setter, std::less<>> setters{
+        {"down", flag(switches.down)},
+        {"refuse", flag(switches.refuse)},
+        {"freeze", flag(switches.freeze)},
+        {"delay_ms", number(switches.delay_ms)},
+        {"lose_replies", number(switches.lose_replies)},
+        {"break_after_tokens", number(switches.break_after_tokens)},
+        {"token_ms", number(switches.token_ms)},
+        {"cross_answers", flag(switches.cross_answers)},
+        {"die", [](const json::value&) { std::_Exit(EXIT_FAILURE); }},
+    };
+    try {
+        const auto object = json::parse(text).as_object();
+        for (const auto& [name, value] : object) {
+            const auto found = setters.find(std::string_view(name.data(), name.size()));
+            if (found == setters.end()) {
+                return state::fail(state::failure_kind::invalid_request,
+                                   "unknown switch " + std::string(name));
+            }
+            found->second(value);
+        }
+    } catch (const std::exception& error) {
+        return state::fail(state::failure_kind::invalid_request, error.what());
+    }
+    return {};
+}
+
+} // namespace savoryrelay::standin
--- /dev/null
+++ b/src/standin/standin_server.cpp
@@ -0,0 +1,71 @@
+// The control path and the faults that every role can show.
+#include "standin_server.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace savoryrelay::standin {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr state::milliseconds freeze_span{3'600'000};
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_unavailable = 503;
+
+asio::awaitable<void> answer_control(const transport::http_request& request,
+                                     transport::response_writer& writer,
+                                     control_switches& switches) {
+    const auto applied = state::collect([&] { return apply_control(request.body(), switches); });
+    co_await send_json(writer, applied ? status_ok : status_bad_request,
+                       applied ? "{}" : "{\"error\":\"unknown switch or value\"}");
+}
+
+} // namespace
+
+asio::awaitable<void> pause_for(state::milliseconds span) {
+    asio::steady_timer timer(co_await asio::this_coro::executor, span);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> send_json(transport::response_writer& writer, unsigned status,
+                                std::string body) {
+    auto fields = transport::content_type_field("application/json");
+    co_await writer.send(status, std::move(fields), body);
+}
+
+transport::request_handler with_control(control_switches& switches,
+                                        transport::request_handler role) {
+    return [&switches,
+            role = std::move(role)](transport::http_request request,
+                                    transport::response_writer& writer) -> asio::awaitable<void> {
+        if (request.target() == "/control") {
+            co_await answer_control(request, writer, switches);
+            co_return;
+        }
+
+        // Faults before the request has any effect.
+        if (switches.freeze) {
+            co_await pause_for(freeze_span);
+        }
+        if (switches.down) {
+            writer.abandon();
+            co_return;
+        }
+        if (switches.refuse) {
+            auto fields = transport::content_type_field("application/json");
+            fields.push_back({"Savoryrelay-Outcome", "not-run"});
+            co_await writer.send(status_unavailable, std::move(fields), "{}");
+            co_return;
+        }
+        if (const auto delay = switches.delay_ms.load(); delay > 0) {
+            co_await pause_for(state::milliseconds(delay));
+        }
+        co_await role(std::move(request), writer);
+    };
+}
+
+} // namespace savoryrelay::standin
--- /dev/null
+++ b/src/standin/standin_server.h
@@ -0,0 +1,30 @@
+// What all roles of the stand-in share: the HTTP server, the control path and
+// the faults that apply before an answer.
+#pragma once
+
+#include "standin_control.h"
+
+#include "savoryrelay/transport/http/http_server.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace savoryrelay::standin {
+
+/// Waits for `span` on the calling coroutine's thread.
+boost::asio::awaitable<void> pause_for(state::milliseconds span);
+
+/// Sends a JSON answer.
+boost::asio::awaitable<void> send_json(transport::response_writer& writer, unsigned status,
+                                       std::string body);
+
+/// Makes the handler of a stand-in: serves POST /control, applies the switches,
+/// and passes every other request to `role`.
+[[nodiscard]] transport::request_handler with_control(control_switches& switches,
+                                                      transport::request_handler role);
+
+} // namespace savoryrelay::standin
