Add savoryrelayd and a demo of the whole path

The daemon joins the parts through their hooks on an embedded platform by default. SIGTERM refuses new work and finishes every open request before the process ends.

--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,65 @@
+// The daemon: builds the parts from the settings, joins them through their
+// hooks, and runs them until it is asked to stop.
+#pragma once
+
+#include "savoryrelay/coordination/call/call_coordinator.h"
+#include "savoryrelay/protocol/settings/daemon_settings.h"
+#include "savoryrelay/state/configuration/configuration.h"
+#include "savoryrelay/state/core/snapshot_cell.h"
+#include "savoryrelay/state/endpoint/endpoint_table.h"
+#include "savoryrelay/state/metrics/metrics.h"
+#include "savoryrelay/state/platform/memory_platform.h"
+#include "savoryrelay/transport/caller/caller_front.h"
+#include "savoryrelay/transport/http/http_server.h"
+#include "savoryrelay/transport/platform_client/platform_client.h"
+#include "savoryrelay/transport/process/io_threads.h"
+#include "savoryrelay/transport/process/signals.h"
+#include "savoryrelay/transport/process/worker_thread.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace savoryrelay::daemon {
+
+/// One running daemon.
+class relay_daemon {
+public:
+    /// `incarnation` is unique to this run of the process.
+    relay_daemon(protocol::daemon_settings settings, std::string incarnation);
+    ~relay_daemon();
+    relay_daemon(const relay_daemon&) = delete;
+    relay_daemon& operator=(const relay_daemon&) = delete;
+
+    /// Loads the configuration and begins to listen.
+    [[nodiscard]] state::result<void> start();
+    /// Serves until a signal asks to stop, then finishes every open request.
+    void run(transport::process_signals& signals);
+
+private:
+    [[nodiscard]] state::result<void> load_first_configuration();
+    [[nodiscard]] coordination::call_hooks make_call_hooks();
+    [[nodiscard]] transport::booking_hooks make_booking_hooks();
+    void poll_configuration();
+    void finish_open_requests();
+
+    protocol::daemon_settings m_settings;
+    std::string m_incarnation;
+    state::metrics m_metrics;
+    state::snapshot_cell<state::configuration> m_configuration{state::configuration{}};
+    state::endpoint_table m_endpoints;
+    state::memory_platform m_embedded_platform; // used in embedded mode only
+    std::atomic<bool> m_stopping{false};
+
+    // Threads outlive what runs on them: declared before, stopped explicitly.
+    transport::io_threads m_io_threads;
+    transport::platform_client m_platform_client;
+    state::platform_hooks m_platform;
+    coordination::call_coordinator m_coordinator;
+    transport::caller_front m_caller_front;
+    std::unique_ptr<transport::http_server> m_caller_server;
+    transport::worker_thread m_store_worker;
+    transport::worker_thread m_control_worker;
+};
+
+} // namespace savoryrelay::daemon
