Add bookings: durable intent, group commit, replay and recovery

Cause: a call to a plain service that may not be repeated must run at most once, whichever entry host receives it or its repeats.

Change: a typed booking row with its tables of names and transitions; a group commit that writes all waiting rows in one conditional transaction, repeats it without the rows that conflicted, and settles a lost reply by its write key; a coordinator that sends a call only after its intent is durable, replays the first answer, refuses another body, lets repeats wait, and settles bookings of dead owners through optional service hooks. The row's text form is in protocol and reaches the coordinator as hooks. sharded_map gets extract_if, because an entry must be removed under the same lock that shows that no late answer has come.

Ruled out: recording "not run" when a service has not seen the key, since the call may still arrive; only a closed key is certain. A second row per open intent as an index for recovery, since it doubles the rows written. Repeating a lost write under another key, since it could apply twice.

--- a/src/savoryrelay/state/core/sharded_map.h
+++ b/src/savoryrelay/state/core/sharded_map.h
@@ -65,6 +65,21 @@
         return shard.values.erase(key) > 0;
     }
 
+    /// Removes `key` and returns its value when `may_remove(value)` is true;
+    /// both happen under the shard's lock. Nothing when it is absent or stays.
+    template <typename Predicate>
+    std::optional<Value> extract_if(const Key& key, Predicate may_remove) {
+        auto& shard = shard_of(key);
+        const std::scoped_lock lock(shard.mutex);
+        const auto found = shard.values.find(key);
+        if (found == shard.values.end() || !may_remove(std::as_const(found->second))) {
+            return std::nullopt;
+        }
+        std::optional<Value> value(std::move(found->second));
+        shard.values.erase(found);
+        return value;
+    }
+
     /// Removes each entry for which `is_obsolete(key, value)` is true. Returns
     /// how many were removed.
     template <typename Predicate>
--- /dev/null
+++ b/tests/coordination/booking/booking_world.h
@@ -0,0 +1,382 @@
+// Several entry hosts, one table and one service, driven step by step, with an
+// oracle that checks each durable row and each completion of a call.
+#pragma once
+
+#include "savoryrelay/coordination/booking/booking_coordinator.h"
+#include "support/faulty_platform.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace savoryrelay::tests {
+
+/// What the fake service offers beside running calls.
+enum class service_offer { nothing, read_back, read_back_and_close };
+
+/// A world of `host_count` hosts. `violations` stays empty while the promises hold.
+class booking_world {
+public:
+    static constexpr std::size_t host_count = 3;
+
+    explicit booking_world(service_offer offer, coordination::booking_rules rules = {})
+        : m_offer(offer), m_rules(std::move(rules)) {
+        for (std::size_t i = 0; i < host_count; ++i) {
+            restart(i);
+        }
+    }
+
+    faulty_platform platform;
+    state::time_point now{state::milliseconds(1'000'000)};
+    std::vector<std::string> violations;
+    std::set<std::pair<state::booking_state, state::booking_state>> steps; ///< durable steps seen
+    std::set<std::size_t> believed_dead; ///< hosts that others take for dead though they run
+    std::set<std::size_t> cut_off;       ///< hosts that cannot reach the store
+    bool run_at_dispatch = false;        ///< the service runs each call at once
+
+    /// A call of the caller and what became of it.
+    struct call {
+        std::size_t host = 0;
+        std::uint64_t incarnation = 0;
+        state::booking_id id;
+        std::string digest;
+        int completions = 0;
+        bool executed = false;
+        std::optional<state::attempt<state::booking_answer>> answer;
+    };
+    std::vector<call> calls;
+
+    std::size_t submit(std::size_t host, const std::string& key, const std::string& digest = "d",
+                       state::milliseconds patience = state::milliseconds(5'000)) {
+        const auto number = calls.size();
+        const state::booking_id id{state::customer_id("c"), key};
+        calls.push_back({host, m_hosts[host].incarnation, id, digest, 0, false, std::nullopt});
+        m_hosts[host].coordinator->submit(
+            {id, state::deployment_id("s"), digest, now + patience},
+            {[this, number] { dispatched(number); },
+             [this, number](const auto& answer) { completed(number, answer); }},
+            now);
+        return number;
+    }
+
+    void flush(std::size_t host) {
+        run_step(host, [&](auto& each) { each.flush(now); });
+    }
+    void recover(std::size_t host) {
+        run_step(host, [&](auto& each) { each.recover(now); });
+    }
+
+    /// Ends the process after so many more calls to the store, in mid-step.
+    void kill_after_store_calls(std::size_t host, std::size_t count) {
+        m_hosts[host].calls_until_death = count;
+    }
+
+    /// Ends the process and starts another incarnation.
+    void restart(std::size_t host) {
+        auto& target = m_hosts[host];
+        target.dead = false;
+        target.calls_until_death.reset();
+        ++target.incarnation;
+        target.metrics = std::make_unique<state::metrics>();
+        coordination::booking_settings settings;
+        settings.poll_interval = state::milliseconds(100);
+        settings.sweep_interval = state::milliseconds(1);
+        target.coordinator = std::make_unique<coordination::booking_coordinator>(
+            settings, state::booking_owner{member(host), target.incarnation},
+            coordination::booking_coordinator::dependencies{
+                host_platform(host), codec(), service_hooks(), member_hooks(), m_rules},
+            *target.metrics);
+    }
+
+    [[nodiscard]] std::size_t in_network() const { return m_network.size(); }
+    [[nodiscard]] std::size_t unanswered() const { return m_replies.size(); }
+
+    /// The service receives and runs a call that was sent.
+    void deliver(std::size_t index) {
+        const auto number = m_network[index];
+        m_network.erase(m_network.begin() + static_cast<std::ptrdiff_t>(index));
+        auto& sent = calls[number];
+        auto& entry = m_service[sent.id.key];
+        if (entry.closed) {
+            m_replies.emplace_back(number, state::execution_outcome::not_run);
+            return;
+        }
+        if (++entry.runs > 1) {
+            violations.push_back("ran twice: " + sent.id.key);
+        }
+        sent.executed = true;
+        entry.answer = {200, "text/plain", "answer " + std::to_string(number)};
+        m_replies.emplace_back(number, state::execution_outcome::ran);
+    }
+    /// The host receives a reply of the service.
+    void reply(std::size_t index) {
+        const auto [number, outcome] = m_replies[index];
+        m_replies.erase(m_replies.begin() + static_cast<std::ptrdiff_t>(index));
+        report(number, outcome, m_service[calls[number].id.key].answer);
+    }
+    /// The host gives up waiting; the call stays in the network.
+    void time_out(std::size_t index) {
+        report(m_network[index], state::execution_outcome::unknown, {});
+    }
+    /// The connection is refused, so the call certainly never arrives.
+    void refuse(std::size_t index) {
+        const auto number = m_network[index];
+        m_network.erase(m_network.begin() + static_cast<std::ptrdiff_t>(index));
+        report(number, state::execution_outcome::not_run, {});
+    }
+
+    /// Ends all faults, delivers all messages, and checks what is left.
+    void quiesce() {
+        platform.store_down = false;
+        platform.lose_next_replies = 0;
+        believed_dead.clear();
+        cut_off.clear();
+        for (int round = 0; round < 40; ++round) {
+            while (!m_network.empty()) {
+                deliver(0);
+            }
+            while (!m_replies.empty()) {
+                reply(0);
+            }
+            for (std::size_t host = 0; host < host_count; ++host) {
+                flush(host);
+                recover(host);
+            }
+            now += state::milliseconds(500);
+        }
+        check_rows();
+        for (std::size_t host = 0; host < host_count; ++host) {
+            if (m_hosts[host].coordinator->active() != 0) {
+                violations.push_back("a booking never ended on host " + std::to_string(host));
+            }
+        }
+        for (const auto& each : calls) {
+            const bool alive = m_hosts[each.host].incarnation == each.incarnation;
+            if (alive && each.completions != 1) {
+                violations.push_back("call completed " + std::to_string(each.completions) +
+                                     " times: " + each.id.key);
+            }
+            if (alive && each.answer && each.answer->has_value() &&
+                row_state(each.id.key) != state::booking_state::ran) {
+                violations.push_back("answered booking lost: " + each.id.key);
+            }
+        }
+    }
+
+    /// The state of the durable row of `key`, or nothing when it is absent.
+    std::optional<state::booking_state> row_state(const std::string& key) {
+        const auto row = state::collect([&] {
+            return platform.store().read_row(state::row_key({state::customer_id("c"), key}));
+        });
+        if (row.value().version == 0) {
+            return std::nullopt;
+        }
+        return m_rows.at(row.value().value).state;
+    }
+    [[nodiscard]] int runs(const std::string& key) const {
+        const auto found = m_service.find(key);
+        return found == m_service.end() ? 0 : found->second.runs;
+    }
+
+private:
+    struct process {
+        std::uint64_t incarnation = 0;
+        bool dead = false;
+        std::optional<std::size_t> calls_until_death;
+        std::unique_ptr<state::metrics> metrics;
+        std::unique_ptr<coordination::booking_coordinator> coordinator;
+    };
+    struct service_entry {
+        int runs = 0;
+        bool closed = false;
+        state::booking_answer answer;
+    };
+
+    static state::member_id member(std::size_t host) {
+        return state::member_id("m" + std::to_string(host));
+    }
+
+    template <typename Step>
+    void run_step(std::size_t host, Step step) {
+        step(*m_hosts[host].coordinator);
+        if (m_hosts[host].dead) {
+            restart(host);
+        }
+        check_rows();
+    }
+
+    void dispatched(std::size_t number) {
+        if (m_hosts[calls[number].host].dead) {
+            return;
+        }
+        m_network.push_back(number);
+        if (run_at_dispatch) {
+            deliver(m_network.size() - 1);
+        }
+    }
+
+    void completed(std::size_t number, const state::attempt<state::booking_answer>& answer) {
+        auto& each = calls[number];
+        if (m_hosts[each.host].dead) {
+            return;
+        }
+        ++each.completions;
+        each.answer = answer;
+        if (answer && !(answer.value() == m_service[each.id.key].answer)) {
+            violations.push_back("wrong answer: " + each.id.key);
+        }
+    }
+
+    void report(std::size_t number, state::execution_outcome outcome,
+                const state::booking_answer& answer) {
+        const auto& each = calls[number];
+        if (m_hosts[each.host].incarnation == each.incarnation) {
+            m_hosts[each.host].coordinator->report(each.id, {outcome, answer});
+        }
+    }
+
+    void check_rows() {
+        for (const auto& [key, entry] : m_service) {
+            const auto found = row_state(key);
+            const bool says_not_run = found == state::booking_state::not_run ||
+                                      found == state::booking_state::closed || !found;
+            if ((entry.runs > 0 && says_not_run) ||
+                (entry.runs == 0 && found == state::booking_state::ran)) {
+                violations.push_back("the row of " + key + " is untrue");
+            }
+        }
+        for (const auto& each : calls) {
+            if (each.executed && each.answer && !*each.answer &&
+                each.answer->error().reported_outcome() == state::execution_outcome::not_run) {
+                violations.push_back("untrue refusal 'not run': " + each.id.key);
+            }
+        }
+    }
+
+    // Encodes a row as an index into `m_rows`; the real encoding has its own tests.
+    state::booking_codec codec() {
+        return {.encode =
+                    [this](const state::booking_row& row) {
+                        auto text = "row " + std::to_string(m_rows.size());
+                        m_rows.emplace(text, row);
+                        return text;
+                    },
+                .decode = [this](const std::string& text) -> state::result<state::booking_row> {
+                    return m_rows.at(text);
+                }};
+    }
+
+    // Counts the calls to the store down to the death of the process, and
+    // checks each durable step against the table of transitions.
+    state::platform_hooks host_platform(std::size_t index) {
+        auto hooks = platform.hooks();
+        hooks.transact = [this, index,
+                          inner = hooks.transact](const state::table_transaction& transaction)
+            -> state::result<state::transaction_result> {
+            if (!may_call(index)) {
+                return state::fail(state::failure_kind::store_unavailable, "process or link down");
+            }
+            const auto before = rows_of(transaction);
+            auto outcome = inner(transaction);
+            note_steps(before, rows_of(transaction));
+            return outcome;
+        };
+        hooks.read_row = [this, index, inner = hooks.read_row](
+                             const std::string& key) -> state::result<state::table_row> {
+            if (!may_call(index)) {
+                return state::fail(state::failure_kind::store_unavailable, "process or link down");
+            }
+            return inner(key);
+        };
+        return hooks;
+    }
+
+    bool may_call(std::size_t index) {
+        auto& caller = m_hosts[index];
+        if (caller.calls_until_death) {
+            caller.dead = caller.dead || *caller.calls_until_death == 0;
+            *caller.calls_until_death -= caller.dead ? 0 : 1;
+        }
+        return !caller.dead && !cut_off.contains(index);
+    }
+
+    std::vector<std::string> rows_of(const state::table_transaction& transaction) {
+        std::vector<std::string> values;
+        for (const auto& put : transaction.puts) {
+            values.push_back(
+                state::collect([&] { return platform.store().read_row(put.key); }).value().value);
+        }
+        return values;
+    }
+
+    void note_steps(const std::vector<std::string>& before, const std::vector<std::string>& after) {
+        for (std::size_t i = 0; i < before.size(); ++i) {
+            if (before[i] == after[i] || before[i].empty()) {
+                continue;
+            }
+            const auto from = m_rows.at(before[i]).state;
+            const auto to = m_rows.at(after[i]).state;
+            steps.emplace(from, to);
+            if (!state::is_allowed(from, to)) {
+                violations.push_back("durable step that the table forbids");
+            }
+        }
+    }
+
+    coordination::booking_service_hooks service_hooks() {
+        coordination::booking_service_hooks hooks;
+        using coordination::service_booking;
+        using coordination::service_reading;
+        const auto reading = [this](const std::string& key) -> service_booking {
+            const auto& entry = m_service[key.substr(key.find(':') + 1)];
+            if (entry.runs > 0) {
+                return {service_reading::ran, entry.answer};
+            }
+            return {entry.closed ? service_reading::closed : service_reading::absent, {}};
+        };
+        if (m_offer != service_offer::nothing) {
+            hooks.read_back = [reading](const auto&,
+                                        const std::string& key) -> state::result<service_booking> {
+                return reading(key);
+            };
+        }
+        if (m_offer == service_offer::read_back_and_close) {
+            hooks.close_key = [this,
+                               reading](const auto&,
+                                        const std::string& key) -> state::result<service_booking> {
+                auto& entry = m_service[key.substr(key.find(':') + 1)];
+                entry.closed = entry.runs == 0;
+                return reading(key);
+            };
+        }
+        return hooks;
+    }
+
+    coordination::booking_member_hooks member_hooks() {
+        return {.is_gone =
+                    [this](const state::booking_owner& owner) {
+                        for (std::size_t i = 0; i < host_count; ++i) {
+                            if (member(i) == owner.member) {
+                                return m_hosts[i].incarnation != owner.incarnation ||
+                                       believed_dead.contains(i);
+                            }
+                        }
+                        return true;
+                    },
+                .recovers = nullptr};
+    }
+
+    const service_offer m_offer;
+    const coordination::booking_rules m_rules;
+    std::map<std::string, state::booking_row> m_rows;
+    std::map<std::string, service_entry> m_service;
+    std::vector<std::size_t> m_network; ///< calls on their way to the service
+    std::vector<std::pair<std::size_t, state::execution_outcome>> m_replies;
+    std::array<process, host_count> m_hosts;
+};
+
+} // namespace savoryrelay::tests
