--- a/src/savoryrelay/coordination/booking/booking_coordinator.h
+++ b/src/savoryrelay/coordination/booking/booking_coordinator.h
@@ -140,7 +140,8 @@
     /// scans one partition when due. Blocks on the store and on services.
     void recover(state::time_point now);
 
-    /// See `group_commit`.
+    /// See `group_commit`. `timeout` bounds how late a deadline is noticed and
+    /// an outcome is written again.
     bool wait_for_work(state::milliseconds timeout, state::milliseconds gather);
     void stop();
 
--- a/tests/coordination/booking/booking_property_test.cpp
+++ b/tests/coordination/booking/booking_property_test.cpp
@@ -85,21 +85,21 @@
     return world.violations;
 }
 
-// The first violation that random scenarios find under naive rules, whose
-// text contains `expected`.
-std::string find_violation(service_offer offer, const coordination::booking_rules& rules,
-                           const std::string& expected) {
+// True when random scenarios under naive rules find a violation whose text
+// contains `expected`.
+bool finds_violation(service_offer offer, const coordination::booking_rules& rules,
+                     const std::string& expected) {
     std::mt19937 random(20'261'204);
     for (int scenario = 0; scenario < 3'000; ++scenario) {
         std::vector<std::uint32_t> codes(60);
         std::generate(codes.begin(), codes.end(), std::ref(random));
         for (const auto& violation : run_scenario(codes, offer, rules)) {
             if (violation.find(expected) != std::string::npos) {
-                return violation;
+                return true;
             }
         }
     }
-    return {};
+    return false;
 }
 
 } // namespace
@@ -125,7 +125,7 @@
 TEST_CASE("dispatch without a durable intent runs a key twice", "[booking][mutation]") {
     coordination::booking_rules naive;
     naive.may_dispatch = [](coordination::commit_verdict) { return true; };
-    CHECK(find_violation(service_offer::nothing, naive, "ran twice") != "");
+    CHECK(finds_violation(service_offer::nothing, naive, "ran twice"));
 }
 
 // Shows that the property notices "not run" for a call that may still arrive.
@@ -136,20 +136,20 @@
                                  ? state::booking_state::ran
                                  : state::booking_state::not_run);
     };
-    CHECK(find_violation(service_offer::read_back, naive, "is untrue") != "");
-    CHECK(find_violation(service_offer::read_back, naive, "ran twice") != "");
+    CHECK(finds_violation(service_offer::read_back, naive, "is untrue"));
+    CHECK(finds_violation(service_offer::read_back, naive, "ran twice"));
 }
 
 // Shows that the oracle notices a refusal "not run" of a call that ran.
 TEST_CASE("refusing a sent call as not run is untrue", "[booking][mutation]") {
     coordination::booking_rules naive;
     naive.may_dispatch = [](coordination::commit_verdict) { return true; };
-    CHECK(find_violation(service_offer::nothing, naive, "untrue refusal") != "");
+    CHECK(finds_violation(service_offer::nothing, naive, "untrue refusal"));
 }
 
 // Shows that the property notices an outcome that an outage of the store drops.
 TEST_CASE("dropping an outcome loses an answered booking", "[booking][mutation]") {
     coordination::booking_rules naive;
     naive.keeps_outcome = [](coordination::commit_verdict) { return false; };
-    CHECK(find_violation(service_offer::nothing, naive, "answered booking lost") != "");
+    CHECK(finds_violation(service_offer::nothing, naive, "answered booking lost"));
 }
--- a/tests/coordination/booking/booking_test.cpp
+++ b/tests/coordination/booking/booking_test.cpp
@@ -4,8 +4,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <atomic>
+#include <string>
 #include <thread>
+#include <vector>
 
 using namespace savoryrelay;
 using state::booking_state;
@@ -207,6 +210,68 @@
     CHECK(platform.transactions <= static_cast<std::size_t>(threads * writes));
 }
 
+// Guards against races between callers, the flushing thread, the recovering
+// thread and reports: a key that runs twice, or a call without an answer.
+TEST_CASE("many threads book the same keys", "[booking][threads]") {
+    constexpr int threads = 4;
+    constexpr int keys = 200;
+    constexpr auto forever = state::time_point::max();
+    tests::faulty_platform platform;
+    state::metrics metrics;
+    std::array<std::atomic<int>, keys> runs{};
+    std::atomic<int> answered{0};
+    std::atomic<int> completed{0};
+    const state::booking_codec codec{
+        .encode = [](const auto& row) { return row.id.key + "/" + row.answer.body; },
+        .decode = [](const std::string& text) -> state::result<state::booking_row> {
+            state::booking_row row;
+            row.id = {state::customer_id("c"), text.substr(0, text.find('/'))};
+            row.answer.body = text.substr(text.find('/') + 1);
+            row.state = row.answer.body.empty() ? booking_state::intent : booking_state::ran;
+            row.owner = {state::member_id("m"), 1};
+            return row;
+        }};
+    coordination::booking_coordinator bookings(
+        {}, {state::member_id("m"), 1},
+        {platform.store().hooks(), codec, {}, {[](const auto&) { return false; }, {}}, {}},
+        metrics);
+    std::vector<std::thread> workers;
+    workers.emplace_back([&] {
+        while (bookings.wait_for_work(minute, state::milliseconds(0))) {
+            bookings.flush({});
+        }
+    });
+    workers.emplace_back([&] {
+        for (int round = 0; round < 50; ++round) {
+            bookings.recover(state::time_point(state::milliseconds(10'000 * round)));
+        }
+    });
+    for (int t = 0; t < threads; ++t) {
+        workers.emplace_back([&] {
+            for (int key = 0; key < keys; ++key) {
+                const state::booking_id id{state::customer_id("c"), std::to_string(key)};
+                const auto dispatch = [&, id, key] {
+                    ++runs[static_cast<std::size_t>(key)];
+                    bookings.report(id, {execution_outcome::ran, {200, "", "a"}});
+                };
+                const auto complete = [&](const auto& answer) {
+                    answered += answer ? 1 : 0;
+                    if (++completed == threads * keys) {
+                        bookings.stop();
+                    }
+                };
+                bookings.submit({id, {}, "", forever}, {dispatch, complete}, {});
+            }
+        });
+    }
+    for (auto& each : workers) {
+        each.join();
+    }
+    CHECK(answered == threads * keys);
+    CHECK(std::all_of(runs.begin(), runs.end(), [](const auto& count) { return count == 1; }));
+    CHECK(bookings.active() == 0);
+}
+
 namespace {
 
 // Brings a booking to the step `from` -> `to`; `fault` strikes just before it.
