Add members, their probing, the configuration holder and signed datagrams

Cause: entry hosts need to know of each other and to bring an accepted configuration in force within 6 s without a service beside the platform. Ruled out: evidence of answers in pings, because a process that wakes from a pause would read old ones as fresh; acks are dated by the probe's send time. Ruled out: accepting a configuration on past evidence alone. A partition just before the write would leave a majority without the store on the old revision for ever, so a submission is announced first and written only after at least half of the listed entry hosts repeated the announcement.

--- /dev/null
+++ b/src/savoryrelay/coordination/configuration/configuration_holder.cpp
@@ -0,0 +1,294 @@
+// Submission, polling and installation of configurations.
+#include "savoryrelay/coordination/configuration/configuration_holder.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace savoryrelay::coordination {
+
+using state::failure_kind;
+using state::time_point;
+
+namespace {
+
+constexpr auto current_key = "config/current";
+
+std::string history_key(std::uint64_t revision) {
+    return "config/history/" + std::to_string(revision);
+}
+
+template <typename Number>
+std::optional<Number> read_number(std::string_view text) {
+    Number number = 0;
+    const auto* end = text.data() + text.size();
+    const auto [at, error] = std::from_chars(text.data(), end, number);
+    return error == std::errc{} && at == end ? std::optional(number) : std::nullopt;
+}
+
+/// Removes the first line from `text` and returns it.
+std::string_view take_line(std::string_view& text) {
+    const auto end = std::min(text.find('\n'), text.size());
+    const auto line = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    return line;
+}
+
+/// The revision in the row `config/current`; an absent row means 0.
+state::result<std::uint64_t> revision_of(const state::table_row& row) {
+    if (row.version == 0) {
+        return std::uint64_t{0};
+    }
+    if (const auto revision = read_number<std::uint64_t>(row.value)) {
+        return *revision;
+    }
+    return state::fail(failure_kind::internal, "row config/current does not hold a revision");
+}
+
+/// Rows of the history: operator, civil milliseconds, document.
+std::string to_history_row(const configuration_submission& submission) {
+    return submission.operator_name + '\n' +
+           std::to_string(submission.submitted_at.time_since_epoch().count()) + '\n' +
+           submission.document;
+}
+
+} // namespace
+
+configuration_holder::configuration_holder(std::string writer, configuration_settings settings,
+                                           configuration_hooks hooks)
+    : m_writer(std::move(writer)), m_settings(settings), m_hooks(std::move(hooks)) {}
+
+state::peer_state configuration_holder::peer_view() const {
+    const std::scoped_lock lock(m_mutex);
+    return {{}, {m_document_revision, m_heard, m_announced}, m_document};
+}
+
+state::revision_view configuration_holder::revisions() const {
+    const std::scoped_lock lock(m_mutex);
+    return {m_document_revision, m_heard, m_announced};
+}
+
+state::result<std::uint64_t>
+configuration_holder::announce(const configuration_submission& submission, time_point now) {
+    const auto& name = submission.operator_name;
+    if (name.empty() || name.find('\n') != std::string::npos) {
+        return state::fail(failure_kind::invalid_request, "the operator's name must be one line");
+    }
+    const auto next = submission.expected_revision + 1;
+    BOOST_LEAF_CHECK(m_hooks.parse(submission.document, next));
+    BOOST_LEAF_CHECK(check_current(submission.expected_revision));
+
+    const std::scoped_lock lock(m_mutex);
+    const auto repeated = state::announced_revision(m_announced) == next;
+    const auto attempt = repeated ? (m_announced & 0xFFFFU) + 1 : 0;
+    m_announced = std::max(m_announced, state::make_announcement(next, attempt));
+    m_facts.announced_at = now;
+    m_own_announcement = m_announced;
+    m_own_announced_at = now;
+    return m_announced;
+}
+
+state::result<std::uint64_t>
+configuration_holder::submit(const configuration_submission& submission, std::uint64_t announcement,
+                             time_point now) {
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (announcement != m_own_announcement ||
+            now - m_own_announced_at > m_settings.announcement_wait) {
+            return state::fail(failure_kind::deadline_exceeded,
+                               "the announcement of this submission is too old",
+                               state::execution_outcome::not_run);
+        }
+    }
+    const auto listed = m_hooks.listed_count();
+    const auto informed = m_hooks.count_informed_of(announcement);
+    if (!m_settings.eligibility.single_entry_host && informed < informed_needed(listed)) {
+        return state::fail(failure_kind::isolated,
+                           "only " + std::to_string(informed) + " of " + std::to_string(listed) +
+                               " entry hosts know of the announced configuration");
+    }
+    BOOST_LEAF_AUTO(row, check_current(submission.expected_revision));
+
+    const auto next = submission.expected_revision + 1;
+    state::table_transaction transaction;
+    {
+        const std::scoped_lock lock(m_mutex);
+        transaction.write_key = "config/" + m_writer + "/" + std::to_string(++m_writes);
+    }
+    transaction.checks = {{current_key, row.version}, {history_key(next), 0}};
+    transaction.puts = {{current_key, std::to_string(next)},
+                        {history_key(next), to_history_row(submission)}};
+    BOOST_LEAF_AUTO(outcome, transact(transaction));
+    if (!outcome.committed) {
+        return conflict(submission.expected_revision, next);
+    }
+    [[maybe_unused]] const bool installed = install(submission.document, next, now);
+    return next;
+}
+
+/// Runs the transaction and reads its result back after a lost reply. Sending
+/// it again is safe, since a write key applies once.
+state::result<state::transaction_result>
+configuration_holder::transact(const state::table_transaction& transaction) const {
+    auto outcome = state::collect([&] { return m_hooks.platform.transact(transaction); });
+    for (std::uint32_t i = 0; i < m_settings.read_back_attempts && !outcome; ++i) {
+        if (outcome.error().kind != failure_kind::store_result_unknown) {
+            break;
+        }
+        const auto kept = state::collect(
+            [&] { return m_hooks.platform.read_write_result(transaction.write_key); });
+        if (kept && kept.value()) {
+            outcome = *kept.value();
+        }
+    }
+    if (outcome) {
+        return outcome.value();
+    }
+    auto error = outcome.error();
+    if (error.kind == failure_kind::store_result_unknown) {
+        error.detail = "the result of write " + transaction.write_key + " could not be read back";
+    }
+    return state::fail(std::move(error));
+}
+
+state::result<state::table_row> configuration_holder::check_current(std::uint64_t expected) const {
+    BOOST_LEAF_AUTO(row, m_hooks.platform.read_row(current_key));
+    BOOST_LEAF_AUTO(present, revision_of(row));
+    if (present != expected) {
+        return conflict(expected, present);
+    }
+    return row;
+}
+
+/// The failure of a submission that lost against `present`, naming its operator.
+boost::leaf::error_id configuration_holder::conflict(std::uint64_t expected,
+                                                     std::uint64_t present) const {
+    const auto winner = state::collect([&] { return read_history(present); });
+    const auto by = winner ? " by operator '" + winner.value().operator_name + "'" : std::string();
+    return state::fail(failure_kind::revision_conflict,
+                       "the submission replaces revision " + std::to_string(expected) +
+                           ", but revision " + std::to_string(present) + by + " is accepted");
+}
+
+state::result<configuration_history>
+configuration_holder::read_history(std::uint64_t revision) const {
+    BOOST_LEAF_AUTO(row, m_hooks.platform.read_row(history_key(revision)));
+    if (row.version == 0) {
+        return state::fail(failure_kind::not_found,
+                           "revision " + std::to_string(revision) + " does not exist");
+    }
+    std::string_view text = row.value;
+    configuration_history history;
+    history.revision = revision;
+    history.operator_name = take_line(text);
+    const auto at = read_number<std::int64_t>(take_line(text));
+    history.submitted_at = state::wall_time(state::milliseconds(at.value_or(0)));
+    history.document = text;
+    return history;
+}
+
+void configuration_holder::poll(time_point now) {
+    // The table comes first: it alone knows of every accepted revision.
+    const auto present = state::collect([&]() -> state::result<std::uint64_t> {
+        BOOST_LEAF_AUTO(row, m_hooks.platform.read_row(current_key));
+        return revision_of(row);
+    });
+    std::uint64_t wanted = 0;
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (present) {
+            m_facts.store_read_at = now;
+            m_heard = std::max(m_heard, present.value());
+        }
+        update_behind(now);
+        wanted = m_heard > m_document_revision ? m_heard : 0;
+    }
+
+    // Fetch what is missing, from a peer when the table cannot give it.
+    if (wanted != 0) {
+        const auto row = state::collect([&] { return read_history(wanted); });
+        if (!row || !install(row.value().document, wanted, now)) {
+            const auto peer = state::collect([&] { return m_hooks.fetch_from_peer(wanted); });
+            if (peer) {
+                note_peer_state(peer.value(), now);
+            }
+        }
+    }
+    const std::scoped_lock lock(m_mutex);
+    if (present && m_document_revision >= m_heard) {
+        m_facts.started = true;
+    }
+}
+
+bool configuration_holder::note_revisions(const state::revision_view& revisions, time_point now) {
+    const std::scoped_lock lock(m_mutex);
+    m_heard = std::max({m_heard, revisions.heard, revisions.held});
+    if (revisions.announced > m_announced) {
+        m_announced = revisions.announced;
+        m_facts.announced_at = now;
+    }
+    update_behind(now);
+    return m_heard > m_document_revision;
+}
+
+void configuration_holder::note_peer_state(const state::peer_state& peer, time_point now) {
+    if (peer.revisions.held > 0) {
+        [[maybe_unused]] const bool installed =
+            install(peer.configuration, peer.revisions.held, now);
+    }
+    [[maybe_unused]] const bool is_behind = note_revisions(peer.revisions, now);
+    const auto others = std::max<std::size_t>(m_hooks.listed_count(), 1) - 1;
+    const std::scoped_lock lock(m_mutex);
+    ++m_peer_replies;
+    const auto needed = std::min<std::size_t>(m_settings.starting_peers, others);
+    if (m_peer_replies >= needed && m_document_revision > 0 && m_document_revision >= m_heard) {
+        m_facts.started = true;
+    }
+}
+
+/// Puts a document in force. Returns false when it cannot be read; a revision
+/// that is not newer is left alone.
+bool configuration_holder::install(const std::string& document, std::uint64_t revision,
+                                   time_point now) {
+    const auto parsed = state::collect([&] { return m_hooks.parse(document, revision); });
+    if (!parsed) {
+        return false;
+    }
+    const bool replaced =
+        m_current.replace_if(parsed.value(), [this](const auto& held, const auto& candidate) {
+            return m_hooks.is_newer(held.revision, candidate.revision);
+        });
+    const std::scoped_lock lock(m_mutex);
+    // Two threads may install in either order; the document follows the snapshot.
+    if (replaced && m_hooks.is_newer(m_document_revision, revision)) {
+        m_document = document;
+        m_document_revision = revision;
+    }
+    m_heard = std::max(m_heard, revision);
+    update_behind(now);
+    return true;
+}
+
+/// Keeps the times since when a newer revision is known or announced. Requires m_mutex.
+void configuration_holder::update_behind(time_point now) {
+    if (m_document_revision >= m_heard) {
+        m_facts.behind_since.reset();
+    } else if (!m_facts.behind_since) {
+        m_facts.behind_since = now;
+    }
+    if (state::announced_revision(m_announced) <= m_document_revision) {
+        m_facts.announced_at.reset();
+    }
+}
+
+service_state configuration_holder::service(time_point now) const {
+    eligibility_facts facts;
+    {
+        const std::scoped_lock lock(m_mutex);
+        facts = m_facts;
+    }
+    facts.majority_heard_at = m_hooks.heard_since(majority_needed(m_hooks.listed_count()), now);
+    return m_hooks.rule(facts, m_settings.eligibility, now);
+}
+
+} // namespace savoryrelay::coordination
--- /dev/null
+++ b/src/savoryrelay/coordination/configuration/service_eligibility.cpp
@@ -0,0 +1,40 @@
+// The rule for an isolated member.
+#include "savoryrelay/coordination/configuration/service_eligibility.h"
+
+namespace savoryrelay::coordination {
+
+service_state decide_service(const eligibility_facts& facts, const eligibility_settings& settings,
+                             state::time_point now) {
+    const auto within = [now](const std::optional<state::time_point>& at,
+                              state::milliseconds limit) { return at && now - *at <= limit; };
+    if (!facts.started) {
+        return service_state::starting;
+    }
+    const bool reads_store = within(facts.store_read_at, settings.isolation_limit);
+    if (!settings.single_entry_host && !reads_store &&
+        !within(facts.majority_heard_at, settings.isolation_limit)) {
+        return service_state::isolated;
+    }
+    if (facts.behind_since && now - *facts.behind_since > settings.behind_limit) {
+        return service_state::behind;
+    }
+
+    // An announced revision may be in force already. A member that reads the
+    // store would have seen it; any other one stops until it knows.
+    const bool may_exist = within(facts.announced_at, settings.announcement_term) &&
+                           now - *facts.announced_at > settings.behind_limit;
+    if (may_exist && !reads_store && !settings.single_entry_host) {
+        return service_state::behind;
+    }
+    return service_state::serving;
+}
+
+std::size_t informed_needed(std::size_t listed) {
+    return (listed + 1) / 2;
+}
+
+std::size_t majority_needed(std::size_t listed) {
+    return listed / 2 + 1;
+}
+
+} // namespace savoryrelay::coordination
--- /dev/null
+++ b/src/savoryrelay/coordination/membership/membership.cpp
@@ -0,0 +1,619 @@
+// Probing, suspicion and the spread of updates.
+#include "savoryrelay/coordination/membership/membership.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace savoryrelay::coordination {
+
+using state::member_id;
+using state::member_state;
+using state::member_update;
+using state::peer_message;
+using state::peer_message_kind;
+using state::time_point;
+
+namespace {
+
+/// Topics kept for the comparison of versions; beyond it the most sent one is dropped.
+constexpr std::size_t max_topics = 4'096;
+/// Most probes that one tick sends; a late tick does not catch up on all of them.
+constexpr int max_probes_per_tick = 32;
+/// A gap between ticks of so many probe periods counts as a pause.
+constexpr int pause_periods = 2;
+
+bool is_reachable(const member_record& record) {
+    return record.update.state == member_state::alive ||
+           record.update.state == member_state::suspect;
+}
+
+} // namespace
+
+membership::membership(member_update self, std::vector<state::member_address> seeds,
+                       membership_settings settings, membership_hooks hooks)
+    : m_settings(settings), m_hooks(std::move(hooks)), m_seeds(std::move(seeds)),
+      m_self(std::move(self)),
+      // Numbers of an earlier process at this address must not match new probes.
+      m_next_sequence(
+          static_cast<std::uint32_t>(m_self.incarnation * 0x9E3779B97F4A7C15ULL >> 32U)) {
+    m_self.state = member_state::alive;
+    enqueue(m_self);
+}
+
+std::vector<outgoing_message> membership::tick(time_point now, std::mt19937_64& random) {
+    const std::scoped_lock lock(m_mutex);
+    output out;
+    if (m_left) {
+        return out;
+    }
+
+    // After a pause nothing can be concluded from the answers that are missing.
+    if (m_last_tick && now - *m_last_tick > m_settings.probe_period * pause_periods) {
+        m_probes.clear();
+        m_next_probe = now;
+        m_next_lost = now;
+        for (const auto& member :
+             select([](const auto& row) { return row.update.state == member_state::suspect; })) {
+            m_members.update_existing(member.id, [&](auto& row) { row.changed_at = now; });
+        }
+    }
+    m_last_tick = now;
+
+    end_probes(now, random, out);
+    end_suspicions(now);
+    send_due_probes(now, random, out);
+    send_to_lost(now, random, out);
+    return out;
+}
+
+std::vector<outgoing_message> membership::receive(const peer_message& message, time_point now,
+                                                  std::mt19937_64& random) {
+    output out;
+    bool new_revisions = false;
+    state::revision_view revisions;
+    std::vector<state::topic_update> topics;
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_left || message.from == m_self.id) {
+            return out;
+        }
+        const bool is_new = !m_members.find(message.from).has_value();
+        for (const auto& update : message.members) {
+            apply(update, now);
+        }
+        if (!note_sender(message, now)) {
+            return out; // without its address the sender cannot be answered
+        }
+        new_revisions = note_revisions(message.revisions);
+        revisions = m_revisions;
+        std::copy_if(message.topics.begin(), message.topics.end(), std::back_inserter(topics),
+                     [this](const auto& update) { return accept_topic(update); });
+
+        const auto sender = m_members.find(message.from)->update;
+        // Another host may have this address now; it must not answer for the former one.
+        const bool for_me = message.target.empty() || message.target == m_self.id;
+        if (message.kind == peer_message_kind::ping && for_me) {
+            auto ack = make_message(peer_message_kind::ack, sender.id);
+            ack.sequence = message.sequence;
+            ack.target = m_self.id;
+            add_evidence(ack, now);
+            if (is_new) {
+                add_members(ack, random);
+            }
+            out.push_back({sender.address, std::move(ack)});
+        } else if (message.kind == peer_message_kind::ping_request) {
+            if (const auto target = m_members.find(message.target)) {
+                send_ping(target->update, now, out, sender.id, message.sequence);
+            }
+        } else if (message.kind == peer_message_kind::ack) {
+            receive_ack(message, out);
+        }
+        if (new_revisions) {
+            tell_fanout(now, random, out);
+        }
+    }
+    if (new_revisions && m_hooks.on_revisions) {
+        m_hooks.on_revisions(revisions, now);
+    }
+    for (const auto& update : topics) {
+        if (m_hooks.on_topic) {
+            m_hooks.on_topic(update);
+        }
+    }
+    return out;
+}
+
+void membership::merge(const std::vector<member_update>& members, time_point now) {
+    const std::scoped_lock lock(m_mutex);
+    for (const auto& update : members) {
+        apply(update, now);
+    }
+}
+
+std::vector<outgoing_message> membership::leave(time_point now, std::mt19937_64& random) {
+    const std::scoped_lock lock(m_mutex);
+    output out;
+    m_self.state = member_state::left;
+    enqueue(m_self);
+    for (const auto& target : choose(m_settings.full_probe_members, {}, random)) {
+        send_ping(target, now, out);
+    }
+    m_left = true;
+    return out;
+}
+
+std::vector<outgoing_message> membership::publish_revisions(const state::revision_view& revisions,
+                                                            time_point now,
+                                                            std::mt19937_64& random) {
+    const std::scoped_lock lock(m_mutex);
+    output out;
+    m_revisions.held = std::max(m_revisions.held, revisions.held);
+    if (note_revisions(revisions) && !m_left) {
+        tell_fanout(now, random, out);
+    }
+    return out;
+}
+
+std::vector<outgoing_message> membership::probe_all(time_point now, std::mt19937_64& random) {
+    const std::scoped_lock lock(m_mutex);
+    output out;
+    for (const auto& target : choose(m_members.size(), {}, random)) {
+        send_ping(target, now, out);
+    }
+    return out;
+}
+
+bool membership::publish_topic(const state::topic_update& update) {
+    const std::scoped_lock lock(m_mutex);
+    return accept_topic(update);
+}
+
+void membership::set_listed(std::set<member_id> listed) {
+    const std::scoped_lock lock(m_mutex);
+    m_listed = std::move(listed);
+}
+
+std::vector<member_update> membership::members() const {
+    return select([](const auto&) { return true; });
+}
+
+std::optional<member_record> membership::find(const member_id& id) const {
+    return m_members.find(id);
+}
+
+member_update membership::self() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_self;
+}
+
+std::size_t membership::listed_count() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_listed.size();
+}
+
+state::revision_view membership::revisions() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_revisions;
+}
+
+std::optional<time_point> membership::heard_since(std::size_t count, time_point now) const {
+    const std::scoped_lock lock(m_mutex);
+    std::vector<time_point> proofs;
+    for (const auto& id : m_listed) {
+        if (id == m_self.id) {
+            proofs.push_back(now);
+        } else if (const auto row = m_members.find(id); row && row->heard_at) {
+            proofs.push_back(*row->heard_at);
+        }
+    }
+    if (count == 0) {
+        return now;
+    }
+    if (proofs.size() < count) {
+        return std::nullopt;
+    }
+    const auto at = proofs.begin() + static_cast<std::ptrdiff_t>(count - 1);
+    std::nth_element(proofs.begin(), at, proofs.end(), std::greater<>());
+    return *at;
+}
+
+std::size_t membership::count_informed_of(std::uint64_t announcement) const {
+    const std::scoped_lock lock(m_mutex);
+    return static_cast<std::size_t>(
+        std::count_if(m_listed.begin(), m_listed.end(), [&](const auto& id) {
+            if (id == m_self.id) {
+                return m_revisions.announced >= announcement;
+            }
+            const auto row = m_members.find(id);
+            return row && row->revisions.announced >= announcement;
+        }));
+}
+
+/// Applies what is said about another member. Returns whether it was news.
+bool membership::apply(const member_update& update, time_point now) {
+    if (update.id == m_self.id) {
+        refute(update);
+        return false;
+    }
+    bool changed = false;
+    bool created = false;
+    std::uint32_t hash = 0;
+    if (!m_members.find(update.id)) {
+        // A member that is gone is not learned, so that forgotten ones stay forgotten.
+        if (update.state == member_state::dead || update.state == member_state::left) {
+            return false;
+        }
+        hash = state::member_hash(update.id);
+        created = true;
+    }
+    m_members.update(update.id, [&](member_record& row) {
+        if (created) {
+            row.hash = hash;
+        } else if (!m_hooks.overrides(update, row.update.incarnation, row.update.state)) {
+            return;
+        }
+        row.update = update;
+        row.changed_at = now;
+        changed = true;
+    });
+    if (created) {
+        m_by_hash[hash] = update.id;
+    }
+    if (changed) {
+        enqueue(update);
+    }
+    return changed;
+}
+
+/// Raises the own incarnation above a false or outdated statement.
+void membership::refute(const member_update& update) {
+    const bool is_outdated = update.state == member_state::alive
+                                 ? update.incarnation > m_self.incarnation
+                                 : update.incarnation >= m_self.incarnation;
+    if (is_outdated && !m_left) {
+        m_self.incarnation = update.incarnation + 1;
+        enqueue(m_self);
+    }
+}
+
+void membership::enqueue(const member_update& update) {
+    m_queue[update.id] = {update, 0};
+}
+
+/// Takes over higher revisions. Returns whether one was higher.
+bool membership::note_revisions(const state::revision_view& revisions) {
+    const auto heard = std::max(revisions.heard, revisions.held);
+    const bool is_newer = heard > m_revisions.heard || revisions.announced > m_revisions.announced;
+    m_revisions.heard = std::max(m_revisions.heard, heard);
+    m_revisions.announced = std::max(m_revisions.announced, revisions.announced);
+    return is_newer;
+}
+
+bool membership::accept_topic(const state::topic_update& update) {
+    if (update.key.size() > state::max_topic_key_bytes ||
+        update.value.size() > state::max_topic_value_bytes) {
+        return false;
+    }
+    const auto key = std::pair(update.topic, update.key);
+    const auto known = m_topics.find(key);
+    if (known != m_topics.end() && known->second.update.version >= update.version) {
+        return false;
+    }
+    if (known == m_topics.end() && m_topics.size() >= max_topics) {
+        m_topics.erase(
+            std::max_element(m_topics.begin(), m_topics.end(), [](const auto& a, const auto& b) {
+                return a.second.sent < b.second.sent;
+            }));
+    }
+    m_topics[key] = {update, 0};
+    return true;
+}
+
+/// Learns from the sender's own incarnation and revisions. False when the
+/// sender is unknown.
+bool membership::note_sender(const peer_message& message, time_point now) {
+    const auto known = m_members.find(message.from);
+    if (!known) {
+        return false;
+    }
+    if (message.incarnation > known->update.incarnation) {
+        auto restarted = known->update;
+        restarted.incarnation = message.incarnation;
+        restarted.state = member_state::alive;
+        apply(restarted, now);
+    }
+    m_members.update_existing(message.from, [&](member_record& row) {
+        row.revisions.held = std::max(row.revisions.held, message.revisions.held);
+        row.revisions.heard = std::max(row.revisions.heard, message.revisions.heard);
+        row.revisions.announced = std::max(row.revisions.announced, message.revisions.announced);
+    });
+    return true;
+}
+
+void membership::note_answer(const member_id& id, time_point sent_at) {
+    m_members.update_existing(id, [&](member_record& row) {
+        if (!row.heard_at || *row.heard_at < sent_at) {
+            row.heard_at = sent_at;
+        }
+    });
+}
+
+/// Takes the evidence of an ack. Ages count from when the probe was sent, not
+/// from when its ack is read, so that acks which waited in a paused process
+/// prove nothing new.
+void membership::note_evidence(const peer_message& ack, time_point sent_at) {
+    for (const auto& each : ack.evidence) {
+        const auto found = m_by_hash.find(each.member);
+        if (found != m_by_hash.end()) {
+            note_answer(found->second, sent_at - state::milliseconds(each.age_ms));
+        }
+    }
+}
+
+void membership::receive_ack(const peer_message& message, output& out) {
+    const auto found = m_probes.find(message.sequence);
+    if (found == m_probes.end() || message.target != found->second.target) {
+        return;
+    }
+    auto& pending = found->second;
+    pending.answered = true;
+    note_answer(message.target, pending.sent_at);
+    if (message.from == message.target) {
+        note_evidence(message, pending.sent_at);
+    }
+
+    // Pass the answer on to the member that asked for the indirect probe.
+    const auto requester = m_members.find(pending.requester);
+    if (requester && message.from == message.target) {
+        auto relayed = make_message(peer_message_kind::ack, requester->update.id);
+        relayed.sequence = pending.requester_sequence;
+        relayed.target = message.target;
+        out.push_back({requester->update.address, std::move(relayed)});
+    }
+}
+
+/// Repeats late probes through other members and suspects who did not answer.
+void membership::end_probes(time_point now, std::mt19937_64& random, output& out) {
+    std::vector<member_id> silent;
+    for (auto& [sequence, pending] : m_probes) {
+        if (pending.answered || !pending.requester.empty()) {
+            continue;
+        }
+        if (!pending.indirect_sent && now - pending.sent_at >= m_settings.probe_timeout) {
+            pending.indirect_sent = true;
+            for (const auto& helper : choose(m_settings.indirect_probes, pending.target, random)) {
+                auto request = make_message(peer_message_kind::ping_request, helper.id);
+                request.sequence = sequence;
+                request.target = pending.target;
+                out.push_back({helper.address, std::move(request)});
+            }
+        }
+        if (now - pending.sent_at >= m_settings.probe_period) {
+            silent.push_back(pending.target);
+        }
+    }
+    std::erase_if(m_probes, [&](const auto& each) {
+        return now - each.second.sent_at >= m_settings.probe_period;
+    });
+    for (const auto& id : silent) {
+        const auto row = m_members.find(id);
+        if (row && row->update.state == member_state::alive) {
+            auto update = row->update;
+            update.state = member_state::suspect;
+            apply(update, now);
+        }
+    }
+}
+
+/// Declares suspects dead after their time and forgets members that are long gone.
+void membership::end_suspicions(time_point now) {
+    const auto overdue = select([&](const member_record& row) {
+        return row.update.state == member_state::suspect &&
+               now - row.changed_at >= m_settings.suspicion_time;
+    });
+    for (auto update : overdue) {
+        update.state = member_state::dead;
+        apply(update, now);
+    }
+    const auto gone = select([&](const member_record& row) {
+        return !is_reachable(row) && now - row.changed_at >= m_settings.dead_retention &&
+               !m_listed.contains(row.update.id);
+    });
+    for (const auto& update : gone) {
+        m_by_hash.erase(state::member_hash(update.id));
+        m_members.erase(update.id);
+    }
+}
+
+void membership::send_due_probes(time_point now, std::mt19937_64& random, output& out) {
+    if (!m_next_probe) {
+        m_next_probe = now;
+    }
+    const auto candidates =
+        m_next_probe <= now ? select(is_reachable) : std::vector<member_update>{};
+    if (candidates.empty()) {
+        return;
+    }
+    const auto all = static_cast<std::uint32_t>(candidates.size());
+    const auto count = all < m_settings.full_probe_members ? all : m_settings.sparse_probes;
+    const auto interval =
+        std::chrono::duration_cast<time_point::duration>(m_settings.probe_period) / count;
+    for (int i = 0; i < max_probes_per_tick && *m_next_probe <= now; ++i) {
+        *m_next_probe += interval;
+
+        // Each round visits every member once in random order, which bounds
+        // the time until a given member is probed.
+        if (m_probe_order.empty()) {
+            for (const auto& candidate : candidates) {
+                m_probe_order.push_back(candidate.id);
+            }
+            std::shuffle(m_probe_order.begin(), m_probe_order.end(), random);
+        }
+        const auto target = m_members.find(m_probe_order.back());
+        m_probe_order.pop_back();
+        if (target && is_reachable(*target)) {
+            send_ping(target->update, now, out);
+        }
+    }
+    m_next_probe = std::max(*m_next_probe, now);
+}
+
+/// Contacts a seed or a dead member once a period, so that a healed partition
+/// is noticed and a start without reachable seeds is repeated.
+void membership::send_to_lost(time_point now, std::mt19937_64& random, output& out) {
+    if (m_next_lost && now < *m_next_lost) {
+        return;
+    }
+    m_next_lost = now + m_settings.probe_period;
+    const auto known = members();
+    std::vector<member_update> lost;
+    std::copy_if(known.begin(), known.end(), std::back_inserter(lost), [](const auto& update) {
+        return update.state == member_state::dead || update.state == member_state::left;
+    });
+    for (const auto& seed : m_seeds) {
+        const auto same = [&](const auto& update) { return update.address == seed; };
+        if (seed != m_self.address && std::none_of(known.begin(), known.end(), same)) {
+            lost.push_back({member_id(), seed, 0, member_state::alive});
+        }
+    }
+    std::shuffle(lost.begin(), lost.end(), random);
+    const std::size_t count = known.empty() ? lost.size() : std::min<std::size_t>(1, lost.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        auto message = make_message(peer_message_kind::ping, lost[i].id);
+        message.target = lost[i].id;
+        message.members.insert(message.members.begin(), m_self);
+        message.sequence = m_next_sequence++;
+        out.push_back({lost[i].address, std::move(message)});
+    }
+}
+
+void membership::send_ping(const member_update& target, time_point now, output& out,
+                           const member_id& requester, std::uint32_t requester_sequence) {
+    auto message = make_message(peer_message_kind::ping, target.id);
+    message.target = target.id;
+    message.sequence = m_next_sequence++;
+    m_probes[message.sequence] = {target.id, now, false, false, requester, requester_sequence};
+    out.push_back({target.address, std::move(message)});
+}
+
+/// Tells a few members at once about newer revisions, so that they spread in
+/// steps of the network's delay instead of probe periods.
+void membership::tell_fanout(time_point now, std::mt19937_64& random, output& out) {
+    for (const auto& target : choose(m_settings.revision_fanout, {}, random)) {
+        send_ping(target, now, out);
+    }
+}
+
+peer_message membership::make_message(peer_message_kind kind, const member_id& to) {
+    peer_message message;
+    message.kind = kind;
+    message.from = m_self.id;
+    message.incarnation = m_self.incarnation;
+    message.revisions = m_revisions;
+    add_updates(message, to);
+    return message;
+}
+
+void membership::add_updates(peer_message& message, const member_id& to) {
+    std::size_t bytes = 0;
+    const auto fits = [&](std::size_t more) {
+        const bool fitting = bytes + more <= state::max_update_bytes;
+        bytes += fitting ? more : 0;
+        return fitting;
+    };
+
+    // A member that is believed gone or suspected must learn it to refute it.
+    const auto row = m_members.find(to);
+    if (row && row->update.state != member_state::alive && fits(encoded_bytes(row->update))) {
+        message.members.push_back(row->update);
+    }
+
+    // The least sent updates go first, so that a burst does not hold back news.
+    const auto limit = retransmit_limit();
+    std::vector<queued_member*> members;
+    for (auto& [id, queued] : m_queue) {
+        members.push_back(&queued);
+    }
+    std::sort(members.begin(), members.end(),
+              [](const auto* a, const auto* b) { return a->sent < b->sent; });
+    for (auto* queued : members) {
+        if (queued->update.id != to && fits(encoded_bytes(queued->update))) {
+            message.members.push_back(queued->update);
+            ++queued->sent;
+        }
+    }
+    for (auto& [key, queued] : m_topics) {
+        if (queued.sent < limit && fits(encoded_bytes(queued.update))) {
+            message.topics.push_back(queued.update);
+            ++queued.sent;
+        }
+    }
+    std::erase_if(m_queue, [&](const auto& each) { return each.second.sent >= limit; });
+}
+
+/// Adds the freshest proofs of answers.
+void membership::add_evidence(peer_message& message, time_point now) const {
+    std::vector<state::answer_evidence> rows;
+    m_members.for_each([&](const auto&, const member_record& row) {
+        if (!row.heard_at) {
+            return;
+        }
+        const auto age = std::chrono::ceil<state::milliseconds>(now - *row.heard_at).count();
+        if (age >= 0 && age < state::max_evidence_age_ms) {
+            rows.push_back({row.hash, static_cast<std::uint32_t>(age)});
+        }
+    });
+    // With every member probed each period, few proofs of others are needed.
+    const auto all = m_members.size();
+    const std::size_t limit = all < m_settings.full_probe_members ? 4 : state::max_evidence;
+    const auto count = std::min(limit, rows.size());
+    std::partial_sort(rows.begin(), rows.begin() + static_cast<std::ptrdiff_t>(count), rows.end(),
+                      [](const auto& a, const auto& b) { return a.age_ms < b.age_ms; });
+    rows.resize(count);
+    message.evidence = std::move(rows);
+}
+
+/// Adds other members at random for a member that joins, up to the bound.
+void membership::add_members(peer_message& message, std::mt19937_64& random) const {
+    std::size_t bytes = 0;
+    for (const auto& update : message.members) {
+        bytes += encoded_bytes(update);
+    }
+    for (const auto& update : choose(m_members.size(), {}, random)) {
+        if (bytes + encoded_bytes(update) > state::max_update_bytes) {
+            break;
+        }
+        bytes += encoded_bytes(update);
+        message.members.push_back(update);
+    }
+}
+
+std::vector<member_update> membership::choose(std::size_t count, const member_id& except,
+                                              std::mt19937_64& random) const {
+    auto candidates = select(
+        [&](const member_record& row) { return is_reachable(row) && row.update.id != except; });
+    std::shuffle(candidates.begin(), candidates.end(), random);
+    candidates.resize(std::min(count, candidates.size()));
+    return candidates;
+}
+
+std::vector<member_update>
+membership::select(const std::function<bool(const member_record&)>& wanted) const {
+    std::vector<member_update> selected;
+    m_members.for_each([&](const auto&, const member_record& row) {
+        if (wanted(row)) {
+            selected.push_back(row.update);
+        }
+    });
+    // The order of a hash map differs between builds; decisions must not.
+    std::sort(selected.begin(), selected.end(),
+              [](const auto& a, const auto& b) { return a.id < b.id; });
+    return selected;
+}
+
+std::uint32_t membership::retransmit_limit() const {
+    const auto members = static_cast<std::uint64_t>(m_members.size()) + 1;
+    return m_settings.retransmit_factor * static_cast<std::uint32_t>(std::bit_width(members));
+}
+
+} // namespace savoryrelay::coordination
--- /dev/null
+++ b/src/savoryrelay/protocol/peer/message_authentication.h
@@ -0,0 +1,57 @@
+// Signed frames between members: HMAC-SHA-256 under a key with an identifier.
+#pragma once
+
+#include "savoryrelay/state/core/enum_names.h"
+#include "savoryrelay/state/core/failure.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace savoryrelay::protocol {
+
+/// What a frame carries. It is signed, so that one kind cannot pass as another.
+enum class frame_kind : std::uint8_t { datagram, state_request, state_reply };
+
+/// A shared key of all members.
+struct peer_key {
+    std::uint32_t id = 0;
+    std::string secret; ///< at least `min_peer_secret_bytes`
+};
+
+inline constexpr std::size_t min_peer_secret_bytes = 32;
+
+/// Signs with `current`; accepts both. During a rotation each member first gets
+/// the new key as `previous`, then as `current` with the old one as `previous`.
+struct peer_keys {
+    peer_key current;
+    std::optional<peer_key> previous;
+};
+
+/// Bytes of a frame before its body: kind, key identifier and HMAC.
+inline constexpr std::size_t frame_header_bytes = 1 + 4 + 32;
+
+/// Fails with `invalid_settings` when a secret is short or both keys have one identifier.
+[[nodiscard]] state::result<void> check_keys(const peer_keys& keys);
+
+/// A frame with `body`, signed under the current key.
+[[nodiscard]] std::string sign_frame(frame_kind kind, std::string_view body, const peer_keys& keys);
+
+/// The body of a frame whose signature is right; a view into `frame`. Fails
+/// with `message_damaged` or `message_unauthenticated`.
+[[nodiscard]] state::result<std::string_view> verify_frame(frame_kind kind, std::string_view frame,
+                                                           const peer_keys& keys);
+
+} // namespace savoryrelay::protocol
+
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::protocol::frame_kind> {
+    using k = savoryrelay::protocol::frame_kind;
+    static constexpr std::array rows{
+        enum_name<k>{k::datagram, "datagram"},
+        enum_name<k>{k::state_request, "state_request"},
+        enum_name<k>{k::state_reply, "state_reply"},
+    };
+};
--- /dev/null
+++ b/src/savoryrelay/transport/datagram/datagram_endpoint.h
@@ -0,0 +1,63 @@
+// UDP between members on cxxtools sockets.
+#pragma once
+
+#include "savoryrelay/state/core/sharded_map.h"
+#include "savoryrelay/state/member/member.h"
+
+#include <cxxtools/net/udp.h>
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <span>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace savoryrelay::transport {
+
+/// What the endpoint reports. Runs on the receiving thread.
+struct datagram_hooks {
+    std::function<void(std::string_view datagram)> on_datagram;
+};
+
+/// Receives on one address and sends to any. Replies go to the address that
+/// the membership knows, never to the source of a datagram, so a forged source
+/// address draws no traffic.
+class datagram_endpoint {
+public:
+    /// Binds `local` and starts the receiving thread. Throws
+    /// `std::runtime_error` when the address cannot be bound. cxxtools sets
+    /// SO_REUSEADDR, so a second process at the same address is not refused.
+    datagram_endpoint(const state::member_address& local, datagram_hooks hooks);
+    /// Stops the receiving thread and waits for it.
+    ~datagram_endpoint();
+    datagram_endpoint(const datagram_endpoint&) = delete;
+    datagram_endpoint& operator=(const datagram_endpoint&) = delete;
+
+    /// Sends a datagram. False when the socket refused it; probes find out.
+    bool send(const state::member_address& to, const std::string& datagram);
+
+    /// Closes the senders of members that are no longer known.
+    void retain(const std::function<bool(const std::string& ip_and_port)>& is_known);
+
+    /// Key of an address in `retain`.
+    [[nodiscard]] static std::string key_of(const state::member_address& address);
+
+private:
+    void receive_loop();
+    std::size_t receive_once(std::span<char> buffer);
+
+    const datagram_hooks m_hooks;
+    cxxtools::net::UdpReceiver m_receiver;
+    // One connected sender per peer: a cxxtools sender is bound to one address.
+    state::sharded_map<std::string, std::shared_ptr<const cxxtools::net::UdpSender>> m_senders;
+    std::mutex m_mutex;
+    std::condition_variable m_stopped;
+    bool m_stopping = false; // guarded by m_mutex
+    bool m_failed = false;   // of the last receive; the receiving thread's own
+    std::thread m_thread;    // last, so that it starts after all it uses
+};
+
+} // namespace savoryrelay::transport
