Close four ways to serve an outdated configuration

Cause: a driver with cuts, pauses, restarts and store outages found members that served a revision more than 6 s after its replacement. Change: a restarted member's answers count for a majority only once it knows the revisions that matter; an aborted announcement is settled only by a later read of the store, not by time; a member that was isolated gets no grace for a newer revision; revisions are passed on before the message counts as an answer. A member that is behind polls every 500 ms instead of 2 s. Ruled out: an announcement that expires by time. A majority cut off right after it repeated the announcement would serve the old revision again after 30 s.

--- a/src/savoryrelay/coordination/configuration/configuration_holder.cpp
+++ b/src/savoryrelay/coordination/configuration/configuration_holder.cpp
@@ -217,10 +217,25 @@
     const std::scoped_lock lock(m_mutex);
     if (present && m_document_revision >= m_heard) {
         m_facts.started = true;
+        if (m_facts.announced_at &&
+            now - *m_facts.announced_at > m_settings.eligibility.announcement_term) {
+            m_facts.announced_at.reset(); // its write did not take effect
+        }
     }
 }
 
+state::milliseconds configuration_holder::poll_wait() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_heard > m_document_revision ? m_settings.behind_poll_period : m_settings.poll_period;
+}
+
+bool configuration_holder::is_started() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_facts.started;
+}
+
 bool configuration_holder::note_revisions(const state::revision_view& revisions, time_point now) {
+    [[maybe_unused]] const auto before = service(now); // notices an isolation until now
     const std::scoped_lock lock(m_mutex);
     m_heard = std::max({m_heard, revisions.heard, revisions.held});
     if (revisions.announced > m_announced) {
@@ -237,11 +252,20 @@
             install(peer.configuration, peer.revisions.held, now);
     }
     [[maybe_unused]] const bool is_behind = note_revisions(peer.revisions, now);
-    const auto others = std::max<std::size_t>(m_hooks.listed_count(), 1) - 1;
+    const auto listed = m_hooks.listed_count();
+    const auto others = std::max<std::size_t>(listed, 1) - 1;
+
+    // A restart may have forgotten an announcement that this member repeated.
+    // A majority of the others, itself not counted, includes a member that
+    // repeated it as well.
+    const auto heard_at = m_hooks.heard_since(majority_needed(listed) + 1, now);
+    const bool hears_majority =
+        heard_at && now - *heard_at <= m_settings.eligibility.isolation_limit;
     const std::scoped_lock lock(m_mutex);
     ++m_peer_replies;
     const auto needed = std::min<std::size_t>(m_settings.starting_peers, others);
-    if (m_peer_replies >= needed && m_document_revision > 0 && m_document_revision >= m_heard) {
+    if (hears_majority && m_peer_replies >= needed && m_document_revision > 0 &&
+        m_document_revision >= m_heard) {
         m_facts.started = true;
     }
 }
@@ -281,14 +305,22 @@
     }
 }
 
-service_state configuration_holder::service(time_point now) const {
+service_state configuration_holder::service(time_point now) {
+    const auto heard_at = m_hooks.heard_since(majority_needed(m_hooks.listed_count()), now);
     eligibility_facts facts;
     {
         const std::scoped_lock lock(m_mutex);
         facts = m_facts;
     }
-    facts.majority_heard_at = m_hooks.heard_since(majority_needed(m_hooks.listed_count()), now);
-    return m_hooks.rule(facts, m_settings.eligibility, now);
+    facts.majority_heard_at = heard_at;
+    const auto service = m_hooks.rule(facts, m_settings.eligibility, now);
+    const std::scoped_lock lock(m_mutex);
+    if (service == service_state::isolated) {
+        m_facts.was_isolated = true;
+    } else if (service == service_state::serving) {
+        m_facts.was_isolated = false;
+    }
+    return service;
 }
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/configuration/configuration_holder.h
+++ b/src/savoryrelay/coordination/configuration/configuration_holder.h
@@ -61,6 +61,8 @@
     /// Longest time from the announcement to the transaction. With the time
     /// limit of the platform client it stays far below the announcement's term.
     state::milliseconds announcement_wait{2'000};
+    state::milliseconds poll_period{2'000};
+    state::milliseconds behind_poll_period{500}; ///< while a newer revision is known
     std::uint32_t read_back_attempts = 3;
     std::uint32_t starting_peers = 3; ///< peers that a start without the store asks
 };
@@ -102,6 +104,13 @@
     /// peer when the table is away. `now` is the time before the call.
     void poll(state::time_point now);
 
+    /// Time until the next `poll`.
+    [[nodiscard]] state::milliseconds poll_wait() const;
+
+    /// True once this member knows the revisions that matter; it is then
+    /// reported by `membership::set_informed`.
+    [[nodiscard]] bool is_started() const;
+
     /// Takes over what another member published. Call `poll` when it returns
     /// true: a higher revision than the one held is known.
     bool note_revisions(const state::revision_view& revisions, state::time_point now);
@@ -109,8 +118,9 @@
     /// Answer of a peer that was asked at the start.
     void note_peer_state(const state::peer_state& peer, state::time_point now);
 
-    /// Whether this member takes new work at `now`.
-    [[nodiscard]] service_state service(state::time_point now) const;
+    /// Whether this member takes new work at `now`. Call it with every tick
+    /// too, so that a time of isolation without requests is noticed.
+    [[nodiscard]] service_state service(state::time_point now);
 
     /// The accepted revision with its audit details. Fails with `not_found`.
     [[nodiscard]] state::result<configuration_history> read_history(std::uint64_t revision) const;
--- a/src/savoryrelay/coordination/configuration/service_eligibility.cpp
+++ b/src/savoryrelay/coordination/configuration/service_eligibility.cpp
@@ -15,14 +15,14 @@
         !within(facts.majority_heard_at, settings.isolation_limit)) {
         return service_state::isolated;
     }
-    if (facts.behind_since && now - *facts.behind_since > settings.behind_limit) {
+    const auto limit = facts.was_isolated ? state::milliseconds(-1) : settings.behind_limit;
+    if (facts.behind_since && now - *facts.behind_since > limit) {
         return service_state::behind;
     }
 
     // An announced revision may be in force already. A member that reads the
     // store would have seen it; any other one stops until it knows.
-    const bool may_exist = within(facts.announced_at, settings.announcement_term) &&
-                           now - *facts.announced_at > settings.behind_limit;
+    const bool may_exist = facts.announced_at && now - *facts.announced_at > limit;
     if (may_exist && !reads_store && !settings.single_entry_host) {
         return service_state::behind;
     }
--- a/src/savoryrelay/coordination/configuration/service_eligibility.h
+++ b/src/savoryrelay/coordination/configuration/service_eligibility.h
@@ -40,9 +40,11 @@
 struct eligibility_settings {
     /// Time without store and majority after which a member stops.
     state::milliseconds isolation_limit{4'000};
-    /// Time that a member may know of a newer revision without holding it.
+    /// Time that a serving member may know of a newer revision without holding
+    /// it. A member that was isolated gets none, since the revision may be old.
     state::milliseconds behind_limit{2'000};
-    /// Longest time between an announcement and the end of its transaction.
+    /// Longest time between an announcement and the end of its transaction. A
+    /// read of the store later than that settles whether it took effect.
     state::milliseconds announcement_term{30'000};
     /// The only entry host: serves and accepts without any other.
     bool single_entry_host = false;
@@ -51,6 +53,7 @@
 /// What the rule looks at.
 struct eligibility_facts {
     bool started = false;                               ///< the floor rule is met
+    bool was_isolated = false;                          ///< and has not served since
     std::optional<state::time_point> store_read_at;     ///< start of the last successful read
     std::optional<state::time_point> majority_heard_at; ///< last proof of more than half
     std::optional<state::time_point> behind_since;      ///< a higher revision was heard of
--- a/src/savoryrelay/coordination/membership/membership.cpp
+++ b/src/savoryrelay/coordination/membership/membership.cpp
@@ -69,6 +69,7 @@
 std::vector<outgoing_message> membership::receive(const peer_message& message, time_point now,
                                                   std::mt19937_64& random) {
     output out;
+    bool is_new = false;
     bool new_revisions = false;
     state::revision_view revisions;
     std::vector<state::topic_update> topics;
@@ -77,7 +78,7 @@
         if (m_left || message.from == m_self.id) {
             return out;
         }
-        const bool is_new = !m_members.find(message.from).has_value();
+        is_new = !m_members.find(message.from).has_value();
         for (const auto& update : message.members) {
             apply(update, now);
         }
@@ -88,30 +89,10 @@
         revisions = m_revisions;
         std::copy_if(message.topics.begin(), message.topics.end(), std::back_inserter(topics),
                      [this](const auto& update) { return accept_topic(update); });
-
-        const auto sender = m_members.find(message.from)->update;
-        // Another host may have this address now; it must not answer for the former one.
-        const bool for_me = message.target.empty() || message.target == m_self.id;
-        if (message.kind == peer_message_kind::ping && for_me) {
-            auto ack = make_message(peer_message_kind::ack, sender.id);
-            ack.sequence = message.sequence;
-            ack.target = m_self.id;
-            add_evidence(ack, now);
-            if (is_new) {
-                add_members(ack, random);
-            }
-            out.push_back({sender.address, std::move(ack)});
-        } else if (message.kind == peer_message_kind::ping_request) {
-            if (const auto target = m_members.find(message.target)) {
-                send_ping(target->update, now, out, sender.id, message.sequence);
-            }
-        } else if (message.kind == peer_message_kind::ack) {
-            receive_ack(message, out);
-        }
-        if (new_revisions) {
-            tell_fanout(now, random, out);
-        }
     }
+
+    // Revisions are passed on before the message counts as an answer, so that
+    // a member that hears a majority again does not serve an older revision.
     if (new_revisions && m_hooks.on_revisions) {
         m_hooks.on_revisions(revisions, now);
     }
@@ -120,9 +101,41 @@
             m_hooks.on_topic(update);
         }
     }
+
+    const std::scoped_lock lock(m_mutex);
+    const auto sender = m_members.find(message.from);
+    if (m_left || !sender) {
+        return out;
+    }
+    answer(message, sender->update, is_new, now, random, out);
+    if (new_revisions) {
+        tell_fanout(now, random, out);
+    }
     return out;
 }
 
+void membership::answer(const peer_message& message, const member_update& sender, bool is_new,
+                        time_point now, std::mt19937_64& random, output& out) {
+    // Another host may have this address now; it must not answer for the former one.
+    const bool for_me = message.target.empty() || message.target == m_self.id;
+    if (message.kind == peer_message_kind::ping && for_me) {
+        auto ack = make_message(peer_message_kind::ack, sender.id);
+        ack.sequence = message.sequence;
+        ack.target = m_self.id;
+        add_evidence(ack, now);
+        if (is_new) {
+            add_members(ack, random);
+        }
+        out.push_back({sender.address, std::move(ack)});
+    } else if (message.kind == peer_message_kind::ping_request) {
+        if (const auto target = m_members.find(message.target)) {
+            send_ping(target->update, now, out, sender.id, message.sequence);
+        }
+    } else if (message.kind == peer_message_kind::ack) {
+        receive_ack(message, out);
+    }
+}
+
 void membership::merge(const std::vector<member_update>& members, time_point now) {
     const std::scoped_lock lock(m_mutex);
     for (const auto& update : members) {
@@ -163,6 +176,11 @@
     return out;
 }
 
+void membership::set_informed() {
+    const std::scoped_lock lock(m_mutex);
+    m_informed = true;
+}
+
 bool membership::publish_topic(const state::topic_update& update) {
     const std::scoped_lock lock(m_mutex);
     return accept_topic(update);
@@ -357,7 +375,9 @@
     }
     auto& pending = found->second;
     pending.answered = true;
-    note_answer(message.target, pending.sent_at);
+    if (message.informed) {
+        note_answer(message.target, pending.sent_at);
+    }
     if (message.from == message.target) {
         note_evidence(message, pending.sent_at);
     }
@@ -368,6 +388,7 @@
         auto relayed = make_message(peer_message_kind::ack, requester->update.id);
         relayed.sequence = pending.requester_sequence;
         relayed.target = message.target;
+        relayed.informed = message.informed;
         out.push_back({requester->update.address, std::move(relayed)});
     }
 }
@@ -510,6 +531,7 @@
     message.from = m_self.id;
     message.incarnation = m_self.incarnation;
     message.revisions = m_revisions;
+    message.informed = m_informed;
     add_updates(message, to);
     return message;
 }
--- a/src/savoryrelay/coordination/membership/membership.h
+++ b/src/savoryrelay/coordination/membership/membership.h
@@ -51,7 +51,8 @@
     /// Whether an update replaces what is known of a member.
     std::function<bool(const state::member_update&, std::uint64_t incarnation, state::member_state)>
         overrides = state::overrides;
-    /// Runs after another member reported newer revisions or topics.
+    /// Runs when another member reports newer revisions or topics, before the
+    /// report counts as an answer of that member.
     std::function<void(const state::revision_view&, state::time_point now)> on_revisions;
     std::function<void(const state::topic_update&)> on_topic;
 };
@@ -104,6 +105,10 @@
     [[nodiscard]] std::vector<outgoing_message> probe_all(state::time_point now,
                                                           std::mt19937_64& random);
 
+    /// Tells the others that this member knows the revisions that matter, see
+    /// `peer_message::informed`.
+    void set_informed();
+
     /// Queues an update of another subsystem. False when its key or value is too long.
     bool publish_topic(const state::topic_update& update);
 
@@ -157,6 +162,8 @@
     bool note_sender(const state::peer_message& message, state::time_point now);
     void note_evidence(const state::peer_message& ack, state::time_point sent_at);
     void note_answer(const state::member_id& id, state::time_point sent_at);
+    void answer(const state::peer_message& message, const state::member_update& sender, bool is_new,
+                state::time_point now, std::mt19937_64& random, output& out);
     void receive_ack(const state::peer_message& message, output& out);
     void end_probes(state::time_point now, std::mt19937_64& random, output& out);
     void end_suspicions(state::time_point now);
@@ -182,6 +189,7 @@
     mutable std::mutex m_mutex; // guards what follows
     state::member_update m_self;
     bool m_left = false;
+    bool m_informed = false;
     state::revision_view m_revisions;
     std::set<state::member_id> m_listed;
     std::map<std::uint32_t, state::member_id> m_by_hash;
--- a/src/savoryrelay/protocol/peer/peer_codec.cpp
+++ b/src/savoryrelay/protocol/peer/peer_codec.cpp
@@ -152,6 +152,7 @@
     out.number(message.incarnation);
     out.number(message.sequence);
     out.text(message.target.value(), state::max_member_id_bytes);
+    out.number(static_cast<std::uint8_t>(message.informed ? 1 : 0));
     write_revisions(out, message.revisions);
     out.count(message.evidence.size(), state::max_evidence);
     for (const auto& each : message.evidence) {
@@ -175,6 +176,7 @@
     message.incarnation = in.number<std::uint64_t>();
     message.sequence = in.number<std::uint32_t>();
     message.target = state::member_id(in.text(state::max_member_id_bytes));
+    message.informed = in.number<std::uint8_t>() != 0;
     message.revisions = read_revisions(in);
     const auto evidence = in.count(state::max_evidence);
     for (std::size_t i = 0; i < evidence; ++i) {
--- a/src/savoryrelay/state/member/member.h
+++ b/src/savoryrelay/state/member/member.h
@@ -131,6 +131,9 @@
     std::uint64_t incarnation = 0; ///< of `from`
     std::uint32_t sequence = 0;    ///< an ack repeats the ping's number
     member_id target;              ///< member probed; empty in a ping to a seed
+    /// False while `from` may have forgotten revisions in a restart. Its
+    /// answers then prove that it lives, but do not count for a majority.
+    bool informed = false;
     revision_view revisions;
     std::vector<answer_evidence> evidence; ///< acks only
     std::vector<member_update> members;
