--- a/src/savoryrelay/coordination/membership/membership.cpp
+++ b/src/savoryrelay/coordination/membership/membership.cpp
@@ -118,11 +118,17 @@
                         time_point now, std::mt19937_64& random, output& out) {
     // Another host may have this address now; it must not answer for the former one.
     const bool for_me = message.target.empty() || message.target == m_self.id;
-    if (message.kind == peer_message_kind::ping && for_me) {
+    const bool is_ping =
+        message.kind == peer_message_kind::ping || message.kind == peer_message_kind::indirect_ping;
+    if (is_ping && for_me) {
         auto ack = make_message(peer_message_kind::ack, sender.id);
         ack.sequence = message.sequence;
         ack.target = m_self.id;
-        add_evidence(ack, now);
+        // Under 5% loss, evidence in the acks of indirect pings took a fifth
+        // of all bytes at 320 members.
+        if (message.kind == peer_message_kind::ping) {
+            add_evidence(ack, now);
+        }
         if (is_new) {
             add_members(ack, random);
         }
@@ -510,7 +516,9 @@
 
 void membership::send_ping(const member_update& target, time_point now, output& out,
                            const member_id& requester, std::uint32_t requester_sequence) {
-    auto message = make_message(peer_message_kind::ping, target.id);
+    const auto kind =
+        requester.empty() ? peer_message_kind::ping : peer_message_kind::indirect_ping;
+    auto message = make_message(kind, target.id);
     message.target = target.id;
     message.sequence = m_next_sequence++;
     m_probes[message.sequence] = {target.id, now, false, false, requester, requester_sequence};
--- a/src/savoryrelay/state/member/member.h
+++ b/src/savoryrelay/state/member/member.h
@@ -93,7 +93,12 @@
     std::uint32_t age_ms = 0; ///< when the message was made; sent in steps of 16 ms, rounded up
 };
 
-enum class peer_message_kind : std::uint8_t { ping, ack, ping_request };
+enum class peer_message_kind : std::uint8_t {
+    ping,
+    ack,
+    ping_request,
+    indirect_ping, ///< sent for the member of a ping_request; its ack is short
+};
 
 template <>
 struct enum_table<peer_message_kind> {
@@ -101,6 +106,7 @@
         enum_name<peer_message_kind>{peer_message_kind::ping, "ping"},
         enum_name<peer_message_kind>{peer_message_kind::ack, "ack"},
         enum_name<peer_message_kind>{peer_message_kind::ping_request, "ping_request"},
+        enum_name<peer_message_kind>{peer_message_kind::indirect_ping, "indirect_ping"},
     };
 };
 
