--- a/src/savoryrelay/coordination/configuration/configuration_holder.cpp
+++ b/src/savoryrelay/coordination/configuration/configuration_holder.cpp
@@ -54,6 +54,33 @@
 
 } // namespace
 
+state::result<void> check_settings(const configuration_settings& settings) {
+    using namespace std::chrono_literals;
+    constexpr auto in_force_limit = 6'000ms;
+    const auto& rule = settings.eligibility;
+    const auto outside = [](const char* field) {
+        return state::fail(failure_kind::invalid_settings,
+                           std::string(field) + " is outside its range");
+    };
+    if (settings.poll_period <= 0ms || settings.poll_period > 2'000ms) {
+        return outside("poll_period");
+    }
+    if (settings.behind_poll_period < 100ms || settings.behind_poll_period > settings.poll_period) {
+        return outside("behind_poll_period");
+    }
+    if (rule.behind_limit <= settings.behind_poll_period) {
+        return outside("behind_limit");
+    }
+    if (rule.isolation_limit <= settings.poll_period ||
+        rule.isolation_limit + rule.behind_limit > in_force_limit) {
+        return outside("isolation_limit");
+    }
+    if (settings.announcement_wait <= 0ms || rule.announcement_term <= settings.announcement_wait) {
+        return outside("announcement_wait");
+    }
+    return {};
+}
+
 configuration_holder::configuration_holder(std::string writer, configuration_settings settings,
                                            configuration_hooks hooks)
     : m_writer(std::move(writer)), m_settings(settings), m_hooks(std::move(hooks)) {}
--- a/src/savoryrelay/coordination/configuration/configuration_holder.h
+++ b/src/savoryrelay/coordination/configuration/configuration_holder.h
@@ -67,6 +67,10 @@
     std::uint32_t starting_peers = 3; ///< peers that a start without the store asks
 };
 
+/// Fails with `invalid_settings`, naming the field, when the settings cannot
+/// keep the 6 s of an accepted configuration.
+[[nodiscard]] state::result<void> check_settings(const configuration_settings& settings);
+
 /// Holds the configuration. Safe for use by several threads.
 class configuration_holder {
 public:
--- a/src/savoryrelay/coordination/membership/membership.cpp
+++ b/src/savoryrelay/coordination/membership/membership.cpp
@@ -29,6 +29,43 @@
 
 } // namespace
 
+state::result<void> check_settings(const membership_settings& settings) {
+    using namespace std::chrono_literals;
+    const auto outside = [](const char* field) {
+        return state::fail(state::failure_kind::invalid_settings,
+                           std::string(field) + " is outside its range");
+    };
+    if (settings.probe_period < 200ms || settings.probe_period > 5'000ms) {
+        return outside("probe_period");
+    }
+    if (settings.probe_timeout <= 0ms || settings.probe_timeout >= settings.probe_period) {
+        return outside("probe_timeout");
+    }
+    if (settings.suspicion_time < settings.probe_period ||
+        settings.suspicion_time > settings.probe_period * 10) {
+        return outside("suspicion_time");
+    }
+    if (settings.dead_retention < 10'000ms || settings.dead_retention > 3'600'000ms) {
+        return outside("dead_retention");
+    }
+    if (settings.indirect_probes > 8) {
+        return outside("indirect_probes");
+    }
+    if (settings.full_probe_members < 1 || settings.full_probe_members > 16) {
+        return outside("full_probe_members");
+    }
+    if (settings.sparse_probes < 2 || settings.sparse_probes > 4) {
+        return outside("sparse_probes");
+    }
+    if (settings.retransmit_factor < 1 || settings.retransmit_factor > 8) {
+        return outside("retransmit_factor");
+    }
+    if (settings.revision_fanout < 1 || settings.revision_fanout > 16) {
+        return outside("revision_fanout");
+    }
+    return {};
+}
+
 membership::membership(member_update self, std::vector<state::member_address> seeds,
                        membership_settings settings, membership_hooks hooks)
     : m_settings(settings), m_hooks(std::move(hooks)), m_seeds(std::move(seeds)),
--- a/src/savoryrelay/coordination/membership/membership.h
+++ b/src/savoryrelay/coordination/membership/membership.h
@@ -3,6 +3,7 @@
 // probes. It decides only; the caller sends what it returns.
 #pragma once
 
+#include "savoryrelay/state/core/failure.h"
 #include "savoryrelay/state/core/sharded_map.h"
 #include "savoryrelay/state/member/member.h"
 
@@ -19,7 +20,7 @@
 
 namespace savoryrelay::coordination {
 
-/// Settings of the membership. Ranges are checked where settings are read.
+/// Settings of the membership, see `check_settings` for their ranges.
 struct membership_settings {
     state::milliseconds probe_period{1'000};
     /// Time after which a probe is repeated through other members.
@@ -40,6 +41,10 @@
     std::uint32_t revision_fanout = 3;
 };
 
+/// Fails with `invalid_settings`, naming the field, when the membership could
+/// not work with `settings`.
+[[nodiscard]] state::result<void> check_settings(const membership_settings& settings);
+
 /// A message to be sent.
 struct outgoing_message {
     state::member_address to;
--- a/src/savoryrelay/state/core/identifier.h
+++ b/src/savoryrelay/state/core/identifier.h
@@ -25,6 +25,8 @@
     /// True when no identifier has been assigned.
     [[nodiscard]] bool empty() const { return m_value.empty(); }
 
+    // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const identifier&, const identifier&) = default;
 
     friend std::ostream& operator<<(std::ostream& out, const identifier& id) {
--- a/tests/coordination/configuration_holder_test.cpp
+++ b/tests/coordination/configuration_holder_test.cpp
@@ -1,5 +1,6 @@
 // Submission, conflicts, lost replies and the rule for an isolated member.
 #include "savoryrelay/coordination/configuration/configuration_holder.h"
+#include "savoryrelay/coordination/membership/membership.h"
 #include "support/fault_matrix.h"
 #include "support/faulty_platform.h"
 
@@ -212,3 +213,24 @@
               listed);
     }
 }
+
+// Guards against settings with which the 6 s cannot be kept or no member is probed.
+TEST_CASE("settings that cannot work are refused", "[configuration][membership]") {
+    const auto accepts = [](const auto& settings) {
+        return state::collect([&] { return coordination::check_settings(settings); }).has_value();
+    };
+    coordination::configuration_settings holder;
+    CHECK(accepts(holder));
+    holder.eligibility.isolation_limit = 4'001ms;
+    CHECK_FALSE(accepts(holder));
+    holder = {};
+    holder.poll_period = 0ms;
+    CHECK_FALSE(accepts(holder));
+    coordination::membership_settings probing;
+    CHECK(accepts(probing));
+    probing.probe_timeout = probing.probe_period;
+    CHECK_FALSE(accepts(probing));
+    probing = {};
+    probing.sparse_probes = 0;
+    CHECK_FALSE(accepts(probing));
+}
