Write out the order of identifiers

clang-tidy 14 reports modernize-use-nullptr inside a defaulted operator<=> in each source that keeps identifiers in a std::map or std::set. The order is now written out; the comparison itself is unchanged. Ruled out: a NOLINT, which would also hide real findings on that line.

--- a/src/savoryrelay/state/core/identifier.h
+++ b/src/savoryrelay/state/core/identifier.h
@@ -25,7 +25,12 @@
     /// True when no identifier has been assigned.
     [[nodiscard]] bool empty() const { return m_value.empty(); }
 
-    friend auto operator<=>(const identifier&, const identifier&) = default;
+    // Written out, because clang-tidy 14 reports the body of a defaulted <=>
+    // (modernize-use-nullptr) in each source that orders identifiers.
+    friend std::strong_ordering operator<=>(const identifier& left, const identifier& right) {
+        return left.m_value <=> right.m_value;
+    }
+    friend bool operator==(const identifier&, const identifier&) = default;
 
     friend std::ostream& operator<<(std::ostream& out, const identifier& id) {
         return out << id.m_value;
