Control groups from the table's rows and the engines' reports

Groups are formed, repaired and dissolved by a controller that keeps nothing but times and an unsettled write, so that a successor continues at any point. All hosts are claimed in one transaction that checks the lease row. Orders are sent only inside the lease; a lost write reply is read back by its write key, and an unknown one is settled under the same key before any other write. On the loss of a host the expected group downtime and stranded accelerators decide between a spare, waiting and forming the group elsewhere.

An engine that left its group, by a restart or a late order, makes the whole group start again under a new generation. Ruled out: joining that engine alone under the same generation, since its peers' connections to it are gone.

--- /dev/null
+++ b/src/savoryrelay/coordination/group/group_controller.cpp
@@ -0,0 +1,521 @@
+// Reconciles the groups of a deployment with the table and the reports.
+#include "savoryrelay/coordination/group/group_controller.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace savoryrelay::coordination {
+namespace {
+
+using state::failure_kind;
+using state::group_state;
+
+// An engine that dropped an order after remembering its key would refuse every
+// repetition, so that a new key is made after this many attempts.
+constexpr std::uint32_t max_attempts_per_key = 3;
+
+std::string group_key(const state::group_id& id) {
+    return "group/" + id.value();
+}
+std::string claim_key(const state::host_id& id) {
+    return "host/" + id.value();
+}
+std::string rollout_key(const state::deployment_id& id) {
+    return "rollout/" + id.value();
+}
+
+bool matches(const engine_report& report, const state::group_row& group) {
+    return report.group == group.id && report.generation == group.generation;
+}
+
+} // namespace
+
+/// What one step has read, and what it has used up since.
+struct group_controller::step_context {
+    const lease_proof& lease;
+    const deployment_demand& demand;
+    state::time_point now;
+    group_step_summary summary{};
+    std::vector<group_entry> groups{}; ///< of this deployment
+    std::map<state::availability_zone_id, std::uint32_t> groups_by_zone{};
+    std::map<std::string, std::uint64_t> claims{}; ///< row versions by key, of all deployments
+    state::versioned<state::rollout_row> rollout{};
+    engine_reports reports{};
+    std::vector<free_host> free_hosts{};
+    state::milliseconds lost_after{0};
+
+    [[nodiscard]] bool is_lost(const state::host_id& host) const {
+        const auto found = reports.find(host);
+        return found == reports.end() || now - found->second.received_at > lost_after;
+    }
+    [[nodiscard]] std::vector<state::host_id> missing(const state::group_row& group) const {
+        std::vector<state::host_id> lost;
+        std::copy_if(group.hosts.begin(), group.hosts.end(), std::back_inserter(lost),
+                     [&](const auto& host) { return is_lost(host); });
+        return lost;
+    }
+};
+
+group_controller::group_controller(state::platform_hooks platform, group_codec codec,
+                                   group_engine_hooks engines, group_decisions decisions,
+                                   group_settings settings)
+    : m_platform(std::move(platform)), m_codec(std::move(codec)), m_engines(std::move(engines)),
+      m_decisions(std::move(decisions)), m_settings(settings) {}
+
+state::result<group_step_summary> group_controller::step(const lease_proof& lease,
+                                                         const deployment_demand& demand,
+                                                         state::time_point now) {
+    BOOST_LEAF_CHECK(check_rollout_settings(demand.rollout));
+    BOOST_LEAF_CHECK(settle_pending());
+    step_context context{lease, demand, now};
+    context.lost_after = m_settings.lost_after;
+    m_still_true.clear();
+    BOOST_LEAF_CHECK(load(context));
+    for (const auto& entry : context.groups) {
+        BOOST_LEAF_CHECK(advance(context, entry));
+    }
+    if (context.rollout.version != 0) {
+        BOOST_LEAF_CHECK(apply_rollout(context));
+    }
+    std::erase_if(m_since, [&](const auto& row) { return !m_still_true.contains(row.first); });
+    return context.summary;
+}
+
+state::result<void> group_controller::submit(const lease_proof& lease,
+                                             const deployment_demand& demand,
+                                             const std::string& version) {
+    BOOST_LEAF_CHECK(check_rollout_settings(demand.rollout));
+    BOOST_LEAF_CHECK(settle_pending());
+    BOOST_LEAF_AUTO(present, m_platform.read_row(rollout_key(demand.deployment)));
+    state::rollout_row row;
+    row.deployment = demand.deployment;
+    if (present.version != 0) {
+        BOOST_LEAF_ASSIGN(row, m_codec.read_rollout(present.value));
+    }
+    auto transaction = begin(lease);
+    transaction.checks.push_back({present.key, present.version});
+    transaction.puts.push_back({present.key, m_codec.write_rollout(submit_version(row, version))});
+    BOOST_LEAF_AUTO(committed, commit(std::move(transaction)));
+    if (!committed) {
+        return state::fail(failure_kind::store_conflict,
+                           "the roll-out of " + demand.deployment.value() +
+                               " or the lease changed at the same time");
+    }
+    return {};
+}
+
+state::table_transaction group_controller::begin(const lease_proof& lease) {
+    state::table_transaction transaction;
+    transaction.write_key = "groups/" + lease.key + "/" + std::to_string(lease.fencing_number) +
+                            "/" + std::to_string(++m_sequence);
+    transaction.checks.push_back({lease.key, lease.version});
+    return transaction;
+}
+
+/// True when it took effect, false when a check failed. An unknown result is
+/// kept and settled before any other write.
+state::result<bool> group_controller::commit(state::table_transaction transaction) {
+    const auto first = state::collect([&] { return m_platform.transact(transaction); });
+    if (first) {
+        return first.value().committed;
+    }
+    if (first.error().kind != failure_kind::store_result_unknown) {
+        return state::fail(first.error());
+    }
+    m_pending = std::move(transaction);
+    const auto kept =
+        state::collect([&] { return m_platform.read_write_result(m_pending->write_key); });
+    if (kept && kept.value()) {
+        m_pending.reset();
+        return kept.value()->committed;
+    }
+    return state::fail(first.error());
+}
+
+/// Settles a write whose result is unknown. Sending it again under the same
+/// key is safe: the platform applies a key once and returns the first result.
+state::result<void> group_controller::settle_pending() {
+    if (m_pending) {
+        auto transaction = *m_pending;
+        BOOST_LEAF_CHECK(commit(std::move(transaction)));
+        m_pending.reset();
+    }
+    return {};
+}
+
+state::result<void> group_controller::apply(step_context& context,
+                                            state::table_transaction transaction) {
+    BOOST_LEAF_AUTO(committed, commit(std::move(transaction)));
+    ++(committed ? context.summary.committed : context.summary.conflicts);
+    return {};
+}
+
+state::result<void> group_controller::load(step_context& context) {
+    BOOST_LEAF_AUTO(group_rows, m_platform.scan_rows("group/"));
+    for (const auto& row : group_rows) {
+        BOOST_LEAF_AUTO(group, m_codec.read_group(row.value));
+        if (group.deployment == context.demand.deployment) {
+            if (group.state != group_state::dissolved) {
+                ++context.groups_by_zone[group.availability_zone];
+            }
+            context.groups.push_back({std::move(group), row.version});
+        }
+    }
+    BOOST_LEAF_AUTO(claim_rows, m_platform.scan_rows("host/"));
+    for (const auto& row : claim_rows) {
+        context.claims[row.key] = row.version;
+    }
+    BOOST_LEAF_AUTO(rollout, m_platform.read_row(rollout_key(context.demand.deployment)));
+    if (rollout.version != 0) {
+        context.rollout.version = rollout.version;
+        BOOST_LEAF_ASSIGN(context.rollout.row, m_codec.read_rollout(rollout.value));
+    }
+
+    // A host is free when it is listed to stay, its engine reports and no row claims it.
+    context.reports = m_engines.read_reports();
+    BOOST_LEAF_AUTO(hosts, m_platform.list_hosts());
+    for (const auto& host : hosts) {
+        if (!host.entry_host && !host.leaving && !context.is_lost(host.id) &&
+            !context.claims.contains(claim_key(host.id))) {
+            context.free_hosts.push_back({host.id, host.availability_zone, host.fabric_domain});
+        }
+    }
+    return {};
+}
+
+state::time_point group_controller::since(const std::string& what, state::time_point now) {
+    m_still_true.insert(what);
+    return m_since.try_emplace(what, now).first->second;
+}
+
+state::result<void> group_controller::advance(step_context& context, const group_entry& entry) {
+    const auto& group = entry.row;
+    const auto entered =
+        since(group.id.value() + "/" + std::string(state::to_name(group.state)), context.now);
+    const auto missing = context.missing(group);
+    const bool mismatch =
+        std::any_of(group.hosts.begin(), group.hosts.end(), [&](const auto& host) {
+            return !context.is_lost(host) && !matches(context.reports.at(host), group);
+        });
+    const bool complete =
+        m_decisions.complete(group, context.reports, context.now, m_settings.report_age);
+
+    switch (group.state) {
+    case group_state::forming:
+        if (!missing.empty()) {
+            return handle_loss(context, entry);
+        }
+        if (!mismatch) {
+            return change_state(context, entry, group_state::loading);
+        }
+        for (const auto& host : group.hosts) {
+            if (!matches(context.reports.at(host), group)) {
+                BOOST_LEAF_CHECK(send(context, order_kind::join, host, group));
+            }
+        }
+        return {};
+    case group_state::loading:
+    case group_state::serving:
+        if (!missing.empty()) {
+            return handle_loss(context, entry);
+        }
+        if (mismatch) {
+            // An engine restarted or obeyed a late order: the whole group
+            // starts again, because the engines' connections are gone.
+            return reassemble(context, entry);
+        }
+        if (group.state == group_state::loading) {
+            return complete ? change_state(context, entry, group_state::serving)
+                            : state::result<void>{};
+        }
+        if (!complete && context.now - since(group.id.value() + "/unloaded", context.now) >
+                             context.demand.rollout.load_deadline) {
+            return reassemble(context, entry);
+        }
+        return {};
+    case group_state::draining: {
+        const bool idle =
+            std::all_of(group.hosts.begin(), group.hosts.end(), [&](const auto& host) {
+                return !context.is_lost(host) && context.reports.at(host).running == 0;
+            });
+        const bool settled = context.now - entered >= m_settings.drain_settle;
+        // The requests of a group that lost a host or was restarted are gone.
+        if (!missing.empty() || mismatch || (idle && settled)) {
+            return change_state(context, entry, group_state::dissolving);
+        }
+        return {};
+    }
+    case group_state::dissolving: {
+        bool left = true;
+        for (const auto& host : group.hosts) {
+            if (!context.is_lost(host) && context.reports.at(host).group == group.id) {
+                left = false;
+                BOOST_LEAF_CHECK(send(context, order_kind::leave, host, group));
+            }
+        }
+        return left ? release(context, entry) : state::result<void>{};
+    }
+    case group_state::dissolved:
+        break;
+    }
+    auto transaction = begin(context.lease);
+    transaction.checks.push_back({group_key(group.id), entry.version});
+    transaction.deletes.push_back(group_key(group.id));
+    return apply(context, std::move(transaction));
+}
+
+state::result<void> group_controller::handle_loss(step_context& context, const group_entry& entry) {
+    const auto& group = entry.row;
+    const auto lost = context.missing(group);
+    host_loss_case loss;
+    loss.hosts = static_cast<std::uint32_t>(group.hosts.size());
+    loss.missing = static_cast<std::uint32_t>(lost.size());
+    loss.zone_drained = context.demand.drained_zones.contains(group.availability_zone);
+
+    // Free hosts here and in the domain that has the most of them.
+    std::map<state::fabric_domain_id, std::uint32_t> free_by_domain;
+    for (const auto& host : context.free_hosts) {
+        if (!context.demand.drained_zones.contains(host.availability_zone)) {
+            ++free_by_domain[host.fabric_domain];
+        }
+    }
+    for (const auto& [domain, count] : free_by_domain) {
+        if (domain == group.fabric_domain) {
+            loss.spares = count;
+        } else {
+            loss.place_elsewhere |= count >= group.hosts.size();
+        }
+    }
+
+    // Peers that the survivors could complete. The group with the fewest
+    // missing hosts is repaired first, so that two groups never give up for each other.
+    auto survivors = loss.hosts - loss.missing;
+    for (const auto& peer : context.groups) {
+        const auto peer_missing = static_cast<std::uint32_t>(context.missing(peer.row).size());
+        const bool first = std::pair(peer_missing, peer.row.id) < std::pair(loss.missing, group.id);
+        const bool active = peer.row.state == group_state::forming ||
+                            peer.row.state == group_state::loading ||
+                            peer.row.state == group_state::serving;
+        if (active && peer_missing > 0 && first && peer_missing <= survivors &&
+            peer.row.fabric_domain == group.fabric_domain) {
+            survivors -= peer_missing;
+            ++loss.repairable_peers;
+        }
+    }
+    for (const auto& host : lost) {
+        const auto report = context.reports.find(host);
+        const auto last = report == context.reports.end()
+                              ? since(host.value() + "/away", context.now)
+                              : report->second.received_at;
+        loss.away = std::max(loss.away,
+                             std::chrono::duration_cast<state::milliseconds>(context.now - last));
+    }
+
+    switch (m_decisions.host_loss(loss, m_settings.host_loss).action) {
+    case host_loss_action::wait:
+        ++context.summary.waiting;
+        return {};
+    case host_loss_action::replace:
+        return replace_hosts(context, entry);
+    case host_loss_action::dissolve:
+        return change_state(context, entry, group_state::dissolving);
+    }
+    return {};
+}
+
+state::result<void> group_controller::replace_hosts(step_context& context,
+                                                    const group_entry& entry) {
+    auto next = entry.row;
+    next.state = group_state::forming;
+    ++next.generation;
+    auto transaction = begin(context.lease);
+    transaction.checks.push_back({group_key(next.id), entry.version});
+    for (auto& host : next.hosts) {
+        if (!context.is_lost(host)) {
+            continue;
+        }
+        const auto spare = std::find_if(
+            context.free_hosts.begin(), context.free_hosts.end(),
+            [&](const auto& free) { return free.fabric_domain == next.fabric_domain; });
+        if (spare == context.free_hosts.end()) {
+            ++context.summary.waiting;
+            return {};
+        }
+        transaction.checks.push_back({claim_key(host), context.claims[claim_key(host)]});
+        transaction.deletes.push_back(claim_key(host));
+        host = spare->id;
+        context.free_hosts.erase(spare);
+        transaction.checks.push_back({claim_key(host), 0});
+        transaction.puts.push_back({claim_key(host), m_codec.write_claim({host, next.id})});
+    }
+    transaction.puts.push_back({group_key(next.id), m_codec.write_group(next)});
+    return apply(context, std::move(transaction));
+}
+
+state::result<void> group_controller::change_state(step_context& context, const group_entry& entry,
+                                                   group_state next, bool counts_as_failure) {
+    assert(state::is_allowed(entry.row.state, next));
+    auto row = entry.row;
+    row.state = next;
+    auto transaction = begin(context.lease);
+    transaction.checks.push_back({group_key(row.id), entry.version});
+    transaction.puts.push_back({group_key(row.id), m_codec.write_group(row)});
+    if (counts_as_failure) {
+        auto rollout = context.rollout.row;
+        ++rollout.failed_groups;
+        transaction.checks.push_back({rollout_key(row.deployment), context.rollout.version});
+        transaction.puts.push_back({rollout_key(row.deployment), m_codec.write_rollout(rollout)});
+    }
+    return apply(context, std::move(transaction));
+}
+
+state::result<void> group_controller::reassemble(step_context& context, const group_entry& entry) {
+    auto next = entry;
+    ++next.row.generation;
+    return change_state(context, next, group_state::forming);
+}
+
+state::result<void> group_controller::release(step_context& context, const group_entry& entry) {
+    auto row = entry.row;
+    row.state = group_state::dissolved;
+    auto transaction = begin(context.lease);
+    transaction.checks.push_back({group_key(row.id), entry.version});
+    transaction.puts.push_back({group_key(row.id), m_codec.write_group(row)});
+    for (const auto& host : row.hosts) {
+        transaction.checks.push_back({claim_key(host), context.claims[claim_key(host)]});
+        transaction.deletes.push_back(claim_key(host));
+    }
+    return apply(context, std::move(transaction));
+}
+
+state::result<void> group_controller::send(step_context& context, order_kind kind,
+                                           const state::host_id& host,
+                                           const state::group_row& group) {
+    if (context.now + m_settings.order_timeout + m_settings.order_margin >
+        context.lease.valid_until) {
+        return state::fail(failure_kind::lease_not_held, "the lease may end before the order to " +
+                                                             host.value() + " is answered");
+    }
+
+    // The key of an unanswered order is kept while neither the order nor what
+    // the engine reports has changed.
+    const auto& report = context.reports.at(host);
+    const auto reported = report.group.value() + "/" + std::to_string(report.generation);
+    auto& sent = m_unanswered[host];
+    const bool same = sent.order.kind == kind && sent.order.group.id == group.id &&
+                      sent.order.group.generation == group.generation &&
+                      sent.order.fencing_number == context.lease.fencing_number &&
+                      sent.reported == reported && sent.attempts < max_attempts_per_key;
+    if (!same) {
+        const auto key =
+            std::to_string(context.lease.fencing_number) + "/" + std::to_string(++m_sequence);
+        sent = {{context.lease.key + "/" + key, context.lease.fencing_number, kind, host, group},
+                reported};
+    }
+    ++sent.attempts;
+    ++context.summary.orders;
+    const auto reply = m_engines.send_order(sent.order);
+    context.now = std::max(context.now, reply.received_at);
+    if (reply.outcome == order_outcome::refused_fencing) {
+        return state::fail(failure_kind::lease_not_held,
+                           "the engine on " + host.value() + " has seen a newer fencing number");
+    }
+    if (context.now > context.lease.valid_until) {
+        return state::fail(failure_kind::lease_not_held,
+                           "the reply of " + host.value() + " came after the lease's end");
+    }
+    if (reply.outcome == order_outcome::accepted) {
+        m_unanswered.erase(host);
+    }
+    return {};
+}
+
+/// Progress is the best value so far, so that a group that is lost and returns
+/// again and again does not keep a roll-out alive.
+void group_controller::note_progress(step_context& context, rollout_view& view) {
+    const auto& row = view.rollout;
+    const auto mark = row.version + "/" + std::string(state::to_name(row.state));
+    std::int64_t progress = 0;
+    for (const auto& group : view.groups) {
+        const bool target = group.model_version == state::target_version(row);
+        progress += target && group.state == group_state::serving && group.complete ? 1 : 0;
+        progress -= !target && group.state != group_state::dissolved ? 1 : 0;
+    }
+    if (mark != m_rollout_mark || progress > m_best_progress) {
+        m_rollout_mark = mark;
+        m_best_progress = progress;
+        m_progress_at = context.now;
+    }
+    view.last_progress = m_progress_at;
+}
+
+state::result<void> group_controller::apply_rollout(step_context& context) {
+    rollout_view view{context.rollout.row, {}, {}};
+    for (const auto& [group, version] : context.groups) {
+        const auto entered =
+            since(group.id.value() + "/" + std::string(state::to_name(group.state)), context.now);
+        view.groups.push_back(
+            {group.id, group.model_version, group.state,
+             m_decisions.complete(group, context.reports, context.now, m_settings.report_age),
+             entered});
+    }
+    note_progress(context, view);
+
+    for (const auto& change : m_decisions.rollout(view, context.demand.rollout, context.now)) {
+        if (change.kind == rollout_change_kind::form) {
+            BOOST_LEAF_CHECK(form(context, change));
+            continue;
+        }
+        if (change.kind == rollout_change_kind::turn) {
+            auto row = context.rollout.row;
+            assert(state::is_allowed(row.state, *change.next));
+            row.state = *change.next;
+            auto transaction = begin(context.lease);
+            transaction.checks.push_back({rollout_key(row.deployment), context.rollout.version});
+            transaction.puts.push_back({rollout_key(row.deployment), m_codec.write_rollout(row)});
+            BOOST_LEAF_CHECK(apply(context, std::move(transaction)));
+            continue;
+        }
+        const auto entry =
+            std::find_if(context.groups.begin(), context.groups.end(),
+                         [&](const auto& group) { return group.row.id == change.group; });
+        const auto next = change.kind == rollout_change_kind::drain ? group_state::draining
+                                                                    : group_state::dissolving;
+        BOOST_LEAF_CHECK(change_state(context, *entry, next, change.counts_as_failure));
+    }
+    return {};
+}
+
+state::result<void> group_controller::form(step_context& context, const rollout_change& change) {
+    placement_request request;
+    request.free_hosts = context.free_hosts;
+    request.groups_by_zone = context.groups_by_zone;
+    request.drained_zones = context.demand.drained_zones;
+    request.group_sizes.assign(change.count, context.demand.hosts_per_group);
+    request.spares_per_domain = context.demand.spares_per_domain;
+    const auto planned = m_decisions.plan(request);
+    context.summary.unplaced += change.count - static_cast<std::uint32_t>(planned.size());
+
+    for (const auto& place : planned) {
+        auto transaction = begin(context.lease);
+        state::group_row row;
+        row.id = state::group_id(context.demand.deployment.value() + "-" +
+                                 std::to_string(context.lease.fencing_number) + "-" +
+                                 std::to_string(m_sequence));
+        row.deployment = context.demand.deployment;
+        row.model_version = change.model_version;
+        row.availability_zone = place.availability_zone;
+        row.fabric_domain = place.fabric_domain;
+        row.hosts = place.hosts;
+        transaction.checks.push_back({group_key(row.id), 0});
+        transaction.puts.push_back({group_key(row.id), m_codec.write_group(row)});
+        for (const auto& host : place.hosts) {
+            transaction.checks.push_back({claim_key(host), 0});
+            transaction.puts.push_back({claim_key(host), m_codec.write_claim({host, row.id})});
+        }
+        BOOST_LEAF_CHECK(apply(context, std::move(transaction)));
+    }
+    return {};
+}
+
+} // namespace savoryrelay::coordination
--- /dev/null
+++ b/src/savoryrelay/coordination/group/host_loss.h
@@ -0,0 +1,87 @@
+// Decides what to do with a group that has lost hosts: take spares of its
+// fabric domain, wait for the lost hosts, or dissolve it.
+#pragma once
+
+#include "savoryrelay/state/core/enum_names.h"
+#include "savoryrelay/state/core/time.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+
+namespace savoryrelay::coordination {
+
+/// What to do with a group that has lost hosts.
+enum class host_loss_action {
+    wait,     ///< keep the claims and wait for the hosts
+    replace,  ///< take spares of the same fabric domain under a new generation
+    dissolve, ///< release the hosts, so that a group can be formed elsewhere
+};
+
+} // namespace savoryrelay::coordination
+
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::coordination::host_loss_action> {
+    using a = savoryrelay::coordination::host_loss_action;
+    static constexpr std::array rows{
+        enum_name<a>{a::wait, "wait"},
+        enum_name<a>{a::replace, "replace"},
+        enum_name<a>{a::dissolve, "dissolve"},
+    };
+};
+
+namespace savoryrelay::coordination {
+
+/// How long hosts stay away. An outage is a restart with the weight of
+/// `restarts_per_day`, or a failure with that of `failures_per_day`; both end
+/// after an exponential time. The rates are those of docs/design.md 1.2.
+struct outage_model {
+    double restarts_per_day = 50.0;
+    double failures_per_day = 8.0;
+    state::milliseconds mean_restart{240'000};
+    state::milliseconds mean_failure{14'400'000};
+};
+
+/// Mean time until a host returns that has been away for `elapsed`. It grows
+/// with `elapsed`, because a restart that long becomes less likely.
+[[nodiscard]] state::milliseconds expected_return(const outage_model& model,
+                                                  state::milliseconds elapsed);
+
+/// A group that has lost hosts, as the decision sees it.
+struct host_loss_case {
+    std::uint32_t hosts = 0;            ///< size of the group
+    std::uint32_t missing = 0;          ///< lost hosts, 1 to `hosts`
+    std::uint32_t spares = 0;           ///< free live hosts in the group's domain
+    bool zone_drained = false;          ///< operators have taken the zone out
+    bool place_elsewhere = false;       ///< another domain can hold the whole group
+    std::uint32_t repairable_peers = 0; ///< groups of the domain that the survivors would complete
+    state::milliseconds away{0};        ///< time since the first host was lost
+};
+
+/// Times and weights of the decision.
+struct host_loss_settings {
+    outage_model outages;
+    state::milliseconds load_time{180'000};   ///< joining and loading of a whole group
+    state::milliseconds reform_extra{10'000}; ///< dissolving and claiming before loading
+    double group_weight = 1.0;                ///< cost of a group-second of downtime
+    double accelerator_weight = 0.01;         ///< cost of an accelerator-second stranded
+    std::uint32_t accelerators_per_host = 8;
+};
+
+/// Expected cost of one action.
+struct host_loss_estimate {
+    host_loss_action action = host_loss_action::wait;
+    double downtime_seconds = 0.0;             ///< group-seconds
+    double stranded_accelerator_seconds = 0.0; ///< accelerator-seconds
+};
+
+/// The estimate of the cheapest possible action. Waiting is always possible,
+/// replacing needs a spare for each missing host in a zone that is in service,
+/// dissolving needs a use for the survivors.
+[[nodiscard]] host_loss_estimate decide_host_loss(const host_loss_case& loss,
+                                                  const host_loss_settings& settings);
+
+using decide_host_loss_hook =
+    std::function<host_loss_estimate(const host_loss_case&, const host_loss_settings&)>;
+
+} // namespace savoryrelay::coordination
