Reject group settings that cannot progress

Groups of 0 or more than 16 hosts were skipped by the planner without a message, and lost_after below report_age replaced hosts whose reports still counted. check_group_settings rejects these with the setting's name before any read. Ruled out: correcting the values silently.

--- a/src/savoryrelay/coordination/group/group_controller.cpp
+++ b/src/savoryrelay/coordination/group/group_controller.cpp
@@ -30,6 +30,33 @@
 
 } // namespace
 
+state::result<void> check_group_settings(const group_settings& settings,
+                                         const deployment_demand& demand) {
+    const auto reject = [](const std::string& text) {
+        return state::fail(failure_kind::invalid_settings, text);
+    };
+    if (demand.hosts_per_group == 0 || demand.hosts_per_group > max_group_hosts) {
+        return reject("hosts_per_group must be 1 to " + std::to_string(max_group_hosts));
+    }
+    if (settings.report_age.count() <= 0) {
+        return reject("report_age_ms must be above 0, or no group is ever complete");
+    }
+    if (settings.lost_after <= settings.report_age) {
+        return reject("lost_after_ms must be above report_age_ms, or hosts are replaced "
+                      "while their reports still count");
+    }
+    if (settings.order_timeout.count() <= 0 || settings.order_margin.count() <= 0) {
+        return reject("order_timeout_ms and order_margin_ms must be above 0");
+    }
+    const auto& outages = settings.host_loss.outages;
+    if (outages.restarts_per_day + outages.failures_per_day <= 0.0 ||
+        outages.mean_restart.count() <= 0 || outages.mean_failure.count() <= 0) {
+        return reject("restarts_per_day or failures_per_day, mean_restart_ms and "
+                      "mean_failure_ms must be above 0");
+    }
+    return check_rollout_settings(demand.rollout);
+}
+
 /// What one step has read, and what it has used up since.
 struct group_controller::step_context {
     const lease_proof& lease;
@@ -65,7 +92,7 @@
 state::result<group_step_summary> group_controller::step(const lease_proof& lease,
                                                          const deployment_demand& demand,
                                                          state::time_point now) {
-    BOOST_LEAF_CHECK(check_rollout_settings(demand.rollout));
+    BOOST_LEAF_CHECK(check_group_settings(m_settings, demand));
     BOOST_LEAF_CHECK(settle_pending());
     step_context context{lease, demand, now};
     context.lost_after = m_settings.lost_after;
@@ -84,7 +111,7 @@
 state::result<void> group_controller::submit(const lease_proof& lease,
                                              const deployment_demand& demand,
                                              const std::string& version) {
-    BOOST_LEAF_CHECK(check_rollout_settings(demand.rollout));
+    BOOST_LEAF_CHECK(check_group_settings(m_settings, demand));
     BOOST_LEAF_CHECK(settle_pending());
     BOOST_LEAF_AUTO(present, m_platform.read_row(rollout_key(demand.deployment)));
     state::rollout_row row;
--- a/src/savoryrelay/coordination/group/group_controller.h
+++ b/src/savoryrelay/coordination/group/group_controller.h
@@ -95,7 +95,7 @@
     state::milliseconds drain_settle{6'000}; ///< until every member has seen that a group drains
     state::milliseconds order_timeout{2'000};
     state::milliseconds order_margin{500};
-    host_loss_settings host_loss;
+    host_loss_settings host_loss{};
 };
 
 /// What the configuration asks of the deployment.
@@ -107,6 +107,11 @@
     std::set<state::availability_zone_id> drained_zones;
 };
 
+/// Fails with `invalid_settings`, naming the setting, when groups could never
+/// form, serve or be repaired under them.
+[[nodiscard]] state::result<void> check_group_settings(const group_settings& settings,
+                                                       const deployment_demand& demand);
+
 /// Counts of one step, for metrics.
 struct group_step_summary {
     std::uint32_t committed = 0; ///< transactions that took effect
--- a/tests/coordination/group/group_properties_test.cpp
+++ b/tests/coordination/group/group_properties_test.cpp
@@ -198,6 +198,27 @@
     CHECK(world.violations.empty());
 }
 
+// Guards against settings under which groups never form, serve or are repaired.
+TEST_CASE("group settings that cannot progress are rejected", "[group]") {
+    const auto rejected = [](coordination::group_settings settings, std::uint32_t hosts = 4) {
+        coordination::deployment_demand demand;
+        demand.hosts_per_group = hosts;
+        const auto checked =
+            state::collect([&] { return coordination::check_group_settings(settings, demand); });
+        return !checked && checked.error().kind == state::failure_kind::invalid_settings;
+    };
+    using milliseconds = state::milliseconds;
+    coordination::group_settings no_outages;
+    no_outages.host_loss.outages.mean_failure = milliseconds(0);
+    CHECK_FALSE(rejected({}));
+    CHECK(rejected({}, 0));
+    CHECK(rejected({}, 17));
+    CHECK(rejected({.report_age = milliseconds(0)}));
+    CHECK(rejected({.lost_after = milliseconds(5'000)}));
+    CHECK(rejected({.order_timeout = milliseconds(0)}));
+    CHECK(rejected(no_outages));
+}
+
 namespace {
 
 using tests::cell_outcome;
