Test the lease check and the settling of unknown writes directly

The random histories do not show that the lease check is needed: two holders usually plan the same hosts, and the host claims already conflict. A directed race, in which the successor must choose other hosts, exceeds the surge without the check and holds with it. The lost-reply test did not reach the case in which the read-back fails as well, because the store was down before the write; it now fails right after the write, and the test is stricter than before.

--- a/tests/coordination/group/group_properties_test.cpp
+++ b/tests/coordination/group/group_properties_test.cpp
@@ -121,6 +121,26 @@
     }
 }
 
+// Guards against a holder that lost its lease between reading and writing: its
+// successor chose other hosts, so that only the lease row tells them apart.
+TEST_CASE("a former holder's write fails on the lease row", "[group][naive]") {
+    for (const bool ignore_lease : {false, true}) {
+        group_world world;
+        world.ignore_lease = ignore_lease;
+        world.submit("v1");
+        REQUIRE(world.settle());
+        world.submit("v2");
+        world.platform.before_transact = [&world] {
+            world.platform.before_transact = nullptr;
+            world.take_lease(1);
+            world.demand.drained_zones = {state::availability_zone_id("zb")};
+            (void)world.step(1);
+        };
+        (void)world.step(0);
+        CHECK(world.violations.contains("surge exceeded") == ignore_lease);
+    }
+}
+
 // Guards against an engine that obeys an old holder when it checks the number,
 // and against a group that stays broken after a late order when it does not.
 TEST_CASE("a late order never leaves a partial group serving", "[group]") {
@@ -187,15 +207,24 @@
     CHECK(world.groups().size() == 3);
 
     // The read-back fails too: nothing else is written until it is settled.
-    const auto hooks_down = [&] { world.platform.store_down = true; };
-    world.platform.lose_next_replies = 1;
-    world.platform.before_transact = [&] { world.platform.store_down = false; };
-    world.tick(std::chrono::seconds(1));
-    hooks_down();
-    CHECK_FALSE(world.step());
-    world.platform.before_transact = nullptr;
-    CHECK(world.settle());
-    CHECK(world.violations.empty());
+    group_world other;
+    other.submit("v1");
+    other.platform.lose_next_replies = 1;
+    other.down_after_write = true;
+    const auto unknown = other.step();
+    REQUIRE_FALSE(unknown);
+    CHECK(unknown.error().kind == state::failure_kind::store_result_unknown);
+    CHECK(other.groups().size() == 1);
+    const auto written = other.platform.transactions;
+    CHECK(other.step().error().kind == state::failure_kind::store_unavailable);
+    CHECK(other.platform.transactions == written);
+    other.platform.store_down = false;
+    const auto settled = other.step();
+    REQUIRE(settled);
+    CHECK(settled.value().committed == 2);
+    CHECK(other.groups().size() == 3);
+    CHECK(other.settle());
+    CHECK(other.violations.empty());
 }
 
 // Guards against settings under which groups never form, serve or are repaired.
--- a/tests/support/group_world.h
+++ b/tests/support/group_world.h
@@ -45,10 +45,11 @@
     bool engines_fence = false; ///< engines refuse old fencing numbers
     bool lose_order_replies = false;
     bool lose_orders = false;
-    bool ignore_checks = false; ///< naive: transactions without their checks
-    bool ignore_zones = false;  ///< naive: placement without drained zones
-    std::uint32_t running = 0;  ///< requests that each engine reports
-    int kill_after = -1;        ///< hook calls until the holder is killed
+    bool ignore_checks = false;    ///< naive: transactions without their checks
+    bool ignore_lease = false;     ///< naive: transactions without the check of the lease row
+    bool down_after_write = false; ///< the store fails right after the next write
+    std::uint32_t running = 0;     ///< requests that each engine reports
+    int kill_after = -1;           ///< hook calls until the holder is killed
     state::milliseconds load_time{30'000};
     std::string bad_version = "bad"; ///< never loads
     std::set<std::string> violations;
@@ -261,9 +262,15 @@
             if (ignore_checks) {
                 sent.checks.clear();
             }
+            if (ignore_lease) {
+                std::erase_if(sent.checks,
+                              [](const auto& check) { return check.key == "lease/d"; });
+            }
             const auto before = groups();
             const auto available = eligible_count();
             auto outcome = inner(sent);
+            platform.store_down = platform.store_down || down_after_write;
+            down_after_write = false;
             // `before` is from the same moment only when no race ran in between.
             observe(before, available, !platform.before_transact);
             may_kill();
@@ -287,14 +294,7 @@
             may_kill();
             return coordination::order_reply{outcome, now};
         };
-        auto chosen = decisions;
-        if (ignore_zones) {
-            chosen.plan = [](coordination::placement_request request) {
-                request.drained_zones.clear();
-                return coordination::plan_groups(request);
-            };
-        }
-        return {hooks, codec(), to_engines, chosen, {}};
+        return {hooks, codec(), to_engines, decisions, {}};
     }
 
     /// Rows are kept as objects; their text is the index. The real encoders are
