Route by a score over a few slots

Cause: the first router compared two random candidates by load alone and needed a list of all endpoints for each decision. Change: a score with the terms of the design, a bounded prefix table, a slot that all routers agree on for a prefix, and a directory of rows in shards. endpoint_state gains ended_since_report and token_interval_ms; sharded_map gains erase_key_if. Ruled out: one shard per group of slots.

--- /dev/null
+++ b/bench/bench_decision.cpp
@@ -0,0 +1,140 @@
+// Time of a routing decision at 600 and 6,000 endpoints and its rate on 1 and 8
+// threads, in shards and, as the baseline, under one global lock. Prints CSV.
+#include "savoryrelay/coordination/routing/endpoint_directory.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <iostream>
+#include <mutex>
+#include <numeric>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace savoryrelay;
+using namespace savoryrelay::coordination;
+using clock_type = std::chrono::steady_clock;
+
+constexpr std::uint64_t seed = 20261204;
+constexpr std::uint32_t zones = 8;
+constexpr std::size_t prefix_groups = 2'000;
+constexpr std::size_t prefix_blocks = 6;
+constexpr int decisions = 200'000; // per thread
+constexpr int repetitions = 5;
+
+std::vector<route_row> make_rows(std::size_t count, random_source& random) {
+    std::uniform_int_distribution<std::uint32_t> load(40, 110);
+    std::vector<route_row> rows(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        rows[i].state.phase = state::endpoint_phase::warm;
+        rows[i].state.report.running = load(random);
+        rows[i].state.token_interval_ms = 40;
+        rows[i].capacity = 128;
+        rows[i].zone = static_cast<std::uint32_t>(i % zones);
+    }
+    return rows;
+}
+
+std::vector<slot_request> make_requests(random_source& random) {
+    std::vector<slot_request> requests(prefix_groups);
+    for (auto& request : requests) {
+        request.needs.zone = static_cast<std::uint32_t>(random() % zones);
+        for (std::size_t block = 0; block < prefix_blocks; ++block) {
+            request.prefix.push_back(random());
+        }
+    }
+    return requests;
+}
+
+/// Runs one decision with its bookkeeping; the argument is the thread's number.
+using decide_hook = std::function<void(const slot_request&, random_source&)>;
+
+struct timing {
+    double mean_us = 0; ///< wall time of all threads / decisions of one thread
+    double p99_us = 0;  ///< over batches of 100 decisions
+    double per_second = 0;
+};
+
+timing run_threads(unsigned threads, const std::vector<slot_request>& requests,
+                   const decide_hook& decide) {
+    constexpr int batch = 100;
+    std::vector<std::vector<double>> batch_us(threads);
+    const auto begin = clock_type::now();
+    std::vector<std::thread> pool;
+    for (unsigned t = 0; t < threads; ++t) {
+        pool.emplace_back([&, t] {
+            random_source random(seed + t);
+            for (int i = 0; i < decisions; i += batch) {
+                const auto from = clock_type::now();
+                for (int j = 0; j < batch; ++j) {
+                    decide(requests[random() % requests.size()], random);
+                }
+                const std::chrono::duration<double, std::micro> spent = clock_type::now() - from;
+                batch_us[t].push_back(spent.count() / batch);
+            }
+        });
+    }
+    for (auto& thread : pool) {
+        thread.join();
+    }
+    const std::chrono::duration<double> wall = clock_type::now() - begin;
+    std::vector<double> all;
+    for (const auto& part : batch_us) {
+        all.insert(all.end(), part.begin(), part.end());
+    }
+    std::sort(all.begin(), all.end());
+    return {wall.count() * 1e6 / decisions, all[all.size() * 99 / 100],
+            static_cast<double>(threads) * decisions / wall.count()};
+}
+
+} // namespace
+
+int main() {
+    std::cout << "variant,endpoints,threads,mean_us,p99_us,decisions_per_second\n";
+    double mean_600 = 0;
+    for (const std::size_t count : {std::size_t{600}, std::size_t{6'000}}) {
+        random_source random(seed);
+        const auto requests = make_requests(random);
+        endpoint_directory directory(make_rows(count, random), {});
+        const auto now = state::time_point(std::chrono::hours(1));
+        const decide_hook sharded = [&](const slot_request& request, random_source& source) {
+            const auto slot = state::collect([&] { return directory.begin(request, now, source); });
+            directory.end(slot.value());
+        };
+        std::mutex global;
+        const decide_hook locked = [&](const slot_request& request, random_source& source) {
+            const std::scoped_lock lock(global);
+            sharded(request, source);
+        };
+
+        // The best of several runs, since other programs share the machine.
+        const auto best = [&](std::string_view variant, unsigned threads, const decide_hook& hook) {
+            timing result;
+            for (int i = 0; i < repetitions; ++i) {
+                const auto run = run_threads(threads, requests, hook);
+                if (run.per_second > result.per_second) {
+                    result = run;
+                }
+            }
+            std::cout << variant << ',' << count << ',' << threads << ',' << result.mean_us << ','
+                      << result.p99_us << ',' << result.per_second << '\n';
+            return result;
+        };
+        const auto one = best("sharded", 1, sharded);
+        const auto eight = best("sharded", 8, sharded);
+        const auto one_locked = best("global_lock", 1, locked);
+        const auto eight_locked = best("global_lock", 8, locked);
+        std::cout << "# endpoints=" << count
+                  << " ratio 8 threads to 1: sharded=" << eight.per_second / one.per_second
+                  << " global_lock=" << eight_locked.per_second / one_locked.per_second << '\n';
+        if (count == 600) {
+            mean_600 = one.mean_us;
+        } else {
+            std::cout << "# ratio of decision time at 6000 to 600: " << one.mean_us / mean_600
+                      << '\n';
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/savoryrelay/coordination/routing/prefix_table.h
@@ -0,0 +1,57 @@
+// Bounded knowledge of which endpoint caches which prompt prefix, learnt from
+// what was routed there.
+#pragma once
+
+#include "savoryrelay/coordination/routing/router.h"
+#include "savoryrelay/state/core/sharded_map.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace savoryrelay::coordination {
+
+/// Digests of the prefixes of `prompt` after each complete block of
+/// `block_bytes`, at most `limit`, shortest first. Each digest covers all
+/// blocks before it.
+[[nodiscard]] std::vector<std::uint64_t>
+prefix_digests(std::string_view prompt, std::size_t block_bytes = 512, std::size_t limit = 8);
+
+/// Prefix digests by endpoint slot, at most `digests_per_slot` each, the least
+/// recently used evicted first. Thread-safe.
+class prefix_table {
+public:
+    explicit prefix_table(std::size_t digests_per_slot) : m_digests_per_slot(digests_per_slot) {}
+
+    /// Notes that a request with `prefix` was sent to `slot`.
+    void learn(std::uint32_t slot, const std::vector<std::uint64_t>& prefix);
+
+    /// Forgets all prefixes of `slot`, for example when the endpoint is cold again.
+    void forget(std::uint32_t slot);
+
+    /// The slots that hold the longest known prefix.
+    [[nodiscard]] prefix_matches find(const std::vector<std::uint64_t>& prefix) const;
+
+    /// Pairs of digest and slot, at most slots * digests_per_slot.
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    // Digests of one slot, the most recently used first.
+    struct slot_digests {
+        std::list<std::uint64_t> order;
+        std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> positions;
+    };
+    // Slots of one digest, at most `prefix_matches::limit`.
+    using holder_list = std::vector<std::uint32_t>;
+
+    void remove_holder(std::uint64_t digest, std::uint32_t slot);
+
+    std::size_t m_digests_per_slot;
+    state::sharded_map<std::uint32_t, slot_digests, 64> m_slots;
+    state::sharded_map<std::uint64_t, holder_list, 64> m_holders;
+};
+
+} // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/routing/router.h
+++ b/src/savoryrelay/coordination/routing/router.h
@@ -2,10 +2,12 @@
 // view, the request, the present time and a source of random numbers.
 #pragma once
 
+#include "savoryrelay/coordination/routing/route_score.h"
 #include "savoryrelay/state/core/failure.h"
 #include "savoryrelay/state/core/identifier.h"
 #include "savoryrelay/state/endpoint/endpoint_state.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -17,6 +19,41 @@
 /// Source of random numbers of decisions. Seeded by the caller.
 using random_source = std::mt19937_64;
 
+/// Endpoints that are believed to hold a prefix, best match first.
+struct prefix_matches {
+    struct match {
+        std::uint32_t slot = 0;
+        double part = 0; ///< part of the prefix held, from 0 to 1
+    };
+    static constexpr std::size_t limit = 4;
+    std::array<match, limit> rows{};
+    std::size_t count = 0; ///< <= limit
+};
+
+/// What the router needs to know of a request when endpoints have slots.
+struct slot_request {
+    route_needs needs;
+    std::vector<std::uint64_t> prefix;   ///< digests of the prompt's prefixes, shortest first
+    std::vector<std::uint32_t> excluded; ///< slots that failed this request
+};
+
+/// A deployment's endpoints as hooks, so that a decision reads only the few
+/// slots that it compares.
+struct route_view {
+    std::size_t count = 0; ///< slots are 0 to count - 1
+    std::function<route_row(std::uint32_t slot)> read;
+    /// May be empty: no prefix is known.
+    std::function<prefix_matches(const std::vector<std::uint64_t>& prefix)> find_prefix;
+    route_summary summary;
+};
+
+/// Chooses a slot: the lowest score among a few random slots, the slots that
+/// hold the prefix and the slot that the prefix hashes to. Walks all slots only
+/// when none of the random ones may take the request. Fails with `no_endpoint`.
+[[nodiscard]] state::result<std::uint32_t>
+choose_slot(const route_view& view, const slot_request& request, const route_weights& weights,
+            state::time_point now, random_source& random);
+
 /// An endpoint that may take the request, with what is known of it.
 struct route_candidate {
     state::endpoint_id endpoint;
@@ -24,12 +61,14 @@
     std::uint32_t capacity = 1; ///< concurrent requests, >= 1
     state::endpoint_state state;
     bool has_prefix = false; ///< believed to hold the request's prompt prefix
+    bool drained = false;    ///< the endpoint or its zone is taken out of service
 };
 
 /// What the router needs to know of a request.
 struct route_request {
     state::availability_zone_id local_zone;   ///< zone of the deciding member
     std::vector<state::endpoint_id> excluded; ///< endpoints that failed this request
+    route_priority priority = route_priority::normal;
 };
 
 /// Chooses among candidates. Returns the index of the chosen one, or the
@@ -38,8 +77,8 @@
     const std::vector<route_candidate>& candidates, const route_request& request,
     state::time_point now, random_source& random)>;
 
-/// The better of two random candidates by load corrected for what was sent
-/// since the last report.
+/// The same decision over a list of candidates, with default weights. Building
+/// the list takes time in its length; `endpoint_directory` is for many endpoints.
 [[nodiscard]] state::result<std::size_t>
 choose_endpoint(const std::vector<route_candidate>& candidates, const route_request& request,
                 state::time_point now, random_source& random);
--- a/src/savoryrelay/state/core/sharded_map.h
+++ b/src/savoryrelay/state/core/sharded_map.h
@@ -65,6 +65,19 @@
         return shard.values.erase(key) > 0;
     }
 
+    /// Removes `key` when `is_obsolete(value)` is true. Returns whether it did.
+    template <typename Predicate>
+    bool erase_key_if(const Key& key, Predicate is_obsolete) {
+        auto& shard = shard_of(key);
+        const std::scoped_lock lock(shard.mutex);
+        const auto found = shard.values.find(key);
+        if (found == shard.values.end() || !is_obsolete(found->second)) {
+            return false;
+        }
+        shard.values.erase(found);
+        return true;
+    }
+
     /// Removes each entry for which `is_obsolete(key, value)` is true. Returns
     /// how many were removed.
     template <typename Predicate>
--- a/src/savoryrelay/state/endpoint/endpoint_state.h
+++ b/src/savoryrelay/state/endpoint/endpoint_state.h
@@ -59,8 +59,10 @@
 struct endpoint_state {
     endpoint_phase phase = endpoint_phase::cold;
     load_report report;
-    std::uint32_t in_flight = 0;         ///< sent by this member and not ended
-    std::uint32_t sent_since_report = 0; ///< sent by this member after `report`
+    std::uint32_t in_flight = 0;          ///< sent by this member and not ended
+    std::uint32_t sent_since_report = 0;  ///< sent by this member after `report`
+    std::uint32_t ended_since_report = 0; ///< of this member's requests, ended after `report`
+    double token_interval_ms = 0;         ///< observed between tokens, smoothed; 0: not observed
     std::uint32_t consecutive_failures = 0;
     time_point retry_at{}; ///< a down endpoint is tried again from here on
 };
