Bound the work of a cold endpoint over the whole fleet

Cause: a freshly started endpoint bears light load only, and 320 routers cannot divide a small allowance among themselves. Change: the lease holder's ledger grants permits whose sum stays below the allowance; a router's book counts their term from when it sent its request. Accounts are idempotent. The allowance grows by completed requests and falls on a restart. A successor waits for its predecessor's permits; an idle report of the endpoint skips the longest request only, since an unused permit may still start one.

--- /dev/null
+++ b/src/savoryrelay/coordination/warmup/permit_book.cpp
@@ -0,0 +1,119 @@
+// Permits that a router holds.
+#include "savoryrelay/coordination/warmup/permit_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryrelay::coordination {
+
+permit_book::permit_book(warmup_settings settings, warmup_hooks hooks, state::member_id router,
+                         std::uint64_t incarnation)
+    : m_settings(settings), m_hooks(std::move(hooks)), m_router(std::move(router)),
+      m_incarnation(incarnation) {}
+
+permit_request permit_book::ask(const state::endpoint_id& endpoint, std::uint32_t wanted,
+                                state::time_point now) {
+    return m_endpoints.update(endpoint, [&](endpoint_row& row) {
+        // Requests whose reply would be void by now were lost.
+        std::erase_if(row.grants, [&](const held_grant& grant) {
+            return !grant.received && now >= grant.sent + m_settings.term;
+        });
+        permit_request request{m_router, m_incarnation, ++row.last_number, endpoint, wanted};
+        row.grants.push_back({request, now, now, false, 0, 0, 0});
+        return request;
+    });
+}
+
+void permit_book::receive(const permit_reply& reply, state::time_point now) {
+    // The hook runs outside the shard's lock, on a copy of when the request was sent.
+    const auto row = m_endpoints.find(reply.request.endpoint);
+    if (!row || reply.request.router != m_router || reply.request.incarnation != m_incarnation) {
+        return;
+    }
+    const auto number = reply.request.number;
+    const auto is_asked = [number](const held_grant& grant) {
+        return grant.request.number == number && !grant.received;
+    };
+    const auto asked = std::find_if(row->grants.begin(), row->grants.end(), is_asked);
+    if (asked == row->grants.end()) {
+        return;
+    }
+    const auto usable_until = m_hooks.usable_until(m_settings, asked->sent, now);
+    m_endpoints.update_existing(reply.request.endpoint, [&](endpoint_row& changed) {
+        for (auto& grant : changed.grants) {
+            if (is_asked(grant)) {
+                grant.received = true;
+                grant.unused = std::min(reply.granted, grant.request.wanted);
+                grant.usable_until = usable_until;
+            }
+        }
+    });
+}
+
+std::optional<std::uint64_t> permit_book::start(const state::endpoint_id& endpoint,
+                                                state::time_point now) {
+    std::optional<std::uint64_t> number;
+    m_endpoints.update_existing(endpoint, [&](endpoint_row& row) {
+        for (auto& grant : row.grants) {
+            if (!number && grant.unused > 0 && now < grant.usable_until) {
+                --grant.unused;
+                ++grant.in_use;
+                number = grant.request.number;
+            }
+        }
+    });
+    return number;
+}
+
+void permit_book::finish(const state::endpoint_id& endpoint, std::uint64_t number, bool completed) {
+    m_endpoints.update_existing(endpoint, [&](endpoint_row& row) {
+        for (auto& grant : row.grants) {
+            if (grant.request.number == number && grant.in_use > 0) {
+                --grant.in_use;
+                ++grant.unused;
+                grant.completed += completed ? 1 : 0;
+            }
+        }
+    });
+}
+
+std::uint32_t permit_book::usable(const state::endpoint_id& endpoint, state::time_point now) const {
+    std::uint32_t total = 0;
+    const auto row = m_endpoints.find(endpoint);
+    if (row) {
+        for (const auto& grant : row->grants) {
+            total += now < grant.usable_until ? grant.unused : 0;
+        }
+    }
+    return total;
+}
+
+std::vector<permit_account> permit_book::account(const state::endpoint_id& endpoint,
+                                                 bool give_up_unused, state::time_point now) {
+    std::vector<permit_account> accounts;
+    m_endpoints.update_existing(endpoint, [&](endpoint_row& row) {
+        for (auto& grant : row.grants) {
+            if (!grant.received) {
+                continue;
+            }
+            if (give_up_unused || now >= grant.usable_until) {
+                grant.unused = 0;
+            }
+            accounts.push_back({grant.request, grant.unused + grant.in_use, grant.completed});
+        }
+        std::erase_if(row.grants, [](const held_grant& grant) {
+            return grant.received && grant.unused + grant.in_use == 0;
+        });
+    });
+    return accounts;
+}
+
+void permit_book::restart(const state::endpoint_id& endpoint) {
+    m_endpoints.update_existing(endpoint, [](endpoint_row& row) {
+        for (auto& grant : row.grants) {
+            grant.unused = 0;
+        }
+    });
+}
+
+} // namespace savoryrelay::coordination
--- /dev/null
+++ b/tests/coordination/warmup_test.cpp
@@ -0,0 +1,222 @@
+// The fleet-wide allowance of a cold endpoint at holder and routers.
+#include "savoryrelay/coordination/warmup/allowance_ledger.h"
+#include "savoryrelay/coordination/warmup/permit_book.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+
+using namespace savoryrelay;
+using namespace savoryrelay::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+const state::endpoint_id cold{"cold"};
+const state::time_point start{1h};
+constexpr auto lease = 1s;
+
+warmup_settings short_settings() {
+    warmup_settings settings;
+    settings.term = 2s;
+    settings.longest_request = 4s;
+    settings.margin = 0ms;
+    settings.growth_per_completion = 0;
+    return settings;
+}
+
+/// Routers, a holder and a network that loses, delays and reorders, in simulated
+/// time. Each request runs for `longest_request` unless the router ends it.
+class fleet {
+public:
+    fleet(warmup_hooks hooks, std::uint64_t seed) : m_hooks(std::move(hooks)), m_random(seed) {
+        m_ledger = std::make_unique<allowance_ledger>(m_settings, m_hooks, now, false);
+        for (int i = 0; i < 4; ++i) {
+            join();
+        }
+    }
+
+    /// One random step. Returns the concurrent requests at the endpoint.
+    std::size_t step() {
+        now += state::milliseconds(pick(80));
+        std::erase_if(m_running, [&](const run& r) { return now >= r.until; });
+        // Only the last routers ask, so that others go silent for good.
+        const auto who = m_routers.size() - 1 - pick(4);
+        auto& router = *m_routers[who];
+        switch (pick(9)) {
+        case 0: // ask; the request may be lost
+        case 4:
+            m_requests.push_back({who, router.ask(cold, 2, now)});
+            if (m_requests.size() > 3) {
+                m_requests.pop_front(); // lost
+            }
+            break;
+        case 1: // the holder reads a request, perhaps a second time
+        case 2:
+            if (!m_requests.empty()) {
+                const auto message = m_requests.front();
+                if (pick(4) != 0) {
+                    m_requests.pop_front();
+                }
+                const auto reply = m_ledger->grant(message.second, now + lease, now);
+                if (reply.granted > 0) {
+                    m_replies.push_back({message.first, reply});
+                }
+            }
+            break;
+        case 3: // a router reads a reply, however late
+            if (!m_replies.empty() && pick(2) == 0) {
+                const auto at =
+                    m_replies.begin() + static_cast<std::ptrdiff_t>(pick(m_replies.size()));
+                m_routers[at->first]->receive(at->second, now);
+                m_replies.erase(at);
+            }
+            break;
+        case 5:
+        case 6:
+            while (const auto number = router.start(cold, now)) {
+                m_running.push_back({who, *number, now + m_settings.longest_request});
+            }
+            break;
+        case 7: // a request ends early and the account reaches the holder or not
+            for (auto r = m_running.begin(); r != m_running.end(); ++r) {
+                if (r->router == who) {
+                    router.finish(cold, r->number, true);
+                    m_running.erase(r);
+                    break;
+                }
+            }
+            for (const auto& account : router.account(cold, true, now)) {
+                if (pick(2) == 0) {
+                    m_ledger->settle(account, now);
+                }
+            }
+            break;
+        default: // the holder changes; the old lease has passed. Or a router joins.
+            if (pick(8) == 0) {
+                now += lease;
+                m_ledger = std::make_unique<allowance_ledger>(m_settings, m_hooks, now);
+            } else if (pick(8) == 0) {
+                now += 5s; // every process pauses; messages are late
+            } else if (pick(8) == 0) {
+                join();
+            }
+        }
+        std::erase_if(m_running, [&](const run& r) { return now >= r.until; });
+        return m_running.size();
+    }
+
+    [[nodiscard]] std::size_t allowed() const { return m_settings.cold_allowance; }
+
+private:
+    struct run {
+        std::size_t router;
+        std::uint64_t number;
+        state::time_point until;
+    };
+    std::size_t pick(std::size_t count) { return m_random() % count; }
+    void join() {
+        m_routers.push_back(std::make_unique<permit_book>(
+            m_settings, m_hooks, state::member_id("r" + std::to_string(m_routers.size())), 1));
+    }
+
+    state::time_point now = start;
+    warmup_settings m_settings = short_settings();
+    warmup_hooks m_hooks;
+    std::mt19937_64 m_random;
+    std::unique_ptr<allowance_ledger> m_ledger;
+    std::vector<std::unique_ptr<permit_book>> m_routers;
+    std::deque<std::pair<std::size_t, permit_request>> m_requests;
+    std::deque<std::pair<std::size_t, permit_reply>> m_replies;
+    std::vector<run> m_running;
+};
+
+bool exceeds_allowance(const warmup_hooks& hooks) {
+    fleet routers(hooks, *rc::gen::arbitrary<std::uint64_t>());
+    for (int i = 0; i < 2'000; ++i) {
+        if (routers.step() > routers.allowed()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+// Guards against more work at a cold endpoint than it can bear (P3).
+TEST_CASE("cold work never exceeds the allowance", "[warmup][property]") {
+    CHECK(rc::check([] { RC_ASSERT_FALSE(exceeds_allowance(default_warmup_hooks())); }));
+    struct naive_variant {
+        std::string_view name;
+        std::function<void(warmup_hooks&)> apply;
+    };
+    const std::array variants{
+        naive_variant{"successor grants at once",
+                      [](warmup_hooks& hooks) {
+                          hooks.successor_grants_from = [](const auto&, auto t) { return t; };
+                      }},
+        naive_variant{"holder counts the term alone",
+                      [](warmup_hooks& hooks) {
+                          hooks.counted_until = [](const warmup_settings& settings, auto t) {
+                              return t + settings.term;
+                          };
+                      }},
+        naive_variant{"router counts the term from the reply",
+                      [](warmup_hooks& hooks) {
+                          hooks.usable_until = [](const warmup_settings& settings, auto, auto t) {
+                              return t + settings.term;
+                          };
+                      }},
+    };
+    for (const auto& variant : variants) {
+        INFO(variant.name);
+        auto hooks = default_warmup_hooks();
+        variant.apply(hooks);
+        bool violated = false;
+        rc::check([&] { violated = violated || exceeds_allowance(hooks); });
+        CHECK(violated);
+    }
+}
+
+// Guards against an allowance that never grows, or outlives a cold restart.
+TEST_CASE("the allowance grows with completed work and falls on a restart", "[warmup]") {
+    auto settings = short_settings();
+    settings.growth_per_completion = 1;
+    settings.capacity = 4;
+    const auto hooks = default_warmup_hooks();
+    allowance_ledger ledger(settings, hooks, start, false);
+    permit_book book(settings, hooks, state::member_id("r"), 1);
+    book.receive(ledger.grant(book.ask(cold, 9, start), start + lease, start), start);
+    CHECK(book.usable(cold, start) == 2);
+    for (int i = 0; i < 2; ++i) {
+        book.finish(cold, book.start(cold, start).value(), true);
+    }
+    CHECK_FALSE(ledger.is_warm(cold));
+    const auto accounts = book.account(cold, false, start);
+    REQUIRE(accounts.size() == 1);
+    ledger.settle(accounts[0], start);
+    ledger.settle(accounts[0], start); // a repeated account counts once
+    CHECK(ledger.allowance(cold) == 4);
+    CHECK(ledger.is_warm(cold));
+    ledger.restart(cold);
+    book.restart(cold);
+    CHECK(ledger.allowance(cold) == 2);
+    CHECK(book.usable(cold, start) == 0);
+}
+
+// Guards against a holder that grants without its lease, and a successor that
+// trusts an idle report while its predecessor's permits can still start work.
+TEST_CASE("a grant needs the lease and the end of the predecessor's permits", "[warmup]") {
+    const auto settings = short_settings();
+    allowance_ledger ledger(settings, default_warmup_hooks(), start);
+    const permit_request request{state::member_id("r"), 1, 1, cold, 1};
+    CHECK(ledger.grant(request, start, start).granted == 0);
+    ledger.note_running(cold, 0, start + 1s);
+    CHECK(ledger.grant(request, start + 2 * lease, start + 1s).granted == 0);
+    ledger.note_running(cold, 0, start + settings.term);
+    const auto later = start + settings.term;
+    CHECK(ledger.grant(request, later + lease, later).granted == 1);
+}
