--- /dev/null
+++ b/bench/bench_warmup.cpp
@@ -0,0 +1,212 @@
+// Concurrent work at one cold endpoint against its fleet-wide allowance and the
+// time to full use, with permits and with a ramp that each router runs by
+// itself. Simulated time; prints CSV.
+#include "simulated_fleet.h"
+
+#include "savoryrelay/coordination/warmup/allowance_ledger.h"
+#include "savoryrelay/coordination/warmup/permit_book.h"
+
+#include <iostream>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace {
+
+using namespace savoryrelay;
+using namespace savoryrelay::coordination;
+
+constexpr std::uint64_t seed = 20261204;
+constexpr double end_ms = 60'000;
+constexpr double peer_delay_ms = 5;       // one way between members
+constexpr double demand_per_second = 120; // requests of all routers that could go there
+constexpr double request_ms = 1'200;      // time of a request while within the allowance
+constexpr double tick_ms = 100;           // a router asks and accounts at most so often
+constexpr double lost_part = 0.02;        // of the messages between members
+constexpr double full_use = 0.9;          // of the capacity
+
+struct result {
+    double worst_ratio = 0;           ///< highest work / allowance of that time
+    std::uint32_t peak_work_cold = 0; ///< highest work while the allowance is the cold one
+    double full_use_ms = -1;          ///< -1: not reached
+};
+
+state::time_point to_time(double ms) {
+    return state::time_point(std::chrono::hours(1)) +
+           std::chrono::microseconds(static_cast<std::int64_t>(ms * 1'000));
+}
+
+warmup_settings settings() {
+    warmup_settings values;
+    values.cold_allowance = 2;
+    values.capacity = 64;
+    return values;
+}
+
+/// What a router does with a request that could go to the cold endpoint.
+/// Returns false when it sends the request elsewhere.
+using start_hook = std::function<bool(std::size_t router)>;
+
+/// Work at the endpoint and the allowance that it can bear, which grows by its
+/// own completed requests whoever limits the work.
+class cold_endpoint {
+public:
+    void begin() {
+        ++m_work;
+        if (allowance() == settings().cold_allowance) {
+            figures.peak_work_cold = std::max(figures.peak_work_cold, m_work);
+        }
+        figures.worst_ratio = std::max(figures.worst_ratio, static_cast<double>(m_work) /
+                                                                static_cast<double>(allowance()));
+    }
+    void end(double now) {
+        --m_work;
+        ++m_completed;
+        if (figures.full_use_ms < 0 &&
+            static_cast<double>(m_work + 1) >= full_use * settings().capacity) {
+            figures.full_use_ms = now;
+        }
+    }
+    /// Work above the allowance is served that much slower.
+    [[nodiscard]] double service_ms() const {
+        return request_ms *
+               std::max(1.0, static_cast<double>(m_work) / static_cast<double>(allowance()));
+    }
+    result figures;
+
+private:
+    [[nodiscard]] std::uint32_t allowance() const {
+        return std::min(settings().capacity, settings().cold_allowance + m_completed);
+    }
+    std::uint32_t m_work = 0;
+    std::uint32_t m_completed = 0;
+};
+
+const state::endpoint_id endpoint_name{"cold"};
+
+/// Runs arrivals of all routers through `start`.
+void schedule_arrivals(bench::event_queue& events, std::mt19937_64& random, std::size_t routers,
+                       const start_hook& start) {
+    std::exponential_distribution<double> gap(demand_per_second / 1'000);
+    events.at(events.now() + gap(random), [&events, &random, routers, &start] {
+        static_cast<void>(start(random() % routers));
+        schedule_arrivals(events, random, routers, start);
+    });
+}
+
+result run_permits(std::size_t routers) {
+    bench::event_queue events;
+    std::mt19937_64 random(seed);
+    cold_endpoint endpoint;
+    const auto hooks = default_warmup_hooks();
+    allowance_ledger ledger(settings(), hooks, to_time(0), false);
+    std::vector<std::unique_ptr<permit_book>> books;
+    std::vector<std::uint32_t> wanted(routers, 0);
+    for (std::size_t i = 0; i < routers; ++i) {
+        books.push_back(std::make_unique<permit_book>(
+            settings(), hooks, state::member_id("r" + std::to_string(i)), 1));
+    }
+    const auto deliver = [&](std::function<void()> receive) {
+        if (std::uniform_real_distribution<double>(0, 1)(random) >= lost_part) {
+            events.at(events.now() + peer_delay_ms, std::move(receive));
+        }
+    };
+
+    // Each router accounts in a tick; permits that no request used since go back.
+    std::function<void(std::size_t)> tick = [&](std::size_t i) {
+        const auto accounts =
+            books[i]->account(endpoint_name, wanted[i] == 0, to_time(events.now()));
+        for (const auto& account : accounts) {
+            deliver([&, account] { ledger.settle(account, to_time(events.now())); });
+        }
+        wanted[i] = 0;
+        events.at(events.now() + tick_ms, [&tick, i] { tick(i); });
+    };
+    for (std::size_t i = 0; i < routers; ++i) {
+        events.at(tick_ms * static_cast<double>(i) / static_cast<double>(routers),
+                  [&tick, i] { tick(i); });
+    }
+
+    const auto begin = [&](std::size_t i) {
+        const auto number = books[i]->start(endpoint_name, to_time(events.now()));
+        if (!number) {
+            return false;
+        }
+        endpoint.begin();
+        events.at(events.now() + endpoint.service_ms(), [&, i, grant = *number] {
+            endpoint.end(events.now());
+            books[i]->finish(endpoint_name, grant, true);
+        });
+        return true;
+    };
+
+    // A request without a permit waits for one reply of the holder, and goes
+    // elsewhere when nothing is granted.
+    const start_hook start = [&](std::size_t i) {
+        ++wanted[i];
+        if (begin(i)) {
+            return true;
+        }
+        const auto request = books[i]->ask(endpoint_name, 1, to_time(events.now()));
+        deliver([&, i, request] {
+            const auto at = to_time(events.now());
+            const auto reply = ledger.grant(request, at + std::chrono::seconds(5), at);
+            deliver([&, i, reply] {
+                books[i]->receive(reply, to_time(events.now()));
+                static_cast<void>(begin(i));
+            });
+        });
+        return false;
+    };
+    schedule_arrivals(events, random, routers, start);
+    events.run(end_ms);
+    return endpoint.figures;
+}
+
+result run_ramps(std::size_t routers) {
+    bench::event_queue events;
+    std::mt19937_64 random(seed);
+    cold_endpoint endpoint;
+    struct ramp {
+        std::uint32_t work = 0;
+        std::uint32_t completed = 0;
+    };
+    std::vector<ramp> ramps(routers);
+    const start_hook start = [&](std::size_t i) {
+        if (ramps[i].work >=
+            std::min(settings().capacity, settings().cold_allowance + ramps[i].completed)) {
+            return false;
+        }
+        ++ramps[i].work;
+        endpoint.begin();
+        events.at(events.now() + endpoint.service_ms(), [&, i] {
+            endpoint.end(events.now());
+            --ramps[i].work;
+            ++ramps[i].completed;
+        });
+        return true;
+    };
+    schedule_arrivals(events, random, routers, start);
+    events.run(end_ms);
+    return endpoint.figures;
+}
+
+} // namespace
+
+int main() {
+    std::cout << "variant,routers,peak_work_over_allowance,peak_work_while_cold,full_use_ms\n";
+    for (const std::size_t routers : {1UL, 9UL, 80UL, 320UL}) {
+        const auto permits = run_permits(routers);
+        const auto ramps = run_ramps(routers);
+        const auto print = [&](std::string_view name, const result& row) {
+            std::cout << name << ',' << routers << ',' << row.worst_ratio << ','
+                      << row.peak_work_cold << ',' << row.full_use_ms << '\n';
+        };
+        print("permits", permits);
+        print("ramp_per_router", ramps);
+        std::cout << "# routers=" << routers << " seed=" << seed
+                  << " ratio of peak work, permits to ramp: "
+                  << permits.worst_ratio / ramps.worst_ratio << '\n';
+    }
+    return 0;
+}
--- a/src/savoryrelay/coordination/warmup/permit.h
+++ b/src/savoryrelay/coordination/warmup/permit.h
@@ -19,6 +19,7 @@
     state::milliseconds term{2'000};             ///< a permit may start requests so long
     state::milliseconds longest_request{30'000}; ///< bound on a request at a cold endpoint
     state::milliseconds margin{500};             ///< for clocks that run at unequal rates
+    state::milliseconds reply_timeout{50};       ///< a grant without a reply is given up
 };
 
 /// A router asks for permits.
--- a/src/savoryrelay/coordination/warmup/permit_book.cpp
+++ b/src/savoryrelay/coordination/warmup/permit_book.cpp
@@ -5,6 +5,12 @@
 #include <utility>
 
 namespace savoryrelay::coordination {
+namespace {
+
+// Accounts of a grant without permits before it is forgotten.
+constexpr std::uint32_t final_account_limit = 3;
+
+} // namespace
 
 permit_book::permit_book(warmup_settings settings, warmup_hooks hooks, state::member_id router,
                          std::uint64_t incarnation)
@@ -14,12 +20,8 @@
 permit_request permit_book::ask(const state::endpoint_id& endpoint, std::uint32_t wanted,
                                 state::time_point now) {
     return m_endpoints.update(endpoint, [&](endpoint_row& row) {
-        // Requests whose reply would be void by now were lost.
-        std::erase_if(row.grants, [&](const held_grant& grant) {
-            return !grant.received && now >= grant.sent + m_settings.term;
-        });
         permit_request request{m_router, m_incarnation, ++row.last_number, endpoint, wanted};
-        row.grants.push_back({request, now, now, false, 0, 0, 0});
+        row.grants.push_back({request, now, now, false, 0, 0, 0, 0});
         return request;
     });
 }
@@ -94,15 +96,19 @@
     m_endpoints.update_existing(endpoint, [&](endpoint_row& row) {
         for (auto& grant : row.grants) {
             if (!grant.received) {
-                continue;
+                if (now < grant.sent + m_settings.reply_timeout) {
+                    continue;
+                }
+                grant.received = true; // a later reply is ignored
             }
             if (give_up_unused || now >= grant.usable_until) {
                 grant.unused = 0;
             }
             accounts.push_back({grant.request, grant.unused + grant.in_use, grant.completed});
+            grant.final_accounts += grant.unused + grant.in_use == 0 ? 1 : 0;
         }
         std::erase_if(row.grants, [](const held_grant& grant) {
-            return grant.received && grant.unused + grant.in_use == 0;
+            return grant.final_accounts >= final_account_limit;
         });
     });
     return accounts;
--- a/src/savoryrelay/coordination/warmup/permit_book.h
+++ b/src/savoryrelay/coordination/warmup/permit_book.h
@@ -35,7 +35,9 @@
 
     /// Accounts of the endpoint's grants, to be sent to the holder. Unused
     /// permits that have passed, or all of them when `give_up_unused` is true,
-    /// are given up first; a grant without permits is forgotten after its account.
+    /// and requests whose reply is overdue are given up first. A grant without
+    /// permits is accounted for three times, since a lost account would keep the
+    /// holder counting it for the longest request.
     [[nodiscard]] std::vector<permit_account> account(const state::endpoint_id& endpoint,
                                                       bool give_up_unused, state::time_point now);
 
@@ -51,6 +53,7 @@
         std::uint32_t unused = 0;
         std::uint32_t in_use = 0;
         std::uint32_t completed = 0;
+        std::uint32_t final_accounts = 0; ///< made since no permit was left
     };
     struct endpoint_row {
         std::vector<held_grant> grants;
