Bound retries and quarantine requests that crash endpoints

Cause: repeats of failed requests can run a booking twice, multiply an overload and carry a crashing request from endpoint to endpoint. Change: a table of attempt ends that prove "not run", the decision after a failure, a budget of 10% with a reserve, token numbers across attempts, progress deadlines, and suspects by fingerprint with one endpoint reserved for each. Ruled out: repeating a stream whose engine cannot resume after tokens were passed on, since a sampled answer may differ; it ends as stream_interrupted. Measured: in 200 random placements of ten requests on three endpoints the crashing one is stopped after at most 3 deaths and no innocent is refused; without quarantine, with refusal at the first death, or with suspects together, the same test sees the violation.

--- /dev/null
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -0,0 +1,97 @@
+// Deaths by fingerprint and the quarantine.
+#include "savoryrelay/coordination/retry/crash_suspects.h"
+
+#include "savoryrelay/state/digest/digest.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace savoryrelay::coordination {
+
+request_fingerprint fingerprint_of(const state::customer_id& customer, std::string_view body) {
+    std::string content = customer.value();
+    content.push_back('\0');
+    content.append(body);
+    return state::stable_hash(content);
+}
+
+crash_hooks default_crash_hooks() {
+    return {[](const crash_settings& settings, const suspicion& seen) {
+        return (seen.deaths >= settings.deaths_alone && seen.other_suspects == 0) ||
+               seen.deaths >= settings.deaths_limit;
+    }};
+}
+
+crash_suspects::crash_suspects(crash_settings settings, crash_hooks hooks)
+    : m_settings(settings), m_hooks(std::move(hooks)) {}
+
+void crash_suspects::note_death(const endpoint_death& death, state::time_point now) {
+    const auto death_digest =
+        state::stable_hash(death.endpoint.value() + '#' + std::to_string(death.generation));
+    auto present = death.in_flight;
+    std::sort(present.begin(), present.end());
+    present.erase(std::unique(present.begin(), present.end()), present.end());
+
+    // Those that were suspects before this death.
+    const auto was_suspect = [&](request_fingerprint fingerprint) {
+        const auto row = m_suspects.find(fingerprint);
+        return row && std::any_of(row->deaths.begin(), row->deaths.end(),
+                                  [&](std::uint64_t known) { return known != death_digest; });
+    };
+    const auto suspects =
+        static_cast<std::size_t>(std::count_if(present.begin(), present.end(), was_suspect));
+    const bool has_room = m_suspects.size() < m_settings.suspect_limit;
+
+    for (const auto fingerprint : present) {
+        if (!has_room && !is_suspect(fingerprint)) {
+            continue;
+        }
+        const std::size_t others = suspects - (was_suspect(fingerprint) ? 1 : 0);
+        const auto deaths = m_suspects.update(fingerprint, [&](suspect_row& row) {
+            const bool is_known =
+                std::find(row.deaths.begin(), row.deaths.end(), death_digest) != row.deaths.end();
+            if (!is_known && row.deaths.size() < m_settings.deaths_limit) {
+                row.deaths.push_back(death_digest);
+            }
+            row.last_death = now;
+            return row.deaths.size();
+        });
+        // The hook runs outside the shard's lock.
+        if (m_hooks.is_quarantined(m_settings, {deaths, others})) {
+            m_suspects.update_existing(fingerprint,
+                                       [](suspect_row& row) { row.is_quarantined = true; });
+        }
+    }
+    m_reserved.erase(death.endpoint);
+}
+
+state::result<void> crash_suspects::check(request_fingerprint fingerprint) const {
+    const auto row = m_suspects.find(fingerprint);
+    if (row && row->is_quarantined) {
+        return state::fail(state::failure_kind::request_quarantined,
+                           "endpoints that ran this request have crashed");
+    }
+    return {};
+}
+
+bool crash_suspects::is_suspect(request_fingerprint fingerprint) const {
+    return m_suspects.find(fingerprint).has_value();
+}
+
+bool crash_suspects::reserve(const state::endpoint_id& endpoint, request_fingerprint suspect) {
+    return m_reserved.insert(endpoint, suspect) || m_reserved.find(endpoint) == suspect;
+}
+
+void crash_suspects::release(const state::endpoint_id& endpoint, request_fingerprint suspect) {
+    m_reserved.erase_key_if(endpoint,
+                            [&](request_fingerprint holder) { return holder == suspect; });
+}
+
+void crash_suspects::sweep(state::time_point now) {
+    m_suspects.erase_if([&](request_fingerprint, const suspect_row& row) {
+        return now - row.last_death > m_settings.retention;
+    });
+}
+
+} // namespace savoryrelay::coordination
--- /dev/null
+++ b/tests/coordination/retry_test.cpp
@@ -0,0 +1,254 @@
+// What may be retried, the retry budget, and the quarantine of requests that
+// crash endpoints.
+#include "savoryrelay/coordination/retry/crash_suspects.h"
+#include "savoryrelay/coordination/retry/retry_budget.h"
+#include "savoryrelay/coordination/retry/retry_policy.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace savoryrelay;
+using namespace savoryrelay::coordination;
+using state::execution_outcome;
+using state::failure_kind;
+using namespace std::chrono_literals;
+
+namespace {
+
+const state::time_point start{1h};
+const state::deployment_id deployment{"d"};
+
+retry_hooks hooks_with(bool has_budget) {
+    return {proves_not_run, [has_budget] { return has_budget; }};
+}
+
+attempt_history fresh() {
+    attempt_history history;
+    history.deadline = start + 10s;
+    return history;
+}
+
+// Sends a request through random ends. Returns whether a refusal says "not run"
+// although a byte was sent, or a request that may not be repeated was.
+bool tells_untruth(const retry_hooks& hooks) {
+    auto history = fresh();
+    history.repeat =
+        *rc::gen::element(state::repeat_rule::repeatable, state::repeat_rule::at_most_once);
+    bool was_sent = false;
+    for (;;) {
+        const auto end = static_cast<attempt_end>(
+            *rc::gen::inRange<std::size_t>(0, state::enum_table<attempt_end>::rows.size()));
+        const bool sent_now = end == attempt_end::no_answer ||
+                              end == attempt_end::answer_interrupted ||
+                              end == attempt_end::progress_deadline;
+        was_sent = was_sent || sent_now;
+        const auto decision = decide_retry(history, end, {}, hooks, start);
+        if (decision.give_up) {
+            return was_sent && decision.give_up->reported_outcome() == execution_outcome::not_run;
+        }
+        if (was_sent && history.repeat == state::repeat_rule::at_most_once) {
+            return true;
+        }
+        history.each_proved_not_run = history.each_proved_not_run && hooks.proves_not_run(end);
+        ++history.attempts;
+    }
+}
+
+struct crash_run {
+    std::size_t deaths = 0;
+    std::size_t innocents_refused = 0;
+};
+
+// Ten requests, the first of which crashes its endpoint, on three endpoints;
+// each is retried until it finishes or is refused.
+crash_run run_crashes(const crash_hooks& hooks, bool apart, std::uint64_t seed) {
+    crash_suspects suspects({}, hooks);
+    std::mt19937_64 random(seed);
+    constexpr std::size_t endpoints = 3;
+    constexpr std::size_t rounds = 30;
+    std::vector<request_fingerprint> open(10);
+    for (std::size_t i = 0; i < open.size(); ++i) {
+        open[i] = fingerprint_of(state::customer_id("c"), std::to_string(i));
+    }
+    const auto crashing = open[0];
+    crash_run result;
+    for (std::uint64_t round = 0; round < rounds && !open.empty(); ++round) {
+        std::array<std::vector<request_fingerprint>, endpoints> placed;
+        std::vector<request_fingerprint> later;
+        for (const auto request : open) {
+            if (!state::collect([&] { return suspects.check(request); })) {
+                result.innocents_refused += request != crashing ? 1 : 0;
+                continue;
+            }
+            const auto at = random() % endpoints;
+            const state::endpoint_id name("e" + std::to_string(at));
+            if (apart && suspects.is_suspect(request) && !suspects.reserve(name, request)) {
+                later.push_back(request);
+                continue;
+            }
+            placed.at(at).push_back(request);
+        }
+        open = later;
+        for (std::size_t at = 0; at < endpoints; ++at) {
+            const state::endpoint_id name("e" + std::to_string(at));
+            const auto& here = placed.at(at);
+            for (const auto request : here) {
+                suspects.release(name, request);
+            }
+            if (std::find(here.begin(), here.end(), crashing) != here.end()) {
+                ++result.deaths;
+                const endpoint_death death{name, round, here};
+                suspects.note_death(death, start);
+                suspects.note_death(death, start); // reported by a peer as well
+                open.insert(open.end(), here.begin(), here.end());
+            }
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against a wrong row in the rules of retries.
+TEST_CASE("the decision follows its table", "[retry]") {
+    struct row {
+        std::string_view name;
+        std::function<void(attempt_history&)> change;
+        attempt_end end;
+        bool has_budget;
+        std::optional<failure_kind> gives_up;
+        execution_outcome outcome;
+    };
+    constexpr auto not_run = execution_outcome::not_run;
+    constexpr auto unknown = execution_outcome::unknown;
+    const std::array rows{
+        row{"retry", [](auto&) {}, attempt_end::no_answer, true, std::nullopt, unknown},
+        row{"no budget", [](auto&) {}, attempt_end::connect_failed, false,
+            failure_kind::endpoint_unreachable, not_run},
+        row{"deadline", [](auto& h) { h.deadline = start + 10ms; }, attempt_end::no_answer, true,
+            failure_kind::deadline_exceeded, unknown},
+        row{"attempts", [](auto& h) { h.attempts = 3; }, attempt_end::refused_by_endpoint, true,
+            failure_kind::overloaded, not_run},
+        row{"earlier attempt was sent",
+            [](auto& h) { h.attempts = 3, h.each_proved_not_run = false; },
+            attempt_end::connect_failed, true, failure_kind::endpoint_unreachable, unknown},
+        row{"booking sent", [](auto& h) { h.repeat = state::repeat_rule::at_most_once; },
+            attempt_end::no_answer, true, failure_kind::booking_unknown, unknown},
+        row{"booking not sent", [](auto& h) { h.repeat = state::repeat_rule::at_most_once; },
+            attempt_end::connect_failed, true, std::nullopt, unknown},
+        row{"cannot resume", [](auto& h) { h.tokens_passed = 7; }, attempt_end::progress_deadline,
+            true, failure_kind::stream_interrupted, unknown},
+    };
+    for (const auto& row : rows) {
+        INFO(row.name);
+        auto history = fresh();
+        row.change(history);
+        const auto decision = decide_retry(history, row.end, {}, hooks_with(row.has_budget), start);
+        REQUIRE(decision.give_up.has_value() == row.gives_up.has_value());
+        if (row.gives_up) {
+            CHECK(decision.give_up->kind == *row.gives_up);
+            CHECK(decision.give_up->reported_outcome() == row.outcome);
+        }
+    }
+    auto history = fresh();
+    history.tokens_passed = 7;
+    history.engine_can_resume = true;
+    CHECK(decide_retry(history, attempt_end::answer_interrupted, {}, hooks_with(true), start)
+              .resume_from == 7);
+}
+
+// Guards against a refusal that says "not run" of a request that may have run
+// (P6), and against a second run of one that may not be repeated (P7).
+TEST_CASE("not run is said only before a byte was sent", "[retry][property]") {
+    CHECK(rc::check([] { RC_ASSERT_FALSE(tells_untruth(hooks_with(true))); }));
+    auto naive = hooks_with(true);
+    naive.proves_not_run = [](attempt_end end) { return end != attempt_end::answer_interrupted; };
+    bool violated = false;
+    rc::check([&] { violated = violated || tells_untruth(naive); });
+    CHECK(violated);
+}
+
+// Guards against retries that multiply an overload.
+TEST_CASE("a retry storm is bounded by the budget", "[retry][property]") {
+    constexpr int requests = 1'000;
+    const auto retries_of = [](const std::function<bool()>& take, retry_budget& budget) {
+        int retries = 0;
+        for (int i = 0; i < requests; ++i) {
+            budget.note_first_attempt(deployment);
+            auto history = fresh();
+            while (!decide_retry(history, attempt_end::no_answer, {}, {proves_not_run, take}, start)
+                        .give_up) {
+                ++retries;
+                ++history.attempts;
+            }
+        }
+        return retries;
+    };
+    const auto bound = [](double part) { return part * requests + 10 + 1; };
+    CHECK(rc::check([&] {
+        const double part = *rc::gen::inRange(0, 50) / 100.0;
+        retry_budget budget({part, 10});
+        RC_ASSERT(retries_of([&] { return budget.take(deployment); }, budget) <= bound(part));
+    }));
+    retry_budget unused({0.1, 10});
+    CHECK(retries_of([] { return true; }, unused) > bound(0.1));
+}
+
+// Guards against a request that crashes one endpoint after another, and against
+// the refusal of innocent requests that were beside it.
+TEST_CASE("a crashing request is stopped and innocents finish", "[retry][property]") {
+    const auto count_refused = [](const crash_hooks& hooks, bool apart, std::size_t& most_deaths) {
+        std::size_t refused = 0;
+        for (std::uint64_t seed = 0; seed < 200; ++seed) {
+            const auto run = run_crashes(hooks, apart, seed);
+            refused += run.innocents_refused;
+            most_deaths = std::max(most_deaths, run.deaths);
+        }
+        return refused;
+    };
+    std::size_t deaths = 0;
+    CHECK(count_refused(default_crash_hooks(), true, deaths) == 0);
+    CHECK(deaths <= 3);
+
+    // Naive: no quarantine; refusal at the first death; suspects together.
+    deaths = 0;
+    count_refused({[](const auto&, const auto&) { return false; }}, true, deaths);
+    CHECK(deaths > 3);
+    CHECK(count_refused({[](const auto&, const auto&) { return true; }}, true, deaths) > 0);
+    CHECK(count_refused(default_crash_hooks(), false, deaths) > 0);
+}
+
+// Guards against a table of suspects that grows without bound.
+TEST_CASE("suspects are bounded and expire", "[retry]") {
+    crash_settings settings;
+    settings.suspect_limit = 4;
+    crash_suspects suspects(settings, default_crash_hooks());
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        suspects.note_death({state::endpoint_id("e"), i, {i}}, start);
+    }
+    CHECK(suspects.size() == 4);
+    suspects.sweep(start + settings.retention + 1ms);
+    CHECK(suspects.size() == 0);
+}
+
+// Guards against duplicated or missing tokens after a resume.
+TEST_CASE("tokens are passed on once and in order", "[retry]") {
+    token_sequence sequence;
+    const auto accept = [&](std::uint64_t number) {
+        return state::collect([&] { return sequence.accept(number); });
+    };
+    CHECK(accept(0).value());
+    CHECK(accept(1).value());
+    CHECK_FALSE(accept(1).value());
+    CHECK(accept(3).error().kind == failure_kind::stream_interrupted);
+    CHECK(sequence.next() == 2);
+
+    state::deployment_config config;
+    stream_progress progress{start, std::nullopt};
+    CHECK(progress.deadline(config) == start + config.first_token_timeout);
+    progress.last_token_at = start + 1s;
+    CHECK(progress.deadline(config) == start + 1s + config.token_timeout);
+}
--- a/tests/coordination/warmup_test.cpp
+++ b/tests/coordination/warmup_test.cpp
@@ -33,7 +33,7 @@
 class fleet {
 public:
     fleet(warmup_hooks hooks, std::uint64_t seed) : m_hooks(std::move(hooks)), m_random(seed) {
-        m_ledger = std::make_unique<allowance_ledger>(m_settings, m_hooks, now, false);
+        m_ledger = std::make_unique<allowance_ledger>(m_settings, m_hooks, m_now, false);
         for (int i = 0; i < 4; ++i) {
             join();
         }
@@ -41,15 +41,15 @@
 
     /// One random step. Returns the concurrent requests at the endpoint.
     std::size_t step() {
-        now += state::milliseconds(pick(80));
-        std::erase_if(m_running, [&](const run& r) { return now >= r.until; });
+        m_now += state::milliseconds(pick(80));
+        std::erase_if(m_running, [&](const run& r) { return m_now >= r.until; });
         // Only the last routers ask, so that others go silent for good.
         const auto who = m_routers.size() - 1 - pick(4);
         auto& router = *m_routers[who];
         switch (pick(9)) {
         case 0: // ask; the request may be lost
         case 4:
-            m_requests.push_back({who, router.ask(cold, 2, now)});
+            m_requests.push_back({who, router.ask(cold, 2, m_now)});
             if (m_requests.size() > 3) {
                 m_requests.pop_front(); // lost
             }
@@ -61,7 +61,7 @@
                 if (pick(4) != 0) {
                     m_requests.pop_front();
                 }
-                const auto reply = m_ledger->grant(message.second, now + lease, now);
+                const auto reply = m_ledger->grant(message.second, m_now + lease, m_now);
                 if (reply.granted > 0) {
                     m_replies.push_back({message.first, reply});
                 }
@@ -71,14 +71,14 @@
             if (!m_replies.empty() && pick(2) == 0) {
                 const auto at =
                     m_replies.begin() + static_cast<std::ptrdiff_t>(pick(m_replies.size()));
-                m_routers[at->first]->receive(at->second, now);
+                m_routers[at->first]->receive(at->second, m_now);
                 m_replies.erase(at);
             }
             break;
         case 5:
         case 6:
-            while (const auto number = router.start(cold, now)) {
-                m_running.push_back({who, *number, now + m_settings.longest_request});
+            while (const auto number = router.start(cold, m_now)) {
+                m_running.push_back({who, *number, m_now + m_settings.longest_request});
             }
             break;
         case 7: // a request ends early and the account reaches the holder or not
@@ -89,23 +89,23 @@
                     break;
                 }
             }
-            for (const auto& account : router.account(cold, true, now)) {
+            for (const auto& account : router.account(cold, true, m_now)) {
                 if (pick(2) == 0) {
-                    m_ledger->settle(account, now);
+                    m_ledger->settle(account, m_now);
                 }
             }
             break;
         default: // the holder changes; the old lease has passed. Or a router joins.
             if (pick(8) == 0) {
-                now += lease;
-                m_ledger = std::make_unique<allowance_ledger>(m_settings, m_hooks, now);
+                m_now += lease;
+                m_ledger = std::make_unique<allowance_ledger>(m_settings, m_hooks, m_now);
             } else if (pick(8) == 0) {
-                now += 5s; // every process pauses; messages are late
+                m_now += 5s; // every process pauses; messages are late
             } else if (pick(8) == 0) {
                 join();
             }
         }
-        std::erase_if(m_running, [&](const run& r) { return now >= r.until; });
+        std::erase_if(m_running, [&](const run& r) { return m_now >= r.until; });
         return m_running.size();
     }
 
@@ -123,7 +123,7 @@
             m_settings, m_hooks, state::member_id("r" + std::to_string(m_routers.size())), 1));
     }
 
-    state::time_point now = start;
+    state::time_point m_now = start;
     warmup_settings m_settings = short_settings();
     warmup_hooks m_hooks;
     std::mt19937_64 m_random;
