Admit requests by fair shares of token cost

Cause: a large customer's queue delays all others, and work that can only be late takes capacity from work that is in time. Change: deficit round robin over customers by weight, bounded queues, priorities inside a share, early refusal with a retry-after time, and a capacity that shrinks with drained zones; each deployment's queues are in one shard. Ruled out: one queue ordered by deadline, which a large customer fills.

--- /dev/null
+++ b/src/savoryrelay/coordination/admission/admission.cpp
@@ -0,0 +1,252 @@
+// Deficit round robin over customers, with early refusal.
+#include "savoryrelay/coordination/admission/admission.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace savoryrelay::coordination {
+namespace {
+
+using state::failure_kind;
+using namespace std::chrono_literals;
+
+// Time over which the rate of finished cost is measured before it is smoothed.
+constexpr state::milliseconds rate_window = 500ms;
+constexpr double rate_smoothing = 0.3;
+
+admission_refusal refusal(const admission_request& request, failure_kind kind, std::string detail,
+                          state::milliseconds retry_after) {
+    return {request.ticket,
+            state::failure{kind, std::move(detail), state::execution_outcome::not_run},
+            std::max<state::milliseconds>(retry_after, 1s)};
+}
+
+} // namespace
+
+admission::admission(admission_settings settings, admission_hooks hooks)
+    : m_settings(settings), m_hooks(std::move(hooks)) {
+    assert(m_settings.quantum > 0 && m_settings.capacity > 0 && "nothing could ever start");
+}
+
+double admission::capacity_of(const deployment_row& row) const {
+    return row.capacity.value_or(m_settings.capacity);
+}
+
+state::milliseconds admission::expected_wait(const deployment_row& row, const customer_queue& queue,
+                                             double cost) const {
+    if (row.rate <= 0 || row.running_cost + cost <= capacity_of(row)) {
+        return 0ms;
+    }
+    // The customer's part of the rate among all that wait.
+    double quanta = queue.count > 0 ? 0 : queue.quantum;
+    for (const auto& id : row.turns) {
+        quanta += row.customers.at(id).quantum;
+    }
+    const double seconds = (queue.cost + cost) / (row.rate * queue.quantum / quanta);
+    constexpr double longest_seconds = 3'600;
+    return state::milliseconds(
+        static_cast<std::int64_t>(std::min(seconds, longest_seconds) * 1'000));
+}
+
+void admission::submit(const admission_request& request, state::time_point now) {
+    assert(request.cost > 0);
+    const double quantum = m_hooks.quantum_of(request.customer, m_settings);
+    assert(quantum > 0 && "a customer without a quantum never starts");
+    decisions made;
+    m_deployments.update(request.deployment, [&](deployment_row& row) {
+        auto& queue = row.customers[request.customer];
+        queue.quantum = quantum;
+
+        // Refuse what cannot be served in time. The customer's own limit comes
+        // first, so that a large customer does not exhaust the common one.
+        const auto wait = expected_wait(row, queue, request.cost);
+        if (queue.count >= m_settings.customer_queue_limit) {
+            made.refused.push_back(refusal(request, failure_kind::customer_limit,
+                                           "the customer's queue is full", wait));
+        } else if (row.count >= m_settings.queue_limit) {
+            made.refused.push_back(
+                refusal(request, failure_kind::overloaded, "the queue is full", wait));
+        } else if (now + wait > request.deadline) {
+            made.refused.push_back(refusal(request, failure_kind::overloaded,
+                                           "the expected wait passes the deadline", wait));
+        } else {
+            queue.waiting.at(static_cast<std::size_t>(request.priority)).push_back(request);
+            if (queue.count++ == 0) {
+                row.turns.push_back(request.customer);
+            }
+            queue.cost += request.cost;
+            ++row.count;
+            start_waiting(row, made);
+        }
+        forget_idle(row);
+    });
+    run(made);
+}
+
+void admission::start_waiting(deployment_row& row, decisions& made) const {
+    while (!row.turns.empty()) {
+        const auto id = row.turns.front();
+        auto& queue = row.customers.at(id);
+        if (queue.count == 0) {
+            // Emptied by a cancellation or an expiry.
+            row.turns.pop_front();
+            queue.deficit = 0;
+            queue.has_turn = false;
+            continue;
+        }
+        if (!queue.has_turn) {
+            queue.deficit += queue.quantum;
+            queue.has_turn = true;
+        }
+
+        // The highest priority first; the customer keeps its turn while there is
+        // no room. A request above the whole capacity runs alone.
+        const auto level = std::find_if(queue.waiting.rbegin(), queue.waiting.rend(),
+                                        [](const auto& waiting) { return !waiting.empty(); });
+        const auto& next = level->front();
+        if (next.cost > queue.deficit) {
+            queue.has_turn = false;
+            row.turns.push_back(id);
+            row.turns.pop_front();
+            continue;
+        }
+        const double capacity = capacity_of(row);
+        if (row.running_cost + next.cost > capacity && (capacity <= 0 || !row.running.empty())) {
+            return;
+        }
+        queue.deficit -= next.cost;
+        queue.cost -= next.cost;
+        --queue.count;
+        --row.count;
+        row.running_cost += next.cost;
+        row.running[next.ticket] = next.cost;
+        made.started.push_back(next.ticket);
+        level->pop_front();
+    }
+}
+
+void admission::note_finished(deployment_row& row, double cost, state::time_point now) {
+    row.finished_cost += cost;
+    if (!row.rate_since) {
+        row.rate_since = now;
+    }
+    const std::chrono::duration<double> window = now - *row.rate_since;
+    if (window < rate_window) {
+        return;
+    }
+    const double measured = row.finished_cost / window.count();
+    row.rate = row.rate > 0 ? row.rate + rate_smoothing * (measured - row.rate) : measured;
+    row.finished_cost = 0;
+    row.rate_since = now;
+}
+
+void admission::finish(const state::deployment_id& deployment, std::uint64_t ticket,
+                       state::time_point now) {
+    decisions made;
+    m_deployments.update_existing(deployment, [&](deployment_row& row) {
+        const auto found = row.running.find(ticket);
+        if (found == row.running.end()) {
+            return;
+        }
+        row.running_cost -= found->second;
+        note_finished(row, found->second, now);
+        row.running.erase(found);
+        start_waiting(row, made);
+        forget_idle(row);
+    });
+    run(made);
+}
+
+bool admission::cancel(const state::deployment_id& deployment, std::uint64_t ticket) {
+    bool removed = false;
+    m_deployments.update_existing(deployment, [&](deployment_row& row) {
+        for (auto& [id, queue] : row.customers) {
+            for (auto& waiting : queue.waiting) {
+                const auto found =
+                    std::find_if(waiting.begin(), waiting.end(),
+                                 [&](const auto& request) { return request.ticket == ticket; });
+                if (found != waiting.end()) {
+                    queue.cost -= found->cost;
+                    --queue.count;
+                    --row.count;
+                    waiting.erase(found);
+                    removed = true;
+                    return;
+                }
+            }
+        }
+    });
+    return removed;
+}
+
+void admission::expire(const state::deployment_id& deployment, state::time_point now) {
+    decisions made;
+    m_deployments.update_existing(deployment, [&](deployment_row& row) {
+        for (auto& [id, queue] : row.customers) {
+            for (auto& waiting : queue.waiting) {
+                std::erase_if(waiting, [&](const admission_request& request) {
+                    if (now <= request.deadline) {
+                        return false;
+                    }
+                    made.refused.push_back(refusal(request, failure_kind::deadline_exceeded,
+                                                   "the deadline passed in the queue",
+                                                   expected_wait(row, queue, request.cost)));
+                    queue.cost -= request.cost;
+                    --queue.count;
+                    --row.count;
+                    return true;
+                });
+            }
+        }
+        start_waiting(row, made);
+        forget_idle(row);
+    });
+    run(made);
+}
+
+void admission::set_capacity(const state::deployment_id& deployment, double capacity,
+                             state::time_point) {
+    assert(capacity >= 0);
+    decisions made;
+    m_deployments.update(deployment, [&](deployment_row& row) {
+        // The measured rate belongs to the old capacity.
+        row.rate *= capacity / std::max(capacity_of(row), 1.0);
+        row.capacity = capacity;
+        start_waiting(row, made);
+    });
+    run(made);
+}
+
+std::size_t admission::waiting(const state::deployment_id& deployment) {
+    std::size_t count = 0;
+    m_deployments.update_existing(deployment,
+                                  [&](const deployment_row& row) { count = row.count; });
+    return count;
+}
+
+double admission::in_flight(const state::deployment_id& deployment) {
+    double cost = 0;
+    m_deployments.update_existing(deployment,
+                                  [&](const deployment_row& row) { cost = row.running_cost; });
+    return cost;
+}
+
+void admission::forget_idle(deployment_row& row) {
+    // A customer that stands in no turn has nothing waiting and no deficit.
+    std::erase_if(row.customers, [&](const auto& entry) {
+        return entry.second.count == 0 &&
+               std::find(row.turns.begin(), row.turns.end(), entry.first) == row.turns.end();
+    });
+}
+
+void admission::run(const decisions& made) const {
+    for (const auto ticket : made.started) {
+        m_hooks.on_start(ticket);
+    }
+    for (const auto& refused : made.refused) {
+        m_hooks.on_refuse(refused);
+    }
+}
+
+} // namespace savoryrelay::coordination
