--- a/src/savoryrelay/coordination/admission/admission.cpp
+++ b/src/savoryrelay/coordination/admission/admission.cpp
@@ -183,7 +183,8 @@
 void admission::expire(const state::deployment_id& deployment, state::time_point now) {
     decisions made;
     m_deployments.update_existing(deployment, [&](deployment_row& row) {
-        for (auto& [id, queue] : row.customers) {
+        for (auto& entry : row.customers) {
+            auto& queue = entry.second;
             for (auto& waiting : queue.waiting) {
                 std::erase_if(waiting, [&](const admission_request& request) {
                     if (now <= request.deadline) {
