--- a/src/savoryrelay/coordination/retry/crash_suspects.h
+++ b/src/savoryrelay/coordination/retry/crash_suspects.h
@@ -38,7 +38,7 @@
 struct crash_settings {
     std::size_t deaths_alone = 2;               ///< with no other suspect at the last one
     std::size_t deaths_limit = 3;               ///< in all
-    std::size_t suspect_limit = 10'000;         ///< fingerprints kept, about 150 bytes each
+    std::size_t suspect_limit = 10'000;         ///< fingerprints kept, an estimated 150 bytes each
     state::milliseconds retention{15 * 60'000}; ///< since the last death
 };
 
--- a/src/savoryrelay/coordination/routing/endpoint_directory.h
+++ b/src/savoryrelay/coordination/routing/endpoint_directory.h
@@ -26,7 +26,7 @@
 class endpoint_directory {
 public:
     /// `lanes` is the number of deciding threads. `digests_per_slot` bounds the
-    /// prefix table: about 150 bytes a digest.
+    /// prefix table: an estimated 150 bytes a digest.
     endpoint_directory(const std::vector<route_row>& rows, route_weights weights,
                        std::size_t lanes = 1, std::size_t digests_per_slot = 64);
 
