--- a/tests/coordination/configuration_holder_test.cpp
+++ b/tests/coordination/configuration_holder_test.cpp
@@ -86,7 +86,7 @@
 
 // Guards against a change reported as failed although it took effect, and
 // against one reported as done although nobody knows.
-TEST_CASE("a lost reply is read back by its write key", "[configuration]") {
+TEST_CASE("a submission whose reply is lost is read back by its write key", "[configuration]") {
     tests::faulty_platform platform;
     holder_fixture one(platform, "one");
     platform.lose_next_replies = 1;
