Add the record writer with a bounded queue and anchors

Requests, outcomes, bookings and operators' changes need an account that survives the daemon. record_writer queues entries in lanes, each in its own shard, and one thread writes them as segments through the platform hooks. The flush reads the next sequence before it visits the lanes and takes only entries below it, so concurrent appends form one sequence without gaps.

At 90% of the memory limit request_accepted is refused; other kinds may use the rest. A completion hook runs after the segment is stored and anchored. An anchor write in doubt is repeated under its own write key.

platform_hooks gains delete_object, because erasure of a customer's content must remove content objects. Ruled out: rewriting them, since objects are never replaced.

--- /dev/null
+++ b/src/savoryrelay/coordination/record/record_writer.cpp
@@ -0,0 +1,272 @@
+// Queueing, batching and anchoring of record entries.
+#include "savoryrelay/coordination/record/record_writer.h"
+
+#include <algorithm>
+#include <cassert>
+#include <functional>
+
+namespace savoryrelay::coordination {
+namespace {
+
+using state::failure_kind;
+
+constexpr std::uint64_t lane_count = 16;
+constexpr std::size_t max_text_bytes = 4'096;
+// Covers the entry's fixed fields, its strings' headers and its completion hook.
+constexpr std::size_t entry_overhead_bytes = sizeof(state::record_entry) + 128;
+// New work is refused from here on, so that the outcomes of work in flight
+// still find room.
+constexpr std::size_t new_work_percent = 90;
+
+std::size_t new_work_limit(const record_settings& settings) {
+    return settings.memory_limit_bytes / 100 * new_work_percent;
+}
+
+std::size_t text_bytes(const state::record_entry& entry) {
+    return entry.actor.size() + entry.customer.value().size() + entry.deployment.value().size() +
+           entry.request.value().size() + entry.action.size() + entry.subject.size() +
+           entry.result.size();
+}
+
+bool has_oversized_text(const state::record_entry& entry) {
+    return std::max({entry.actor.size(), entry.customer.value().size(),
+                     entry.deployment.value().size(), entry.request.value().size(),
+                     entry.action.size(), entry.subject.size(), entry.result.size()}) >
+           max_text_bytes;
+}
+
+} // namespace
+
+record_writer::record_writer(record_settings settings, record_hooks hooks, state::metrics& metrics)
+    : m_settings(std::move(settings)), m_hooks(std::move(hooks)),
+      m_queue_bytes(metrics.gauge_of("record_queue_bytes")),
+      m_entries(metrics.counter_of("record_entries_total")),
+      m_segments(metrics.counter_of("record_segments_total")),
+      m_refused(metrics.counter_of("record_entries_refused_total")),
+      m_failures(metrics.counter_of("record_write_failures_total")) {
+    assert(m_settings.segment_entries >= 1 && m_settings.segment_entries <= 65'536);
+    assert(!m_settings.chain.empty());
+}
+
+state::result<void> record_writer::accepts_new_work() const {
+    const auto limit = new_work_limit(m_settings);
+    if (m_closed.load() || m_bytes.load() >= limit) {
+        return state::fail(failure_kind::record_unavailable,
+                           "the record queue holds " + std::to_string(m_bytes.load()) + " of " +
+                               std::to_string(m_settings.memory_limit_bytes) + " bytes",
+                           state::execution_outcome::not_run);
+    }
+    return {};
+}
+
+bool record_writer::reserve(std::size_t charge, std::size_t limit) {
+    auto present = m_bytes.load();
+    do {
+        if (present + charge > limit) {
+            return false;
+        }
+    } while (!m_bytes.compare_exchange_weak(present, present + charge));
+    m_queue_bytes.set(static_cast<std::int64_t>(present + charge));
+    return true;
+}
+
+state::result<void> record_writer::append(state::record_entry entry, state::wall_time now,
+                                          durable_hook on_durable) {
+    if (m_closed.load()) {
+        m_refused.add();
+        return state::fail(failure_kind::record_unavailable, "the record is closed");
+    }
+    return enqueue(std::move(entry), now, std::move(on_durable));
+}
+
+state::result<void> record_writer::enqueue(state::record_entry entry, state::wall_time now,
+                                           durable_hook on_durable) {
+    if (has_oversized_text(entry)) {
+        m_refused.add();
+        return state::fail(failure_kind::request_too_large,
+                           "a text of a record entry has more than " +
+                               std::to_string(max_text_bytes) + " bytes");
+    }
+
+    // Only the content that the rule keeps or needs for its digest is charged.
+    if (entry.rule == state::record_rule::none) {
+        entry.content.clear();
+    }
+    const auto charge = entry_overhead_bytes + text_bytes(entry) + entry.content.size();
+    const bool new_work = entry.kind == state::record_kind::request_accepted;
+    if (!reserve(charge, new_work ? new_work_limit(m_settings) : m_settings.memory_limit_bytes)) {
+        m_refused.add();
+        return state::fail(failure_kind::record_unavailable,
+                           "the record queue of " + std::to_string(m_settings.memory_limit_bytes) +
+                               " bytes is full");
+    }
+
+    // Entries of one request share a lane.
+    const bool urgent = static_cast<bool>(on_durable);
+    const auto number = std::hash<state::request_id>{}(entry.request) % lane_count;
+    entry.at = now;
+    m_lanes.update(number, [&](lane& queue) {
+        entry.sequence = m_next_sequence.fetch_add(1);
+        queue.push_back({std::move(entry), std::move(on_durable), charge});
+    });
+    m_entries.add();
+    if (urgent || m_bytes.load() >= m_settings.segment_bytes) {
+        interrupt();
+    }
+    return {};
+}
+
+void record_writer::wait(state::milliseconds at_most) {
+    std::unique_lock lock(m_wake_mutex);
+    m_wake.wait_for(lock, at_most, [this] { return m_wake_requested; });
+    m_wake_requested = false;
+}
+
+void record_writer::interrupt() {
+    {
+        const std::scoped_lock lock(m_wake_mutex);
+        m_wake_requested = true;
+    }
+    m_wake.notify_one();
+}
+
+void record_writer::drain_lanes() {
+    // Entries below `limit` are already in their lanes or are being put there
+    // under a lane's lock, so this drain takes a run of sequences without gaps.
+    const auto limit = m_next_sequence.load();
+    const auto sorted = m_batch.size();
+    for (std::uint64_t number = 0; number < lane_count; ++number) {
+        m_lanes.update(number, [&](lane& queue) {
+            const auto later = std::find_if(queue.begin(), queue.end(), [&](const auto& item) {
+                return item.entry.sequence >= limit;
+            });
+            std::move(queue.begin(), later, std::back_inserter(m_batch));
+            queue.erase(queue.begin(), later);
+        });
+    }
+    std::sort(m_batch.begin() + static_cast<std::ptrdiff_t>(sorted), m_batch.end(),
+              [](const auto& left, const auto& right) {
+                  return left.entry.sequence < right.entry.sequence;
+              });
+}
+
+void record_writer::cut_segment(state::wall_time now) {
+    pending_segment segment;
+    segment.draft.header = {.chain = m_settings.chain,
+                            .number = m_next_number,
+                            .first_sequence = m_batch.front().entry.sequence,
+                            .previous_segment = m_written.digest,
+                            .key_id = {},
+                            .written_at = now};
+    while (!m_batch.empty() && segment.draft.entries.size() < m_settings.segment_entries &&
+           (segment.charge < m_settings.segment_bytes || segment.draft.entries.empty())) {
+        auto& item = m_batch.front();
+        segment.charge += item.charge;
+        segment.draft.closed = item.entry.kind == state::record_kind::chain_closed;
+        segment.draft.entries.push_back(std::move(item.entry));
+        if (item.on_durable) {
+            segment.hooks.push_back(std::move(item.on_durable));
+        }
+        m_batch.pop_front();
+    }
+    m_pending = std::move(segment);
+}
+
+state::result<void> record_writer::store_pending() {
+    auto& segment = *m_pending;
+    const auto& header = segment.draft.header;
+    if (!segment.sealed) {
+        BOOST_LEAF_ASSIGN(segment.sealed, m_hooks.seal(segment.draft));
+    }
+
+    // Content goes first, so that no stored segment refers to content that a
+    // kill between the writes would lose. Names and bytes are the same at each
+    // attempt, so a repeat after a lost reply is harmless.
+    for (const auto& content : segment.sealed->contents) {
+        BOOST_LEAF_CHECK(m_hooks.platform.put_object(
+            state::content_object(header.chain, header.number, content.customer), content.bytes));
+    }
+    BOOST_LEAF_CHECK(m_hooks.platform.put_object(state::segment_object(header.chain, header.number),
+                                                 segment.sealed->bytes));
+
+    m_written = {header.chain, header.number, segment.sealed->digest, segment.draft.closed};
+    for (auto& hook : segment.hooks) {
+        m_unanchored.emplace_back(header.number, std::move(hook));
+    }
+    m_next_number = header.number + 1;
+    m_bytes -= segment.charge;
+    m_queue_bytes.set(static_cast<std::int64_t>(m_bytes.load()));
+    m_segments.add();
+    m_pending.reset();
+    return {};
+}
+
+state::result<void> record_writer::write_anchor() {
+    while (m_anchored < m_written.segment) {
+        // A write in doubt is repeated under its own write key, which returns
+        // the first result and applies nothing twice.
+        if (!m_anchor_in_doubt) {
+            const auto key = state::anchor_key(m_settings.chain);
+            const auto write_key = key + "/" + std::to_string(m_written.segment);
+            m_anchor_in_doubt = {state::table_transaction{write_key,
+                                                          {{key, m_row_version}},
+                                                          {{key, m_hooks.encode_anchor(m_written)}},
+                                                          {}},
+                                 m_written.segment};
+        }
+        BOOST_LEAF_AUTO(outcome, m_hooks.platform.transact(m_anchor_in_doubt->first));
+        if (!outcome.committed) {
+            return state::fail(failure_kind::store_conflict,
+                               "another process writes " + state::anchor_key(m_settings.chain) +
+                                   "; give each incarnation a chain of its own");
+        }
+        m_row_version = outcome.version;
+        m_anchored = m_anchor_in_doubt->second;
+        m_anchor_in_doubt.reset();
+
+        // Completion hooks run without a lock held.
+        while (!m_unanchored.empty() && m_unanchored.front().first <= m_anchored) {
+            const auto hook = std::move(m_unanchored.front().second);
+            m_unanchored.pop_front();
+            hook();
+        }
+    }
+    return {};
+}
+
+state::result<void> record_writer::flush(state::wall_time now) {
+    const auto attempted = state::collect([&]() -> state::result<void> {
+        drain_lanes();
+        while (m_pending || !m_batch.empty()) {
+            if (!m_pending) {
+                cut_segment(now);
+            }
+            BOOST_LEAF_CHECK(store_pending());
+        }
+        return write_anchor();
+    });
+    if (!attempted) {
+        m_failures.add();
+        return state::fail(attempted.error());
+    }
+    return {};
+}
+
+state::result<void> record_writer::close(state::wall_time now) {
+    if (!m_closed.exchange(true)) {
+        // The first flush makes room, so that the closing entry finds some.
+        const auto emptied = state::collect([&] { return flush(now); });
+        state::record_entry last;
+        last.kind = state::record_kind::chain_closed;
+        last.actor = m_settings.chain;
+        last.result = "ok";
+        const auto queued = state::collect([&] { return enqueue(std::move(last), now, {}); });
+        if (!emptied || !queued) {
+            m_closed = queued.has_value();
+            return state::fail(emptied ? queued.error() : emptied.error());
+        }
+    }
+    return flush(now);
+}
+
+} // namespace savoryrelay::coordination
--- a/src/savoryrelay/state/platform/memory_platform.cpp
+++ b/src/savoryrelay/state/platform/memory_platform.cpp
@@ -83,6 +83,12 @@
     return found->second;
 }
 
+result<void> memory_platform::delete_object(const std::string& name) {
+    const std::scoped_lock lock(m_mutex);
+    m_objects.erase(name);
+    return {};
+}
+
 result<std::vector<std::string>> memory_platform::list_objects(const std::string& prefix) const {
     const std::scoped_lock lock(m_mutex);
     std::vector<std::string> names;
@@ -114,6 +120,7 @@
         .get_object = [this](const auto& name) { return get_object(name); },
         .list_objects = [this](const auto& prefix) { return list_objects(prefix); },
         .list_hosts = [this] { return list_hosts(); },
+        .delete_object = [this](const auto& name) { return delete_object(name); },
     };
 }
 
--- a/src/savoryrelay/state/platform/memory_platform.h
+++ b/src/savoryrelay/state/platform/memory_platform.h
@@ -27,6 +27,7 @@
     [[nodiscard]] result<std::vector<table_row>> scan_rows(const std::string& prefix) const;
     [[nodiscard]] result<void> put_object(const std::string& name, const std::string& content);
     [[nodiscard]] result<std::string> get_object(const std::string& name) const;
+    [[nodiscard]] result<void> delete_object(const std::string& name);
     [[nodiscard]] result<std::vector<std::string>> list_objects(const std::string& prefix) const;
     [[nodiscard]] result<std::vector<platform_host>> list_hosts() const;
 
--- a/src/savoryrelay/state/platform/table_row.h
+++ b/src/savoryrelay/state/platform/table_row.h
@@ -73,6 +73,9 @@
     std::function<result<std::string>(const std::string& name)> get_object;
     std::function<result<std::vector<std::string>>(const std::string& prefix)> list_objects;
     std::function<result<std::vector<platform_host>>()> list_hosts;
+    /// Removes an object; succeeds when it is already absent. Only the erasure
+    /// of a customer's recorded content uses it.
+    std::function<result<void>(const std::string& name)> delete_object;
 };
 
 } // namespace savoryrelay::state
--- a/tests/support/faulty_platform.h
+++ b/tests/support/faulty_platform.h
@@ -51,6 +51,7 @@
         outer.put_object = guard_object(inner.put_object);
         outer.get_object = guard_object(inner.get_object);
         outer.list_objects = guard_object(inner.list_objects);
+        outer.delete_object = guard_object(inner.delete_object);
         return outer;
     }
 
