--- /dev/null
+++ b/src/savoryrelay/protocol/record/record_export.h
@@ -0,0 +1,60 @@
+// The export file: segments, content, public keys and anchors in one stream.
+#pragma once
+
+#include "savoryrelay/protocol/record/segment_reader.h"
+
+#include <functional>
+#include <string>
+
+namespace savoryrelay::protocol {
+
+/// What a frame of an export file holds. The values are part of the format.
+enum class export_kind : std::uint8_t { segment = 1, content = 2, keys = 3, anchors = 4 };
+
+/// Header of a frame; `size` bytes follow.
+struct export_frame {
+    export_kind kind = export_kind::segment;
+    std::string name; ///< object name, empty for keys and anchors
+    std::uint64_t size = 0;
+};
+
+/// The bytes before the first frame.
+[[nodiscard]] std::string encode_export_start();
+/// The bytes before the content of a frame.
+[[nodiscard]] std::string encode_export_frame(const export_frame& frame);
+/// The bytes after the last frame.
+[[nodiscard]] std::string encode_export_end();
+
+/// Reads an export file frame by frame.
+class export_reader {
+public:
+    explicit export_reader(byte_source source);
+
+    /// Reads the start. False when this is not an export file of version 1.
+    bool read_start();
+    /// Skips the rest of the present frame and reads the next one's header.
+    /// False at the end or at an error.
+    bool next(export_frame& frame);
+    /// The present frame's content; valid until the next call of `next`.
+    [[nodiscard]] byte_source content();
+    /// True when the file was read to its end mark.
+    [[nodiscard]] bool complete() const { return m_complete; }
+
+private:
+    buffered_source m_source;
+    std::uint64_t m_rest = 0;
+    bool m_complete = false;
+};
+
+} // namespace savoryrelay::protocol
+
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::protocol::export_kind> {
+    using k = savoryrelay::protocol::export_kind;
+    static constexpr std::array rows{
+        enum_name<k>{k::segment, "segment"},
+        enum_name<k>{k::content, "content"},
+        enum_name<k>{k::keys, "keys"},
+        enum_name<k>{k::anchors, "anchors"},
+    };
+};
--- /dev/null
+++ b/src/savoryrelay/protocol/record/record_format.h
@@ -0,0 +1,100 @@
+// Constants and byte order of the segment format, version 1. The format is
+// described in docs/record-format.md.
+#pragma once
+
+#include "savoryrelay/state/digest/digest.h"
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace savoryrelay::protocol::record_format {
+
+inline constexpr std::string_view segment_magic = "SVRYREC\n";
+inline constexpr std::string_view content_magic = "SVRYCNT\n";
+inline constexpr std::string_view export_magic = "SVRYEXP\n";
+inline constexpr std::uint16_t version = 1;
+
+// Separates segment signatures from any other use of the same key.
+inline constexpr std::string_view signature_domain = "savoryrelay-record-segment-v1";
+
+inline constexpr char entry_tag = 'E';
+inline constexpr char trailer_tag = 'T';
+inline constexpr char part_tag = 'P';
+inline constexpr char end_tag = 'Z';
+
+inline constexpr std::size_t signature_bytes = 64;
+inline constexpr std::size_t salt_bytes = 16;
+// Limits that bound the memory of a reader.
+inline constexpr std::uint32_t max_body_bytes = 65'536;
+inline constexpr std::uint32_t max_entries = 65'536;
+inline constexpr std::uint16_t max_text_bytes = 4'096;
+inline constexpr std::uint32_t max_content_bytes = 64 * 1024 * 1024;
+
+// The outcome byte of an entry without an outcome.
+inline constexpr std::uint8_t no_outcome = 255;
+
+/// Appends `value` in network byte order.
+template <std::unsigned_integral Number>
+void put_number(std::string& out, Number value) {
+    for (std::size_t i = sizeof(Number); i-- > 0;) {
+        out.push_back(static_cast<char>((value >> (8U * i)) & 0xFFU));
+    }
+}
+
+/// Appends a text with its length in 2 bytes.
+inline void put_text(std::string& out, std::string_view text) {
+    put_number(out, static_cast<std::uint16_t>(text.size()));
+    out.append(text);
+}
+
+/// Appends the 32 bytes of a digest.
+inline void put_digest(std::string& out, const state::sha256_digest& digest) {
+    for (const auto byte : digest) {
+        out.push_back(static_cast<char>(byte));
+    }
+}
+
+/// Reads numbers and texts from bytes; `failed` turns true at a shortage.
+class byte_reader {
+public:
+    explicit byte_reader(std::string_view bytes) : m_rest(bytes) {}
+
+    std::string_view take(std::size_t size) {
+        if (size > m_rest.size()) {
+            m_failed = true;
+            m_rest = {};
+            return {};
+        }
+        const auto taken = m_rest.substr(0, size);
+        m_rest.remove_prefix(size);
+        return taken;
+    }
+    template <std::unsigned_integral Number>
+    Number number() {
+        Number value = 0;
+        for (const char byte : take(sizeof(Number))) {
+            value =
+                static_cast<Number>((std::uint64_t{value} << 8U) | static_cast<std::uint8_t>(byte));
+        }
+        return value;
+    }
+    std::string text() { return std::string(take(number<std::uint16_t>())); }
+    state::sha256_digest digest() {
+        state::sha256_digest value{};
+        const auto bytes = take(value.size());
+        for (std::size_t i = 0; i < bytes.size(); ++i) {
+            value[i] = static_cast<std::uint8_t>(bytes[i]);
+        }
+        return value;
+    }
+    /// True when all bytes were read and none was missing.
+    [[nodiscard]] bool complete() const { return !m_failed && m_rest.empty(); }
+
+private:
+    std::string_view m_rest;
+    bool m_failed = false;
+};
+
+} // namespace savoryrelay::protocol::record_format
