--- a/src/savoryrelay/protocol/record/record_verifier.cpp
+++ b/src/savoryrelay/protocol/record/record_verifier.cpp
@@ -80,7 +80,10 @@
 public:
     explicit sequence_check(std::uint64_t first) : m_next(first) {}
 
-    void add(std::uint64_t sequence) {
+    /// `is_copy`: the entry states the same link as the one before it.
+    void add(std::uint64_t sequence, std::uint64_t position, bool is_copy) {
+        m_displaced += sequence != position ? 1 : 0;
+        m_copies += is_copy ? 1 : 0;
         if (sequence >= m_next) {
             m_skipped = sequence > m_next && m_skipped == 0 ? m_next : m_skipped;
             m_next = sequence + 1;
@@ -91,7 +94,14 @@
         }
     }
 
-    [[nodiscard]] std::optional<std::pair<record_damage, std::uint64_t>> departure() const {
+    /// Nothing when the entries are in order, or when a single sequence is off
+    /// and a link is broken: moving or removing an entry displaces others, a
+    /// damaged one does not.
+    [[nodiscard]] std::optional<std::pair<record_damage, std::uint64_t>>
+    departure(bool link_broken) const {
+        if (m_displaced == 0 || (m_displaced == 1 && m_copies == 0 && link_broken)) {
+            return std::nullopt;
+        }
         if (m_reordered != 0) {
             return std::pair{record_damage::reordered_entry, m_reordered};
         }
@@ -103,10 +113,11 @@
         }
         return std::nullopt;
     }
-    [[nodiscard]] std::uint64_t next() const { return m_next; }
 
 private:
     std::uint64_t m_next;
+    std::uint64_t m_displaced = 0;
+    std::uint64_t m_copies = 0;
     std::uint64_t m_skipped = 0;
     std::uint64_t m_reordered = 0;
     std::uint64_t m_duplicated = 0;
@@ -176,11 +187,12 @@
         }
         // Later entries are compared with the stated link, so that one damaged
         // entry does not hide them.
+        const bool is_copy = link == item.link;
         link = item.link;
 
         const auto entry = state::collect([&] { return decode_entry(item.body()); });
         if (entry) {
-            order.add(entry.value().sequence);
+            order.add(entry.value().sequence, position, is_copy);
             if (entry.value().content_digest) {
                 m_contents[entry.value().sequence] = {*entry.value().content_digest,
                                                       entry.value().customer};
@@ -196,7 +208,7 @@
     }
     checked.next_sequence = position;
 
-    const auto departure = order.departure();
+    const auto departure = order.departure(broken.has_value());
     if (departure && !unreadable) {
         checked.finding = {departure->first, "", 0, departure->second,
                            "the entries of the segment are not in their order"};
--- a/tests/protocol/record_verifier_test.cpp
+++ b/tests/protocol/record_verifier_test.cpp
@@ -133,6 +133,11 @@
     const std::vector<row> rows{
         {record_damage::damaged_entry, 2, 6,
          [](auto& s) { edit(s[1], [](framed& f) { f.entries[1].back() ^= 1; }); }},
+        {record_damage::damaged_entry, 2, 6,
+         [](auto& s) {
+             // The lowest byte of the sequence, after 5 bytes of frame and the kind.
+             edit(s[1], [](framed& f) { f.entries[1][5 + 8] ^= 1; });
+         }},
         {record_damage::reordered_entry, 2, 6,
          [](auto& s) { edit(s[1], [](framed& f) { std::swap(f.entries[1], f.entries[2]); }); }},
         {record_damage::duplicated_entry, 2, 6,
@@ -181,6 +186,22 @@
     }
 }
 
+// Guards against a writer that signs entries with a wrong sequence.
+TEST_CASE("a soundly linked entry with a wrong sequence is found", "[record]") {
+    const auto key = make_key("k1");
+    state::segment_draft draft;
+    draft.header = {"c1", 1, 1, {}, {}, hour(1)};
+    draft.entries = {make_entry(1), make_entry(3)};
+    const protocol::record_key_ring ring({key});
+    const auto sealed = state::collect(
+        [&] { return protocol::seal_segment(draft, ring, protocol::openssl_random_bytes); });
+    REQUIRE(sealed.has_value());
+    const auto findings = verify({{"", sealed.value()}}, {{key.public_key()}, {}});
+    REQUIRE(findings.size() == 1);
+    CHECK(findings[0].damage == record_damage::missing_entry);
+    CHECK(findings[0].entry == 2);
+}
+
 // Guards against a verifier that checks each segment alone.
 TEST_CASE("a dropped or replaced segment is missed without the check of the chain", "[record]") {
     const auto key = make_key("k1");
