Add savoryrelayctl with the commands audit and init

main.cpp dispatches by a table of names to std::function handlers. audit lists, shows, verifies and exports a folder of segments or an export file; init writes settings and configuration from a terminal or an answers file. Exit codes: 0 success, 1 findings, 2 usage, 3 unreadable.

--- /dev/null
+++ b/src/ctl/command.h
@@ -0,0 +1,61 @@
+// What the commands of savoryrelayctl share: exit codes, the handler type and
+// the reading of arguments.
+#pragma once
+
+#include "savoryrelay/state/core/failure.h"
+
+#include <docopt/docopt.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace savoryrelay::ctl {
+
+/// Exit codes of every command.
+enum class exit_code {
+    success = 0,
+    defect = 1,     ///< the record has findings, or the input is invalid
+    usage = 2,      ///< wrong arguments
+    unreadable = 3, ///< a file or service cannot be read or written
+};
+
+/// Runs a command. `arguments` begins with the command's own name.
+using command_handler = std::function<exit_code(const std::vector<std::string>& arguments)>;
+
+/// The arguments by docopt's names.
+using argument_map = std::map<std::string, docopt::value>;
+
+/// Reads `arguments` by docopt's `usage`. Prints the usage and returns nothing
+/// when they do not match; `code` is then the exit code.
+[[nodiscard]] std::optional<argument_map>
+parse_arguments(const char* usage, const std::vector<std::string>& arguments, exit_code& code);
+
+/// The text of an option, or nothing when it was not given.
+[[nodiscard]] std::optional<std::string> option_of(const argument_map& arguments,
+                                                   const std::string& name);
+
+/// Prints a failure with its remedy to standard error and returns `code`.
+exit_code report_failure(const state::failure& failure, exit_code code);
+
+/// The content of a file. Fails with `not_found`.
+[[nodiscard]] state::result<std::string> read_file(const std::string& path);
+/// Writes a file and the folders above it. Fails with `not_found` when the
+/// path cannot be written.
+[[nodiscard]] state::result<void> write_file(const std::string& path, const std::string& text);
+
+} // namespace savoryrelay::ctl
+
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::ctl::exit_code> {
+    using c = savoryrelay::ctl::exit_code;
+    static constexpr std::array rows{
+        enum_name<c>{c::success, "success"},
+        enum_name<c>{c::defect, "defect"},
+        enum_name<c>{c::usage, "usage"},
+        enum_name<c>{c::unreadable, "unreadable"},
+    };
+};
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,53 @@
+// savoryrelayctl: dispatches to its commands by a table of names.
+#include "audit_command.h"
+#include "command.h"
+#include "init_command.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+
+using namespace savoryrelay::ctl;
+
+namespace {
+
+struct command_row {
+    std::string_view name;
+    std::string_view summary;
+    command_handler run;
+};
+
+const std::array commands{
+    command_row{"audit", "list, show, verify or export a record", run_audit},
+    command_row{"init", "generate settings and configuration from answers", run_init},
+};
+
+void print_commands(std::ostream& out) {
+    out << "Usage: savoryrelayctl <command> [<arguments>...]\n\nCommands:\n";
+    for (const auto& command : commands) {
+        out << "  " << command.name << ": " << command.summary << "\n";
+    }
+    out << "\n`savoryrelayctl <command> --help` explains a command.\n"
+           "Exit codes: 0 success, 1 findings or invalid input, 2 wrong arguments, 3 a file or "
+           "service cannot be read or written.\n";
+}
+
+} // namespace
+
+int main(int count, char** words) {
+    const std::vector<std::string> arguments(words + 1, words + count);
+    const bool wants_help =
+        !arguments.empty() && (arguments[0] == "--help" || arguments[0] == "-h");
+    if (wants_help) {
+        print_commands(std::cout);
+        return static_cast<int>(exit_code::success);
+    }
+    const auto* command = std::find_if(commands.begin(), commands.end(), [&](const auto& row) {
+        return !arguments.empty() && row.name == arguments[0];
+    });
+    if (command == commands.end()) {
+        print_commands(std::cerr);
+        return static_cast<int>(exit_code::usage);
+    }
+    return static_cast<int>(command->run(arguments));
+}
--- /dev/null
+++ b/src/ctl/record_files.cpp
@@ -0,0 +1,193 @@
+// Walking of record folders and export files.
+#include "record_files.h"
+
+#include "command.h"
+
+#include "savoryrelay/protocol/record/record_json.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <tuple>
+
+namespace savoryrelay::ctl {
+namespace {
+
+namespace fs = std::filesystem;
+using protocol::export_kind;
+using state::failure_kind;
+
+constexpr std::string_view segment_ending = ".segment";
+constexpr std::string_view content_ending = ".content";
+constexpr const char* keys_name = "public-keys.json";
+constexpr const char* anchors_name = "anchors.json";
+
+protocol::byte_source file_source(const std::shared_ptr<std::ifstream>& file) {
+    return [file](char* buffer, std::size_t size) {
+        file->read(buffer, static_cast<std::streamsize>(size));
+        return static_cast<std::size_t>(file->gcount());
+    };
+}
+
+state::result<void> visit_file(const fs::path& path, const std::string& name, export_kind kind,
+                               const record_file_hook& visit) {
+    const auto file = std::make_shared<std::ifstream>(path, std::ios::binary);
+    if (!*file) {
+        return state::fail(failure_kind::not_found, "'" + path.string() + "' cannot be read");
+    }
+    return visit({kind, name, fs::file_size(path), file_source(file)});
+}
+
+// Sorts by number, and a segment before its content.
+auto order_of(const std::string& name) {
+    return std::tuple(name.substr(0, name.find('.')), !name.ends_with(segment_ending), name);
+}
+
+state::result<void> visit_chain(const fs::path& folder, const record_file_hook& visit) {
+    std::vector<std::string> names;
+    for (const auto& file : fs::directory_iterator(folder)) {
+        auto name = file.path().filename().string();
+        if (name.ends_with(segment_ending) || name.ends_with(content_ending)) {
+            names.push_back(std::move(name));
+        }
+    }
+    std::sort(names.begin(), names.end(),
+              [](const auto& left, const auto& right) { return order_of(left) < order_of(right); });
+    for (const auto& name : names) {
+        const auto kind =
+            name.ends_with(segment_ending) ? export_kind::segment : export_kind::content;
+        BOOST_LEAF_CHECK(
+            visit_file(folder / name, folder.filename().string() + "/" + name, kind, visit));
+    }
+    return {};
+}
+
+// A copy of the object store has its chains below "record".
+fs::path chains_folder(const fs::path& path) {
+    return fs::is_directory(path / "record") ? path / "record" : path;
+}
+
+state::result<void> visit_folder(const fs::path& path, const record_file_hook& visit) {
+    std::vector<fs::path> chains;
+    for (const auto& each : fs::directory_iterator(chains_folder(path))) {
+        if (each.is_directory()) {
+            chains.push_back(each.path());
+        }
+    }
+    std::sort(chains.begin(), chains.end());
+    for (const auto& chain : chains) {
+        BOOST_LEAF_CHECK(visit_chain(chain, visit));
+    }
+    return {};
+}
+
+// Calls `visit` for all frames, those of keys and anchors included.
+state::result<void> visit_export(const std::string& path, const record_file_hook& visit) {
+    const auto file = std::make_shared<std::ifstream>(path, std::ios::binary);
+    if (!*file) {
+        return state::fail(failure_kind::not_found, "'" + path + "' cannot be read");
+    }
+    protocol::export_reader reader(file_source(file));
+    if (!reader.read_start()) {
+        return state::fail(failure_kind::record_damaged,
+                           "'" + path + "' is neither a folder nor an export file of version 1");
+    }
+    protocol::export_frame frame;
+    while (reader.next(frame)) {
+        BOOST_LEAF_CHECK(visit({frame.kind, frame.name, frame.size, reader.content()}));
+    }
+    if (!reader.complete()) {
+        return state::fail(failure_kind::record_damaged, "'" + path + "' is cut short or damaged");
+    }
+    return {};
+}
+
+state::result<std::string> read_all(const record_file& file) {
+    constexpr std::uint64_t max_bytes = 64 * 1024 * 1024;
+    if (file.size > max_bytes) {
+        return state::fail(failure_kind::record_damaged, "keys or anchors have more than 64 MiB");
+    }
+    std::string text(static_cast<std::size_t>(file.size), '\0');
+    std::size_t used = 0;
+    while (used < text.size()) {
+        const auto count = file.source(text.data() + used, text.size() - used);
+        if (count == 0) {
+            break;
+        }
+        used += count;
+    }
+    text.resize(used);
+    return text;
+}
+
+struct material_texts {
+    std::optional<std::string> keys;
+    std::optional<std::string> anchors;
+};
+
+state::result<material_texts> texts_of_folder(const fs::path& path) {
+    material_texts texts;
+    if (fs::exists(path / keys_name)) {
+        BOOST_LEAF_ASSIGN(texts.keys, read_file((path / keys_name).string()));
+    }
+    if (fs::exists(path / anchors_name)) {
+        BOOST_LEAF_ASSIGN(texts.anchors, read_file((path / anchors_name).string()));
+    }
+    return texts;
+}
+
+// Keys and anchors are the first frames of an export file.
+state::result<material_texts> texts_of_export(const std::string& path) {
+    material_texts texts;
+    const auto file = std::make_shared<std::ifstream>(path, std::ios::binary);
+    protocol::export_reader reader(file_source(file));
+    protocol::export_frame frame;
+    if (!*file || !reader.read_start()) {
+        return state::fail(failure_kind::not_found,
+                           "'" + path + "' is neither a folder nor an export file of version 1");
+    }
+    while (reader.next(frame) &&
+           (frame.kind == export_kind::keys || frame.kind == export_kind::anchors)) {
+        BOOST_LEAF_AUTO(text, read_all({frame.kind, frame.name, frame.size, reader.content()}));
+        (frame.kind == export_kind::keys ? texts.keys : texts.anchors) = std::move(text);
+    }
+    return texts;
+}
+
+} // namespace
+
+state::result<void> visit_record(const std::string& path, const record_file_hook& visit) {
+    const auto segments_only = [&](const record_file& file) -> state::result<void> {
+        const bool wanted = file.kind == export_kind::segment || file.kind == export_kind::content;
+        return wanted ? visit(file) : state::result<void>{};
+    };
+    try {
+        return fs::is_directory(path) ? visit_folder(path, segments_only)
+                                      : visit_export(path, segments_only);
+    } catch (const fs::filesystem_error& error) {
+        return state::fail(failure_kind::not_found, error.what());
+    }
+}
+
+state::result<protocol::verifier_material>
+read_material(const std::string& path, const std::optional<std::string>& keys_file,
+              const std::optional<std::string>& anchors_file) {
+    BOOST_LEAF_AUTO(texts, fs::is_directory(path) ? texts_of_folder(path) : texts_of_export(path));
+    if (keys_file) {
+        BOOST_LEAF_ASSIGN(texts.keys, read_file(*keys_file));
+    }
+    if (anchors_file) {
+        BOOST_LEAF_ASSIGN(texts.anchors, read_file(*anchors_file));
+    }
+    protocol::verifier_material material;
+    if (texts.keys) {
+        BOOST_LEAF_ASSIGN(material.keys, protocol::decode_public_keys(*texts.keys));
+    }
+    if (texts.anchors) {
+        BOOST_LEAF_ASSIGN(material.anchors, protocol::decode_anchors(*texts.anchors));
+    }
+    return material;
+}
+
+} // namespace savoryrelay::ctl
