Space the attempts of a failing record flush

While the object store failed, each append woke the flushing thread, which called the store again at once. After a failed flush entries no longer end the wait.

--- a/src/savoryrelay/coordination/record/record_writer.cpp
+++ b/src/savoryrelay/coordination/record/record_writer.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cassert>
 #include <functional>
+#include <utility>
 
 namespace savoryrelay::coordination {
 namespace {
@@ -110,16 +111,17 @@
         queue.push_back({std::move(entry), std::move(on_durable), charge});
     });
     m_entries.add();
-    if (urgent || m_bytes.load() >= m_settings.segment_bytes) {
+    // While the store fails, each append would otherwise cause an attempt.
+    if (!m_last_flush_failed.load() && (urgent || m_bytes.load() >= m_settings.segment_bytes)) {
         interrupt();
     }
     return {};
 }
 
-void record_writer::wait(state::milliseconds at_most) {
+bool record_writer::wait(state::milliseconds at_most) {
     std::unique_lock lock(m_wake_mutex);
     m_wake.wait_for(lock, at_most, [this] { return m_wake_requested; });
-    m_wake_requested = false;
+    return std::exchange(m_wake_requested, false);
 }
 
 void record_writer::interrupt() {
@@ -247,6 +249,7 @@
         }
         return write_anchor();
     });
+    m_last_flush_failed = !attempted.has_value();
     if (!attempted) {
         m_failures.add();
         return state::fail(attempted.error());
--- a/src/savoryrelay/coordination/record/record_writer.h
+++ b/src/savoryrelay/coordination/record/record_writer.h
@@ -54,8 +54,10 @@
                                              durable_hook on_durable = {});
 
     /// Blocks until entries wait for durability, a segment is full, `interrupt`
-    /// was called, or `at_most` has passed.
-    void wait(state::milliseconds at_most);
+    /// was called, or `at_most` has passed. After a failed flush entries do not
+    /// end the wait, so that `at_most` spaces the attempts. Returns whether it
+    /// ended before `at_most`.
+    bool wait(state::milliseconds at_most);
     /// Ends a `wait`.
     void interrupt();
 
@@ -106,6 +108,7 @@
     std::atomic<std::uint64_t> m_next_sequence{1};
     std::atomic<std::size_t> m_bytes{0}; // never above memory_limit_bytes
     std::atomic<bool> m_closed{false};
+    std::atomic<bool> m_last_flush_failed{false};
 
     std::mutex m_wake_mutex;
     std::condition_variable m_wake;
