Report "unknown" once an earlier attempt may have reached an endpoint

Cause: when a first attempt had left and no further endpoint was free, the refusal took the outcome of no_endpoint, "not run", which was untrue. Change: the coordinator refuses with the failure of the earlier attempt. The server also reads on after refusing an oversized request, because closing with unread data resets the connection and the refusal is lost. Measured: the process test for crossed answers and for engines that drop connections got not-run before and unknown after.

--- a/src/savoryrelay/coordination/call/call_coordinator.cpp
+++ b/src/savoryrelay/coordination/call/call_coordinator.cpp
@@ -113,12 +113,18 @@
             {endpoint.id, endpoint.availability_zone, endpoint.capacity, view, false});
         rows.push_back(&endpoint);
     }
-    BOOST_LEAF_AUTO(chosen,
-                    m_hooks.choose_endpoint(candidates, {m_settings.local_zone, accepted.excluded},
-                                            now, random));
+    const auto choice = state::collect([&] {
+        return m_hooks.choose_endpoint(candidates, {m_settings.local_zone, accepted.excluded}, now,
+                                       random);
+    });
+    if (!choice) {
+        // "Not run" would be untrue once an earlier attempt may have reached an endpoint.
+        return accepted.bytes_left ? state::fail(refusal_of(accepted, attempt_end::no_answer))
+                                   : state::fail(choice.error());
+    }
 
     // Count the call at its endpoint.
-    const auto& row = *rows.at(chosen);
+    const auto& row = *rows.at(choice.value());
     m_endpoints.update(row.id, [](state::endpoint_state& view) {
         ++view.in_flight;
         ++view.sent_since_report;
--- a/src/savoryrelay/coordination/retry/crash_suspects.cpp
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -84,8 +84,7 @@
 }
 
 void crash_suspects::release(const state::endpoint_id& endpoint, request_fingerprint suspect) {
-    m_reserved.extract_if(endpoint,
-                            [&](request_fingerprint holder) { return holder == suspect; });
+    m_reserved.extract_if(endpoint, [&](request_fingerprint holder) { return holder == suspect; });
 }
 
 void crash_suspects::sweep(state::time_point now) {
--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -23,6 +23,9 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
+constexpr std::size_t discard_buffer_bytes = 16 * 1024;
+constexpr std::size_t max_discarded_bytes = 64 * 1024 * 1024;
+
 std::string_view read_error_text(unsigned status) {
     return status == 413
                ? R"({"error":{"kind":"request_too_large","message":"request_too_large: the request exceeds the size limit; send a smaller request"}})"
@@ -125,6 +128,25 @@
         auto fields = content_type_field("application/json");
         fields.push_back({"Savoryrelay-Outcome", "not-run"});
         co_await writer.send(status, std::move(fields), read_error_text(status));
+        co_await discard_rest();
+    }
+
+    /// Reads and drops what the peer still sends. Closing with unread data resets
+    /// the connection, and the peer would lose the refusal.
+    asio::awaitable<void> discard_rest() {
+        error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        m_buffer.clear();
+        std::size_t dropped = 0;
+        m_stream.expires_after(m_server.m_limits.request_timeout);
+        while (dropped < max_discarded_bytes) {
+            const auto [failed, size] = co_await m_stream.async_read_some(
+                m_buffer.prepare(discard_buffer_bytes), use_tuple);
+            if (failed) {
+                co_return;
+            }
+            dropped += size;
+        }
     }
 
     http_server& m_server;
