Test the whole path as separate processes, and fix two faults they found

Cause: g++ 12 destroys an aggregate temporary inside a co_await expression twice, so that a refusal for an unknown path corrupted the heap of the daemon; and a call whose endpoints had all failed once was refused although one of them had recovered. Change: arguments of refusals are named objects; when every endpoint is excluded the exclusions are dropped once, within the limit of attempts.

--- a/src/savoryrelay/coordination/call/call_coordinator.cpp
+++ b/src/savoryrelay/coordination/call/call_coordinator.cpp
@@ -113,10 +113,16 @@
             {endpoint.id, endpoint.availability_zone, endpoint.capacity, view, false});
         rows.push_back(&endpoint);
     }
-    const auto choice = state::collect([&] {
+    const auto choose = [&] {
         return m_hooks.choose_endpoint(candidates, {m_settings.local_zone, accepted.excluded}, now,
                                        random);
-    });
+    };
+    auto choice = state::collect(choose);
+    if (!choice && !accepted.excluded.empty()) {
+        // Every endpoint failed this call once; one of them may have recovered.
+        accepted.excluded.clear();
+        choice = state::collect(choose);
+    }
     if (!choice) {
         // "Not run" would be untrue once an earlier attempt may have reached an endpoint.
         return accepted.bytes_left ? state::fail(refusal_of(accepted, attempt_end::no_answer))
--- a/src/savoryrelay/transport/caller/caller_front.cpp
+++ b/src/savoryrelay/transport/caller/caller_front.cpp
@@ -29,6 +29,11 @@
 constexpr unsigned unavailable_status = 503;
 constexpr unsigned not_run_status = 429;
 
+// Refusals before a call is accepted carry no request id. Arguments of a
+// co_await are named objects, because g++ 12 destroys an aggregate temporary
+// in such an expression twice.
+const state::request_id no_request{};
+
 coordination::random_source& thread_random() {
     thread_local coordination::random_source random{std::random_device{}()};
     return random;
@@ -192,8 +197,8 @@
     } else if (target.starts_with(service_path)) {
         co_await serve_service(request, writer);
     } else {
-        co_await refuse(state::failure{failure_kind::not_found, "no such path or method"},
-                        state::request_id{}, writer);
+        const state::failure no_path{failure_kind::not_found, "no such path or method"};
+        co_await refuse(no_path, no_request, writer);
     }
 }
 
@@ -231,9 +236,9 @@
     const auto* customer =
         configuration->find_customer(state::sha256_hex(bearer_token_of(request)));
     if (customer == nullptr) {
-        co_await refuse(
-            state::failure{failure_kind::unauthenticated, "the bearer token is not known"},
-            state::request_id{}, writer);
+        const state::failure unknown_token{failure_kind::unauthenticated,
+                                           "the bearer token is not known"};
+        co_await refuse(unknown_token, no_request, writer);
         co_return;
     }
     co_await writer.send(200, content_type_field(std::string(json_type)),
@@ -247,7 +252,7 @@
         return m_coordinator.accept(call, m_hooks.now());
     });
     if (!accepted) {
-        co_await refuse(accepted.error(), state::request_id{}, writer);
+        co_await refuse(accepted.error(), no_request, writer);
         co_return;
     }
     co_await relay_call(accepted.value(), request, writer);
@@ -260,7 +265,7 @@
         return m_coordinator.accept(call, m_hooks.now());
     });
     if (!accepted) {
-        co_await refuse(accepted.error(), state::request_id{}, writer);
+        co_await refuse(accepted.error(), no_request, writer);
         co_return;
     }
     auto& call = accepted.value();
--- /dev/null
+++ b/tests/process/relay_test.cpp
@@ -0,0 +1,127 @@
+// The whole path as separate processes: streams, bookings, faults of the
+// endpoints, and the graceful stop.
+#include "relay_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace savoryrelay::tests;
+
+namespace {
+
+/// The text of a stream of `tokens` tokens as the engine sends it.
+std::string whole_stream(int tokens) {
+    std::string text;
+    for (int i = 0; i < tokens; ++i) {
+        const auto number = std::to_string(i);
+        text += "id: " + number + "\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"t" +
+                number + " \"}}]}\n\n";
+    }
+    return text + "data: [DONE]\n\n";
+}
+
+} // namespace
+
+// Guards against a stream that loses, doubles or reorders tokens.
+TEST_CASE("a stream arrives whole", "[process]") {
+    const relay_fixture relay;
+    const auto answer = relay.stream(200);
+    CHECK(answer.status == 200);
+    CHECK(answer.whole);
+    CHECK(answer.body == whole_stream(200));
+}
+
+// Guards against a gap or a repeated token after a connection breaks midway.
+TEST_CASE("a broken stream resumes at the next token", "[process]") {
+    const relay_fixture relay;
+    relay.engine_1.control(R"({"break_after_tokens": 7})");
+    relay.engine_2.control(R"({"break_after_tokens": 11})");
+    const auto answer = relay.stream(40);
+    CHECK(answer.whole);
+    CHECK(answer.body == whole_stream(40));
+}
+
+// Guards against waiting for ever on a connection that has gone silent.
+TEST_CASE("a silent engine is left after its progress deadline", "[process]") {
+    const relay_fixture relay;
+    relay.engine_1.control(R"({"freeze": true})");
+    for (int i = 0; i < 4; ++i) {
+        const auto answer = relay.stream(5);
+        CHECK(answer.body == whole_stream(5));
+    }
+}
+
+// Guards against passing one caller the answer to another's request.
+TEST_CASE("an answer to another request is not relayed", "[process]") {
+    const relay_fixture relay;
+    relay.engine_1.control(R"({"cross_answers": true})");
+    relay.engine_2.control(R"({"cross_answers": true})");
+    const auto answer = relay.stream(5);
+    CHECK(answer.status == 502);
+    CHECK(answer.outcome == "unknown");
+    CHECK(answer.body.find("\"t0") == std::string::npos);
+}
+
+// Guards against "not-run" for a request that an engine may have seen.
+TEST_CASE("a refusal says not-run only when nothing was sent", "[process]") {
+    relay_fixture relay;
+    relay.engine_1.control(R"({"down": true})");
+    relay.engine_2.control(R"({"down": true})");
+    const auto unknown = relay.stream(5);
+    CHECK(unknown.outcome == "unknown");
+
+    relay.engine_1.process.send(SIGKILL);
+    relay.engine_2.process.send(SIGKILL);
+    relay.engine_1.process.wait();
+    relay.engine_2.process.wait();
+    const auto refused = relay.stream(5);
+    CHECK(refused.status == 503);
+    CHECK(refused.outcome == "not-run");
+}
+
+// Guards against a second run of a booking whose answer was lost.
+TEST_CASE("a booking runs at most once", "[process]") {
+    const relay_fixture relay;
+    const auto first = relay.book("k1");
+    CHECK(first.status == 200);
+    CHECK(relay.book("k1").body == first.body);
+    CHECK(relay.book("k1", R"({"other":1})").status == 422);
+
+    relay.service.control(R"({"lose_replies": 1})");
+    const auto lost = relay.book("k2");
+    CHECK(lost.outcome == "unknown");
+    CHECK(relay.book("k2").outcome == "unknown");
+    CHECK(fetch(relay.service.port, http::verb::get, "/runs").body == R"({"k1":1,"k2":1})");
+}
+
+// Guards against a planned stop that cuts a stream.
+TEST_CASE("a stop finishes the streams in flight", "[process]") {
+    relay_fixture relay;
+    relay.engine_1.control(R"({"token_ms": 5})");
+    relay.engine_2.control(R"({"token_ms": 5})");
+    test_exchange open(relay.port, http::verb::post, "/v1/chat/completions",
+                       relay_fixture::stream_body(100), {});
+    REQUIRE(open.read_until("id: 3\n"));
+    relay.daemon.send(SIGTERM);
+    const auto answer = open.finish();
+    CHECK(answer.whole);
+    CHECK(answer.body == whole_stream(100));
+    CHECK(relay.daemon.wait() == 0);
+}
+
+// Guards against bad input that is accepted, or that disturbs other callers.
+TEST_CASE("bad input is refused and harms nobody else", "[process]") {
+    const relay_fixture relay;
+    const auto post = [&](const std::string& body, const test_headers& headers = {}) {
+        return fetch(relay.port, http::verb::post, "/v1/completions", body, headers);
+    };
+    CHECK(post("{").status == 400);
+    CHECK(post(R"({"model": 7})").status == 400);
+    CHECK(post(std::string(20'000, '[')).status == 400);
+    CHECK(post(std::string(2'000'000, ' ')).status == 413);
+    CHECK(post("{}", {{"X-Long", std::string(40'000, 'x')}}).status == 413);
+    CHECK(post(relay_fixture::stream_body(1), {{"Authorization", "Bearer wrong"}}).status == 401);
+    CHECK(fetch(relay.port, http::verb::get, "/nowhere").status == 404);
+    const auto answer = relay.stream(3);
+    CAPTURE(answer.status, answer.failed);
+    CHECK(answer.body == whole_stream(3));
+}
--- /dev/null
+++ b/tests/support/child_process.h
@@ -0,0 +1,99 @@
+// Starts a program of the build as a child process and reads its output.
+#pragma once
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <optional>
+#include <spawn.h>
+#include <string>
+#include <string_view>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <vector>
+
+extern char** environ;
+
+namespace savoryrelay::tests {
+
+/// A running child. Its standard output and error arrive through one pipe.
+/// Killed when the object goes.
+class child_process {
+public:
+    explicit child_process(const std::string& program, std::vector<std::string> arguments) {
+        const char* build = std::getenv("SAVORYRELAY_BUILD");
+        arguments.insert(arguments.begin(),
+                         std::string(build == nullptr ? "." : build) + "/" + program);
+        std::vector<char*> raw;
+        for (auto& argument : arguments) {
+            raw.push_back(argument.data());
+        }
+        raw.push_back(nullptr);
+        int ends[2] = {-1, -1};
+        REQUIRE(::pipe(ends) == 0);
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+        posix_spawn_file_actions_adddup2(&actions, ends[1], STDERR_FILENO);
+        posix_spawn_file_actions_addclose(&actions, ends[0]);
+        REQUIRE(::posix_spawn(&m_pid, raw[0], &actions, nullptr, raw.data(), environ) == 0);
+        posix_spawn_file_actions_destroy(&actions);
+        ::close(ends[1]);
+        m_output = ends[0];
+    }
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+    ~child_process() {
+        send(SIGKILL);
+        wait();
+        ::close(m_output);
+    }
+
+    void send(int signal) const {
+        if (!m_status) {
+            ::kill(m_pid, signal);
+        }
+    }
+
+    /// Waits for the end and returns the exit code, or -1 after a signal.
+    int wait() {
+        if (!m_status) {
+            int status = 0;
+            ::waitpid(m_pid, &status, 0);
+            m_status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        }
+        return *m_status;
+    }
+
+    /// Reads output until a line contains `text`, and returns that line.
+    std::string read_until(std::string_view text) {
+        std::string line;
+        char c = 0;
+        while (::read(m_output, &c, 1) == 1) {
+            if (c != '\n') {
+                line.push_back(c);
+            } else if (line.find(text) != std::string::npos) {
+                return line;
+            } else {
+                line.clear();
+            }
+        }
+        FAIL("the process ended before it wrote '" << text << "'");
+        return {};
+    }
+
+    /// The port that follows the IP address in the line with `text`.
+    std::string read_port(std::string_view text) {
+        const auto line = read_until(text);
+        const auto colon = line.find(':', line.find("127.0.0.1"));
+        return line.substr(colon + 1, line.find_first_not_of("0123456789", colon + 1) - colon - 1);
+    }
+
+private:
+    pid_t m_pid = -1;
+    int m_output = -1;
+    std::optional<int> m_status;
+};
+
+} // namespace savoryrelay::tests
--- /dev/null
+++ b/tests/support/test_http_client.h
@@ -0,0 +1,96 @@
+// A small blocking HTTP client of tests. It sends each request once, over a
+// connection of its own.
+#pragma once
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace savoryrelay::tests {
+
+namespace http = boost::beast::http;
+
+/// An answer, or what came of it before the connection ended.
+struct test_answer {
+    unsigned status = 0; ///< 0: no header came
+    std::string body;
+    std::string outcome; ///< the header Savoryrelay-Outcome
+    bool whole = false;  ///< the end of the body came
+    std::string failed;  ///< why the exchange ended early
+};
+
+using test_headers = std::vector<std::pair<std::string, std::string>>;
+
+/// One request and its answer, read in steps.
+class test_exchange {
+public:
+    test_exchange(const std::string& port, http::verb method, const std::string& target,
+                  const std::string& body, const test_headers& headers)
+        : m_socket(m_context) {
+        using boost::asio::ip::tcp;
+        m_socket.connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                                       static_cast<std::uint16_t>(std::stoi(port))));
+        http::request<http::string_body> request{method, target, 11};
+        request.set(http::field::host, "127.0.0.1");
+        request.set(http::field::authorization, "Bearer demo-token");
+        for (const auto& [name, value] : headers) {
+            request.set(name, value);
+        }
+        request.body() = body;
+        request.prepare_payload();
+        http::write(m_socket, request, m_failed);
+        m_parser.body_limit(64 * 1024 * 1024);
+    }
+
+    /// Reads until the body holds `text`. False: the answer ended before.
+    bool read_until(const std::string& text) {
+        while (m_parser.get().body().find(text) == std::string::npos) {
+            if (m_failed || m_parser.is_done()) {
+                return false;
+            }
+            http::read_some(m_socket, m_buffer, m_parser, m_failed);
+        }
+        return true;
+    }
+
+    /// Reads the rest.
+    test_answer finish() {
+        while (!m_failed && !m_parser.is_done()) {
+            http::read_some(m_socket, m_buffer, m_parser, m_failed);
+        }
+        test_answer answer;
+        if (m_parser.is_header_done()) {
+            const auto& message = m_parser.get();
+            answer = {message.result_int(),
+                      message.body(),
+                      std::string(message["Savoryrelay-Outcome"]),
+                      m_parser.is_done(),
+                      {}};
+        }
+        answer.failed = m_failed ? m_failed.message() : std::string{};
+        return answer;
+    }
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    http::response_parser<http::string_body> m_parser;
+    boost::system::error_code m_failed;
+};
+
+/// Sends a request and reads its whole answer.
+inline test_answer fetch(const std::string& port, http::verb method, const std::string& target,
+                         const std::string& body = {}, const test_headers& headers = {}) {
+    return test_exchange(port, method, target, body, headers).finish();
+}
+
+} // namespace savoryrelay::tests
