--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -54,8 +54,9 @@
     if (invalid) {
         co_return invalid;
     }
-    m_stream.expires_after(timeout);
+    m_watch.extend(timeout);
     const auto [failed] = co_await m_stream.async_connect(tcp::endpoint(ip, port), use_tuple);
+    m_watch.disarm();
     if (!failed) {
         set_liveness_options(m_stream.socket());
     }
@@ -67,21 +68,23 @@
     m_parser.emplace();
     m_parser->header_limit(max_answer_header_bytes);
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    m_stream.expires_after(timeout);
+    m_watch.extend(timeout);
     const auto [failed, size] = co_await http::async_write(m_stream, request, use_tuple);
+    m_watch.disarm();
     co_return failed;
 }
 
 asio::awaitable<error_code> endpoint_connection::read_header(state::milliseconds timeout) {
-    m_stream.expires_after(timeout);
+    m_watch.extend(timeout);
     const auto [failed, size] =
         co_await http::async_read_header(m_stream, m_buffer, *m_parser, use_tuple);
+    m_watch.disarm();
     co_return failed;
 }
 
 asio::awaitable<std::pair<error_code, std::size_t>>
 endpoint_connection::read_some(asio::mutable_buffer buffer, state::milliseconds timeout) {
-    m_stream.expires_after(timeout);
+    m_watch.extend(timeout);
     while (!m_parser->is_done()) {
         auto& body = m_parser->get().body();
         body.data = buffer.data();
@@ -93,9 +96,11 @@
             failed = {};
         }
         if (failed || received > 0) {
+            m_watch.disarm();
             co_return std::pair{failed, received};
         }
     }
+    m_watch.disarm();
     co_return std::pair{error_code{}, std::size_t{0}};
 }
 
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -5,6 +5,7 @@
 
 #include "savoryrelay/state/core/time.h"
 #include "savoryrelay/transport/http/http_message.h"
+#include "savoryrelay/transport/http/progress_watch.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
@@ -27,7 +28,8 @@
 /// One connection that carries one exchange at a time. Used on one thread.
 class endpoint_connection {
 public:
-    explicit endpoint_connection(boost::asio::io_context& context) : m_stream(context) {}
+    explicit endpoint_connection(boost::asio::io_context& context)
+        : m_stream(context), m_watch(context.get_executor(), [this] { m_stream.cancel(); }) {}
 
     /// Connects to an IP address. Sets TCP keepalive and a user timeout, so that
     /// a connection whose path has gone silent is noticed.
@@ -57,6 +59,7 @@
 
 private:
     boost::beast::tcp_stream m_stream;
+    progress_watch m_watch; // cancels the pending step when its time is over
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
 };
--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -1,6 +1,8 @@
 // Accepting, reading with bounds, and answering in order.
 #include "savoryrelay/transport/http/http_server.h"
 
+#include "savoryrelay/transport/http/progress_watch.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -38,7 +40,8 @@
 class http_server::connection : public std::enable_shared_from_this<connection> {
 public:
     connection(http_server& server, std::uint64_t id, tcp::socket socket)
-        : m_server(server), m_id(id), m_stream(std::move(socket)) {}
+        : m_server(server), m_id(id), m_stream(std::move(socket)),
+          m_watch(m_stream.get_executor(), [this] { m_stream.cancel(); }) {}
 
     asio::awaitable<void> run() {
         const auto self = shared_from_this();
@@ -94,10 +97,10 @@
         auto request = parser.release();
         response_writer writer(
             [this](std::array<asio::const_buffer, 3> buffers) -> asio::awaitable<error_code> {
-                m_stream.expires_after(m_server.m_limits.write_timeout);
+                m_watch.extend(m_server.m_limits.write_timeout);
                 const auto [error, written] =
                     co_await asio::async_write(m_stream, buffers, use_tuple);
-                m_stream.expires_never();
+                m_watch.disarm();
                 co_return error;
             },
             request.keep_alive() && !m_server.m_stopping.load());
@@ -152,6 +155,7 @@
     http_server& m_server;
     std::uint64_t m_id;
     beast::tcp_stream m_stream;
+    progress_watch m_watch; // cancels a write that the caller does not take
     beast::flat_buffer m_buffer;
     bool m_idle = false; // true only while no byte of the next request has arrived
 };
--- /dev/null
+++ b/src/savoryrelay/transport/http/progress_watch.cpp
@@ -0,0 +1,66 @@
+// The coarse timer behind a deadline.
+#include "savoryrelay/transport/http/progress_watch.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace savoryrelay::transport {
+
+/// Invariant: at most one wait of the timer is pending, as `waiting` tells.
+struct progress_watch::shared_state : std::enable_shared_from_this<shared_state> {
+    shared_state(const boost::asio::any_io_executor& executor, std::function<void()> hook)
+        : timer(executor), expired(std::move(hook)) {}
+
+    void wait() {
+        waiting = true;
+        const auto left = deadline - std::chrono::steady_clock::now();
+        timer.expires_after(std::clamp<std::chrono::steady_clock::duration>(
+            left, state::milliseconds(1), granularity));
+        timer.async_wait([self = shared_from_this()](const boost::system::error_code& failed) {
+            self->waiting = false;
+            if (!failed && self->armed) {
+                self->look();
+            }
+        });
+    }
+
+    void look() {
+        if (std::chrono::steady_clock::now() < deadline) {
+            wait();
+            return;
+        }
+        armed = false;
+        expired();
+    }
+
+    boost::asio::steady_timer timer;
+    std::function<void()> expired;
+    state::time_point deadline{};
+    bool armed = false;
+    bool waiting = false;
+};
+
+progress_watch::progress_watch(boost::asio::any_io_executor executor, std::function<void()> expired)
+    : m_state(std::make_shared<shared_state>(executor, std::move(expired))) {}
+
+progress_watch::~progress_watch() {
+    m_state->armed = false;
+    m_state->timer.cancel();
+}
+
+void progress_watch::extend(state::milliseconds span) {
+    m_state->deadline = std::chrono::steady_clock::now() + span;
+    m_state->armed = true;
+    if (!m_state->waiting) {
+        m_state->wait();
+    }
+}
+
+void progress_watch::disarm() {
+    m_state->armed = false;
+}
+
+} // namespace savoryrelay::transport
