--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 lint: $(BUILD)/build.ninja
 	@./tools/lint $(BUILD) $(JOBS)
 
+sanitize:
+	@./tools/run_sanitized build-sanitized $(JOBS)
+
 fuzz:
 	@./tools/run_fuzz $(JOBS)
 
