Delete objects through the platform client

Cause: the erasure of recorded content needs delete_object, which only the embedded platform offered. Change: the client sends DELETE /v1/objects/NAME; the stand-in serves it. An object that is already absent counts as deleted, as the hook promises. Ruled out: using a kept connection, since a closed one would look like a lost reply of a request that has an effect. Measured: the programs build; the path has no test yet.

--- a/src/savoryrelay/transport/platform_client/platform_client.cpp
+++ b/src/savoryrelay/transport/platform_client/platform_client.cpp
@@ -154,6 +154,16 @@
     hooks.get_object = [this](const std::string& name) {
         return get("/v1/objects/" + encoded(name));
     };
+    hooks.delete_object = [this](const std::string& name) -> state::result<void> {
+        BOOST_LEAF_AUTO(received,
+                        exchange(http::verb::delete_, "/v1/objects/" + encoded(name), {}));
+        // An object that is already absent needs no removal.
+        if (received.status != status_ok && received.status != status_not_found) {
+            return state::fail(failure_kind::store_unavailable,
+                               "status " + std::to_string(received.status));
+        }
+        return {};
+    };
     hooks.list_objects =
         [this](const std::string& prefix) -> state::result<std::vector<std::string>> {
         BOOST_LEAF_AUTO(body, get("/v1/objects?prefix=" + encoded(prefix)));
--- a/src/standin/platform_standin.cpp
+++ b/src/standin/platform_standin.cpp
@@ -28,6 +28,10 @@
         const auto put = state::collect([&] { return m_store.put_object(name, request.body()); });
         return {put ? status_ok : status_conflict, "{}", true};
     }
+    if (request.method() == http::verb::delete_) {
+        const auto removed = state::collect([&] { return m_store.delete_object(name); });
+        return {removed ? status_ok : status_not_found, "{}", true};
+    }
     const auto read = state::collect([&] { return m_store.get_object(name); });
     return read ? answer{status_ok, read.value()} : answer{status_not_found, "{}"};
 }
