Ask services for bookings by their key

Cause: the recovery of bookings had no hooks to the services, and a call reached the service under the caller's own key, so that equal keys of two customers met there. Change: transport/service_client reads a key back and closes it with blocking exchanges on the socket threads; the front end sends the service key; the service stand-in keeps first answers and says what it knows of a key. Ruled out: asking one endpoint only. Endpoints need not share bookings, so a key counts as absent or closed only when all of them have answered.

--- /dev/null
+++ b/src/savoryrelay/protocol/booking/service_reading_text.cpp
@@ -0,0 +1,27 @@
+// Reading of a service's description of a booking.
+#include "savoryrelay/protocol/booking/service_reading_text.h"
+
+#include <boost/json.hpp>
+
+namespace savoryrelay::protocol {
+
+namespace json = boost::json;
+
+state::result<service_reading_message> read_service_reading(const std::string& text) {
+    try {
+        const auto fields = json::parse(text).as_object();
+        service_reading_message message;
+        message.state = json::value_to<std::string>(fields.at("state"));
+        if (message.state == "ran") {
+            message.answer.status = fields.at("status").to_number<int>();
+            message.answer.content_type = json::value_to<std::string>(fields.at("content_type"));
+            message.answer.body = json::value_to<std::string>(fields.at("body"));
+        }
+        return message;
+    } catch (const std::exception& error) {
+        return state::fail(state::failure_kind::message_damaged,
+                           std::string("service reading: ") + error.what());
+    }
+}
+
+} // namespace savoryrelay::protocol
--- a/src/savoryrelay/transport/caller/caller_front.cpp
+++ b/src/savoryrelay/transport/caller/caller_front.cpp
@@ -2,6 +2,7 @@
 #include "savoryrelay/transport/caller/caller_front.h"
 
 #include "savoryrelay/protocol/http_api/caller_api.h"
+#include "savoryrelay/state/booking/booking_row.h"
 #include "savoryrelay/state/digest/digest.h"
 #include "savoryrelay/transport/process/await_completion.h"
 
@@ -496,6 +497,10 @@
         attempt.request.keep_alive(false);
         attempt.request.set(http::field::host, route.value().address);
         attempt.request.set("Savoryrelay-Request-Id", accepted->id.value());
+        // Equal keys of two customers must differ at the service, and recovery
+        // asks the service for this key.
+        attempt.request.set("Idempotency-Key", state::service_key({accepted->customer->id,
+                                                                   accepted->idempotency_key}));
         if (co_await open_exchange(attempt)) {
             attempt.end = co_await read_answer(attempt, answer);
         }
--- /dev/null
+++ b/src/savoryrelay/transport/service_client/service_client.cpp
@@ -0,0 +1,154 @@
+// Exchanges with the endpoints of a service and the joining of their answers.
+#include "savoryrelay/transport/service_client/service_client.h"
+
+#include "savoryrelay/protocol/booking/service_reading_text.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+
+#include <vector>
+
+namespace savoryrelay::transport {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using coordination::service_booking;
+using coordination::service_reading;
+using state::failure_kind;
+
+namespace {
+
+constexpr std::size_t max_answer_bytes = 16 * 1024 * 1024; // as of a service's answer to a caller
+constexpr std::size_t read_buffer_bytes = 16 * 1024;
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+
+// Text of an answer that says that the key was never seen.
+constexpr const char* absent_reading = R"({"state":"absent"})";
+
+std::string booking_path(const std::string& service_key) {
+    return "/bookings/" + boost::urls::encode(service_key, boost::urls::unreserved_chars);
+}
+
+} // namespace
+
+service_client::service_client(io_threads& threads,
+                               const state::snapshot_cell<state::configuration>& services,
+                               state::milliseconds timeout)
+    : m_threads(threads), m_configuration(services), m_timeout(timeout) {}
+
+asio::awaitable<state::attempt<std::string>>
+service_client::run_exchange(state::endpoint_config endpoint, http_request request) {
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    const state::failure lost{failure_kind::endpoint_failed,
+                              "no answer of service endpoint '" + endpoint.id.value() + "'"};
+    endpoint_connection connection(context);
+    if (co_await connection.connect(endpoint.address, endpoint.port, m_timeout)) {
+        co_return lost;
+    }
+    if (co_await connection.send(request, m_timeout)) {
+        co_return lost;
+    }
+    if (co_await connection.read_header(m_timeout)) {
+        co_return lost;
+    }
+    std::string body;
+    std::vector<char> buffer(read_buffer_bytes);
+    while (true) {
+        const auto [failed, size] = co_await connection.read_some(asio::buffer(buffer), m_timeout);
+        if (failed || body.size() + size > max_answer_bytes) {
+            co_return lost;
+        }
+        if (size == 0) {
+            break;
+        }
+        body.append(buffer.data(), size);
+    }
+
+    // A key that cannot be closed is a failure; only a read may find it absent.
+    if (connection.status() == status_not_found && request.method() == http::verb::get) {
+        co_return std::string(absent_reading);
+    }
+    if (connection.status() != status_ok) {
+        co_return state::failure{failure_kind::endpoint_failed,
+                                 "status " + std::to_string(connection.status()) +
+                                     " of service endpoint '" + endpoint.id.value() + "'"};
+    }
+    co_return body;
+}
+
+state::result<service_booking> service_client::ask_endpoint(const state::endpoint_config& endpoint,
+                                                            http::verb method,
+                                                            const std::string& target) {
+    http_request request{method, target, 11};
+    request.set(http::field::host, endpoint.address);
+    request.keep_alive(false);
+    request.prepare_payload();
+    const auto received =
+        asio::co_spawn(m_threads.next(), run_exchange(endpoint, std::move(request)),
+                       asio::use_future)
+            .get();
+    if (!received) {
+        return state::fail(received.error());
+    }
+    BOOST_LEAF_AUTO(message, protocol::read_service_reading(received.value()));
+    const auto reading = state::from_name<service_reading>(message.state);
+    if (!reading) {
+        return state::fail(failure_kind::message_damaged,
+                           "service reading: unknown state '" + message.state + "'");
+    }
+    return service_booking{*reading, message.answer};
+}
+
+state::result<service_booking> service_client::ask(const state::deployment_id& deployment,
+                                                   http::verb method, const std::string& target) {
+    const auto configuration = m_configuration.load();
+    std::size_t asked = 0;
+    std::size_t closed = 0;
+    std::optional<state::failure> first_failure;
+    std::optional<service_booking> running;
+    for (const auto& endpoint : configuration->endpoints) {
+        if (endpoint.deployment != deployment) {
+            continue;
+        }
+        ++asked;
+        const auto told = state::collect([&] { return ask_endpoint(endpoint, method, target); });
+        if (!told) {
+            first_failure = first_failure.value_or(told.error());
+        } else if (told.value().reading == service_reading::ran) {
+            return told.value();
+        } else if (told.value().reading == service_reading::running) {
+            running = told.value();
+        } else {
+            closed += told.value().reading == service_reading::closed ? 1 : 0;
+        }
+    }
+    if (running) {
+        return *running;
+    }
+    if (first_failure) {
+        return state::fail(*first_failure);
+    }
+    if (asked == 0) {
+        return state::fail(failure_kind::endpoint_failed,
+                           "deployment '" + deployment.value() + "' has no endpoint to ask");
+    }
+    return service_booking{closed == asked ? service_reading::closed : service_reading::absent, {}};
+}
+
+coordination::booking_service_hooks service_client::hooks() {
+    return {
+        .read_back =
+            [this](const state::deployment_id& deployment, const std::string& service_key) {
+                return ask(deployment, http::verb::get, booking_path(service_key));
+            },
+        .close_key =
+            [this](const state::deployment_id& deployment, const std::string& service_key) {
+                return ask(deployment, http::verb::post, booking_path(service_key) + "/close");
+            },
+    };
+}
+
+} // namespace savoryrelay::transport
--- a/src/standin/service_standin.cpp
+++ b/src/standin/service_standin.cpp
@@ -2,6 +2,7 @@
 #include "service_standin.h"
 
 #include <boost/json.hpp>
+#include <boost/url/pct_string_view.hpp>
 
 namespace savoryrelay::standin {
 
@@ -17,44 +18,70 @@
 constexpr std::string_view bookings_path = "/bookings/";
 constexpr std::string_view close_suffix = "/close";
 
+/// A segment of a path without its percent encoding; empty when it is damaged.
+std::string decoded(const std::string& segment) {
+    const auto text = boost::urls::make_pct_string_view(segment);
+    return text.has_error() ? std::string{} : text->decode();
+}
+
 } // namespace
 
 service_standin::service_standin(control_switches& switches) : m_switches(switches) {}
 
+json::object service_standin::describe(const std::string& key) const {
+    json::object known;
+    if (const auto found = m_answers.find(key); found != m_answers.end()) {
+        known["state"] = "ran";
+        known["status"] = status_ok;
+        known["content_type"] = "application/json";
+        known["body"] = found->second;
+    } else if (m_closed.contains(key)) {
+        known["state"] = "closed";
+    }
+    return known;
+}
+
 asio::awaitable<void> service_standin::handle(transport::http_request request,
                                               transport::response_writer& writer) {
     const std::string target(request.target());
     unsigned status = status_ok;
     json::object answer;
     bool lose_reply = false;
+    bool closed = false;
     if (target == "/runs") {
         const std::scoped_lock lock(m_mutex);
         for (const auto& [key, runs] : m_runs) {
             answer[key] = runs;
         }
-    } else if (target.starts_with(bookings_path) && target.ends_with(close_suffix)) {
-        const auto key = target.substr(bookings_path.size(),
-                                       target.size() - bookings_path.size() - close_suffix.size());
-        const std::scoped_lock lock(m_mutex);
-        m_closed.insert(key);
-        answer["ran"] = m_runs.contains(key);
     } else if (target.starts_with(bookings_path)) {
-        const auto key = target.substr(bookings_path.size());
+        const auto path = target.substr(bookings_path.size());
+        const bool closes = path.ends_with(close_suffix);
+        const auto key = decoded(closes ? path.substr(0, path.size() - close_suffix.size()) : path);
         const std::scoped_lock lock(m_mutex);
-        status = m_runs.contains(key) ? status_ok : status_not_found;
-        answer["ran"] = m_runs.contains(key);
+        if (closes && !m_answers.contains(key)) {
+            m_closed.insert(key);
+        }
+        answer = describe(key);
+        status = answer.empty() ? status_not_found : status_ok;
     } else {
         const auto key = header_of(request, "Idempotency-Key");
         const std::scoped_lock lock(m_mutex);
         if (m_closed.contains(key)) {
-            status = status_gone;
+            closed = true;
         } else {
             answer["booking"] = key;
             answer["run"] = ++m_runs[key];
+            m_answers.try_emplace(key, json::serialize(answer));
             lose_reply = m_switches.lose_replies > 0;
             m_switches.lose_replies -= lose_reply ? 1 : 0;
         }
     }
+    if (closed) {
+        auto fields = transport::content_type_field("application/json");
+        fields.push_back({"Savoryrelay-Outcome", "not-run"});
+        co_await writer.send(status_gone, std::move(fields), "{}");
+        co_return;
+    }
     if (lose_reply) {
         writer.abandon();
         co_return;
