Connect the bookings to the daemon

Cause: the daemon kept bookings by simple hooks with a transaction per state, without recovery, group commit or the reading back of lost replies. Change: booking_part owns the coordinator with its flushing and recovery threads and offers the front end's hooks. A stop finishes open requests, then waits up to 30 s for outcomes to become durable, then ends the threads. Ruled out: an unlimited wait at the stop, which a table that stays down would hold for ever. Members that are gone are not known yet: the hook says false until membership is connected.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,14 +6,10 @@
 #include "savoryrelay/state/digest/digest.h"
 #include "savoryrelay/transport/process/log.h"
 
-#include <boost/json.hpp>
-
+#include <charconv>
 #include <chrono>
-#include <condition_variable>
 #include <fstream>
-#include <mutex>
 #include <sstream>
-#include <thread>
 
 namespace savoryrelay::daemon {
 
@@ -25,6 +21,20 @@
 
 constexpr const char* configuration_key = "config/current";
 
+// An outcome that the table does not take is lost with this process, and its
+// row is then settled by asking the service. The limit keeps a stop bounded
+// while the table is down.
+constexpr state::milliseconds settle_limit{30'000};
+
+/// A number that is unique to `incarnation`: the first 64 bits of its digest.
+std::uint64_t incarnation_number(const std::string& incarnation) {
+    constexpr std::size_t digits = 16;
+    const auto digest = state::sha256_hex(incarnation);
+    std::uint64_t number = 0;
+    std::from_chars(digest.data(), digest.data() + digits, number, digits);
+    return number;
+}
+
 state::time_point read_clock() {
     return std::chrono::steady_clock::now();
 }
@@ -52,8 +62,15 @@
                      : m_platform_client.hooks()),
       m_coordinator({.local_zone = m_settings.availability_zone, .id_prefix = m_incarnation},
                     m_configuration, m_endpoints, m_metrics, make_call_hooks()),
+      m_bookings({m_settings.member, incarnation_number(m_incarnation)},
+                 {.platform = m_platform,
+                  .io_threads = m_io_threads,
+                  .configuration = m_configuration,
+                  .metrics = m_metrics,
+                  .is_gone = [](const state::booking_owner&) { return false; },
+                  .now = read_clock}),
       m_caller_front(m_coordinator, m_configuration, m_metrics, {},
-                     {make_booking_hooks(),
+                     {m_bookings.hooks(),
                       [this](state::time_point) {
                           return !m_stopping.load() && m_configuration.load()->revision > 0;
                       },
@@ -61,7 +78,7 @@
 
 relay_daemon::~relay_daemon() {
     m_control_worker.stop();
-    m_store_worker.stop();
+    m_bookings.stop();
     m_io_threads.stop();
 }
 
@@ -84,69 +101,6 @@
     };
 }
 
-transport::booking_hooks relay_daemon::make_booking_hooks() {
-    // One row per booking. The row's insertion is the durable intent.
-    using transport::stored_answer;
-    const auto key_of = [](const coordination::call& call) {
-        return "booking/" + call.customer->id.value() + "/" + call.idempotency_key;
-    };
-    using begin_completion = std::function<void(state::attempt<std::optional<stored_answer>>)>;
-    using finish_completion = std::function<void(state::attempt<state::done>)>;
-    transport::booking_hooks hooks;
-    hooks.begin = [this, key_of](const coordination::call& call, state::time_point,
-                                 begin_completion completion) {
-        const auto key = key_of(call);
-        const auto fingerprint = call.fingerprint;
-        const auto write_key = "begin/" + call.id.value();
-        m_store_worker.post([this, key, fingerprint, write_key,
-                             completion = std::move(completion)] {
-            completion(state::collect([&]() -> state::result<std::optional<stored_answer>> {
-                const boost::json::object intent{{"fingerprint", fingerprint}, {"state", "intent"}};
-                BOOST_LEAF_AUTO(
-                    done,
-                    m_platform.transact(
-                        {write_key, {{key, 0}}, {{key, boost::json::serialize(intent)}}, {}}));
-                if (done.committed) {
-                    return std::optional<stored_answer>{};
-                }
-                BOOST_LEAF_AUTO(row, m_platform.read_row(key));
-                const auto kept = boost::json::parse(row.value).as_object();
-                if (kept.at("fingerprint").as_string() != fingerprint) {
-                    return state::fail(failure_kind::idempotency_key_reused,
-                                       "the key was used with another body");
-                }
-                if (kept.at("state").as_string() != "ran") {
-                    return state::fail(failure_kind::booking_unknown,
-                                       "an earlier call with this key has not ended");
-                }
-                return std::optional<stored_answer>{
-                    stored_answer{kept.at("status").to_number<unsigned>(),
-                                  std::string(kept.at("type").as_string()),
-                                  std::string(kept.at("body").as_string())}};
-            }));
-        });
-    };
-    hooks.finish = [this, key_of](const coordination::call& call, transport::booking_end end,
-                                  const stored_answer& answer, state::time_point,
-                                  finish_completion completion) {
-        const bool ran = end == transport::booking_end::ran;
-        const boost::json::object outcome{{"fingerprint", call.fingerprint},
-                                          {"state", ran ? "ran" : "unknown"},
-                                          {"status", answer.status},
-                                          {"type", answer.content_type},
-                                          {"body", answer.body}};
-        const state::table_transaction write{
-            "finish/" + call.id.value(), {}, {{key_of(call), boost::json::serialize(outcome)}}, {}};
-        m_store_worker.post([this, write, completion = std::move(completion)] {
-            completion(state::collect([&]() -> state::result<state::done> {
-                BOOST_LEAF_CHECK(m_platform.transact(write));
-                return state::done{};
-            }));
-        });
-    };
-    return hooks;
-}
-
 state::result<void> relay_daemon::load_first_configuration() {
     if (m_settings.platform != protocol::platform_mode::embedded) {
         return {};
@@ -218,6 +172,9 @@
     m_caller_server->stop_accepting();
     log_change("stopping", {{"open_requests", std::to_string(m_caller_server->open_requests())}});
     m_caller_server->wait_until_idle();
+    if (const auto unsettled = m_bookings.wait_until_settled(settle_limit); unsettled > 0) {
+        log_warning("bookings_not_settled", {{"bookings", std::to_string(unsettled)}});
+    }
     log_change("stopped");
 }
 
