--- a/src/savoryrelay/transport/service_client/service_client.cpp
+++ b/src/savoryrelay/transport/service_client/service_client.cpp
@@ -72,9 +72,10 @@
         co_return std::string(absent_reading);
     }
     if (connection.status() != status_ok) {
-        co_return state::failure{failure_kind::endpoint_failed,
-                                 "status " + std::to_string(connection.status()) +
-                                     " of service endpoint '" + endpoint.id.value() + "'"};
+        const state::failure refused{failure_kind::endpoint_failed,
+                                     "status " + std::to_string(connection.status()) +
+                                         " of service endpoint '" + endpoint.id.value() + "'"};
+        co_return refused;
     }
     co_return body;
 }
