Wait for readiness instead of log order in the booking tests

Cause: the log lines for the port and for the configuration come from two threads, and reading one consumes the other when they change places. Ruled out: reading the lines in either order, which needs a second reader.

--- a/tests/process/booking_test.cpp
+++ b/tests/process/booking_test.cpp
@@ -66,8 +66,18 @@
     std::string second_port{second.read_port("event=listening")};
 
     booking_fixture() {
-        first.read_until("event=configuration_in_force");
-        second.read_until("event=configuration_in_force");
+        wait_until_ready(first_port);
+        wait_until_ready(second_port);
+    }
+
+    /// Waits until the daemon at `port` has a configuration. The log does not
+    /// tell, since that line may come before or after the one with the port.
+    static void wait_until_ready(const std::string& port) {
+        unsigned status = 0;
+        while (status != 200) {
+            status = fetch(port, http::verb::get, "/readyz").status;
+            REQUIRE(status != 0);
+        }
     }
 
     /// Books under `key`, for at most 5 s.
