Wait for readiness in the fixture of the process tests

Cause: the lines 'listening' and 'configuration_in_force' come from two threads of the daemon. When the second came first, reading the port consumed it and the fixture waited for ever on a daemon that was ready. Change: the fixtures ask /readyz until it is 200; the test fails when the daemon does not answer. Ruled out: a fault of the daemon. In a hung run it answered /readyz with ready and had accepted no call, while the test blocked in the fixture's read_until.

--- a/tests/process/booking_test.cpp
+++ b/tests/process/booking_test.cpp
@@ -70,16 +70,6 @@
         wait_until_ready(second_port);
     }
 
-    /// Waits until the daemon at `port` has a configuration. The log does not
-    /// tell, since that line may come before or after the one with the port.
-    static void wait_until_ready(const std::string& port) {
-        unsigned status = 0;
-        while (status != 200) {
-            status = fetch(port, http::verb::get, "/readyz").status;
-            REQUIRE(status != 0);
-        }
-    }
-
     /// Books under `key`, for at most 5 s.
     [[nodiscard]] static test_answer book(const std::string& port, const std::string& key,
                                           const std::string& deadline_ms = "5000") {
--- a/tests/process/relay_fixture.h
+++ b/tests/process/relay_fixture.h
@@ -52,6 +52,16 @@
     std::filesystem::path m_path;
 };
 
+/// Waits until the daemon at `port` has a configuration. The log does not tell,
+/// since that line may come before or after the one with the port.
+inline void wait_until_ready(const std::string& port) {
+    unsigned status = 0;
+    while (status != 200) {
+        status = fetch(port, http::verb::get, "/readyz").status;
+        REQUIRE(status != 0);
+    }
+}
+
 /// Two engines, a service and a daemon on an embedded platform.
 struct relay_fixture {
     test_folder folder;
@@ -61,7 +71,7 @@
     child_process daemon{"savoryrelayd", {"--settings=" + write_settings()}};
     std::string port{daemon.read_port("event=listening")};
 
-    relay_fixture() { daemon.read_until("event=configuration_in_force"); }
+    relay_fixture() { wait_until_ready(port); }
 
     /// Streams `tokens` tokens and returns the whole answer.
     [[nodiscard]] test_answer stream(int tokens, const test_headers& headers = {}) const {
