--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,7 +1,6 @@
 // Joining of the parts and the order of starting and stopping.
 #include "daemon.h"
 
-#include "savoryrelay/coordination/routing/router.h"
 #include "savoryrelay/protocol/configuration/configuration_document.h"
 #include "savoryrelay/state/digest/digest.h"
 #include "savoryrelay/transport/process/log.h"
@@ -50,8 +49,9 @@
       m_platform(m_settings.platform == protocol::platform_mode::embedded
                      ? m_embedded_platform.hooks()
                      : m_platform_client.hooks()),
-      m_coordinator({.local_zone = m_settings.availability_zone, .id_prefix = m_incarnation},
-                    m_configuration, m_endpoints, m_metrics, make_call_hooks()),
+      m_routing(m_io_threads, m_configuration, m_metrics, m_settings.availability_zone, read_clock),
+      m_coordinator({.id_prefix = m_incarnation, .retries = {}}, m_configuration,
+                    m_routing.decisions(), m_metrics, make_call_hooks()),
       m_caller_front(m_coordinator, m_configuration, m_metrics, {},
                      {make_booking_hooks(),
                       [this](state::time_point) {
@@ -76,10 +76,13 @@
             }
             return {};
         },
-        .admit = [](const coordination::call&, state::time_point) { return state::result<void>{}; },
+        .admit =
+            [this](const coordination::call&, state::time_point) {
+                m_routing.follow_configuration();
+                return state::result<void>{};
+            },
         .may_use_endpoint = [](const state::endpoint_config&, const state::endpoint_state&,
                                state::time_point) { return true; },
-        .choose_endpoint = coordination::choose_endpoint,
         .finished = [](const coordination::call&, state::execution_outcome, state::time_point) {},
     };
 }
@@ -186,6 +189,7 @@
 
 state::result<void> relay_daemon::start() {
     BOOST_LEAF_CHECK(load_first_configuration());
+    m_routing.start();
     m_control_worker.repeat(m_settings.poll_interval, [this] { poll_configuration(); });
     try {
         m_caller_server = std::make_unique<transport::http_server>(
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -2,11 +2,12 @@
 // hooks, and runs them until it is asked to stop.
 #pragma once
 
+#include "routing_part.h"
+
 #include "savoryrelay/coordination/call/call_coordinator.h"
 #include "savoryrelay/protocol/settings/daemon_settings.h"
 #include "savoryrelay/state/configuration/configuration.h"
 #include "savoryrelay/state/core/snapshot_cell.h"
-#include "savoryrelay/state/endpoint/endpoint_table.h"
 #include "savoryrelay/state/metrics/metrics.h"
 #include "savoryrelay/state/platform/memory_platform.h"
 #include "savoryrelay/transport/caller/caller_front.h"
@@ -47,7 +48,6 @@
     std::string m_incarnation;
     state::metrics m_metrics;
     state::snapshot_cell<state::configuration> m_configuration{state::configuration{}};
-    state::endpoint_table m_endpoints;
     state::memory_platform m_embedded_platform; // used in embedded mode only
     std::atomic<bool> m_stopping{false};
 
@@ -55,6 +55,7 @@
     transport::io_threads m_io_threads;
     transport::platform_client m_platform_client;
     state::platform_hooks m_platform;
+    routing_part m_routing;
     coordination::call_coordinator m_coordinator;
     transport::caller_front m_caller_front;
     std::unique_ptr<transport::http_server> m_caller_server;
--- /dev/null
+++ b/src/daemon/routing_part.cpp
@@ -0,0 +1,220 @@
+// Ticks and load reports.
+#include "routing_part.h"
+
+#include "savoryrelay/transport/http/endpoint_connection.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace savoryrelay::daemon {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr state::milliseconds tick_interval{50};
+constexpr int ticks_per_poll = 20; // one second
+
+// The steps of a poll together end before the next poll begins.
+constexpr state::milliseconds poll_step_timeout{300};
+constexpr std::size_t max_report_bytes = 64 * 1024;
+
+// A poll that follows a crash confirms it; three polls allow for two lost ones.
+constexpr state::milliseconds broken_retention{3'000};
+
+// Tokens of cost in flight for one concurrent request: the default capacity of
+// 64,000 for an endpoint that runs 16 requests.
+constexpr double tokens_per_request = 4'000;
+
+/// Tokens of cost that the deployment's usable endpoints bear. At least one
+/// token, so that calls without any endpoint are refused instead of waiting.
+double capacity_of(const state::configuration& configuration, const state::deployment_id& id) {
+    double total = 0;
+    for (const auto& endpoint : configuration.endpoints) {
+        if (endpoint.deployment == id && !endpoint.drained &&
+            !configuration.is_drained(endpoint.availability_zone)) {
+            total += static_cast<double>(endpoint.capacity) * tokens_per_request;
+        }
+    }
+    return std::max(total, 1.0);
+}
+
+double quantum_of(const state::configuration& configuration, const state::customer_id& id,
+                  const coordination::admission_settings& settings) {
+    for (const auto& customer : configuration.customers) {
+        if (customer.id == id) {
+            return std::max(settings.quantum * customer.weight, 1.0);
+        }
+    }
+    return settings.quantum;
+}
+
+} // namespace
+
+routing_part::routing_part(transport::io_threads& threads,
+                           const state::snapshot_cell<state::configuration>& configuration,
+                           state::metrics& metrics, state::availability_zone_id local_zone,
+                           std::function<state::time_point()> now)
+    : m_threads(threads), m_configuration(configuration), m_now(std::move(now)),
+      m_reports(metrics.counter_of("engine_reports_total")),
+      m_report_failures(metrics.counter_of("engine_report_failures_total")),
+      m_catalog({.local_zone = std::move(local_zone), .lanes = threads.size(), .weights = {}}),
+      m_queue({},
+              [this](const state::customer_id& customer,
+                     const coordination::admission_settings& settings) {
+                  return quantum_of(*m_configuration.load(), customer, settings);
+              }),
+      m_budget({}), m_suspects({}, coordination::default_crash_hooks()),
+      m_broken(broken_retention) {}
+
+coordination::load_decisions routing_part::decisions() {
+    return {m_catalog, m_queue, m_budget, m_suspects, m_broken};
+}
+
+void routing_part::start() {
+    asio::co_spawn(m_threads.next(), run_ticks(), asio::detached);
+}
+
+void routing_part::follow_configuration() {
+    if (m_configuration.load()->revision == m_revision.load()) {
+        return;
+    }
+    const std::scoped_lock lock(m_rebuild);
+    const auto configuration = m_configuration.load();
+    if (configuration->revision == m_revision.load()) {
+        return;
+    }
+    const auto now = m_now();
+    m_catalog.rebuild(*configuration, now);
+    for (const auto& deployment : configuration->deployments) {
+        m_queue.set_capacity(deployment.id, capacity_of(*configuration, deployment.id), now);
+    }
+    m_poll_at_once = true;
+    m_revision = configuration->revision;
+}
+
+asio::awaitable<void> routing_part::run_ticks() {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (int tick = 0;; ++tick) {
+        follow_configuration();
+        m_catalog.refresh();
+        for (const auto& routes : m_catalog.all()) {
+            m_queue.expire(routes->deployment.id, m_now());
+        }
+        if (m_poll_at_once.exchange(false) || tick % ticks_per_poll == 0) {
+            tick = 0;
+            m_suspects.sweep(m_now());
+            poll_engines();
+        }
+        timer.expires_after(tick_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+void routing_part::poll_engines() {
+    for (const auto& routes : m_catalog.all()) {
+        if (routes->deployment.kind != state::deployment_kind::model) {
+            continue;
+        }
+        for (std::uint32_t slot = 0; slot < routes->endpoints.size(); ++slot) {
+            asio::co_spawn(m_threads.next(), poll_load(routes, slot), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void>
+routing_part::poll_load(std::shared_ptr<const coordination::deployment_routes> routes,
+                        std::uint32_t slot) {
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    const auto& endpoint = routes->endpoints.at(slot);
+
+    // A poll is harmless to repeat, so a kept connection needs no second try:
+    // the next poll takes a fresh one.
+    auto connection = m_pool.take(context, endpoint.address, endpoint.port);
+    if (connection == nullptr) {
+        connection = std::make_unique<transport::endpoint_connection>(context);
+        const auto failed =
+            co_await connection->connect(endpoint.address, endpoint.port, poll_step_timeout);
+        if (failed) {
+            m_report_failures.add();
+            if (failed == boost::system::errc::connection_refused) {
+                const auto now = m_now();
+                m_catalog.note_unreachable(*routes, slot, now);
+                note_death(endpoint.id, now);
+            }
+            co_return;
+        }
+    }
+    transport::http_request request{http::verb::get, "/engine/load", 11};
+    request.set(http::field::host, endpoint.address);
+    request.keep_alive(true);
+    if (co_await connection->send(request, poll_step_timeout) ||
+        co_await connection->read_header(poll_step_timeout)) {
+        m_report_failures.add();
+        co_return;
+    }
+    std::string body;
+    std::array<char, 4096> buffer{};
+    while (body.size() < max_report_bytes) {
+        const auto [failed, size] =
+            co_await connection->read_some(asio::buffer(buffer), poll_step_timeout);
+        if (failed) {
+            m_report_failures.add();
+            co_return;
+        }
+        if (size == 0) {
+            break;
+        }
+        body.append(buffer.data(), size);
+    }
+    take_report(*routes, slot, body);
+    if (connection->reusable()) {
+        m_pool.keep(context, endpoint.address, endpoint.port, std::move(connection));
+    }
+}
+
+void routing_part::take_report(const coordination::deployment_routes& routes, std::uint32_t slot,
+                               const std::string& body) {
+    const auto& id = routes.endpoints.at(slot).id;
+    const auto now = m_now();
+    coordination::engine_report report;
+    std::uint64_t completed = 0;
+    try {
+        const auto fields = boost::json::parse(body).as_object();
+        report.load = {fields.at("running").to_number<std::uint32_t>(),
+                       fields.at("queued").to_number<std::uint32_t>(), now};
+        report.is_cold = fields.at("cold").as_bool();
+        completed = fields.at("completed").to_number<std::uint64_t>();
+    } catch (const std::exception&) {
+        m_report_failures.add();
+        return;
+    }
+    m_reports.add();
+
+    // A smaller count is that of a process started anew.
+    const bool restarted = m_completed.update(
+        id, [&](std::uint64_t& known) { return completed < std::exchange(known, completed); });
+    if (restarted) {
+        report.is_cold = true;
+        note_death(id, now);
+    }
+    m_catalog.note_report(routes, slot, report);
+}
+
+void routing_part::note_death(const state::endpoint_id& endpoint, state::time_point now) {
+    if (const auto death = m_broken.take_death(endpoint, now)) {
+        m_suspects.note_death(*death, now);
+    }
+}
+
+} // namespace savoryrelay::daemon
--- a/src/savoryrelay/coordination/call/call.h
+++ b/src/savoryrelay/coordination/call/call.h
@@ -2,6 +2,8 @@
 // attempt at an endpoint.
 #pragma once
 
+#include "savoryrelay/coordination/retry/crash_suspects.h"
+#include "savoryrelay/coordination/routing/endpoint_catalog.h"
 #include "savoryrelay/state/configuration/configuration.h"
 #include "savoryrelay/state/core/enum_names.h"
 #include "savoryrelay/state/core/failure.h"
@@ -30,8 +32,8 @@
     int priority = 0;                            ///< larger goes first, -10 to 10
 };
 
-/// How one attempt at an endpoint ended.
-enum class attempt_end {
+/// How the exchange with an endpoint ended, the whole answers included.
+enum class exchange_end {
     completed,   ///< the whole answer arrived
     not_sent,    ///< it is certain that no byte left
     refused,     ///< the endpoint answered that it did not run the request
@@ -44,8 +46,8 @@
 } // namespace savoryrelay::coordination
 
 template <>
-struct savoryrelay::state::enum_table<savoryrelay::coordination::attempt_end> {
-    using e = savoryrelay::coordination::attempt_end;
+struct savoryrelay::state::enum_table<savoryrelay::coordination::exchange_end> {
+    using e = savoryrelay::coordination::exchange_end;
     static constexpr std::array rows{
         enum_name<e>{e::completed, "completed"},     enum_name<e>{e::not_sent, "not_sent"},
         enum_name<e>{e::refused, "refused"},         enum_name<e>{e::no_answer, "no_answer"},
@@ -65,7 +67,9 @@
     const state::deployment_config* deployment = nullptr;
     const state::customer_config* customer = nullptr;
     std::string fingerprint; ///< SHA-256 of customer and body, 64 hex digits
-    std::string prompt;
+    request_fingerprint crash_fingerprint = 0;
+    std::uint64_t ticket = 0;          ///< at admission, unique within the process
+    std::vector<std::uint64_t> prefix; ///< digests of the prompt's prefixes
     std::uint32_t cost_tokens = 0;
     int priority = 0;
     std::string idempotency_key;
@@ -73,7 +77,7 @@
     state::time_point deadline;
     bool bytes_left = false; ///< some byte of the request may have reached an endpoint
     std::uint32_t attempts = 0;
-    std::vector<state::endpoint_id> excluded;
+    std::vector<state::endpoint_id> excluded; ///< endpoints that failed this call
 };
 
 /// Where an attempt goes.
@@ -82,6 +86,7 @@
     std::string address;
     std::uint16_t port = 0;
     bool fresh_connection = false; ///< a kept connection must not be used
+    counted_attempt counted;       ///< where the attempt is counted
 };
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/call/call_coordinator.cpp
+++ b/src/savoryrelay/coordination/call/call_coordinator.cpp
@@ -4,7 +4,7 @@
 #include "savoryrelay/state/digest/digest.h"
 
 #include <algorithm>
-#include <cassert>
+#include <array>
 
 namespace savoryrelay::coordination {
 
@@ -27,13 +27,45 @@
     return is_service ? found : nullptr;
 }
 
+route_priority priority_of(const call& accepted) {
+    if (accepted.priority == 0) {
+        return route_priority::normal;
+    }
+    return accepted.priority > 0 ? route_priority::interactive : route_priority::batch;
+}
+
+/// The failed attempt that an exchange's end means; nothing when it is none.
+struct failed_end {
+    exchange_end exchange;
+    std::optional<attempt_end> attempt;
+    bool broke; ///< the endpoint may have died with the request
+};
+constexpr std::array failed_ends{
+    failed_end{exchange_end::completed, std::nullopt, false},
+    failed_end{exchange_end::not_sent, attempt_end::connect_failed, false},
+    failed_end{exchange_end::refused, attempt_end::refused_by_endpoint, false},
+    failed_end{exchange_end::no_answer, attempt_end::no_answer, true},
+    failed_end{exchange_end::interrupted, attempt_end::answer_interrupted, true},
+    failed_end{exchange_end::crossed, attempt_end::no_answer, false},
+    failed_end{exchange_end::caller_gone, std::nullopt, false},
+};
+
+/// The refusal of a call that finds no endpoint for another attempt.
+state::failure no_other_endpoint(const call& accepted) {
+    const auto where = "no other endpoint after " + std::to_string(accepted.attempts) + " attempts";
+    if (!accepted.bytes_left) {
+        return {failure_kind::no_endpoint, where, state::execution_outcome::not_run};
+    }
+    return {failure_kind::endpoint_failed, where, state::execution_outcome::unknown};
+}
+
 } // namespace
 
 call_coordinator::call_coordinator(call_settings settings,
                                    const state::snapshot_cell<state::configuration>& configuration,
-                                   state::endpoint_table& endpoints, state::metrics& metrics,
+                                   load_decisions decisions, state::metrics& metrics,
                                    call_hooks hooks)
-    : m_settings(std::move(settings)), m_configuration(configuration), m_endpoints(endpoints),
+    : m_settings(std::move(settings)), m_configuration(configuration), m_decisions(decisions),
       m_hooks(std::move(hooks)), m_accepted(metrics.counter_of("calls_accepted_total")),
       m_refused(metrics.counter_of("calls_refused_total")),
       m_retried(metrics.counter_of("call_retries_total")),
@@ -69,12 +101,14 @@
                                "' may not be repeated");
     }
 
+    accepted->crash_fingerprint = fingerprint_of(accepted->customer->id, request.body);
+    BOOST_LEAF_CHECK(m_decisions.suspects.check(accepted->crash_fingerprint));
+
     // The call itself.
-    accepted->id =
-        state::request_id(m_settings.id_prefix + "-" +
-                          std::to_string(m_next_id.fetch_add(1, std::memory_order_relaxed)));
+    accepted->ticket = m_next_id.fetch_add(1, std::memory_order_relaxed);
+    accepted->id = state::request_id(m_settings.id_prefix + "-" + std::to_string(accepted->ticket));
     accepted->fingerprint = state::sha256_hex(accepted->customer->id.value() + '\n' + request.body);
-    accepted->prompt = request.prompt;
+    accepted->prefix = prefix_digests(request.prompt);
     accepted->cost_tokens =
         request.max_tokens + static_cast<std::uint32_t>(request.prompt.size() / 4);
     accepted->priority = request.priority;
@@ -87,124 +121,110 @@
     return accepted;
 }
 
-state::result<call_route> call_coordinator::next_route(call& accepted, state::time_point now,
-                                                       random_source& random) {
-    if (now >= accepted.deadline) {
-        return state::fail(failure_kind::deadline_exceeded, "the deadline passed",
-                           accepted.bytes_left ? state::execution_outcome::unknown
-                                               : state::execution_outcome::not_run);
-    }
-
-    // Collect the endpoints of the deployment that may take work. Drains are
-    // read from the present configuration, not from the one at acceptance.
-    const auto configuration = m_configuration.load();
-    std::vector<route_candidate> candidates;
-    std::vector<const state::endpoint_config*> rows;
-    for (const auto& endpoint : configuration->endpoints) {
-        if (endpoint.deployment != accepted.deployment->id || endpoint.drained ||
-            configuration->is_drained(endpoint.availability_zone)) {
-            continue;
-        }
-        auto view = m_endpoints.find(endpoint.id).value_or(state::endpoint_state{});
-        if (!m_hooks.may_use_endpoint(endpoint, view, now)) {
-            continue;
+void call_coordinator::wait_for_start(const call& accepted, state::time_point now,
+                                      start_completion completion) {
+    m_decisions.queue.submit({accepted.ticket, accepted.deployment->id, accepted.customer->id,
+                              std::max(1.0, static_cast<double>(accepted.cost_tokens)),
+                              priority_of(accepted), accepted.deadline},
+                             now, std::move(completion));
+}
+
+state::result<counted_attempt>
+call_coordinator::count_attempt(const call& accepted,
+                                const std::vector<state::endpoint_id>& excluded,
+                                state::time_point now, random_source& random) {
+    catalog_request request{accepted.deployment->id, accepted.prefix, excluded,
+                            priority_of(accepted), [&](const auto& endpoint, const auto& view) {
+                                return m_hooks.may_use_endpoint(endpoint, view, now);
+                            }};
+    const auto suspect = accepted.crash_fingerprint;
+    while (true) {
+        BOOST_LEAF_AUTO(attempt, m_decisions.catalog.begin(request, now, random));
+        if (!m_decisions.suspects.is_suspect(suspect) ||
+            m_decisions.suspects.reserve(attempt.endpoint().id, suspect)) {
+            return attempt;
         }
-        candidates.push_back(
-            {endpoint.id, endpoint.availability_zone, endpoint.capacity, view, false});
-        rows.push_back(&endpoint);
-    }
-    const auto choice = state::collect([&] {
-        return m_hooks.choose_endpoint(candidates, {m_settings.local_zone, accepted.excluded}, now,
-                                       random);
-    });
-    if (!choice) {
-        // "Not run" would be untrue once an earlier attempt may have reached an endpoint.
-        return accepted.bytes_left ? state::fail(refusal_of(accepted, attempt_end::no_answer))
-                                   : state::fail(choice.error());
+        // Suspects run one per endpoint.
+        m_decisions.catalog.end(attempt, false, now);
+        request.excluded.push_back(attempt.endpoint().id);
     }
-
-    // Count the call at its endpoint.
-    const auto& row = *rows.at(choice.value());
-    m_endpoints.update(row.id, [](state::endpoint_state& view) {
-        ++view.in_flight;
-        ++view.sent_since_report;
-    });
-    ++accepted.attempts;
-    const bool fresh =
-        accepted.attempts > 1 || accepted.deployment->repeat == state::repeat_rule::at_most_once;
-    return call_route{row.id, row.address, row.port, fresh};
 }
 
-bool call_coordinator::may_retry(const call& accepted, attempt_end end, bool can_resume,
-                                 state::time_point now) const {
-    if (now >= accepted.deadline || accepted.attempts >= m_settings.max_attempts) {
-        return false;
-    }
-    switch (end) {
-    case attempt_end::not_sent:
-    case attempt_end::refused:
-        return true;
-    case attempt_end::no_answer:
-    case attempt_end::crossed:
-        return accepted.deployment->repeat == state::repeat_rule::repeatable;
-    case attempt_end::interrupted:
-        return accepted.deployment->repeat == state::repeat_rule::repeatable && can_resume;
-    case attempt_end::completed:
-    case attempt_end::caller_gone:
-        return false;
-    }
-    return false;
-}
+state::result<call_route> call_coordinator::next_route(call& accepted, state::time_point now,
+                                                       random_source& random) {
+    const auto outcome =
+        accepted.bytes_left ? state::execution_outcome::unknown : state::execution_outcome::not_run;
+    if (now >= accepted.deadline) {
+        return state::fail(failure_kind::deadline_exceeded, "the deadline passed", outcome);
+    }
+    // An earlier attempt may have completed the evidence against this request.
+    if (!state::collect([&] { return m_decisions.suspects.check(accepted.crash_fingerprint); })) {
+        return state::fail(failure_kind::request_quarantined,
+                           "endpoints that ran this request have crashed", outcome);
+    }
 
-state::failure call_coordinator::refusal_of(const call& accepted, attempt_end end) const {
-    const bool once = accepted.deployment->repeat == state::repeat_rule::at_most_once;
-    const auto where = "after " + std::to_string(accepted.attempts) + " attempts";
-    if (!accepted.bytes_left) {
-        return {failure_kind::endpoint_unreachable, "no endpoint took the request " + where};
+    // An endpoint that failed this call before is better than none.
+    auto attempt =
+        state::collect([&] { return count_attempt(accepted, accepted.excluded, now, random); });
+    if (!attempt && !accepted.excluded.empty()) {
+        attempt = state::collect([&] { return count_attempt(accepted, {}, now, random); });
     }
-    if (once) {
-        return {failure_kind::booking_unknown, "the service gave no whole answer"};
+    if (!attempt) {
+        // "Not run" would be untrue once an earlier attempt may have reached an endpoint.
+        return state::fail(accepted.attempts > 0 ? no_other_endpoint(accepted) : attempt.error());
     }
-    if (end == attempt_end::interrupted) {
-        return {failure_kind::stream_interrupted, "the answer broke off " + where};
+    if (accepted.attempts++ == 0) {
+        m_decisions.budget.note_first_attempt(accepted.deployment->id);
     }
-    return {failure_kind::endpoint_failed, "no whole answer came " + where};
+    const bool fresh =
+        accepted.attempts > 1 || accepted.deployment->repeat == state::repeat_rule::at_most_once;
+    const auto& endpoint = attempt.value().endpoint();
+    return call_route{endpoint.id, endpoint.address, endpoint.port, fresh, attempt.value()};
 }
 
 state::result<void> call_coordinator::attempt_ended(call& accepted, const call_route& route,
-                                                    attempt_end end, bool can_resume,
+                                                    exchange_end end,
+                                                    const answer_progress& progress,
                                                     state::time_point now) {
-    const bool endpoint_failed = end != attempt_end::completed && end != attempt_end::caller_gone &&
-                                 end != attempt_end::refused;
-    m_endpoints.update(route.endpoint, [&](state::endpoint_state& view) {
-        assert(view.in_flight > 0);
-        --view.in_flight;
-        view.consecutive_failures = endpoint_failed ? view.consecutive_failures + 1 : 0;
-        if (endpoint_failed) {
-            view.retry_at = now + m_settings.down_interval;
-        }
-        if (end == attempt_end::not_sent) {
-            view.phase = state::endpoint_phase::down;
-        } else if (end == attempt_end::completed && view.phase == state::endpoint_phase::down) {
-            view.phase = state::endpoint_phase::cold;
+    const auto& failed = failed_ends.at(static_cast<std::size_t>(end));
+    m_decisions.catalog.end(route.counted, end == exchange_end::completed, now);
+    m_decisions.suspects.release(route.endpoint, accepted.crash_fingerprint);
+    if (failed.broke) {
+        m_decisions.broken.note(route.endpoint, accepted.crash_fingerprint, now);
+    }
+    if (end == exchange_end::not_sent) {
+        m_decisions.catalog.note_unreachable(*route.counted.routes, route.counted.slot, now);
+        if (const auto death = m_decisions.broken.take_death(route.endpoint, now)) {
+            m_decisions.suspects.note_death(*death, now);
         }
-    });
-    if (end != attempt_end::not_sent && end != attempt_end::refused) {
-        accepted.bytes_left = true;
     }
-    if (end == attempt_end::completed) {
+
+    const bool each_proved_not_run = !accepted.bytes_left;
+    accepted.bytes_left =
+        accepted.bytes_left || !failed.attempt || !proves_not_run(*failed.attempt);
+    if (end == exchange_end::completed) {
         return {};
     }
-    accepted.excluded.push_back(route.endpoint);
-    if (may_retry(accepted, end, can_resume, now)) {
-        m_retried.add();
-        return {};
+    if (!failed.attempt) {
+        return state::fail(failure_kind::stream_interrupted, "the caller closed its connection",
+                           state::execution_outcome::unknown);
     }
-    return state::fail(refusal_of(accepted, end));
+    accepted.excluded.push_back(route.endpoint);
+    const auto decision = decide_retry(
+        {accepted.deployment->repeat, accepted.deadline, accepted.attempts, each_proved_not_run,
+         progress.tokens_passed, progress.engine_can_resume},
+        *failed.attempt, m_settings.retries,
+        {proves_not_run, [&] { return m_decisions.budget.take(accepted.deployment->id); }}, now);
+    if (decision.give_up) {
+        return state::fail(*decision.give_up);
+    }
+    m_retried.add();
+    return {};
 }
 
 void call_coordinator::finish(const call& accepted, state::execution_outcome outcome,
                               state::time_point now) {
+    m_decisions.queue.finish(accepted.deployment->id, accepted.ticket, now);
     m_open.add(-1);
     (outcome == state::execution_outcome::ran ? m_completed : m_refused).add();
     m_hooks.finished(accepted, outcome, now);
--- a/src/savoryrelay/coordination/call/call_coordinator.h
+++ b/src/savoryrelay/coordination/call/call_coordinator.h
@@ -3,10 +3,14 @@
 // call this class, and carry out its decisions.
 #pragma once
 
+#include "savoryrelay/coordination/admission/call_queue.h"
 #include "savoryrelay/coordination/call/call.h"
-#include "savoryrelay/coordination/routing/router.h"
+#include "savoryrelay/coordination/retry/broken_attempts.h"
+#include "savoryrelay/coordination/retry/crash_suspects.h"
+#include "savoryrelay/coordination/retry/retry_budget.h"
+#include "savoryrelay/coordination/retry/retry_policy.h"
+#include "savoryrelay/coordination/routing/endpoint_catalog.h"
 #include "savoryrelay/state/core/snapshot_cell.h"
-#include "savoryrelay/state/endpoint/endpoint_table.h"
 #include "savoryrelay/state/metrics/metrics.h"
 
 #include <atomic>
@@ -22,23 +26,35 @@
     std::function<state::result<void>(state::time_point now)> check_eligibility;
     /// Whether the customer may start this call now (limits, quarantine, record).
     std::function<state::result<void>(const call&, state::time_point now)> admit;
-    /// Whether the endpoint may take work now beyond what the router sees, for
-    /// example a complete group or a permit of a cold endpoint.
+    /// Whether the endpoint may take work now beyond what the catalog sees, for
+    /// example a complete group.
     std::function<bool(const state::endpoint_config&, const state::endpoint_state&,
                        state::time_point now)>
         may_use_endpoint;
-    choose_endpoint_hook choose_endpoint;
     /// Called once for each call when it ends.
     std::function<void(const call&, state::execution_outcome, state::time_point now)> finished;
 };
 
 /// Settings of the call path.
 struct call_settings {
-    state::availability_zone_id local_zone;
-    std::string id_prefix;          ///< unique to this daemon incarnation
-    std::uint32_t max_attempts = 3; ///< of a repeatable call
+    std::string id_prefix; ///< unique to this daemon incarnation
     state::milliseconds default_deadline{120'000};
-    state::milliseconds down_interval{1'000}; ///< a failed endpoint is not tried before
+    retry_settings retries;
+};
+
+/// The decisions under load that the call path uses. They outlive it.
+struct load_decisions {
+    endpoint_catalog& catalog;
+    call_queue& queue;
+    retry_budget& budget;
+    crash_suspects& suspects;
+    broken_attempts& broken;
+};
+
+/// How far the answer had come when an attempt ended.
+struct answer_progress {
+    std::uint64_t tokens_passed = 0; ///< to the caller, in all attempts
+    bool engine_can_resume = false;  ///< from the next token
 };
 
 /// The decisions of the call path. Its members may be called from any thread;
@@ -47,12 +63,16 @@
 public:
     call_coordinator(call_settings settings,
                      const state::snapshot_cell<state::configuration>& configuration,
-                     state::endpoint_table& endpoints, state::metrics& metrics, call_hooks hooks);
+                     load_decisions decisions, state::metrics& metrics, call_hooks hooks);
 
     /// Accepts a request or says why not. A refusal here is always "not run".
     [[nodiscard]] state::result<std::shared_ptr<call>> accept(const call_request& request,
                                                               state::time_point now);
 
+    /// Waits for the call's turn. Calls `completion` once, from this call or
+    /// later from any thread; a failure is the refusal to send.
+    void wait_for_start(const call& accepted, state::time_point now, start_completion completion);
+
     /// Chooses the endpoint of the next attempt and counts the call there. Each
     /// route must be followed by one call of `attempt_ended`.
     [[nodiscard]] state::result<call_route> next_route(call& accepted, state::time_point now,
@@ -60,22 +80,22 @@
 
     /// Records how an attempt ended. Succeeds when the call is to be tried again
     /// (or was completed), and fails with the refusal to send otherwise.
-    /// `can_resume` tells that the engine can continue from the next token.
     [[nodiscard]] state::result<void> attempt_ended(call& accepted, const call_route& route,
-                                                    attempt_end end, bool can_resume,
+                                                    exchange_end end,
+                                                    const answer_progress& progress,
                                                     state::time_point now);
 
     /// Records the end of the call.
     void finish(const call& accepted, state::execution_outcome outcome, state::time_point now);
 
 private:
-    [[nodiscard]] bool may_retry(const call& accepted, attempt_end end, bool can_resume,
-                                 state::time_point now) const;
-    [[nodiscard]] state::failure refusal_of(const call& accepted, attempt_end end) const;
+    [[nodiscard]] state::result<counted_attempt>
+    count_attempt(const call& accepted, const std::vector<state::endpoint_id>& excluded,
+                  state::time_point now, random_source& random);
 
     call_settings m_settings;
     const state::snapshot_cell<state::configuration>& m_configuration;
-    state::endpoint_table& m_endpoints;
+    load_decisions m_decisions;
     call_hooks m_hooks;
     std::atomic<std::uint64_t> m_next_id{1};
     state::counter& m_accepted;
--- /dev/null
+++ b/src/savoryrelay/coordination/routing/endpoint_catalog.cpp
@@ -0,0 +1,242 @@
+// Rebuilding of directories and the counting of attempts.
+#include "savoryrelay/coordination/routing/endpoint_catalog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryrelay::coordination {
+namespace {
+
+using state::endpoint_phase;
+
+// Index of a zone that the configuration does not list.
+constexpr std::uint32_t unknown_zone = ~0U;
+
+std::uint32_t zone_index(const state::configuration& configuration,
+                         const state::availability_zone_id& zone) {
+    const auto& zones = configuration.availability_zones;
+    const auto found =
+        std::find_if(zones.begin(), zones.end(), [&](const auto& row) { return row.id == zone; });
+    return found == zones.end() ? unknown_zone : static_cast<std::uint32_t>(found - zones.begin());
+}
+
+bool is_same_place(const state::endpoint_config& a, const state::endpoint_config& b) {
+    return a.id == b.id && a.address == b.address && a.port == b.port && a.capacity == b.capacity &&
+           a.availability_zone == b.availability_zone;
+}
+
+/// A ledger for one entry host, whose ends are always reported: a grant counts
+/// until it is settled, and the allowance stays until the engine reports that
+/// it is warm.
+std::shared_ptr<allowance_ledger> make_ledger(const state::deployment_config& deployment,
+                                              state::time_point now) {
+    warmup_settings settings;
+    settings.cold_allowance = std::max(deployment.cold_allowance, 1U);
+    settings.capacity = settings.cold_allowance;
+    settings.growth_per_completion = 0;
+    auto hooks = default_warmup_hooks();
+    hooks.counted_until = [](const warmup_settings&, state::time_point) {
+        return state::time_point::max();
+    };
+    return std::make_shared<allowance_ledger>(settings, std::move(hooks), now, false);
+}
+
+void set_warm(endpoint_directory& directory, std::uint32_t slot) {
+    if (directory.read(slot).state.phase == endpoint_phase::down) {
+        directory.set_phase(slot, endpoint_phase::cold);
+    }
+    directory.set_phase(slot, endpoint_phase::warming);
+    directory.set_phase(slot, endpoint_phase::warm);
+}
+
+} // namespace
+
+endpoint_catalog::endpoint_catalog(catalog_settings settings) : m_settings(std::move(settings)) {}
+
+std::shared_ptr<const deployment_routes>
+endpoint_catalog::make_routes(const state::configuration& configuration,
+                              const state::deployment_config& deployment,
+                              const deployment_routes* previous, state::time_point now) const {
+    auto routes = std::make_shared<deployment_routes>();
+    routes->deployment = deployment;
+    for (const auto& endpoint : configuration.endpoints) {
+        if (endpoint.deployment == deployment.id) {
+            routes->endpoints.push_back(endpoint);
+            routes->zones.push_back(zone_index(configuration, endpoint.availability_zone));
+        }
+    }
+    const bool is_model = deployment.kind == state::deployment_kind::model;
+    if (is_model) {
+        routes->ledger = previous != nullptr && previous->ledger &&
+                                 previous->deployment.cold_allowance == deployment.cold_allowance
+                             ? previous->ledger
+                             : make_ledger(deployment, now);
+    }
+
+    // The same places in the same zones keep their directory and its counts.
+    if (previous != nullptr && previous->zones == routes->zones &&
+        std::equal(previous->endpoints.begin(), previous->endpoints.end(),
+                   routes->endpoints.begin(), routes->endpoints.end(), is_same_place)) {
+        routes->directory = previous->directory;
+        return routes;
+    }
+
+    // Requests in flight end in the old directory, so only what is known of the
+    // endpoint itself is copied.
+    std::vector<route_row> rows;
+    for (std::size_t slot = 0; slot < routes->endpoints.size(); ++slot) {
+        const auto& endpoint = routes->endpoints[slot];
+        route_row row;
+        row.capacity = std::max(endpoint.capacity, 1U);
+        row.zone = routes->zones[slot];
+        row.state.phase = is_model ? endpoint_phase::cold : endpoint_phase::warm;
+        if (previous != nullptr) {
+            for (std::uint32_t old = 0; old < previous->endpoints.size(); ++old) {
+                if (previous->endpoints[old].id == endpoint.id &&
+                    previous->endpoints[old].address == endpoint.address &&
+                    previous->endpoints[old].port == endpoint.port) {
+                    const auto known = previous->directory->read(old);
+                    row.state.phase = known.state.phase;
+                    row.state.report = known.state.report;
+                    row.state.retry_at = known.state.retry_at;
+                    row.state.token_interval_ms = known.state.token_interval_ms;
+                    row.zone_returned_at = known.zone_returned_at;
+                    row.zone_drained = known.zone_drained;
+                }
+            }
+        }
+        row.drained = endpoint.drained;
+        rows.push_back(row);
+    }
+    routes->directory =
+        std::make_shared<endpoint_directory>(rows, m_settings.weights, m_settings.lanes);
+    return routes;
+}
+
+void endpoint_catalog::rebuild(const state::configuration& configuration, state::time_point now) {
+    const auto previous = m_routes.load();
+    routes_by_id next;
+    for (const auto& deployment : configuration.deployments) {
+        const auto found = previous->find(deployment.id);
+        const auto routes =
+            make_routes(configuration, deployment,
+                        found == previous->end() ? nullptr : found->second.get(), now);
+
+        // Drains reach the rows that are kept, too.
+        for (std::uint32_t slot = 0; slot < routes->endpoints.size(); ++slot) {
+            routes->directory->set_drained(slot, routes->endpoints[slot].drained);
+        }
+        for (std::uint32_t zone = 0; zone < configuration.availability_zones.size(); ++zone) {
+            routes->directory->set_zone_drained(
+                zone, configuration.availability_zones[zone].drained, now);
+        }
+        if (deployment.kind == state::deployment_kind::service) {
+            for (std::uint32_t slot = 0; slot < routes->endpoints.size(); ++slot) {
+                if (routes->directory->read(slot).state.phase == endpoint_phase::cold) {
+                    set_warm(*routes->directory, slot);
+                }
+            }
+        }
+        next.emplace(deployment.id, routes);
+    }
+    m_routes.replace_if(std::move(next), [](const auto&, const auto&) { return true; });
+}
+
+state::result<counted_attempt> endpoint_catalog::begin(const catalog_request& request,
+                                                       state::time_point now,
+                                                       random_source& random) {
+    const auto all_routes = m_routes.load();
+    const auto found = all_routes->find(request.deployment);
+    if (found == all_routes->end()) {
+        return state::fail(state::failure_kind::no_endpoint,
+                           "the deployment is not configured any more",
+                           state::execution_outcome::not_run);
+    }
+    const auto& routes = found->second;
+
+    // A thread keeps its lane.
+    static std::atomic<std::size_t> next_lane{0};
+    thread_local const std::size_t lane = next_lane.fetch_add(1, std::memory_order_relaxed);
+
+    slot_request wanted;
+    wanted.prefix = request.prefix;
+    wanted.needs.priority = request.priority;
+    wanted.needs.zone = unknown_zone;
+    for (std::uint32_t slot = 0; slot < routes->endpoints.size(); ++slot) {
+        const auto& endpoint = routes->endpoints[slot];
+        if (endpoint.availability_zone == m_settings.local_zone) {
+            wanted.needs.zone = routes->zones[slot];
+        }
+        if (std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
+            request.excluded.end()) {
+            wanted.excluded.push_back(slot);
+        }
+    }
+
+    // Each round excludes one more slot, so the loop ends.
+    while (true) {
+        BOOST_LEAF_AUTO(slot, routes->directory->begin(wanted, now, random, lane));
+        counted_attempt attempt{routes, slot, lane, std::nullopt};
+        const auto view = routes->directory->read(slot, lane).state;
+        bool usable = !request.may_use || request.may_use(attempt.endpoint(), view);
+        if (usable && routes->ledger && view.phase != endpoint_phase::warm) {
+            // An endpoint that was down may have been started anew.
+            permit_request permit;
+            permit.number = m_next_permit.fetch_add(1, std::memory_order_relaxed);
+            permit.endpoint = attempt.endpoint().id;
+            usable = routes->ledger->grant(permit, state::time_point::max(), now).granted > 0;
+            attempt.permit = permit;
+        }
+        if (usable) {
+            return attempt;
+        }
+        routes->directory->end(slot, lane);
+        wanted.excluded.push_back(slot);
+    }
+}
+
+void endpoint_catalog::end(const counted_attempt& attempt, bool completed, state::time_point now) {
+    const auto& routes = *attempt.routes;
+    routes.directory->end(attempt.slot, attempt.lane);
+    if (attempt.permit) {
+        routes.ledger->settle({*attempt.permit, 0, completed ? 1U : 0U}, now);
+    }
+    if (completed && routes.directory->read(attempt.slot).state.phase == endpoint_phase::down) {
+        routes.directory->set_phase(attempt.slot, endpoint_phase::cold);
+        if (!routes.ledger) {
+            set_warm(*routes.directory, attempt.slot);
+        }
+    }
+}
+
+void endpoint_catalog::note_unreachable(const deployment_routes& routes, std::uint32_t slot,
+                                        state::time_point now) {
+    routes.directory->set_down(slot, now + m_settings.down_interval);
+}
+
+void endpoint_catalog::note_report(const deployment_routes& routes, std::uint32_t slot,
+                                   const engine_report& report) {
+    routes.directory->report(slot, report.load);
+    if (report.is_cold) {
+        routes.directory->set_phase(slot, endpoint_phase::cold);
+    } else {
+        set_warm(*routes.directory, slot);
+    }
+}
+
+void endpoint_catalog::refresh() {
+    for (const auto& routes : all()) {
+        routes->directory->refresh();
+    }
+}
+
+std::vector<std::shared_ptr<const deployment_routes>> endpoint_catalog::all() const {
+    std::vector<std::shared_ptr<const deployment_routes>> rows;
+    const auto present = m_routes.load();
+    for (const auto& entry : *present) {
+        rows.push_back(entry.second);
+    }
+    return rows;
+}
+
+} // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/routing/endpoint_directory.cpp
+++ b/src/savoryrelay/coordination/routing/endpoint_directory.cpp
@@ -167,6 +167,15 @@
     return changed;
 }
 
+void endpoint_directory::set_down(std::uint32_t slot, state::time_point retry_at) {
+    change_all_lanes(slot, [&](route_row& row, lane_counts&) { row.state.retry_at = retry_at; });
+    set_phase(slot, endpoint_phase::down);
+}
+
+void endpoint_directory::set_drained(std::uint32_t slot, bool drained) {
+    change_all_lanes(slot, [&](route_row& row, lane_counts&) { row.drained = drained; });
+}
+
 void endpoint_directory::set_cold_permits(std::uint32_t slot, std::uint32_t permits) {
     m_permits.update(slot, [&](std::uint32_t& value) { value = permits; });
     change_all_lanes(slot, [&](route_row& row, lane_counts&) { row.cold_permits = permits; });
--- a/src/savoryrelay/coordination/routing/endpoint_directory.h
+++ b/src/savoryrelay/coordination/routing/endpoint_directory.h
@@ -51,6 +51,10 @@
     /// did. A cold or down endpoint's prefixes are forgotten, and a cold one's
     /// permits are void.
     bool set_phase(std::uint32_t slot, state::endpoint_phase phase);
+    /// Marks the endpoint as down; it is not chosen before `retry_at`.
+    void set_down(std::uint32_t slot, state::time_point retry_at);
+    /// Takes an endpoint out of service or returns it.
+    void set_drained(std::uint32_t slot, bool drained);
     /// Sets the unused permits of this router at a cold endpoint.
     void set_cold_permits(std::uint32_t slot, std::uint32_t permits);
     /// Takes a zone out of service, or returns it at `now` with its ramp and
--- a/src/savoryrelay/transport/caller/caller_front.cpp
+++ b/src/savoryrelay/transport/caller/caller_front.cpp
@@ -18,7 +18,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using coordination::attempt_end;
+using coordination::exchange_end;
 using state::failure_kind;
 
 namespace {
@@ -117,6 +117,13 @@
     return state::collect([&] { return events.append(bytes); }).has_value();
 }
 
+/// What was passed on to the caller. Without numbers the next token cannot be named.
+coordination::answer_progress progress_of(const protocol::event_splitter& events, bool started,
+                                          bool can_resume) {
+    const auto next = events.next_token();
+    return {started ? std::max<std::uint64_t>(next, 1) : 0, can_resume && next > 0};
+}
+
 /// Header fields of a whole answer or a refusal.
 http_fields answer_fields(std::string type, state::execution_outcome outcome,
                           const state::request_id& request) {
@@ -147,7 +154,7 @@
     coordination::call_route route;
     http_request request; // as the endpoint receives it
     std::unique_ptr<endpoint_connection> connection;
-    attempt_end end = attempt_end::not_sent; // when the exchange could not be opened
+    exchange_end end = exchange_end::not_sent; // when the exchange could not be opened
     protocol::event_splitter* events = nullptr;
     std::vector<char> buffer = std::vector<char>(relay_buffer_bytes);
 
@@ -250,7 +257,9 @@
         co_await refuse(accepted.error(), state::request_id{}, writer);
         co_return;
     }
-    co_await relay_call(accepted.value(), request, writer);
+    if (co_await wait_for_start(*accepted.value(), writer)) {
+        co_await relay_call(accepted.value(), request, writer);
+    }
 }
 
 asio::awaitable<void> caller_front::serve_service(const http_request& request,
@@ -264,6 +273,9 @@
         co_return;
     }
     auto& call = accepted.value();
+    if (!co_await wait_for_start(*call, writer)) {
+        co_return;
+    }
     if (call->deployment->repeat == state::repeat_rule::at_most_once) {
         co_await book(call, request, writer);
     } else {
@@ -271,6 +283,20 @@
     }
 }
 
+asio::awaitable<bool> caller_front::wait_for_start(const coordination::call& accepted,
+                                                   response_writer& writer) {
+    const auto started =
+        co_await await_completion<state::attempt<state::done>>([&](auto completion) {
+            m_coordinator.wait_for_start(accepted, m_hooks.now(), std::move(completion));
+        });
+    if (started) {
+        co_return true;
+    }
+    m_coordinator.finish(accepted, started.error().reported_outcome(), m_hooks.now());
+    co_await refuse(started.error(), accepted.id, writer);
+    co_return false;
+}
+
 asio::awaitable<bool> caller_front::open_exchange(exchange& attempt) {
     auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
     const auto& route = attempt.route;
@@ -284,7 +310,7 @@
         const auto failed = co_await attempt.connection->connect(
             route.address, route.port, attempt.remaining(m_hooks.now(), m_limits.connect_timeout));
         if (failed) {
-            attempt.end = attempt_end::not_sent;
+            attempt.end = exchange_end::not_sent;
             co_return false;
         }
     }
@@ -292,30 +318,30 @@
     // Send the request and wait for the header of its answer.
     const auto& deployment = *attempt.accepted->deployment;
     if (co_await attempt.connection->send(attempt.request, m_limits.send_timeout)) {
-        attempt.end = attempt_end::no_answer;
+        attempt.end = exchange_end::no_answer;
         co_return false;
     }
     if (co_await attempt.connection->read_header(
             attempt.remaining(m_hooks.now(), deployment.first_token_timeout))) {
-        attempt.end = attempt_end::no_answer;
+        attempt.end = exchange_end::no_answer;
         co_return false;
     }
     if (states_not_run(*attempt.connection)) {
-        attempt.end = attempt_end::refused;
+        attempt.end = exchange_end::refused;
         co_return false;
     }
 
     // An answer that names another request is not this caller's.
     const auto answered = attempt.connection->header("Savoryrelay-Request-Id");
     if (!answered.empty() && answered != attempt.accepted->id.value()) {
-        attempt.end = attempt_end::crossed;
+        attempt.end = exchange_end::crossed;
         co_return false;
     }
     co_return true;
 }
 
-asio::awaitable<attempt_end> caller_front::relay_stream(exchange& attempt,
-                                                        response_writer& writer) {
+asio::awaitable<exchange_end> caller_front::relay_stream(exchange& attempt,
+                                                         response_writer& writer) {
     auto& events = *attempt.events;
     const auto& deployment = *attempt.accepted->deployment;
     auto last_token_at = m_hooks.now();
@@ -324,10 +350,10 @@
         const auto [failed, size] = co_await attempt.connection->read_some(
             asio::buffer(attempt.buffer), attempt.remaining(m_hooks.now(), limit));
         if (failed || size == 0) {
-            co_return attempt_end::interrupted;
+            co_return exchange_end::interrupted;
         }
         if (!append_events(events, attempt.received(size))) {
-            co_return attempt_end::interrupted;
+            co_return exchange_end::interrupted;
         }
 
         // Relay the whole events of this read.
@@ -344,7 +370,7 @@
             not_taken = co_await writer.write(ready);
         }
         if (not_taken) {
-            co_return attempt_end::caller_gone;
+            co_return exchange_end::caller_gone;
         }
 
         // Measure the first token and the interval between tokens.
@@ -362,10 +388,10 @@
 
     // Read the end of the body, so that the connection can carry another request.
     co_await attempt.connection->read_some(asio::buffer(attempt.buffer), m_limits.connect_timeout);
-    co_return attempt_end::completed;
+    co_return exchange_end::completed;
 }
 
-asio::awaitable<attempt_end> caller_front::read_answer(exchange& attempt, stored_answer& answer) {
+asio::awaitable<exchange_end> caller_front::read_answer(exchange& attempt, stored_answer& answer) {
     const auto& deployment = *attempt.accepted->deployment;
     answer = {attempt.connection->status(), attempt.connection->header("Content-Type"), {}};
     while (true) {
@@ -373,10 +399,10 @@
             asio::buffer(attempt.buffer),
             attempt.remaining(m_hooks.now(), deployment.first_token_timeout));
         if (failed || answer.body.size() + size > m_limits.max_answer_bytes) {
-            co_return attempt_end::interrupted;
+            co_return exchange_end::interrupted;
         }
         if (size == 0) {
-            co_return attempt_end::completed;
+            co_return exchange_end::completed;
         }
         answer.body.append(attempt.received(size));
     }
@@ -390,6 +416,19 @@
     co_await writer.send(answer.status, std::move(fields), answer.body);
 }
 
+asio::awaitable<bool> caller_front::run_exchange(exchange& attempt, stored_answer& answer,
+                                                 response_writer& writer) {
+    if (!co_await open_exchange(attempt)) {
+        co_return true; // the tokens passed on before came from an engine that can resume
+    }
+    if (attempt.connection->header("Content-Type").starts_with("text/event-stream")) {
+        attempt.end = co_await relay_stream(attempt, writer);
+    } else {
+        attempt.end = co_await read_answer(attempt, answer);
+    }
+    co_return attempt.connection->header("Savoryrelay-Can-Resume") == "true";
+}
+
 asio::awaitable<void> caller_front::relay_call(std::shared_ptr<coordination::call> accepted,
                                                const http_request& request,
                                                response_writer& writer) {
@@ -406,7 +445,8 @@
         }
 
         // Send the request there and relay the answer.
-        exchange attempt{accepted, route.value(), request, nullptr, attempt_end::not_sent, &events};
+        exchange attempt{accepted, route.value(),          request,
+                         nullptr,  exchange_end::not_sent, &events};
         if (accepted->deployment->kind == state::deployment_kind::service) {
             attempt.request.target(service_target(request));
         }
@@ -418,35 +458,24 @@
             events.resume();
             attempt.request.set("Savoryrelay-Resume-From", std::to_string(events.next_token()));
         }
-        bool can_resume = false;
         stored_answer answer;
-        if (co_await open_exchange(attempt)) {
-            const bool is_stream =
-                attempt.connection->header("Content-Type").starts_with("text/event-stream");
-            can_resume =
-                attempt.connection->header("Savoryrelay-Can-Resume") == "true" || !writer.started();
-            if (is_stream) {
-                attempt.end = co_await relay_stream(attempt, writer);
-            } else {
-                attempt.end = co_await read_answer(attempt, answer);
-            }
-            can_resume = can_resume || !writer.started();
-        }
-        if (attempt.end == attempt_end::completed && attempt.connection->reusable()) {
+        const bool can_resume = co_await run_exchange(attempt, answer, writer);
+        if (attempt.end == exchange_end::completed && attempt.connection->reusable()) {
             m_pool.keep(context, route.value().address, route.value().port,
                         std::move(attempt.connection));
         }
 
         // Ask whether to go on.
+        const auto progress = progress_of(events, writer.started(), can_resume);
         const auto verdict = state::collect([&] {
-            return m_coordinator.attempt_ended(*accepted, route.value(), attempt.end, can_resume,
+            return m_coordinator.attempt_ended(*accepted, route.value(), attempt.end, progress,
                                                m_hooks.now());
         });
         if (!verdict) {
             refusal = verdict.error();
             break;
         }
-        if (attempt.end == attempt_end::completed) {
+        if (attempt.end == exchange_end::completed) {
             m_coordinator.finish(*accepted, state::execution_outcome::ran, m_hooks.now());
             if (writer.started()) {
                 co_await writer.finish();
@@ -490,7 +519,8 @@
             refusal = route.error();
             break;
         }
-        exchange attempt{accepted, route.value(), request, nullptr, attempt_end::not_sent, nullptr};
+        exchange attempt{accepted, route.value(),          request,
+                         nullptr,  exchange_end::not_sent, nullptr};
         attempt.request.target(service_target(request));
         attempt.request.erase(http::field::authorization);
         attempt.request.keep_alive(false);
@@ -500,12 +530,12 @@
             attempt.end = co_await read_answer(attempt, answer);
         }
         const auto verdict = state::collect([&] {
-            return m_coordinator.attempt_ended(*accepted, route.value(), attempt.end, false,
+            return m_coordinator.attempt_ended(*accepted, route.value(), attempt.end, {},
                                                m_hooks.now());
         });
         if (!verdict) {
             refusal = verdict.error();
-        } else if (attempt.end == attempt_end::completed) {
+        } else if (attempt.end == exchange_end::completed) {
             break;
         }
     }
--- a/src/savoryrelay/transport/caller/caller_front.h
+++ b/src/savoryrelay/transport/caller/caller_front.h
@@ -53,11 +53,18 @@
     boost::asio::awaitable<void> book(std::shared_ptr<coordination::call> accepted,
                                       const http_request& request, response_writer& writer);
 
+    /// Waits for the call's turn. Refuses and returns false when it may not start.
+    boost::asio::awaitable<bool> wait_for_start(const coordination::call& accepted,
+                                                response_writer& writer);
     boost::asio::awaitable<bool> open_exchange(exchange& attempt);
-    boost::asio::awaitable<coordination::attempt_end> relay_stream(exchange& attempt,
-                                                                   response_writer& writer);
-    boost::asio::awaitable<coordination::attempt_end> read_answer(exchange& attempt,
-                                                                  stored_answer& answer);
+    /// Carries out one attempt and sets its end. Returns whether an engine can
+    /// resume after the tokens that were passed on.
+    boost::asio::awaitable<bool> run_exchange(exchange& attempt, stored_answer& answer,
+                                              response_writer& writer);
+    boost::asio::awaitable<coordination::exchange_end> relay_stream(exchange& attempt,
+                                                                    response_writer& writer);
+    boost::asio::awaitable<coordination::exchange_end> read_answer(exchange& attempt,
+                                                                   stored_answer& answer);
     boost::asio::awaitable<void> refuse(const state::failure& error,
                                         const state::request_id& request, response_writer& writer);
     boost::asio::awaitable<void> send_answer(const coordination::call& accepted,
--- /dev/null
+++ b/tests/coordination/call/call_coordinator_test.cpp
@@ -0,0 +1,332 @@
+// The call path's decisions through the functions that front ends call.
+#include "savoryrelay/coordination/call/call_coordinator.h"
+#include "savoryrelay/state/digest/digest.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace savoryrelay;
+using namespace savoryrelay::coordination;
+using state::execution_outcome;
+using state::failure_kind;
+using namespace std::chrono_literals;
+
+namespace {
+
+const state::time_point start{1h};
+const state::deployment_id model_id{"model"};
+const state::deployment_id service_id{"service"};
+
+state::endpoint_config endpoint(const std::string& id, const state::deployment_id& deployment,
+                                const std::string& zone) {
+    state::endpoint_config row;
+    row.id = state::endpoint_id(id);
+    row.deployment = deployment;
+    row.availability_zone = state::availability_zone_id(zone);
+    row.address = "127.0.0.1";
+    row.port = 1;
+    return row;
+}
+
+// Two zones; a model and a service that may not be repeated, each with one
+// endpoint in each zone.
+state::configuration two_zones() {
+    state::configuration configuration;
+    configuration.revision = 1;
+    configuration.availability_zones = {{state::availability_zone_id("a"), "r", false},
+                                        {state::availability_zone_id("b"), "r", false}};
+    configuration.customers = {{state::customer_id("c"), state::sha256_hex("token"), 1.0}};
+    state::deployment_config model;
+    model.id = model_id;
+    model.model = "m";
+    state::deployment_config service;
+    service.id = service_id;
+    service.kind = state::deployment_kind::service;
+    service.repeat = state::repeat_rule::at_most_once;
+    configuration.deployments = {model, service};
+    configuration.endpoints = {endpoint("m-a", model_id, "a"), endpoint("m-b", model_id, "b"),
+                               endpoint("s-a", service_id, "a"), endpoint("s-b", service_id, "b")};
+    return configuration;
+}
+
+struct world {
+    explicit world(state::configuration first = two_zones()) {
+        put(std::move(first), start);
+        for (const auto& routes : catalog.all()) {
+            for (std::uint32_t slot = 0; slot < routes->endpoints.size(); ++slot) {
+                catalog.note_report(*routes, slot, {{}, false});
+            }
+        }
+    }
+
+    void put(state::configuration next, state::time_point now) {
+        catalog.rebuild(next, now);
+        configuration.replace_if(std::move(next), [](const auto&, const auto&) { return true; });
+    }
+    void set_cold() {
+        for (const auto& routes : catalog.all()) {
+            for (std::uint32_t slot = 0; slot < routes->endpoints.size(); ++slot) {
+                catalog.note_report(*routes, slot, {{}, true});
+            }
+        }
+    }
+
+    std::shared_ptr<call> accept(bool once, const std::string& body = "body",
+                                 std::optional<state::milliseconds> deadline = std::nullopt) {
+        call_request request;
+        request.bearer_token = "token";
+        request.body = body;
+        request.deadline = deadline;
+        if (once) {
+            request.service = service_id;
+            request.idempotency_key = "key";
+        } else {
+            request.model = "m";
+            request.max_tokens = 100;
+        }
+        return state::collect([&] { return coordinator.accept(request, start); }).value();
+    }
+    state::attempt<call_route> next(call& accepted, state::time_point now = start) {
+        return state::collect([&] { return coordinator.next_route(accepted, now, random); });
+    }
+    state::attempt<state::done> ended(call& accepted, const call_route& route, exchange_end end,
+                                      state::time_point now = start) {
+        return state::collect(
+            [&] { return coordinator.attempt_ended(accepted, route, end, {}, now); });
+    }
+
+    state::snapshot_cell<state::configuration> configuration{state::configuration{}};
+    state::metrics metrics;
+    random_source random{20261204};
+    endpoint_catalog catalog{
+        {.local_zone = state::availability_zone_id("a"), .lanes = 2, .weights = {}}};
+    call_queue queue{{}, [](const auto&, const auto& settings) { return settings.quantum; }};
+    retry_budget budget{{}};
+    crash_suspects suspects{{}, default_crash_hooks()};
+    broken_attempts broken{3s};
+    call_coordinator coordinator{
+        {.id_prefix = "t", .retries = {}},
+        configuration,
+        {catalog, queue, budget, suspects, broken},
+        metrics,
+        {.check_eligibility = [](state::time_point) { return state::result<void>{}; },
+         .admit = [](const call&, state::time_point) { return state::result<void>{}; },
+         .may_use_endpoint = [](const auto&, const auto&, state::time_point) { return true; },
+         .finished = [](const call&, execution_outcome, state::time_point) {}}};
+};
+
+bool byte_left(exchange_end end) {
+    return end != exchange_end::not_sent && end != exchange_end::refused;
+}
+
+} // namespace
+
+// Guards against a refusal that says "not run" although an endpoint may have
+// run the request, and against a second run of a call that may not be repeated.
+TEST_CASE("calls: not-run is said only before a byte left, and once means once") {
+    rc::check([] {
+        world w;
+        const bool once = *rc::gen::arbitrary<bool>();
+        const auto accepted = w.accept(once);
+        bool sent = false;
+        auto now = start;
+        // An attempt limit of 3 ends each call; one round more than that fails.
+        for (int round = 0; round < 5; ++round) {
+            const auto route = w.next(*accepted, now);
+            if (!route) {
+                RC_ASSERT(!sent || route.error().reported_outcome() != execution_outcome::not_run);
+                return;
+            }
+            RC_ASSERT(!(once && sent));
+            const auto end = *rc::gen::element(exchange_end::completed, exchange_end::not_sent,
+                                               exchange_end::refused, exchange_end::no_answer,
+                                               exchange_end::interrupted, exchange_end::crossed,
+                                               exchange_end::caller_gone);
+            sent = sent || byte_left(end);
+            now += 2s;
+            const auto verdict = w.ended(*accepted, route.value(), end, now);
+            if (end == exchange_end::completed) {
+                RC_ASSERT(verdict.has_value());
+                return;
+            }
+            if (!verdict) {
+                RC_ASSERT((verdict.error().reported_outcome() == execution_outcome::not_run) ==
+                          !sent);
+                return;
+            }
+            RC_ASSERT(!(once && sent));
+        }
+        RC_FAIL("the call did not end");
+    });
+}
+
+// Guards against new work for a drained zone or endpoint, in the directory that
+// is kept as well as in a new one.
+TEST_CASE("calls: drained zones and endpoints are never chosen") {
+    rc::check([] {
+        world w;
+        auto now = start;
+        for (int step = 0; step < 20; ++step) {
+            auto next = two_zones();
+            next.availability_zones[0].drained = *rc::gen::arbitrary<bool>();
+            next.availability_zones[1].drained = *rc::gen::arbitrary<bool>();
+            next.endpoints[0].drained = *rc::gen::arbitrary<bool>();
+            next.endpoints[1].drained = *rc::gen::arbitrary<bool>();
+            // Another port makes another set of endpoints.
+            next.endpoints[0].port = *rc::gen::element<std::uint16_t>(1, 2);
+            now += 100s;
+            w.put(next, now);
+
+            const auto accepted = w.accept(false, "body", 1h);
+            const auto route = w.next(*accepted, now);
+            if (!route) {
+                RC_ASSERT(route.error().reported_outcome() == execution_outcome::not_run);
+                continue;
+            }
+            const auto& chosen = route.value().counted.endpoint();
+            RC_ASSERT(!chosen.drained);
+            RC_ASSERT(!next.is_drained(chosen.availability_zone));
+            RC_ASSERT(route.value().port == chosen.port);
+            (void)w.ended(*accepted, route.value(), exchange_end::completed, now);
+        }
+    });
+}
+
+// Guards against attempts after the deadline and against a "not run" then that
+// hides an earlier attempt.
+TEST_CASE("calls: no attempt begins after the deadline") {
+    world w;
+    const auto accepted = w.accept(false, "body", 1s);
+    const auto late = w.next(*accepted, start + 1s);
+    REQUIRE_FALSE(late);
+    CHECK(late.error().kind == failure_kind::deadline_exceeded);
+    CHECK(late.error().reported_outcome() == execution_outcome::not_run);
+
+    const auto other = w.accept(false, "other", 1s);
+    const auto route = w.next(*other);
+    REQUIRE(route);
+    const auto verdict = w.ended(*other, route.value(), exchange_end::no_answer, start + 999ms);
+    REQUIRE_FALSE(verdict);
+    CHECK(verdict.error().reported_outcome() == execution_outcome::unknown);
+}
+
+// Guards against a wait that never completes: a queued call ends by its turn or
+// by its deadline, each exactly once.
+TEST_CASE("calls: a waiting call starts when another ends and is refused at its deadline") {
+    world w;
+    w.queue.set_capacity(model_id, 100, start);
+    std::vector<std::optional<state::attempt<state::done>>> outcomes(3);
+    std::vector<std::shared_ptr<call>> calls;
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+        calls.push_back(w.accept(false, std::to_string(i), 10s));
+        w.coordinator.wait_for_start(*calls.back(), start, [&outcomes, i](auto outcome) {
+            REQUIRE_FALSE(outcomes[i].has_value());
+            outcomes[i] = outcome;
+        });
+    }
+    REQUIRE(outcomes[0]);
+    CHECK(outcomes[0]->has_value());
+    REQUIRE_FALSE(outcomes[1]);
+
+    w.coordinator.finish(*calls[0], execution_outcome::ran, start + 1s);
+    REQUIRE(outcomes[1]);
+    CHECK(outcomes[1]->has_value());
+    REQUIRE_FALSE(outcomes[2]);
+
+    w.queue.expire(model_id, start + 11s);
+    REQUIRE(outcomes[2]);
+    REQUIRE_FALSE(outcomes[2]->has_value());
+    CHECK(outcomes[2]->error().kind == failure_kind::deadline_exceeded);
+    CHECK(outcomes[2]->error().reported_outcome() == execution_outcome::not_run);
+}
+
+// Guards against a call that gives up although its only endpoint works again.
+TEST_CASE("calls: an excluded endpoint is tried again when no other is left") {
+    auto one = two_zones();
+    one.endpoints.erase(one.endpoints.begin() + 1);
+    world w(one);
+    const auto accepted = w.accept(false);
+    const auto first = w.next(*accepted);
+    REQUIRE(first);
+    REQUIRE(w.ended(*accepted, first.value(), exchange_end::no_answer));
+    const auto second = w.next(*accepted);
+    REQUIRE(second);
+    CHECK(second.value().endpoint == first.value().endpoint);
+    CHECK(second.value().fresh_connection);
+}
+
+// Guards against two suspects at one endpoint, whose death would incriminate both.
+TEST_CASE("calls: an endpoint that runs a suspect takes no other suspect") {
+    auto one = two_zones();
+    one.endpoints.erase(one.endpoints.begin() + 1);
+    world w(one);
+    const auto a = w.accept(false, "a");
+    const auto b = w.accept(false, "b");
+    w.suspects.note_death({one.endpoints[0].id, 1, {a->crash_fingerprint, b->crash_fingerprint}},
+                          start);
+    const auto first = w.next(*a);
+    REQUIRE(first);
+    const auto refused = w.next(*b);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().reported_outcome() == execution_outcome::not_run);
+    REQUIRE(w.ended(*a, first.value(), exchange_end::completed));
+    CHECK(w.next(*b));
+}
+
+// Guards against more work at a cold endpoint than its allowance, and against
+// permits that are lost when attempts end.
+TEST_CASE("calls: attempts at cold endpoints stay within the allowance") {
+    rc::check([] {
+        world w;
+        w.set_cold();
+        std::vector<std::pair<std::shared_ptr<call>, call_route>> open;
+        for (int step = 0; step < 100; ++step) {
+            if (open.empty() || *rc::gen::arbitrary<bool>()) {
+                const auto accepted = w.accept(false, std::to_string(step));
+                const auto route = w.next(*accepted);
+                // Two endpoints bear two requests each.
+                RC_ASSERT(route.has_value() == (open.size() < 4));
+                if (route) {
+                    open.emplace_back(accepted, route.value());
+                }
+            } else {
+                auto& [accepted, route] = open.back();
+                (void)w.ended(*accepted, route, exchange_end::completed);
+                open.pop_back();
+            }
+            for (const auto& id : {"m-a", "m-b"}) {
+                RC_ASSERT(std::count_if(open.begin(), open.end(), [&](const auto& entry) {
+                              return entry.second.endpoint.value() == id;
+                          }) <= 2);
+            }
+        }
+    });
+}
+
+// Guards against a crashing request that is run again and again.
+TEST_CASE("calls: a request that broke at two deaths is refused") {
+    world w;
+    for (int death = 0; death < 2; ++death) {
+        const auto crashing = w.accept(false, "crash");
+        const auto route = w.next(*crashing, start + death * 1s);
+        REQUIRE(route);
+        (void)w.ended(*crashing, route.value(), exchange_end::no_answer, start + death * 1s);
+        // Another call finds that nothing listens there.
+        const auto seen = w.broken.take_death(route.value().endpoint, start + death * 1s);
+        REQUIRE(seen);
+        w.suspects.note_death(*seen, start + death * 1s);
+    }
+    call_request again;
+    again.bearer_token = "token";
+    again.model = "m";
+    again.body = "crash";
+    const auto refused = state::collect([&] { return w.coordinator.accept(again, start + 3s); });
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().kind == failure_kind::request_quarantined);
+}
