--- a/src/daemon/routing_part.cpp
+++ b/src/daemon/routing_part.cpp
@@ -29,8 +29,13 @@
 constexpr state::milliseconds poll_step_timeout{300};
 constexpr std::size_t max_report_bytes = 64 * 1024;
 
-// A poll that follows a crash confirms it; three polls allow for two lost ones.
-constexpr state::milliseconds broken_retention{3'000};
+// A crash is confirmed within three polls: the first one may find only that its
+// kept connection is closed, and the next two are refused.
+constexpr state::milliseconds broken_retention{5'000};
+
+// One refused poll may meet an endpoint that is being replaced just after an
+// unrelated break.
+constexpr std::uint32_t refused_polls_of_death = 2;
 
 // Tokens of cost in flight for one concurrent request: the default capacity of
 // 64,000 for an endpoint that runs 16 requests.
@@ -150,7 +155,11 @@
             if (failed == boost::system::errc::connection_refused) {
                 const auto now = m_now();
                 m_catalog.note_unreachable(*routes, slot, now);
-                note_death(endpoint.id, now);
+                const auto refused =
+                    m_refused_polls.update(endpoint.id, [](std::uint32_t& n) { return ++n; });
+                if (refused >= refused_polls_of_death) {
+                    note_death(endpoint.id, now);
+                }
             }
             co_return;
         }
@@ -158,8 +167,11 @@
     transport::http_request request{http::verb::get, "/engine/load", 11};
     request.set(http::field::host, endpoint.address);
     request.keep_alive(true);
-    if (co_await connection->send(request, poll_step_timeout) ||
-        co_await connection->read_header(poll_step_timeout)) {
+    auto broken = co_await connection->send(request, poll_step_timeout);
+    if (!broken) {
+        broken = co_await connection->read_header(poll_step_timeout);
+    }
+    if (broken) {
         m_report_failures.add();
         co_return;
     }
@@ -200,6 +212,7 @@
         return;
     }
     m_reports.add();
+    m_refused_polls.erase(id);
 
     // A smaller count is that of a process started anew.
     const bool restarted = m_completed.update(
--- a/src/daemon/routing_part.h
+++ b/src/daemon/routing_part.h
@@ -57,10 +57,11 @@
     coordination::broken_attempts m_broken;
 
     transport::endpoint_pool m_pool;
-    state::sharded_map<state::endpoint_id, std::uint64_t> m_completed; // as last reported
-    std::atomic<std::uint64_t> m_revision{0};                          // that the catalog follows
-    std::atomic<bool> m_poll_at_once{false};                           // after a rebuild
-    std::mutex m_rebuild;                                              // one rebuild at a time
+    state::sharded_map<state::endpoint_id, std::uint64_t> m_completed;     // as last reported
+    state::sharded_map<state::endpoint_id, std::uint32_t> m_refused_polls; // since a report
+    std::atomic<std::uint64_t> m_revision{0}; // that the catalog follows
+    std::atomic<bool> m_poll_at_once{false};  // after a rebuild
+    std::mutex m_rebuild;                     // one rebuild at a time
 };
 
 } // namespace savoryrelay::daemon
--- a/src/savoryrelay/coordination/call/call_coordinator.cpp
+++ b/src/savoryrelay/coordination/call/call_coordinator.cpp
@@ -158,7 +158,9 @@
         return state::fail(failure_kind::deadline_exceeded, "the deadline passed", outcome);
     }
     // An earlier attempt may have completed the evidence against this request.
-    if (!state::collect([&] { return m_decisions.suspects.check(accepted.crash_fingerprint); })) {
+    // A call whose attempts never reached an endpoint adds nothing to it.
+    if (accepted.bytes_left &&
+        !state::collect([&] { return m_decisions.suspects.check(accepted.crash_fingerprint); })) {
         return state::fail(failure_kind::request_quarantined,
                            "endpoints that ran this request have crashed", outcome);
     }
--- a/src/savoryrelay/transport/caller/caller_front.cpp
+++ b/src/savoryrelay/transport/caller/caller_front.cpp
@@ -262,7 +262,8 @@
         co_await refuse(accepted.error(), no_request, writer);
         co_return;
     }
-    if (co_await wait_for_start(*accepted.value(), writer)) {
+    const bool started = co_await wait_for_start(*accepted.value(), writer);
+    if (started) {
         co_await relay_call(accepted.value(), request, writer);
     }
 }
@@ -278,7 +279,8 @@
         co_return;
     }
     auto& call = accepted.value();
-    if (!co_await wait_for_start(*call, writer)) {
+    const bool started = co_await wait_for_start(*call, writer);
+    if (!started) {
         co_return;
     }
     if (call->deployment->repeat == state::repeat_rule::at_most_once) {
@@ -423,15 +425,19 @@
 
 asio::awaitable<bool> caller_front::run_exchange(exchange& attempt, stored_answer& answer,
                                                  response_writer& writer) {
-    if (!co_await open_exchange(attempt)) {
-        co_return true; // the tokens passed on before came from an engine that can resume
-    }
-    if (attempt.connection->header("Content-Type").starts_with("text/event-stream")) {
-        attempt.end = co_await relay_stream(attempt, writer);
-    } else {
-        attempt.end = co_await read_answer(attempt, answer);
+    bool can_resume = true; // the tokens passed on before came from an engine that can
+    const bool opened = co_await open_exchange(attempt);
+    if (opened) {
+        const bool is_stream =
+            attempt.connection->header("Content-Type").starts_with("text/event-stream");
+        can_resume = attempt.connection->header("Savoryrelay-Can-Resume") == "true";
+        if (is_stream) {
+            attempt.end = co_await relay_stream(attempt, writer);
+        } else {
+            attempt.end = co_await read_answer(attempt, answer);
+        }
     }
-    co_return attempt.connection->header("Savoryrelay-Can-Resume") == "true";
+    co_return can_resume;
 }
 
 asio::awaitable<void> caller_front::relay_call(std::shared_ptr<coordination::call> accepted,
