--- a/src/savoryrelay/coordination/call/call_coordinator.cpp
+++ b/src/savoryrelay/coordination/call/call_coordinator.cpp
@@ -36,9 +36,9 @@
 
 /// The failed attempt that an exchange's end means; nothing when it is none.
 struct failed_end {
-    exchange_end exchange;
+    exchange_end exchange = exchange_end::completed;
     std::optional<attempt_end> attempt;
-    bool broke; ///< the endpoint may have died with the request
+    bool broke = false; ///< the endpoint may have died with the request
 };
 constexpr std::array failed_ends{
     failed_end{exchange_end::completed, std::nullopt, false},
--- a/src/savoryrelay/coordination/routing/endpoint_catalog.cpp
+++ b/src/savoryrelay/coordination/routing/endpoint_catalog.cpp
@@ -59,6 +59,7 @@
                               const deployment_routes* previous, state::time_point now) const {
     auto routes = std::make_shared<deployment_routes>();
     routes->deployment = deployment;
+    routes->local_zone = zone_index(configuration, m_settings.local_zone);
     for (const auto& endpoint : configuration.endpoints) {
         if (endpoint.deployment == deployment.id) {
             routes->endpoints.push_back(endpoint);
@@ -161,14 +162,12 @@
     slot_request wanted;
     wanted.prefix = request.prefix;
     wanted.needs.priority = request.priority;
-    wanted.needs.zone = unknown_zone;
-    for (std::uint32_t slot = 0; slot < routes->endpoints.size(); ++slot) {
-        const auto& endpoint = routes->endpoints[slot];
-        if (endpoint.availability_zone == m_settings.local_zone) {
-            wanted.needs.zone = routes->zones[slot];
-        }
-        if (std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
-            request.excluded.end()) {
+    wanted.needs.zone = routes->local_zone;
+    // Only a retry walks the endpoints, so that a first choice reads a few rows.
+    for (std::uint32_t slot = 0; !request.excluded.empty() && slot < routes->endpoints.size();
+         ++slot) {
+        if (std::find(request.excluded.begin(), request.excluded.end(),
+                      routes->endpoints[slot].id) != request.excluded.end()) {
             wanted.excluded.push_back(slot);
         }
     }
--- a/src/savoryrelay/coordination/routing/endpoint_catalog.h
+++ b/src/savoryrelay/coordination/routing/endpoint_catalog.h
@@ -29,6 +29,7 @@
     state::deployment_config deployment;
     std::vector<state::endpoint_config> endpoints; ///< by slot
     std::vector<std::uint32_t> zones;              ///< index of the zone by slot
+    std::uint32_t local_zone = 0;                  ///< index of the deciding member's zone
     std::shared_ptr<endpoint_directory> directory;
     std::shared_ptr<allowance_ledger> ledger; ///< null for a service, which has no cold phase
 };
