Connect membership and the configuration holder to the daemon

Cause: the daemon polled the document in config/current itself, so nothing isolated a member without the platform, and members did not hear each other.

Change: membership_part owns the datagram endpoint, the membership and the configuration holder, and replaces the polling of daemon.cpp. The first configuration of an embedded platform goes through the holder. peers.key_file holds one or two lines, each an identifier and a secret.

Ruled out: polling the platform on the ticking thread.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,7 +2,6 @@
 #include "daemon.h"
 
 #include "savoryrelay/coordination/routing/router.h"
-#include "savoryrelay/protocol/configuration/configuration_document.h"
 #include "savoryrelay/state/digest/digest.h"
 #include "savoryrelay/transport/process/log.h"
 
@@ -23,8 +22,6 @@
 
 namespace {
 
-constexpr const char* configuration_key = "config/current";
-
 state::time_point read_clock() {
     return std::chrono::steady_clock::now();
 }
@@ -52,29 +49,26 @@
                      : m_platform_client.hooks()),
       m_coordinator({.local_zone = m_settings.availability_zone, .id_prefix = m_incarnation},
                     m_configuration, m_endpoints, m_metrics, make_call_hooks()),
-      m_caller_front(m_coordinator, m_configuration, m_metrics, {},
-                     {make_booking_hooks(),
-                      [this](state::time_point) {
-                          return !m_stopping.load() && m_configuration.load()->revision > 0;
-                      },
-                      read_clock}) {}
+      m_caller_front(
+          m_coordinator, m_configuration, m_metrics, {},
+          {make_booking_hooks(),
+           [this](state::time_point now) { return !m_stopping.load() && m_membership.ready(now); },
+           read_clock}),
+      m_membership(m_settings, m_incarnation, m_platform, m_metrics, m_configuration) {}
 
 relay_daemon::~relay_daemon() {
-    m_control_worker.stop();
+    m_membership.stop();
     m_store_worker.stop();
     m_io_threads.stop();
 }
 
 coordination::call_hooks relay_daemon::make_call_hooks() {
     return {
-        .check_eligibility = [this](state::time_point) -> state::result<void> {
+        .check_eligibility = [this](state::time_point now) -> state::result<void> {
             if (m_stopping.load()) {
                 return state::fail(failure_kind::shutting_down, "this daemon is stopping");
             }
-            if (m_configuration.load()->revision == 0) {
-                return state::fail(failure_kind::isolated, "no configuration is known yet");
-            }
-            return {};
+            return m_membership.check_eligibility(now);
         },
         .admit = [](const coordination::call&, state::time_point) { return state::result<void>{}; },
         .may_use_endpoint = [](const state::endpoint_config&, const state::endpoint_state&,
@@ -156,37 +150,13 @@
         return {};
     }
     BOOST_LEAF_AUTO(text, read_file(m_settings.configuration_file));
-    BOOST_LEAF_CHECK(protocol::read_configuration(text, 1));
-    BOOST_LEAF_CHECK(
-        m_embedded_platform.transact({"first-configuration", {}, {{configuration_key, text}}, {}}));
+    BOOST_LEAF_CHECK(m_membership.submit(text, 0, "configuration_file", read_clock()));
     return {};
 }
 
-void relay_daemon::poll_configuration() {
-    const auto loaded = state::collect([&]() -> state::result<state::configuration> {
-        BOOST_LEAF_AUTO(row, m_platform.read_row(configuration_key));
-        if (row.version == 0) {
-            return state::configuration{};
-        }
-        return protocol::read_configuration(row.value, row.version);
-    });
-    if (!loaded) {
-        m_metrics.counter_of("configuration_poll_failures_total").add();
-        return;
-    }
-    const auto revision = loaded.value().revision;
-    const bool newer =
-        m_configuration.replace_if(loaded.value(), [](const auto& present, const auto& candidate) {
-            return candidate.revision > present.revision;
-        });
-    if (newer) {
-        log_change("configuration_in_force", {{"revision", std::to_string(revision)}});
-    }
-}
-
 state::result<void> relay_daemon::start() {
+    BOOST_LEAF_CHECK(m_membership.start());
     BOOST_LEAF_CHECK(load_first_configuration());
-    m_control_worker.repeat(m_settings.poll_interval, [this] { poll_configuration(); });
     try {
         m_caller_server = std::make_unique<transport::http_server>(
             m_io_threads, m_settings.callers.address, m_settings.callers.port,
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -2,6 +2,8 @@
 // hooks, and runs them until it is asked to stop.
 #pragma once
 
+#include "membership_part.h"
+
 #include "savoryrelay/coordination/call/call_coordinator.h"
 #include "savoryrelay/protocol/settings/daemon_settings.h"
 #include "savoryrelay/state/configuration/configuration.h"
@@ -40,7 +42,6 @@
     [[nodiscard]] state::result<void> load_first_configuration();
     [[nodiscard]] coordination::call_hooks make_call_hooks();
     [[nodiscard]] transport::booking_hooks make_booking_hooks();
-    void poll_configuration();
     void finish_open_requests();
 
     protocol::daemon_settings m_settings;
@@ -59,7 +60,7 @@
     transport::caller_front m_caller_front;
     std::unique_ptr<transport::http_server> m_caller_server;
     transport::worker_thread m_store_worker;
-    transport::worker_thread m_control_worker;
+    membership_part m_membership;
 };
 
 } // namespace savoryrelay::daemon
--- /dev/null
+++ b/src/savoryrelay/protocol/peer/peer_key_file.cpp
@@ -0,0 +1,37 @@
+// Reading of the key file.
+#include "savoryrelay/protocol/peer/peer_key_file.h"
+
+#include <sstream>
+#include <vector>
+
+namespace savoryrelay::protocol {
+
+state::result<peer_keys> read_peer_keys(const std::string& text) {
+    constexpr std::size_t max_keys = 2;
+    std::istringstream lines(text);
+    std::string line;
+    std::vector<peer_key> read;
+    while (std::getline(lines, line)) {
+        std::istringstream words(line);
+        peer_key key;
+        std::string rest;
+        if (!(words >> key.id >> key.secret) || words >> rest || read.size() == max_keys) {
+            return state::fail(state::failure_kind::invalid_settings,
+                               "the peer key file must hold one or two lines, each an identifier "
+                               "and a secret");
+        }
+        read.push_back(std::move(key));
+    }
+    if (read.empty()) {
+        return state::fail(state::failure_kind::invalid_settings, "the peer key file is empty");
+    }
+    peer_keys keys;
+    keys.current = read.front();
+    if (read.size() == max_keys) {
+        keys.previous = read.back();
+    }
+    BOOST_LEAF_CHECK(check_keys(keys));
+    return keys;
+}
+
+} // namespace savoryrelay::protocol
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -4,11 +4,15 @@
 #include "platform_standin.h"
 #include "service_standin.h"
 
+#include "savoryrelay/protocol/platform/platform_messages.h"
 #include "savoryrelay/transport/process/signals.h"
 
 #include <docopt.h>
 
+#include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 namespace {
 
@@ -51,6 +55,17 @@
     standin::engine_standin engine(engine_settings, switches);
     standin::service_standin service(switches);
     standin::platform_standin platform(switches);
+    if (const auto& hosts = arguments.at("--hosts")) {
+        const std::ifstream file(hosts.asString());
+        std::ostringstream text;
+        text << file.rdbuf();
+        const auto read = state::collect([&] { return protocol::read_hosts(text.str()); });
+        if (!read) {
+            std::cerr << read.error().message() << '\n';
+            return EXIT_FAILURE;
+        }
+        platform.store().set_hosts(read.value());
+    }
     transport::request_handler role;
     if (arguments.at("engine").asBool()) {
         role = [&](transport::http_request request, transport::response_writer& writer) {
