--- a/src/daemon/membership_part.cpp
+++ b/src/daemon/membership_part.cpp
@@ -221,10 +221,10 @@
     if (!m_endpoint) {
         return;
     }
-    for (const auto& [to, message] : messages) {
+    for (const auto& outgoing : messages) {
         const auto datagram =
-            state::collect([&] { return protocol::encode_datagram(message, m_keys); });
-        const bool sent = datagram && m_endpoint->send(to, datagram.value());
+            state::collect([&] { return protocol::encode_datagram(outgoing.message, m_keys); });
+        const bool sent = datagram && m_endpoint->send(outgoing.to, datagram.value());
         m_metrics.counter_of(sent ? "peer_datagrams_sent_total" : "peer_datagrams_not_sent_total")
             .add();
     }
