Submit the first configuration after the daemon listens

Cause: after the merge, tests/process/relay_test.cpp waited for ever for configuration_in_force, which was logged before the line of the listener.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -156,7 +156,6 @@
 
 state::result<void> relay_daemon::start() {
     BOOST_LEAF_CHECK(m_membership.start());
-    BOOST_LEAF_CHECK(load_first_configuration());
     try {
         m_caller_server = std::make_unique<transport::http_server>(
             m_io_threads, m_settings.callers.address, m_settings.callers.port,
@@ -173,6 +172,7 @@
                                              std::to_string(m_caller_server->port())},
                              {"member", m_settings.member.value()},
                              {"incarnation", m_incarnation}});
+    BOOST_LEAF_CHECK(load_first_configuration());
     return {};
 }
 
