--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,11 +1,9 @@
 // Joining of the parts and the order of starting and stopping.
 #include "daemon.h"
 
-#include "savoryrelay/protocol/configuration/configuration_document.h"
 #include "savoryrelay/state/digest/digest.h"
 #include "savoryrelay/transport/process/log.h"
 
-#include <charconv>
 #include <chrono>
 #include <fstream>
 #include <sstream>
@@ -18,22 +16,11 @@
 
 namespace {
 
-constexpr const char* configuration_key = "config/current";
-
 // An outcome that the table does not take is lost with this process, and its
 // row is then settled by asking the service. The limit keeps a stop bounded
 // while the table is down.
 constexpr state::milliseconds settle_limit{30'000};
 
-/// A number that is unique to `incarnation`: the first 64 bits of its digest.
-std::uint64_t incarnation_number(const std::string& incarnation) {
-    constexpr std::size_t digits = 16;
-    const auto digest = state::sha256_hex(incarnation);
-    std::uint64_t number = 0;
-    std::from_chars(digest.data(), digest.data() + digits, number, digits);
-    return number;
-}
-
 state::time_point read_clock() {
     return std::chrono::steady_clock::now();
 }
@@ -59,39 +46,39 @@
       m_platform(m_settings.platform == protocol::platform_mode::embedded
                      ? m_embedded_platform.hooks()
                      : m_platform_client.hooks()),
+      m_membership(m_settings, m_incarnation, m_platform, m_metrics, m_configuration),
       m_routing(m_io_threads, m_configuration, m_metrics, m_settings.availability_zone, read_clock),
       m_coordinator({.id_prefix = m_incarnation, .retries = {}}, m_configuration,
                     m_routing.decisions(), m_metrics, make_call_hooks()),
-      m_bookings({m_settings.member, incarnation_number(m_incarnation)},
+      m_bookings({m_settings.member, m_membership.incarnation()},
                  {.platform = m_platform,
                   .io_threads = m_io_threads,
                   .configuration = m_configuration,
                   .metrics = m_metrics,
-                  .is_gone = [](const state::booking_owner&) { return false; },
-                  .now = read_clock}),
-      m_caller_front(m_coordinator, m_configuration, m_metrics, {},
-                     {m_bookings.hooks(),
-                      [this](state::time_point) {
-                          return !m_stopping.load() && m_configuration.load()->revision > 0;
+                  .is_gone =
+                      [this](const state::booking_owner& owner) {
+                          return m_membership.is_gone(owner.member, owner.incarnation);
                       },
-                      read_clock}) {}
+                  .now = read_clock}),
+      m_caller_front(
+          m_coordinator, m_configuration, m_metrics, {},
+          {m_bookings.hooks(),
+           [this](state::time_point now) { return !m_stopping.load() && m_membership.ready(now); },
+           read_clock}) {}
 
 relay_daemon::~relay_daemon() {
-    m_control_worker.stop();
     m_bookings.stop();
+    m_membership.stop();
     m_io_threads.stop();
 }
 
 coordination::call_hooks relay_daemon::make_call_hooks() {
     return {
-        .check_eligibility = [this](state::time_point) -> state::result<void> {
+        .check_eligibility = [this](state::time_point now) -> state::result<void> {
             if (m_stopping.load()) {
                 return state::fail(failure_kind::shutting_down, "this daemon is stopping");
             }
-            if (m_configuration.load()->revision == 0) {
-                return state::fail(failure_kind::isolated, "no configuration is known yet");
-            }
-            return {};
+            return m_membership.check_eligibility(now);
         },
         .admit =
             [this](const coordination::call&, state::time_point) {
@@ -113,38 +100,12 @@
         return {};
     }
     BOOST_LEAF_AUTO(text, read_file(m_settings.configuration_file));
-    BOOST_LEAF_CHECK(protocol::read_configuration(text, 1));
-    BOOST_LEAF_CHECK(
-        m_embedded_platform.transact({"first-configuration", {}, {{configuration_key, text}}, {}}));
+    BOOST_LEAF_CHECK(m_membership.submit(text, 0, "configuration_file", read_clock()));
     return {};
 }
 
-void relay_daemon::poll_configuration() {
-    const auto loaded = state::collect([&]() -> state::result<state::configuration> {
-        BOOST_LEAF_AUTO(row, m_platform.read_row(configuration_key));
-        if (row.version == 0) {
-            return state::configuration{};
-        }
-        return protocol::read_configuration(row.value, row.version);
-    });
-    if (!loaded) {
-        m_metrics.counter_of("configuration_poll_failures_total").add();
-        return;
-    }
-    const auto revision = loaded.value().revision;
-    const bool newer =
-        m_configuration.replace_if(loaded.value(), [](const auto& present, const auto& candidate) {
-            return candidate.revision > present.revision;
-        });
-    if (newer) {
-        log_change("configuration_in_force", {{"revision", std::to_string(revision)}});
-    }
-}
-
 state::result<void> relay_daemon::start() {
-    BOOST_LEAF_CHECK(load_first_configuration());
     m_routing.start();
-    m_control_worker.repeat(m_settings.poll_interval, [this] { poll_configuration(); });
     try {
         m_caller_server = std::make_unique<transport::http_server>(
             m_io_threads, m_settings.callers.address, m_settings.callers.port,
@@ -161,6 +122,8 @@
                                              std::to_string(m_caller_server->port())},
                              {"member", m_settings.member.value()},
                              {"incarnation", m_incarnation}});
+    BOOST_LEAF_CHECK(m_membership.start());
+    BOOST_LEAF_CHECK(load_first_configuration());
     return {};
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "booking_part.h"
+#include "membership_part.h"
 #include "routing_part.h"
 
 #include "savoryrelay/coordination/call/call_coordinator.h"
@@ -41,7 +42,6 @@
 private:
     [[nodiscard]] state::result<void> load_first_configuration();
     [[nodiscard]] coordination::call_hooks make_call_hooks();
-    void poll_configuration();
     void finish_open_requests();
 
     protocol::daemon_settings m_settings;
@@ -55,12 +55,12 @@
     transport::io_threads m_io_threads;
     transport::platform_client m_platform_client;
     state::platform_hooks m_platform;
+    membership_part m_membership;
     routing_part m_routing;
     coordination::call_coordinator m_coordinator;
     booking_part m_bookings;
     transport::caller_front m_caller_front;
     std::unique_ptr<transport::http_server> m_caller_server;
-    transport::worker_thread m_control_worker;
 };
 
 } // namespace savoryrelay::daemon
