Serve the operators' HTTP interface

Cause: operators had no way to read or change the configuration of a running daemon. Change: operators_server on the cxxtools server answers status, configuration, drain and return through hooks; messages and the edit of drain flags are in protocol/operators. Routing is a function without a socket. Ruled out: port 0, because cxxtools does not tell the port that it took; an edit of the YAML text in place, which keeps comments but can hit another row.

--- /dev/null
+++ b/src/savoryrelay/protocol/operators/operator_messages.cpp
@@ -0,0 +1,171 @@
+// Encoding by Boost.JSON.
+#include "savoryrelay/protocol/operators/operator_messages.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace savoryrelay::protocol {
+namespace {
+
+namespace json = boost::json;
+using state::failure_kind;
+
+json::string name_of(auto value) {
+    const auto name = state::to_name(value);
+    return json::string(name.data(), name.size());
+}
+
+json::object endpoint_json(const endpoint_status& row) {
+    return {{"id", row.config.id.value()},
+            {"deployment", row.config.deployment.value()},
+            {"availability_zone", row.config.availability_zone.value()},
+            {"address", row.config.address + ":" + std::to_string(row.config.port)},
+            {"phase", name_of(row.state.phase)},
+            {"drained", row.config.drained || row.zone_drained},
+            {"capacity", row.config.capacity},
+            {"running", row.state.report.running},
+            {"queued", row.state.report.queued},
+            {"in_flight", row.state.in_flight}};
+}
+
+// Fails with `kind` when the text is not a JSON object.
+state::result<json::object> parse_object(const std::string& text, failure_kind kind) {
+    json::error_code error;
+    auto value = json::parse(text, error);
+    if (error || !value.is_object()) {
+        return state::fail(kind, "the body is not a JSON object");
+    }
+    return std::move(value.as_object());
+}
+
+std::optional<std::string> text_of(const json::object& object, std::string_view name) {
+    const auto* value = object.if_contains(name);
+    if (value == nullptr || !value->is_string()) {
+        return std::nullopt;
+    }
+    return std::string(value->as_string());
+}
+
+std::optional<std::uint64_t> number_of(const json::object& object, std::string_view name) {
+    const auto* value = object.if_contains(name);
+    if (value == nullptr || !value->is_number()) {
+        return std::nullopt;
+    }
+    json::error_code error;
+    const auto number = value->to_number<std::uint64_t>(error);
+    return error ? std::nullopt : std::optional(number);
+}
+
+} // namespace
+
+std::string write_status(const daemon_status& status) {
+    json::array members;
+    for (const auto& row : status.members) {
+        members.push_back(json::object{{"id", row.id.value()}, {"state", name_of(row.state)}});
+    }
+    json::array endpoints;
+    for (const auto& row : status.endpoints) {
+        endpoints.push_back(endpoint_json(row));
+    }
+    return json::serialize(json::object{{"member", status.member.value()},
+                                        {"incarnation", status.incarnation},
+                                        {"revision", status.revision},
+                                        {"open_requests", status.open_requests},
+                                        {"members", std::move(members)},
+                                        {"endpoints", std::move(endpoints)}});
+}
+
+std::string write_configuration_revision(const configuration_revision& revision) {
+    return json::serialize(json::object{{"revision", revision.revision},
+                                        {"operator", revision.operator_name},
+                                        {"document", revision.document}});
+}
+
+state::result<configuration_revision> read_configuration_revision(const std::string& text) {
+    BOOST_LEAF_AUTO(object, parse_object(text, failure_kind::message_damaged));
+    const auto revision = number_of(object, "revision");
+    const auto document = text_of(object, "document");
+    if (!revision || !document) {
+        return state::fail(failure_kind::message_damaged,
+                           "a configuration needs 'revision' and 'document'");
+    }
+    return configuration_revision{*revision, text_of(object, "operator").value_or(""), *document};
+}
+
+std::string write_accepted(std::uint64_t revision) {
+    return json::serialize(json::object{{"revision", revision}});
+}
+
+state::result<std::uint64_t> read_accepted(const std::string& text) {
+    BOOST_LEAF_AUTO(object, parse_object(text, failure_kind::message_damaged));
+    const auto revision = number_of(object, "revision");
+    if (!revision) {
+        return state::fail(failure_kind::message_damaged, "the answer has no 'revision'");
+    }
+    return *revision;
+}
+
+std::string write_operator_failure(const state::failure& failure) {
+    const auto& properties = state::properties_of(failure.kind);
+    return json::serialize(json::object{
+        {"error",
+         json::object{{"kind", json::string_view(properties.name.data(), properties.name.size())},
+                      {"detail", failure.detail},
+                      {"message", failure.message()},
+                      {"outcome", name_of(failure.reported_outcome())}}}});
+}
+
+std::optional<state::failure> read_operator_failure(const std::string& text) {
+    json::error_code error;
+    const auto value = json::parse(text, error);
+    const auto* object = error ? nullptr : value.if_object();
+    const auto* inner = object == nullptr ? nullptr : object->if_contains("error");
+    if (inner == nullptr || !inner->is_object()) {
+        return std::nullopt;
+    }
+    const auto kind_name = text_of(inner->as_object(), "kind");
+    const auto detail = text_of(inner->as_object(), "detail");
+    const auto outcome_name = text_of(inner->as_object(), "outcome");
+    if (!kind_name || !detail) {
+        return std::nullopt;
+    }
+    state::failure failure{failure_kind::internal, *detail, std::nullopt};
+    for (int value_of_kind = 0; value_of_kind <= static_cast<int>(failure_kind::internal);
+         ++value_of_kind) {
+        const auto kind = static_cast<failure_kind>(value_of_kind);
+        if (state::properties_of(kind).name == *kind_name) {
+            failure.kind = kind;
+        }
+    }
+    if (outcome_name) {
+        failure.outcome = state::from_name<state::execution_outcome>(*outcome_name);
+    }
+    return failure;
+}
+
+std::string write_drain_request(const drain_request& request) {
+    json::object object;
+    object[json::string_view(state::to_name(request.target).data(),
+                             state::to_name(request.target).size())] = request.id;
+    return json::serialize(object);
+}
+
+state::result<drain_request> read_drain_request(const std::string& text) {
+    BOOST_LEAF_AUTO(object, parse_object(text, failure_kind::invalid_request));
+    std::optional<drain_request> request;
+    for (const auto& row : state::enum_table<drain_target>::rows) {
+        const auto id = text_of(object, row.name);
+        if (id && !id->empty()) {
+            request = drain_request{row.value, *id};
+        }
+    }
+    if (!request || object.size() != 1) {
+        return state::fail(failure_kind::invalid_request,
+                           "the body must hold exactly one of 'endpoint' and "
+                           "'availability_zone', with an id");
+    }
+    return *request;
+}
+
+} // namespace savoryrelay::protocol
