Connect operators and savoryrelayctl to the daemon

Cause: the interface had no daemon behind it and no client. Change: operators_part serves status and hands changes to one submit hook; table_configuration submits conditionally on the row's version and moves the replaced revision to the history in the same transaction. savoryrelayctl gets configuration, drain, return and status; a conflict exits with 4, a change that may have taken effect with 5. Ruled out: the cxxtools client, which repeats a POST by itself. Result: 44 assertions in 4 cases of transport_tests [operators] pass; by hand against a remote stand-in a second submit of revision 0 exited with 4.

--- a/src/ctl/command.h
+++ b/src/ctl/command.h
@@ -21,6 +21,8 @@
     defect = 1,     ///< the record has findings, or the input is invalid
     usage = 2,      ///< wrong arguments
     unreadable = 3, ///< a file or service cannot be read or written
+    conflict = 4,   ///< another operator's revision came first
+    unknown = 5,    ///< the change may have taken effect
 };
 
 /// Runs a command. `arguments` begins with the command's own name.
@@ -53,9 +55,8 @@
 struct savoryrelay::state::enum_table<savoryrelay::ctl::exit_code> {
     using c = savoryrelay::ctl::exit_code;
     static constexpr std::array rows{
-        enum_name<c>{c::success, "success"},
-        enum_name<c>{c::defect, "defect"},
-        enum_name<c>{c::usage, "usage"},
-        enum_name<c>{c::unreadable, "unreadable"},
+        enum_name<c>{c::success, "success"},   enum_name<c>{c::defect, "defect"},
+        enum_name<c>{c::usage, "usage"},       enum_name<c>{c::unreadable, "unreadable"},
+        enum_name<c>{c::conflict, "conflict"}, enum_name<c>{c::unknown, "unknown"},
     };
 };
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,7 +1,10 @@
 // savoryrelayctl: dispatches to its commands by a table of names.
 #include "audit_command.h"
 #include "command.h"
+#include "configuration_command.h"
+#include "drain_command.h"
 #include "init_command.h"
+#include "status_command.h"
 
 #include <algorithm>
 #include <array>
@@ -19,7 +22,11 @@
 
 const std::array commands{
     command_row{"audit", "list, show, verify or export a record", run_audit},
+    command_row{"configuration", "show, submit or compare a configuration", run_configuration},
+    command_row{"drain", "take an endpoint or an availability zone out of service", run_drain},
     command_row{"init", "generate settings and configuration from answers", run_init},
+    command_row{"return", "bring an endpoint or an availability zone back", run_return},
+    command_row{"status", "show members, endpoints and open requests", run_status},
 };
 
 void print_commands(std::ostream& out) {
@@ -29,7 +36,8 @@
     }
     out << "\n`savoryrelayctl <command> --help` explains a command.\n"
            "Exit codes: 0 success, 1 findings or invalid input, 2 wrong arguments, 3 a file or "
-           "service cannot be read or written.\n";
+           "service cannot be read or written, 4 another operator's revision came first, 5 the "
+           "change may have taken effect.\n";
 }
 
 } // namespace
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -57,9 +57,13 @@
                       [this](state::time_point) {
                           return !m_stopping.load() && m_configuration.load()->revision > 0;
                       },
-                      read_clock}) {}
+                      read_clock}),
+      m_table_configuration(m_incarnation, m_platform),
+      m_operators(m_settings, m_incarnation, m_configuration, m_endpoints, make_operators_hooks()) {
+}
 
 relay_daemon::~relay_daemon() {
+    m_operators.stop(); // its requests wait for the platform, which needs the I/O threads
     m_control_worker.stop();
     m_store_worker.stop();
     m_io_threads.stop();
@@ -147,6 +151,38 @@
     return hooks;
 }
 
+operators_part_hooks relay_daemon::make_operators_hooks() {
+    return {
+        .submit =
+            [this](const std::string& document, std::uint64_t expected, const std::string& who,
+                   state::time_point now) {
+                return m_table_configuration.submit(document, expected, who, now);
+            },
+        .read_configuration =
+            [this](std::optional<std::uint64_t> revision) {
+                return m_table_configuration.read(revision);
+            },
+        .members =
+            [this] {
+                return std::vector<protocol::member_status>{
+                    {m_settings.member, state::member_state::alive}};
+            },
+        .open_requests =
+            [this] { return static_cast<std::uint64_t>(m_caller_server->open_requests()); },
+        .changed =
+            [](const transport::operator_change& change) {
+                log_change("operator_change",
+                           {{"operator", change.operator_name},
+                            {"action", change.action},
+                            {"subject", change.subject},
+                            {"from_revision", std::to_string(change.from_revision)},
+                            {"to_revision", std::to_string(change.to_revision)},
+                            {"result", change.failure ? change.failure->message() : "ok"}});
+            },
+        .now = read_clock,
+    };
+}
+
 state::result<void> relay_daemon::load_first_configuration() {
     if (m_settings.platform != protocol::platform_mode::embedded) {
         return {};
@@ -203,6 +239,7 @@
                                              std::to_string(m_caller_server->port())},
                              {"member", m_settings.member.value()},
                              {"incarnation", m_incarnation}});
+    BOOST_LEAF_CHECK(m_operators.start());
     return {};
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -2,6 +2,9 @@
 // hooks, and runs them until it is asked to stop.
 #pragma once
 
+#include "operators_part.h"
+#include "table_configuration.h"
+
 #include "savoryrelay/coordination/call/call_coordinator.h"
 #include "savoryrelay/protocol/settings/daemon_settings.h"
 #include "savoryrelay/state/configuration/configuration.h"
@@ -40,6 +43,7 @@
     [[nodiscard]] state::result<void> load_first_configuration();
     [[nodiscard]] coordination::call_hooks make_call_hooks();
     [[nodiscard]] transport::booking_hooks make_booking_hooks();
+    [[nodiscard]] operators_part_hooks make_operators_hooks();
     void poll_configuration();
     void finish_open_requests();
 
@@ -60,6 +64,8 @@
     std::unique_ptr<transport::http_server> m_caller_server;
     transport::worker_thread m_store_worker;
     transport::worker_thread m_control_worker;
+    table_configuration m_table_configuration;
+    operators_part m_operators; // last: its threads use the parts above
 };
 
 } // namespace savoryrelay::daemon
