--- a/src/ctl/configuration_command.cpp
+++ b/src/ctl/configuration_command.cpp
@@ -16,7 +16,8 @@
 
 Usage:
   savoryrelayctl configuration show --daemon=ADDRESS:PORT [--revision=N] [--json]
-  savoryrelayctl configuration submit <file> --expected=N --daemon=ADDRESS:PORT [options]
+  savoryrelayctl configuration submit <file> --expected=N --daemon=ADDRESS:PORT
+                 [--operator=NAME] [--json]
   savoryrelayctl configuration diff <file> --daemon=ADDRESS:PORT [--revision=N]
   savoryrelayctl configuration --help
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -50,10 +50,11 @@
       m_platform(m_settings.platform == protocol::platform_mode::embedded
                      ? m_embedded_platform.hooks()
                      : m_platform_client.hooks()),
+      m_record(m_settings, m_incarnation, m_platform, m_metrics),
       m_coordinator({.local_zone = m_settings.availability_zone, .id_prefix = m_incarnation},
                     m_configuration, m_endpoints, m_metrics, make_call_hooks()),
       m_caller_front(m_coordinator, m_configuration, m_metrics, {},
-                     {make_booking_hooks(),
+                     {m_record.record_bookings(make_booking_hooks()),
                       [this](state::time_point) {
                           return !m_stopping.load() && m_configuration.load()->revision > 0;
                       },
@@ -63,7 +64,9 @@
 }
 
 relay_daemon::~relay_daemon() {
-    m_operators.stop(); // its requests wait for the platform, which needs the I/O threads
+    // Both wait for the platform, which needs the I/O threads.
+    m_operators.stop();
+    m_record.stop();
     m_control_worker.stop();
     m_store_worker.stop();
     m_io_threads.stop();
@@ -80,11 +83,13 @@
             }
             return {};
         },
-        .admit = [](const coordination::call&, state::time_point) { return state::result<void>{}; },
+        .admit = [this](const coordination::call& call,
+                        state::time_point) { return m_record.call_accepted(call); },
         .may_use_endpoint = [](const state::endpoint_config&, const state::endpoint_state&,
                                state::time_point) { return true; },
         .choose_endpoint = coordination::choose_endpoint,
-        .finished = [](const coordination::call&, state::execution_outcome, state::time_point) {},
+        .finished = [this](const coordination::call& call, state::execution_outcome outcome,
+                           state::time_point) { m_record.call_ended(call, outcome); },
     };
 }
 
@@ -170,7 +175,8 @@
         .open_requests =
             [this] { return static_cast<std::uint64_t>(m_caller_server->open_requests()); },
         .changed =
-            [](const transport::operator_change& change) {
+            [this](const transport::operator_change& change) {
+                m_record.operator_changed(change);
                 log_change("operator_change",
                            {{"operator", change.operator_name},
                             {"action", change.action},
@@ -221,6 +227,7 @@
 }
 
 state::result<void> relay_daemon::start() {
+    BOOST_LEAF_CHECK(m_record.start());
     BOOST_LEAF_CHECK(load_first_configuration());
     m_control_worker.repeat(m_settings.poll_interval, [this] { poll_configuration(); });
     try {
@@ -255,6 +262,8 @@
     m_caller_server->stop_accepting();
     log_change("stopping", {{"open_requests", std::to_string(m_caller_server->open_requests())}});
     m_caller_server->wait_until_idle();
+    m_operators.stop(); // the record must get no entry while it is closed
+    m_record.close();
     log_change("stopped");
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "operators_part.h"
+#include "record_part.h"
 #include "table_configuration.h"
 
 #include "savoryrelay/coordination/call/call_coordinator.h"
@@ -59,6 +60,7 @@
     transport::io_threads m_io_threads;
     transport::platform_client m_platform_client;
     state::platform_hooks m_platform;
+    record_part m_record;
     coordination::call_coordinator m_coordinator;
     transport::caller_front m_caller_front;
     std::unique_ptr<transport::http_server> m_caller_server;
--- a/src/savoryrelay/protocol/settings/daemon_settings.cpp
+++ b/src/savoryrelay/protocol/settings/daemon_settings.cpp
@@ -1,6 +1,7 @@
 // Reading and checking of the daemon's settings.
 #include "savoryrelay/protocol/settings/daemon_settings.h"
 
+#include "savoryrelay/protocol/record/record_json.h"
 #include "savoryrelay/protocol/settings/yaml_fields.h"
 
 namespace savoryrelay::protocol {
@@ -13,6 +14,13 @@
 // A revision must be in force everywhere within 6 s, and the poll is one part of it.
 constexpr std::uint64_t max_poll_ms = 4'000;
 
+constexpr std::uint64_t kib = 1'024;
+constexpr std::uint64_t mib = 1'024 * kib;
+constexpr std::uint64_t gib = 1'024 * mib;
+constexpr std::uint64_t min_flush_ms = 10;
+constexpr std::uint64_t max_retention_days = 36'500;
+constexpr std::size_t max_key_id_bytes = 64;
+
 bool is_loopback(const std::string& address) {
     return address.starts_with("127.") || address == "::1";
 }
@@ -64,6 +72,42 @@
     return fields.finish();
 }
 
+void read_date(yaml_fields& fields, std::string_view name, state::wall_time& value) {
+    const auto text = fields.text(name, "");
+    if (text.empty()) {
+        return;
+    }
+    const auto read = state::collect([&] { return from_utc_text(text); });
+    if (read) {
+        value = read.value();
+    } else {
+        fields.note("'" + fields.path_of(name) + "' is '" + text +
+                    "', but must be a UTC time such as 2026-12-04");
+    }
+}
+
+state::result<void> read_record(yaml_fields fields, record_file_settings& record) {
+    record.key_file = fields.text("key_file", "");
+    record.key_id = fields.text("key_id", record.key_id);
+    if (record.key_id.empty() || record.key_id.size() > max_key_id_bytes) {
+        fields.note("'" + fields.path_of("key_id") + "' must have 1 to " +
+                    std::to_string(max_key_id_bytes) + " characters");
+    }
+    read_date(fields, "key_valid_from", record.key_valid_from);
+    read_date(fields, "key_valid_until", record.key_valid_until);
+    if (record.key_valid_until <= record.key_valid_from) {
+        fields.note("'" + fields.path_of("key_valid_until") + "' must be after key_valid_from");
+    }
+    record.memory_limit_bytes =
+        fields.number("memory_limit_bytes", record.memory_limit_bytes, mib, 4 * gib);
+    record.segment_bytes = fields.number("segment_bytes", record.segment_bytes, 64 * kib, 64 * mib);
+    record.flush_interval =
+        read_span(fields, "flush_interval_ms", record.flush_interval, min_flush_ms, max_timeout_ms);
+    record.retention_days =
+        fields.number("retention_days", record.retention_days, 1, max_retention_days);
+    return fields.finish();
+}
+
 } // namespace
 
 state::result<daemon_settings> read_daemon_settings(const std::string& text) {
@@ -75,6 +119,7 @@
     BOOST_LEAF_ASSIGN(settings.operators, read_address(fields.mapping("operators")));
     BOOST_LEAF_CHECK(read_peers(fields.mapping("peers"), settings));
     BOOST_LEAF_CHECK(read_platform(fields.mapping("platform"), settings));
+    BOOST_LEAF_CHECK(read_record(fields.mapping("record"), settings.record));
     settings.configuration_file = fields.text("configuration_file", "");
     settings.io_threads = static_cast<std::uint32_t>(
         fields.number("io_threads", settings.io_threads, 1, max_io_threads));
--- a/src/savoryrelay/protocol/settings/daemon_settings.h
+++ b/src/savoryrelay/protocol/settings/daemon_settings.h
@@ -25,6 +25,18 @@
     remote,   ///< over HTTP
 };
 
+/// Settings of the daemon's record.
+struct record_file_settings {
+    std::string key_file; ///< Ed25519 private key in PEM; empty: no record
+    std::string key_id = "record";
+    state::wall_time key_valid_from{};
+    state::wall_time key_valid_until{std::chrono::sys_days(std::chrono::year(2100) / 1 / 1)};
+    std::uint64_t memory_limit_bytes = std::uint64_t{16} * 1024 * 1024;
+    std::uint64_t segment_bytes = std::uint64_t{1} * 1024 * 1024;
+    state::milliseconds flush_interval{1'000};
+    std::uint64_t retention_days = 3'650; ///< for the object store's own rules
+};
+
 /// The settings of one daemon. docs/settings.md lists them with their ranges.
 struct daemon_settings {
     state::member_id member;
@@ -38,6 +50,7 @@
     platform_mode platform = platform_mode::embedded;
     network_address platform_address;
     state::milliseconds platform_timeout{2'000};
+    record_file_settings record;
     std::string configuration_file; ///< first configuration of an embedded platform
     std::uint32_t io_threads = 2;
     state::milliseconds poll_interval{2'000}; ///< of the configuration's revision
