Let both racing submissions read before either writes

Change: the platform stand-in answers 150 ms late during the race. Ruled out: more repetitions, which take longer and still miss some.

--- a/tests/process/operators_test.cpp
+++ b/tests/process/operators_test.cpp
@@ -173,12 +173,15 @@
     REQUIRE(relay.submit(0) == exit_success);
     CHECK(relay.submit(0) == exit_conflict);
 
+    // A slow platform lets both read revision 1 before either writes.
+    relay.platform.control(R"({"delay_ms": 150})");
     const auto file = relay.write_configuration();
     const auto first =
         relay.start_ctl({"configuration", "submit", file, "--expected=1", "--operator=alice"});
     const auto second =
         relay.start_ctl({"configuration", "submit", file, "--expected=1", "--operator=bob"});
     std::vector<int> codes{first->wait(), second->wait()};
+    relay.platform.control(R"({"delay_ms": 0})");
     std::sort(codes.begin(), codes.end());
     CHECK(codes == std::vector<int>{exit_success, exit_conflict});
     CHECK(relay.ctl({"configuration", "diff", file}) == exit_success);
