--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -46,6 +46,7 @@
       m_platform(m_settings.platform == protocol::platform_mode::embedded
                      ? m_embedded_platform.hooks()
                      : m_platform_client.hooks()),
+      m_record(m_settings, m_incarnation, m_platform, m_metrics),
       m_membership(m_settings, m_incarnation, m_platform, m_metrics, m_configuration),
       m_routing(m_io_threads, m_configuration, m_metrics, m_settings.availability_zone, read_clock),
       m_coordinator({.id_prefix = m_incarnation, .retries = {}}, m_configuration,
@@ -62,13 +63,17 @@
                   .now = read_clock}),
       m_caller_front(
           m_coordinator, m_configuration, m_metrics, {},
-          {m_bookings.hooks(),
+          {m_record.record_bookings(m_bookings.hooks()),
            [this](state::time_point now) { return !m_stopping.load() && m_membership.ready(now); },
-           read_clock}) {}
+           read_clock}),
+      m_operators(m_settings, m_incarnation, m_configuration, make_operators_hooks()) {}
 
 relay_daemon::~relay_daemon() {
+    // Each waits for the platform, which needs the socket threads.
+    m_operators.stop();
     m_bookings.stop();
     m_membership.stop();
+    m_record.stop();
     m_io_threads.stop();
 }
 
@@ -81,13 +86,64 @@
             return m_membership.check_eligibility(now);
         },
         .admit =
-            [this](const coordination::call&, state::time_point) {
+            [this](const coordination::call& call, state::time_point) {
                 m_routing.follow_configuration();
-                return state::result<void>{};
+                return m_record.call_accepted(call);
             },
         .may_use_endpoint = [](const state::endpoint_config&, const state::endpoint_state&,
                                state::time_point) { return true; },
-        .finished = [](const coordination::call&, state::execution_outcome, state::time_point) {},
+        .finished = [this](const coordination::call& call, state::execution_outcome outcome,
+                           state::time_point) { m_record.call_ended(call, outcome); },
+    };
+}
+
+state::result<protocol::configuration_revision>
+relay_daemon::read_revision(std::optional<std::uint64_t> revision) const {
+    const auto in_force = m_membership.configuration().peer_view();
+    const auto wanted = revision.value_or(in_force.revisions.held);
+    if (wanted == 0) {
+        return protocol::configuration_revision{};
+    }
+    BOOST_LEAF_AUTO(history, m_membership.configuration().read_history(wanted));
+    return protocol::configuration_revision{history.revision, history.operator_name,
+                                            history.document};
+}
+
+operators_part_hooks relay_daemon::make_operators_hooks() {
+    return {
+        .submit =
+            [this](const std::string& document, std::uint64_t expected, const std::string& who,
+                   state::time_point now) {
+                return m_membership.submit(document, expected, who, now);
+            },
+        .read_configuration =
+            [this](std::optional<std::uint64_t> revision) { return read_revision(revision); },
+        .members =
+            [this] {
+                std::vector<protocol::member_status> rows;
+                for (const auto& member : m_membership.members()) {
+                    rows.push_back({member.id, member.state});
+                }
+                return rows;
+            },
+        .endpoint_state =
+            [this](const state::endpoint_id& endpoint) {
+                return m_routing.endpoint_state(endpoint);
+            },
+        .open_requests =
+            [this] { return static_cast<std::uint64_t>(m_caller_server->open_requests()); },
+        .changed =
+            [this](const transport::operator_change& change) {
+                m_record.operator_changed(change);
+                log_change("operator_change",
+                           {{"operator", change.operator_name},
+                            {"action", change.action},
+                            {"subject", change.subject},
+                            {"from_revision", std::to_string(change.from_revision)},
+                            {"to_revision", std::to_string(change.to_revision)},
+                            {"result", change.failure ? change.failure->message() : "ok"}});
+            },
+        .now = read_clock,
     };
 }
 
@@ -105,6 +161,7 @@
 }
 
 state::result<void> relay_daemon::start() {
+    BOOST_LEAF_CHECK(m_record.start());
     m_routing.start();
     try {
         m_caller_server = std::make_unique<transport::http_server>(
@@ -124,6 +181,7 @@
                              {"incarnation", m_incarnation}});
     BOOST_LEAF_CHECK(m_membership.start());
     BOOST_LEAF_CHECK(load_first_configuration());
+    BOOST_LEAF_CHECK(m_operators.start());
     return {};
 }
 
@@ -139,9 +197,11 @@
     m_caller_server->stop_accepting();
     log_change("stopping", {{"open_requests", std::to_string(m_caller_server->open_requests())}});
     m_caller_server->wait_until_idle();
+    m_operators.stop(); // the record must get no entry while it is closed
     if (const auto unsettled = m_bookings.wait_until_settled(settle_limit); unsettled > 0) {
         log_warning("bookings_not_settled", {{"bookings", std::to_string(unsettled)}});
     }
+    m_record.close();
     log_change("stopped");
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -4,6 +4,8 @@
 
 #include "booking_part.h"
 #include "membership_part.h"
+#include "operators_part.h"
+#include "record_part.h"
 #include "routing_part.h"
 
 #include "savoryrelay/coordination/call/call_coordinator.h"
@@ -42,6 +44,10 @@
 private:
     [[nodiscard]] state::result<void> load_first_configuration();
     [[nodiscard]] coordination::call_hooks make_call_hooks();
+    [[nodiscard]] operators_part_hooks make_operators_hooks();
+    /// The document of `revision`, or of the present one. 0: none submitted yet.
+    [[nodiscard]] state::result<protocol::configuration_revision>
+    read_revision(std::optional<std::uint64_t> revision) const;
     void finish_open_requests();
 
     protocol::daemon_settings m_settings;
@@ -55,12 +61,14 @@
     transport::io_threads m_io_threads;
     transport::platform_client m_platform_client;
     state::platform_hooks m_platform;
+    record_part m_record;
     membership_part m_membership;
     routing_part m_routing;
     coordination::call_coordinator m_coordinator;
     booking_part m_bookings;
     transport::caller_front m_caller_front;
     std::unique_ptr<transport::http_server> m_caller_server;
+    operators_part m_operators; // last: its threads use the parts above
 };
 
 } // namespace savoryrelay::daemon
--- a/src/daemon/routing_part.cpp
+++ b/src/daemon/routing_part.cpp
@@ -82,6 +82,17 @@
       m_budget({}), m_suspects({}, coordination::default_crash_hooks()),
       m_broken(broken_retention) {}
 
+state::endpoint_state routing_part::endpoint_state(const state::endpoint_id& endpoint) const {
+    for (const auto& routes : m_catalog.all()) {
+        for (std::size_t slot = 0; slot < routes->endpoints.size(); ++slot) {
+            if (routes->endpoints[slot].id == endpoint) {
+                return routes->directory->read(static_cast<std::uint32_t>(slot)).state;
+            }
+        }
+    }
+    return {};
+}
+
 coordination::load_decisions routing_part::decisions() {
     return {m_catalog, m_queue, m_budget, m_suspects, m_broken};
 }
--- a/src/daemon/routing_part.h
+++ b/src/daemon/routing_part.h
@@ -32,6 +32,8 @@
     /// Rebuilds the catalog when a newer configuration is in force. Cheap
     /// otherwise, so that each accepted call may ask for it.
     void follow_configuration();
+    /// What this member knows of `endpoint`; a default state when it is not configured.
+    [[nodiscard]] state::endpoint_state endpoint_state(const state::endpoint_id& endpoint) const;
     /// References for the coordinator.
     [[nodiscard]] coordination::load_decisions decisions();
 
