Write the booking tests' configuration in the rows of the holder

Cause: the fixture wrote the whole document into config/current, which now holds only the revision, so its daemons never became ready.

--- a/tests/process/booking_test.cpp
+++ b/tests/process/booking_test.cpp
@@ -118,9 +118,13 @@
                               "endpoints:\n" +
                               endpoint("engine-1", "model", engine.port) +
                               endpoint("orders-1", "orders", service.port);
-        const auto written =
-            fetch(platform.port, http::verb::post, "/v1/table/transact",
-                  protocol::write_transaction({"test", {}, {{"config/current", document}}, {}}));
+        const state::table_transaction revision{
+            "test",
+            {},
+            {{"config/current", "1"}, {"config/history/1", "test\n0\n" + document}},
+            {}};
+        const auto written = fetch(platform.port, http::verb::post, "/v1/table/transact",
+                                   protocol::write_transaction(revision));
         REQUIRE(written.status == 200);
         return true;
     }
