Generate settings that the daemon accepts

Cause: savoryrelayctl init wrote the member as a plain name and no platform mode, so that a daemon refused its files, and nothing checked them but the YAML parser.

--- a/src/savoryrelay/protocol/questionnaire/questionnaire.cpp
+++ b/src/savoryrelay/protocol/questionnaire/questionnaire.cpp
@@ -2,7 +2,7 @@
 #include "savoryrelay/protocol/questionnaire/questionnaire.h"
 
 #include "savoryrelay/protocol/configuration/configuration_document.h"
-#include "savoryrelay/protocol/settings/yaml_fields.h"
+#include "savoryrelay/protocol/settings/daemon_settings.h"
 #include "savoryrelay/state/digest/digest.h"
 
 #include <openssl/rand.h>
@@ -167,19 +167,35 @@
     return out;
 }
 
+/// The peers' addresses of the other entry hosts, separated by commas.
+std::string seeds_text(const questionnaire_answers& answers, const entry_host_answer& host,
+                       const quote_hook& quote) {
+    std::string seeds;
+    for (const auto& other : answers.entry_hosts) {
+        if (other.name != host.name) {
+            seeds += (seeds.empty() ? "" : ", ") + quote(other.address + ":8082");
+        }
+    }
+    return seeds;
+}
+
 std::string settings_text(const questionnaire_answers& answers, const entry_host_answer& host,
                           const quote_hook& quote) {
     const auto memory = std::uint64_t{answers.record_memory_mib} * bytes_per_mib;
     return comment_line("Settings of entry host " + host.name) + comment_line(answers.trade) +
-           "member: " + quote(host.name) +
-           "\navailability_zone: " + quote(host.availability_zone.value()) +
+           "member:\n  id: " + quote(host.name) +
+           "\n  availability_zone: " + quote(host.availability_zone.value()) +
            "\n# Callers: IP address, port 1 to 65535.\ncallers:\n  address: " +
            quote(host.address) +
            "\n  port: 8080\n# Operators: HTTP of status, drain, audit.\noperators:\n  address: " +
            quote(host.address) +
            "\n  port: 8081\n# Other entry hosts: UDP and TCP on one port.\npeers:\n  address: " +
-           quote(host.address) + "\n  port: 8082\n  key_file: /etc/savoryrelay/peers.key\n" +
-           "# The platform's table, object store and host list.\nplatform:\n  address: " +
+           quote(host.address) +
+           "\n  port: 8082\n  key_file: /etc/savoryrelay/peers.key\n  seeds: [" +
+           seeds_text(answers, host, quote) +
+           "]\nsingle_entry_host: " + (answers.entry_hosts.size() == 1 ? "true" : "false") + "\n" +
+           "# The platform's table, object store and host list.\nplatform:\n  mode: remote\n  "
+           "address: " +
            quote(answers.platform_address) + "\n  port: " + std::to_string(answers.platform_port) +
            "\n# The record. memory_limit_bytes: 1 MiB to 4 GiB, new work is refused at 90% of "
            "it;\n# segment_bytes: 64 KiB to 64 MiB; flush_interval_ms: 10 to 60000;\n"
@@ -259,7 +275,7 @@
 
     for (const auto& host : answers.entry_hosts) {
         auto settings = settings_text(answers, host, hooks.quote);
-        BOOST_LEAF_CHECK(parse_yaml(settings, failure_kind::invalid_settings));
+        BOOST_LEAF_CHECK(read_daemon_settings(settings));
         files.push_back({"settings/" + host.name + ".yaml", std::move(settings)});
     }
     if (!tokens.empty()) {
