Accept a decoded request in one place of the callers' front end

Cause: completions and service calls repeated the acceptance, the refusal and the wait for admission. Change: begin_call does all three for both. Behaviour is the same.

--- a/src/savoryrelay/transport/caller/caller_front.cpp
+++ b/src/savoryrelay/transport/caller/caller_front.cpp
@@ -253,35 +253,37 @@
                          protocol::write_models(*configuration, customer->id));
 }
 
-asio::awaitable<void> caller_front::serve_completion(const http_request& request,
-                                                     response_writer& writer) {
+asio::awaitable<std::shared_ptr<coordination::call>>
+caller_front::begin_call(const state::attempt<coordination::call_request>& decoded,
+                         response_writer& writer) {
     auto accepted = state::collect([&]() -> state::result<std::shared_ptr<coordination::call>> {
-        BOOST_LEAF_AUTO(call, read_completion(request));
-        return m_coordinator.accept(call, m_hooks.now());
+        if (!decoded) {
+            return state::fail(decoded.error());
+        }
+        return m_coordinator.accept(decoded.value(), m_hooks.now());
     });
     if (!accepted) {
         co_await refuse(accepted.error(), no_request, writer);
-        co_return;
+        co_return nullptr;
     }
     const bool started = co_await wait_for_start(*accepted.value(), writer);
-    if (started) {
-        co_await relay_call(accepted.value(), request, writer);
+    co_return started ? accepted.value() : nullptr;
+}
+
+asio::awaitable<void> caller_front::serve_completion(const http_request& request,
+                                                     response_writer& writer) {
+    const auto decoded = state::collect([&] { return read_completion(request); });
+    const auto call = co_await begin_call(decoded, writer);
+    if (call != nullptr) {
+        co_await relay_call(call, request, writer);
     }
 }
 
 asio::awaitable<void> caller_front::serve_service(const http_request& request,
                                                   response_writer& writer) {
-    auto accepted = state::collect([&]() -> state::result<std::shared_ptr<coordination::call>> {
-        BOOST_LEAF_AUTO(call, read_service_call(request));
-        return m_coordinator.accept(call, m_hooks.now());
-    });
-    if (!accepted) {
-        co_await refuse(accepted.error(), no_request, writer);
-        co_return;
-    }
-    auto& call = accepted.value();
-    const bool started = co_await wait_for_start(*call, writer);
-    if (!started) {
+    const auto decoded = state::collect([&] { return read_service_call(request); });
+    const auto call = co_await begin_call(decoded, writer);
+    if (call == nullptr) {
         co_return;
     }
     if (call->deployment->repeat == state::repeat_rule::at_most_once) {
--- a/src/savoryrelay/transport/caller/caller_front.h
+++ b/src/savoryrelay/transport/caller/caller_front.h
@@ -44,6 +44,10 @@
 private:
     struct exchange; // one attempt at an endpoint
 
+    /// Accepts a decoded request and waits until it may start. Null: it has
+    /// been refused.
+    boost::asio::awaitable<std::shared_ptr<coordination::call>>
+    begin_call(const state::attempt<coordination::call_request>& decoded, response_writer& writer);
     boost::asio::awaitable<void> serve_completion(const http_request& request,
                                                   response_writer& writer);
     boost::asio::awaitable<void> serve_service(const http_request& request,
