--- /dev/null
+++ b/src/edge/edge.cpp
@@ -0,0 +1,152 @@
+// Joining of the parts, readiness and the graceful stop.
+#include "edge.h"
+
+#include "platform/call_headers.h"
+#include "savoryrelay/transport/process/log.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+
+namespace savoryrelay::edge {
+
+namespace asio = boost::asio;
+using state::milliseconds;
+using transport::log_change;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+
+// Time for the balancer to see that the host is leaving, before its listener
+// closes: two questions, a second apart, and the way of the answers.
+constexpr milliseconds balancer_notice{3'200};
+// Left of the stop limit for the end of the process.
+constexpr milliseconds end_reserve{500};
+constexpr milliseconds idle_check{100};
+// The part of the bound on repeats that this host's calls bring along.
+constexpr double safe_share = 0.7;
+// Unclaimed time of a request until it must be whole.
+constexpr milliseconds request_timeout{15'000};
+// Callers reuse a connection almost until its idle time is over.
+constexpr milliseconds idle_reserve{2'000};
+
+state::time_point read_clock() {
+    return std::chrono::steady_clock::now();
+}
+
+std::uint64_t make_incarnation() {
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
+                                          std::chrono::system_clock::now().time_since_epoch())
+                                          .count());
+}
+
+} // namespace
+
+edge_host::edge_host(protocol::edge_settings settings)
+    : m_settings(std::move(settings)), m_incarnation(make_incarnation()),
+      m_shared({m_settings.repeat_ratio * safe_share, 1}), m_threads(1 + m_settings.call_threads),
+      m_store(m_threads, {m_settings.store.address, m_settings.store.port}),
+      m_tables(m_threads, m_store, m_shared, read_clock),
+      m_groups(m_threads, m_store, m_shared, m_settings.host, m_incarnation, read_clock),
+      m_peers(m_threads, m_store, m_shared, m_tables, m_groups, m_settings, m_incarnation,
+              read_clock),
+      m_selector(m_shared.fleet, m_shared.loads, m_settings.availability_zone,
+                 {.zones_out_of_service = [this] { return m_shared.zones_out_of_service.load(); },
+                  .host_count = [this] { return m_shared.host_count.load(); }}),
+      m_front({m_shared.fleet, m_shared.loads, m_selector, m_shared.repeats, m_shared.metrics,
+               platform::make_serving_codec(), [this] { return m_shared.configuration.load(); },
+               [this](const std::string& model, double work_ms) {
+                   m_shared.work.note(model, work_ms, read_clock());
+               },
+               [this](const state::endpoint_id& id) { m_groups.note_suspect(id); }, read_clock}) {}
+
+edge_host::~edge_host() {
+    m_peers.stop();
+    m_groups.stop();
+    m_threads.stop();
+}
+
+void edge_host::start() {
+    const auto listen = [this](const protocol::network_address& address,
+                               transport::request_handler handler) {
+        return std::make_unique<transport::http_server>(m_threads, address.address, address.port,
+                                                        transport::http_limits{},
+                                                        std::move(handler));
+    };
+    m_caller_server =
+        listen(m_settings.callers,
+               [this](transport::http_request request, transport::response_writer& writer) {
+                   return m_front.handle(std::move(request), writer);
+               });
+    m_caller_server->follow_limits([this] {
+        const auto limits = m_shared.configuration.load()->limits;
+        transport::http_limits bounds;
+        bounds.header_bytes = limits.header_bytes;
+        bounds.body_bytes = limits.body_bytes;
+        bounds.idle_timeout = limits.idle_timeout + idle_reserve;
+        bounds.request_timeout = request_timeout;
+        return bounds;
+    });
+    m_readiness_server =
+        listen(m_settings.readiness,
+               [this](transport::http_request request, transport::response_writer& writer) {
+                   return answer_readiness(std::move(request), writer);
+               });
+    m_metrics_server =
+        listen(m_settings.metrics,
+               [this](transport::http_request, transport::response_writer& writer)
+                   -> asio::awaitable<void> {
+                   const auto text = m_shared.metrics.to_prometheus();
+                   co_await writer.send(
+                       status_ok, transport::content_type_field("text/plain; version=0.0.4"), text);
+               });
+    m_tables.start();
+    m_groups.start();
+    m_peers.start();
+    log_change("started", {{"host", m_settings.host.value()},
+                           {"incarnation", std::to_string(m_incarnation)}});
+}
+
+asio::awaitable<void> edge_host::answer_readiness(transport::http_request,
+                                                  transport::response_writer& writer) {
+    const bool is_ready =
+        !m_shared.is_stopping && m_shared.configuration.load()->version > 0;
+    co_await writer.send(is_ready ? status_ok : status_unavailable,
+                         transport::content_type_field("text/plain"), is_ready ? "ready" : "");
+}
+
+void edge_host::run(transport::process_signals& signals) {
+    while (signals.next() == transport::process_request::reload) {
+        log_change("reload", {{"outcome", "settings_take_effect_at_the_next_start"}});
+    }
+    finish_open_calls();
+}
+
+void edge_host::finish_open_calls() {
+    const auto asked_at = read_clock();
+    m_shared.is_stopping = true;
+    m_caller_server->announce_close();
+    log_change("stopping", {{"open_calls", std::to_string(m_caller_server->open_requests())}});
+    m_groups.stop();
+
+    // New connections come until the balancer has noticed; calls in flight may
+    // take almost all of the time until the process is killed.
+    std::mutex mutex;
+    std::condition_variable never;
+    std::unique_lock lock(mutex);
+    const auto last = asked_at + m_settings.stop_limit - end_reserve;
+    const auto notice = std::min(last, asked_at + balancer_notice);
+    while (read_clock() < notice ||
+           (m_caller_server->open_requests() > 0 && read_clock() < last)) {
+        never.wait_for(lock, idle_check);
+    }
+    m_caller_server->stop_accepting();
+    while (m_caller_server->open_requests() > 0 && read_clock() < last) {
+        never.wait_for(lock, idle_check);
+    }
+    log_change("stopped", {{"open_calls", std::to_string(m_caller_server->open_requests())}});
+}
+
+} // namespace savoryrelay::edge
--- /dev/null
+++ b/src/edge/edge.h
@@ -0,0 +1,51 @@
+// An entry host: joins the parts and sees to their start and stop.
+#pragma once
+
+#include "group_part.h"
+#include "peer_part.h"
+#include "shared_state.h"
+#include "store_part.h"
+
+#include "savoryrelay/protocol/settings/edge_settings.h"
+#include "savoryrelay/transport/http/http_server.h"
+#include "savoryrelay/transport/process/signals.h"
+#include "savoryrelay/transport/serving/serving_front.h"
+
+#include <memory>
+
+namespace savoryrelay::edge {
+
+/// The first socket thread runs control, the others serve calls.
+class edge_host {
+public:
+    explicit edge_host(protocol::edge_settings settings);
+    ~edge_host();
+    edge_host(const edge_host&) = delete;
+    edge_host& operator=(const edge_host&) = delete;
+
+    /// Starts all parts. Throws when an address cannot be bound.
+    void start();
+    /// Serves until a signal asks to stop, then finishes the open calls.
+    void run(transport::process_signals& signals);
+
+private:
+    boost::asio::awaitable<void> answer_readiness(transport::http_request request,
+                                                  transport::response_writer& writer);
+    void finish_open_calls();
+
+    const protocol::edge_settings m_settings;
+    const std::uint64_t m_incarnation;
+    shared_state m_shared;
+    transport::io_threads m_threads;
+    platform::store_client m_store;
+    store_part m_tables;
+    group_part m_groups;
+    peer_part m_peers;
+    coordination::endpoint_selector m_selector;
+    transport::serving_front m_front;
+    std::unique_ptr<transport::http_server> m_caller_server;
+    std::unique_ptr<transport::http_server> m_readiness_server;
+    std::unique_ptr<transport::http_server> m_metrics_server;
+};
+
+} // namespace savoryrelay::edge
--- /dev/null
+++ b/src/edge/group_part.cpp
@@ -0,0 +1,276 @@
+// The lease, the reports and the orders.
+#include "group_part.h"
+
+#include "platform/runner_client.h"
+#include "savoryrelay/protocol/lease/lease_text.h"
+#include "savoryrelay/transport/process/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace savoryrelay::edge {
+
+namespace asio = boost::asio;
+using state::milliseconds;
+using transport::log_change;
+
+namespace {
+
+const state::deployment_id groups_lease("groups");
+constexpr auto lease_table = "savoryrelay_lease";
+
+// Two renewals, an order and the drift of clocks fit into the term, also while
+// the store takes some hundred milliseconds for an answer.
+constexpr coordination::lease_settings lease_times{
+    .duration = milliseconds(2'500),
+    .renew_interval = milliseconds(700),
+    .order_timeout = milliseconds(400),
+    .margin = milliseconds(100),
+};
+constexpr milliseconds lease_tick{200};
+// A controller whose digests have not come for this long may be gone; the
+// store's row decides.
+constexpr milliseconds controller_silence{700};
+
+constexpr milliseconds step_interval{50};
+// A report is asked for this often, and more often while an order takes effect.
+constexpr milliseconds report_interval{400};
+constexpr milliseconds report_interval_busy{100};
+// Runners answer reports without a slot, within some milliseconds; two
+// unanswered ones in a row are taken for silence.
+constexpr milliseconds report_timeout{300};
+constexpr std::uint32_t silent_after_failures = 2;
+// Suspicions older than this are forgotten.
+constexpr milliseconds suspect_age{600};
+
+} // namespace
+
+group_part::group_part(transport::io_threads& threads, platform::store_client& store,
+                       shared_state& shared, state::host_id host, std::uint64_t incarnation,
+                       std::function<state::time_point()> now)
+    : m_threads(threads), m_shared(shared), m_host(std::move(host)), m_now(std::move(now)),
+      m_lease(lease_times, state::member_id(m_host.value()), incarnation,
+              {.platform = store.lease_hooks(lease_table, m_host.value()),
+               .codec = protocol::lease_text_codec(),
+               .clock = m_now},
+              shared.metrics) {}
+
+void group_part::start() {
+    m_lease_worker.repeat(lease_tick, [this] { maintain_lease(); });
+    asio::co_spawn(m_threads.context(0), run_steps(), asio::detached);
+}
+
+void group_part::stop() {
+    m_is_stopping = true;
+    m_lease_worker.post([this] { maintain_lease(); });
+    m_lease_worker.stop();
+}
+
+void group_part::maintain_lease() {
+    const auto now = m_now();
+    const auto phase = m_lease.phase(groups_lease, now);
+    bool other_is_alive = false;
+    {
+        const std::scoped_lock lock(m_mutex);
+        other_is_alive = now - m_other_controller_at < controller_silence;
+    }
+    if (phase == state::lease_phase::observing && (other_is_alive || m_is_stopping)) {
+        return;
+    }
+    const auto done =
+        state::collect([&] { return m_lease.maintain(groups_lease, !m_is_stopping.load()); });
+    if (!done) {
+        m_shared.metrics.counter_of("savoryrelay_lease_store_failures_total").add();
+    }
+}
+
+void group_part::note_other_controller(state::time_point now) {
+    const std::scoped_lock lock(m_mutex);
+    m_other_controller_at = now;
+}
+
+void group_part::note_suspect(const state::endpoint_id& runner) {
+    const auto now = m_now();
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (auto [known, is_new] = m_suspects.emplace(runner, now); !is_new) {
+            known->second = now;
+        }
+    }
+    asio::post(m_threads.context(0), [this, runner, now] { m_polls[runner].next = now; });
+}
+
+std::vector<state::runner_sighting> group_part::sightings(state::time_point now) {
+    std::vector<state::runner_sighting> all;
+    const auto fleet = m_shared.fleet.snapshot();
+    std::set<state::endpoint_id> suspects;
+    {
+        const std::scoped_lock lock(m_mutex);
+        std::erase_if(m_suspects,
+                      [&](const auto& entry) { return now - entry.second > suspect_age; });
+        for (const auto& [id, at] : m_suspects) {
+            suspects.insert(id);
+        }
+    }
+    for (const auto& runner : *fleet) {
+        const auto& record = runner.record;
+        const bool is_head = record.membership && record.membership->rank == 0;
+        const bool is_told = is_controller() ? is_head || runner.silent_since
+                                             : suspects.contains(record.id);
+        if (!is_told) {
+            continue;
+        }
+        state::runner_sighting sighting;
+        sighting.id = record.id;
+        sighting.born_ms = record.born_ms;
+        sighting.sequence = record.sequence;
+        sighting.is_silent = !is_controller() || runner.silent_since.has_value();
+        sighting.model = record.model;
+        sighting.membership = record.membership.value_or(state::group_membership{});
+        sighting.pace = runner.pace;
+        all.push_back(std::move(sighting));
+    }
+    return all;
+}
+
+asio::awaitable<void> group_part::run_steps() {
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!m_is_stopping) {
+        const auto now = m_now();
+        m_shared.fleet.refresh(now);
+        const bool holds = m_lease.phase(groups_lease, now) == state::lease_phase::holding;
+        if (holds != m_is_controller.exchange(holds)) {
+            log_change("controller", {{"outcome", holds ? "gained" : "lost"}});
+        }
+        if (holds) {
+            ask_due_runners(now);
+            step(now);
+        } else {
+            m_steerings.clear();
+        }
+        timer.expires_after(step_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    m_is_controller = false;
+}
+
+void group_part::ask_due_runners(state::time_point now) {
+    const auto fleet = m_shared.fleet.snapshot();
+    const auto configuration = m_shared.configuration.load();
+    for (const auto& runner : *fleet) {
+        const auto service = configuration->services.find(runner.record.service);
+        if (service == configuration->services.end() || !service->second.engine) {
+            continue;
+        }
+        auto& poll = m_polls[runner.record.id];
+        if (poll.is_asking || now < poll.next) {
+            continue;
+        }
+        poll.is_asking = true;
+        asio::co_spawn(m_threads.context(0), ask(runner.record), asio::detached);
+    }
+}
+
+asio::awaitable<void> group_part::ask(state::runner_record runner) {
+    const auto report = co_await platform::ask_report(m_pool, runner, report_timeout);
+    const auto now = m_now();
+    auto& poll = m_polls[runner.id];
+    poll.is_asking = false;
+    if (!report) {
+        ++poll.failures;
+        poll.next = poll.failures < silent_after_failures ? now : now + report_interval;
+        if (poll.failures == silent_after_failures) {
+            m_shared.fleet.note_silence(runner.id, runner.born_ms, now);
+            log_change("runner_silent", {{"runner", runner.id.value()},
+                                         {"detail", report.error().message()}});
+        }
+        co_return;
+    }
+    if (poll.failures >= silent_after_failures) {
+        log_change("runner_answers", {{"runner", runner.id.value()}});
+    }
+    poll.failures = 0;
+    const auto& membership = report.value().membership;
+    const auto known = m_shared.fleet.find(runner.id);
+    const bool is_busy = report.value().is_order_in_progress ||
+                         (known && known->awaits_report) ||
+                         (membership && (membership->state == state::membership_state::joining ||
+                                         membership->state == state::membership_state::ready));
+    poll.next = now + (is_busy ? report_interval_busy : report_interval);
+    m_shared.fleet.apply_report(runner.id, report.value(), now);
+}
+
+void group_part::step(state::time_point now) {
+    m_shared.fleet.refresh(now);
+    const auto fleet = m_shared.fleet.snapshot();
+    const auto configuration = m_shared.configuration.load();
+    const auto ticket = state::collect([&] { return m_lease.begin_order(groups_lease, now); });
+    if (!ticket) {
+        return; // the term ends too soon for an order
+    }
+    static_cast<void>(state::collect(
+        [&] { return m_lease.end_order(ticket.value(), coordination::order_end::replied, now); }));
+    for (const auto& [name, service] : configuration->services) {
+        if (!service.engine) {
+            continue;
+        }
+        coordination::steering_view view;
+        view.service = &service;
+        view.fleet = fleet.get();
+        view.zones_out_of_service = *m_shared.zones_out_of_service.load();
+        view.work = m_shared.work.all(now);
+        view.epoch = ticket.value().fencing_number;
+        auto& steering =
+            m_steerings.try_emplace(name, coordination::steering_settings{}).first->second;
+        for (auto& order : steering.plan(view, now)) {
+            const auto runner = m_shared.fleet.find(order.runner);
+            if (runner) {
+                asio::co_spawn(m_threads.context(0), send(runner->record, std::move(order)),
+                               asio::detached);
+            }
+        }
+    }
+}
+
+asio::awaitable<void> group_part::send(state::runner_record runner, state::runner_order order) {
+    const auto ticket =
+        state::collect([&] { return m_lease.begin_order(groups_lease, m_now()); });
+    if (!ticket || ticket.value().fencing_number != order.fencing_number) {
+        co_return;
+    }
+    const auto sent_at = m_now();
+    const auto answer =
+        co_await platform::send_order(m_pool, runner, order, lease_times.order_timeout);
+    const auto result = answer.result;
+    const auto now = m_now();
+    const auto end = result == state::runner_order_result::unknown
+                         ? coordination::order_end::no_reply
+                         : coordination::order_end::replied;
+    static_cast<void>(
+        state::collect([&] { return m_lease.end_order(ticket.value(), end, now); }));
+    log_change("order",
+               {{"runner", runner.id.value()},
+                {"order", std::string(state::to_name(order.kind))},
+                {"group", order.group},
+                {"epoch", std::to_string(order.epoch)},
+                {"model", order.model},
+                {"sequence", std::to_string(order.expected_sequence)},
+                {"result", std::string(state::to_name(result))},
+                {"detail", answer.detail},
+                {"took_ms",
+                 std::to_string(
+                     std::chrono::duration_cast<milliseconds>(now - sent_at).count())}});
+    if (result == state::runner_order_result::accepted) {
+        m_shared.fleet.note_order_accepted(order, now);
+    }
+    const auto steering = m_steerings.find(runner.service);
+    if (steering != m_steerings.end()) {
+        steering->second.note_result(order, result, now);
+    }
+    m_polls[runner.id].next = now + report_interval_busy;
+}
+
+} // namespace savoryrelay::edge
--- /dev/null
+++ b/src/edge/shared_state.h
@@ -0,0 +1,40 @@
+// State that the parts of an entry host share. Each member has its own locks.
+#pragma once
+
+#include "savoryrelay/coordination/retry/retry_budget.h"
+#include "savoryrelay/coordination/serving/fleet_table.h"
+#include "savoryrelay/coordination/serving/load_book.h"
+#include "savoryrelay/coordination/serving/work_meter.h"
+#include "savoryrelay/state/core/snapshot_cell.h"
+#include "savoryrelay/state/metrics/metrics.h"
+#include "savoryrelay/state/serving/serving_configuration.h"
+#include "savoryrelay/state/serving/table_mirror.h"
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <set>
+
+namespace savoryrelay::edge {
+
+struct shared_state {
+    explicit shared_state(coordination::retry_budget_settings repeat_settings)
+        : repeats(repeat_settings) {}
+
+    state::metrics metrics;
+    state::table_mirror operators; ///< the operators' table
+    state::table_mirror runners;   ///< the runners' entries
+    state::snapshot_cell<state::serving_configuration> configuration{
+        state::serving_configuration{}};
+    state::snapshot_cell<std::set<state::availability_zone_id>> zones_out_of_service{
+        std::set<state::availability_zone_id>{}};
+    coordination::fleet_table fleet;
+    coordination::load_book loads;
+    coordination::work_meter work;
+    coordination::retry_budget repeats;
+    std::atomic<bool> is_stopping{false};
+    std::atomic<bool> is_store_reachable{false};
+    std::atomic<std::size_t> host_count{1}; ///< entry hosts that share bounds, this one included
+};
+
+} // namespace savoryrelay::edge
--- a/src/savoryrelay/coordination/retry/retry_budget.h
+++ b/src/savoryrelay/coordination/retry/retry_budget.h
@@ -5,6 +5,8 @@
 #include "savoryrelay/state/core/identifier.h"
 #include "savoryrelay/state/core/sharded_map.h"
 
+#include <atomic>
+
 namespace savoryrelay::coordination {
 
 /// Settings of the budget.
@@ -17,7 +19,12 @@
 /// most `reserve` + `part` * its first attempts. Thread-safe.
 class retry_budget {
 public:
-    explicit retry_budget(retry_budget_settings settings) : m_settings(settings) {}
+    explicit retry_budget(retry_budget_settings settings)
+        : m_part(settings.part), m_reserve(settings.reserve) {}
+
+    /// Changes what a deployment may save up, for example when the hosts that
+    /// share a bound become more.
+    void set_reserve(double reserve) { m_reserve.store(reserve, std::memory_order_relaxed); }
 
     void note_first_attempt(const state::deployment_id& deployment);
     /// Takes one retry. Returns false when the budget is used up.
@@ -30,7 +37,8 @@
     };
     void open(balance& value) const;
 
-    retry_budget_settings m_settings;
+    const double m_part;
+    std::atomic<double> m_reserve;
     state::sharded_map<state::deployment_id, balance> m_balances;
 };
 
--- /dev/null
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -0,0 +1,140 @@
+// Filtering of endpoints, then the choice by load.
+#include "savoryrelay/coordination/serving/endpoint_selector.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace savoryrelay::coordination {
+namespace {
+
+// Way to another zone and back; zones are some milliseconds apart.
+constexpr double crossing_ms = 8;
+constexpr std::chrono::seconds cold_window{1};
+
+} // namespace
+
+std::variant<selected_endpoint, selection_failure>
+endpoint_selector::select(const state::service_rule& service, const state::serving_call& call,
+                          const std::set<state::endpoint_id>& excluded,
+                          state::milliseconds time_left, state::time_point now) {
+    const auto fleet = m_fleet.snapshot();
+    const auto out_of_service = m_hooks.zones_out_of_service();
+    const auto* model = service.engine ? service.engine->find_model(call.model) : nullptr;
+    std::vector<const runner_view*> runners;
+    for (const auto& runner : *fleet) {
+        const auto& record = runner.record;
+        const bool serves = service.engine
+                                ? model != nullptr && record.is_open_head() &&
+                                      record.model == model->name
+                                : true;
+        if (record.service == service.name && serves && runner.may_take_calls(now) &&
+            !excluded.contains(record.id) && !out_of_service->contains(record.availability_zone)) {
+            runners.push_back(&runner);
+        }
+    }
+    while (!runners.empty()) {
+        auto selected = service.engine ? select_group(service, *model, call, runners, time_left, now)
+                                       : select_plain(runners, now);
+        if (const auto* endpoint = std::get_if<selected_endpoint>(&selected)) {
+            if (!take_cold_place(service, endpoint->runner, now)) {
+                std::erase_if(runners, [&](const auto* each) {
+                    return each->record.id == endpoint->runner.record.id;
+                });
+                continue;
+            }
+        }
+        return selected;
+    }
+    return selection_failure::none_in_service;
+}
+
+std::variant<selected_endpoint, selection_failure>
+endpoint_selector::select_group(const state::service_rule& service, const state::model_rule& model,
+                                const state::serving_call& call,
+                                const std::vector<const runner_view*>& heads,
+                                state::milliseconds time_left, state::time_point now) const {
+    const auto loads = m_loads.all(now);
+    const auto& engine = *service.engine;
+    const double most = engine.slots * (1 + queue_share);
+    std::vector<group_candidate> candidates;
+    for (const auto* head : heads) {
+        group_candidate candidate;
+        candidate.head = head->record.id;
+        candidate.pace = head->pace;
+        candidate.crossing_ms = head->record.availability_zone == m_own_zone ? 0 : crossing_ms;
+        if (const auto load = loads.find(head->record.id); load != loads.end()) {
+            candidate.load = load->second;
+        }
+        if (candidate.load.writing + candidate.load.waiting < most) {
+            candidates.push_back(std::move(candidate));
+        }
+    }
+    if (candidates.empty()) {
+        return selection_failure::all_full;
+    }
+    auto choice = m_hooks.choose(engine, model, candidates, call, true);
+    if (!choice) {
+        choice = m_hooks.choose(engine, model, candidates, call, false);
+    }
+    if (!choice) {
+        return selection_failure::all_full;
+    }
+    if (choice->prediction.first_event_ms > static_cast<double>(time_left.count())) {
+        return selection_failure::too_late;
+    }
+    const auto head = std::find_if(heads.begin(), heads.end(), [&](const auto* each) {
+        return each->record.id == choice->head;
+    });
+    return selected_endpoint{**head, choice->prediction.first_event_ms};
+}
+
+std::variant<selected_endpoint, selection_failure>
+endpoint_selector::select_plain(const std::vector<const runner_view*>& runners,
+                                state::time_point now) const {
+    const auto loads = m_loads.all(now);
+    const runner_view* best = nullptr;
+    double best_cost = 0;
+    bool some_full = false;
+    for (const auto* runner : runners) {
+        const auto load = loads.find(runner->record.id);
+        const double in_flight =
+            load == loads.end() ? 0 : load->second.writing + load->second.waiting;
+        const double slots = std::max(1U, runner->record.slots);
+        // The zone decides among endpoints of equal load.
+        constexpr double crossing_cost = 0.1;
+        const double cost = (in_flight + 1) / slots +
+                            (runner->record.availability_zone == m_own_zone ? 0 : crossing_cost);
+        if (in_flight >= slots * 2) {
+            some_full = true;
+            continue;
+        }
+        if (best == nullptr || cost < best_cost) {
+            best = runner;
+            best_cost = cost;
+        }
+    }
+    if (best == nullptr) {
+        return some_full ? selection_failure::all_full : selection_failure::none_in_service;
+    }
+    return selected_endpoint{*best, 0};
+}
+
+bool endpoint_selector::take_cold_place(const state::service_rule& service,
+                                        const runner_view& runner, state::time_point now) {
+    if (service.cold_calls_per_s <= 0 || now >= runner.cold_until) {
+        return true;
+    }
+    const auto share =
+        service.cold_calls_per_s / static_cast<double>(std::max<std::size_t>(1, m_hooks.host_count()));
+    const auto places = std::max<std::size_t>(1, static_cast<std::size_t>(share));
+    return m_cold_calls.update(runner.record.id, [&](std::vector<state::time_point>& calls) {
+        std::erase_if(calls, [&](state::time_point at) { return now - at >= cold_window; });
+        if (calls.size() >= places) {
+            return false;
+        }
+        calls.push_back(now);
+        return true;
+    });
+}
+
+} // namespace savoryrelay::coordination
--- /dev/null
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -0,0 +1,91 @@
+// Selects the endpoint of a call from what is known of the fleet.
+#pragma once
+
+#include "savoryrelay/coordination/serving/fleet_table.h"
+#include "savoryrelay/coordination/serving/group_choice.h"
+#include "savoryrelay/coordination/serving/load_book.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace savoryrelay::coordination {
+
+/// An endpoint selected for one attempt.
+struct selected_endpoint {
+    runner_view runner;
+    double predicted_first_event_ms = 0; ///< 0 for plain services
+};
+
+/// Why no endpoint was selected.
+enum class selection_failure {
+    none_in_service, ///< no endpoint takes calls of this kind
+    all_full,        ///< each has as many calls as it can hold
+    too_late,        ///< none would answer in the time that is left
+};
+
+} // namespace savoryrelay::coordination
+
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::coordination::selection_failure> {
+    using f = savoryrelay::coordination::selection_failure;
+    static constexpr std::array rows{
+        enum_name<f>{f::none_in_service, "none_in_service"},
+        enum_name<f>{f::all_full, "all_full"},
+        enum_name<f>{f::too_late, "too_late"},
+    };
+};
+
+namespace savoryrelay::coordination {
+
+/// Dependencies of the selector.
+struct selector_hooks {
+    std::function<std::shared_ptr<const std::set<state::availability_zone_id>>()>
+        zones_out_of_service;
+    /// Hosts that share the bounds of a cold endpoint, this one included.
+    std::function<std::size_t()> host_count;
+    choose_group_hook choose = choose_group;
+};
+
+/// Thread-safe.
+class endpoint_selector {
+public:
+    /// Calls beyond the batch that wait at an endpoint, per place of the batch.
+    static constexpr double queue_share = 0.25;
+
+    endpoint_selector(const fleet_table& fleet, const load_book& loads,
+                      state::availability_zone_id own_zone, selector_hooks hooks)
+        : m_fleet(fleet), m_loads(loads), m_own_zone(std::move(own_zone)),
+          m_hooks(std::move(hooks)) {}
+
+    /// Selects an endpoint of `service` that is not among `excluded`.
+    [[nodiscard]] std::variant<selected_endpoint, selection_failure>
+    select(const state::service_rule& service, const state::serving_call& call,
+           const std::set<state::endpoint_id>& excluded, state::milliseconds time_left,
+           state::time_point now);
+
+private:
+    struct candidate_set {
+        std::vector<const runner_view*> runners;
+        bool some_full = false;
+    };
+    [[nodiscard]] std::variant<selected_endpoint, selection_failure>
+    select_group(const state::service_rule& service, const state::model_rule& model,
+                 const state::serving_call& call, const std::vector<const runner_view*>& heads,
+                 state::milliseconds time_left, state::time_point now) const;
+    [[nodiscard]] std::variant<selected_endpoint, selection_failure>
+    select_plain(const std::vector<const runner_view*>& runners, state::time_point now) const;
+    bool take_cold_place(const state::service_rule& service, const runner_view& runner,
+                         state::time_point now);
+
+    const fleet_table& m_fleet;
+    const load_book& m_loads;
+    const state::availability_zone_id m_own_zone;
+    const selector_hooks m_hooks;
+    state::sharded_map<state::endpoint_id, std::vector<state::time_point>> m_cold_calls;
+};
+
+} // namespace savoryrelay::coordination
--- /dev/null
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -0,0 +1,172 @@
+// Merging of what several sources say of a runner.
+#include "savoryrelay/coordination/serving/fleet_table.h"
+
+#include <algorithm>
+
+namespace savoryrelay::coordination {
+namespace {
+
+// A later start of the same id knows nothing of what was before.
+void begin_life(runner_view& runner, std::uint64_t born_ms) {
+    runner.record.born_ms = born_ms;
+    runner.record.sequence = 0;
+    runner.record.membership.reset();
+    runner.record.model.clear();
+    runner.record.is_draining = false;
+    runner.silent_since.reset();
+    runner.reported_at.reset();
+    runner.avoided_until = {};
+    runner.is_order_in_progress = false;
+    runner.awaits_report = false;
+    runner.pace = 1;
+}
+
+} // namespace
+
+void fleet_table::apply_entry(const state::runner_record& entry, state::time_point now) {
+    m_runners.update(entry.id, [&](runner_view& runner) {
+        const bool is_new = runner.record.id.empty();
+        if (!is_new && entry.born_ms < runner.record.born_ms) {
+            return; // of an earlier life
+        }
+        if (!is_new && entry.born_ms > runner.record.born_ms) {
+            begin_life(runner, entry.born_ms);
+        }
+        runner.has_entry = true;
+        runner.unlisted_from.reset();
+        runner.cold_until = std::max(runner.cold_until, now + entry.cold_remaining);
+        const auto known = runner.record;
+        runner.record = entry;
+        runner.record.is_draining = entry.is_draining || (!is_new && known.is_draining);
+
+        // An entry does not count orders, and lags behind reports.
+        runner.record.sequence = is_new ? 0 : known.sequence;
+        const bool reported_lately =
+            runner.reported_at && now - *runner.reported_at < report_precedence;
+        if (!is_new && reported_lately) {
+            runner.record.membership = known.membership;
+            runner.record.model = known.model;
+            runner.record.staged = known.staged;
+        }
+    });
+}
+
+void fleet_table::apply_removal(const state::endpoint_id& id, state::time_point from) {
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        if (runner.has_entry) {
+            runner.has_entry = false;
+            runner.unlisted_from = from;
+        }
+    });
+}
+
+void fleet_table::apply_report(const state::endpoint_id& id, const state::runner_report& report,
+                               state::time_point now) {
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        if (report.born_ms && *report.born_ms != runner.record.born_ms) {
+            if (*report.born_ms < runner.record.born_ms) {
+                return;
+            }
+            begin_life(runner, *report.born_ms);
+        }
+        runner.answered_at = now;
+        runner.silent_since.reset();
+        runner.queued = report.queued;
+        runner.active = report.active;
+        runner.pace = report.pace;
+        runner.cold_until = std::max(runner.cold_until, now + report.cold_remaining);
+
+        // Reports lag; one that does not count an accepted order is from before it.
+        if (report.sequence.value_or(0) < runner.record.sequence) {
+            return;
+        }
+        runner.reported_at = now;
+        runner.awaits_report = false;
+        runner.record.sequence = report.sequence.value_or(0);
+        runner.record.membership = report.membership;
+        runner.record.model = report.model.value_or(runner.record.model);
+        runner.record.staged = report.staged.value_or(runner.record.staged);
+        runner.is_order_in_progress = report.is_order_in_progress;
+    });
+}
+
+void fleet_table::apply_sighting(const state::runner_sighting& sighting, state::time_point now) {
+    m_runners.update_existing(sighting.id, [&](runner_view& runner) {
+        if (sighting.born_ms != runner.record.born_ms) {
+            if (sighting.born_ms < runner.record.born_ms) {
+                return;
+            }
+            begin_life(runner, sighting.born_ms);
+        }
+        if (sighting.is_silent) {
+            if (!runner.silent_since) {
+                runner.silent_since = now;
+            }
+            return;
+        }
+        if (sighting.sequence < runner.record.sequence) {
+            return;
+        }
+        runner.silent_since.reset();
+        runner.reported_at = now;
+        runner.record.sequence = sighting.sequence;
+        runner.record.model = sighting.model;
+        runner.pace = sighting.pace;
+        if (sighting.membership.group.empty()) {
+            runner.record.membership.reset();
+        } else {
+            runner.record.membership = sighting.membership;
+        }
+    });
+}
+
+void fleet_table::note_order_accepted(const state::runner_order& order, state::time_point now) {
+    m_runners.update_existing(order.runner, [&](runner_view& runner) {
+        runner.record.sequence = std::max(runner.record.sequence, order.expected_sequence + 1);
+        runner.awaits_report = true;
+        runner.answered_at = now;
+        runner.silent_since.reset();
+    });
+}
+
+void fleet_table::note_silence(const state::endpoint_id& id, std::uint64_t born_ms,
+                               state::time_point now) {
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        if (runner.record.born_ms == born_ms && !runner.silent_since) {
+            runner.silent_since = now;
+        }
+    });
+}
+
+void fleet_table::note_answer(const state::endpoint_id& id, state::time_point now) {
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        runner.answered_at = now;
+        runner.silent_since.reset();
+    });
+}
+
+void fleet_table::avoid(const state::endpoint_id& id, state::time_point until) {
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        runner.avoided_until = std::max(runner.avoided_until, until);
+    });
+}
+
+std::optional<runner_view> fleet_table::find(const state::endpoint_id& id) const {
+    return m_runners.find(id);
+}
+
+void fleet_table::refresh(state::time_point now) {
+    m_runners.erase_if([&](const auto&, const runner_view& runner) {
+        const auto answered = runner.answered_at.value_or(state::time_point{});
+        return !runner.has_entry && runner.unlisted_from &&
+               now - *runner.unlisted_from > forget_after && now - answered > forget_after;
+    });
+    fleet_snapshot all;
+    m_runners.for_each([&](const auto&, const runner_view& runner) { all.push_back(runner); });
+    std::sort(all.begin(), all.end(), [](const auto& left, const auto& right) {
+        return left.record.id < right.record.id;
+    });
+    m_snapshot.replace_if(std::move(all), [](const auto&, const auto&) { return true; });
+}
+
+} // namespace savoryrelay::coordination
--- /dev/null
+++ b/src/savoryrelay/coordination/serving/group_steering.h
@@ -0,0 +1,112 @@
+// Decides the orders that form, open, close and re-form the groups of one
+// service. The groups themselves are kept by the runners, which report them, so
+// a successor continues from the reports alone.
+#pragma once
+
+#include "savoryrelay/coordination/serving/fleet_table.h"
+#include "savoryrelay/state/serving/serving_configuration.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace savoryrelay::coordination {
+
+/// Times of the steering.
+struct steering_settings {
+    /// An order without an answer is settled by the runner's next report after this time.
+    state::milliseconds order_settle{400};
+    /// An order that did not fit is decided anew from reports after this time.
+    state::milliseconds refusal_settle{250};
+    /// An order to open shows in the reports after this time at the latest.
+    state::milliseconds open_settle{1'000};
+    /// A group that has not been open for this long is nobody's work and is
+    /// dissolved. Covers the opening and the lag of reports.
+    state::milliseconds abandoned_after{1'000};
+    /// A runner without an entry that has been silent for this long has ended.
+    state::milliseconds gone_unlisted{1'000};
+    /// A listed runner that has been silent for this long has ended: longer than
+    /// the platform takes to remove an entry and than a group takes to break.
+    state::milliseconds gone_listed{12'000};
+    /// Part of the weight store's rate that is used.
+    double load_rate_share = 0.8;
+};
+
+/// What a step works from.
+struct steering_view {
+    const state::service_rule* service = nullptr; ///< has an engine
+    const fleet_snapshot* fleet = nullptr;
+    std::set<state::availability_zone_id> zones_out_of_service;
+    std::map<std::string, double> work; ///< groups kept busy by model; empty before any call
+    std::uint64_t epoch = 0;            ///< of the lease under which orders are sent
+};
+
+/// Steers one service. Used by one thread; its memory is a cache that a
+/// successor does without.
+///
+/// Invariants of its orders: a group is opened only after each of its members
+/// has reported ready under its name, epoch and list; no runner joins another
+/// group while the head of its group is, or may become, open.
+class group_steering {
+public:
+    explicit group_steering(steering_settings settings) : m_settings(settings) {}
+
+    /// The orders to send now, at most one a runner.
+    [[nodiscard]] std::vector<state::runner_order> plan(const steering_view& view,
+                                                        state::time_point now);
+    /// How an order ended.
+    void note_result(const state::runner_order& order, state::runner_order_result result,
+                     state::time_point now);
+
+    /// Whether the runner's life has certainly ended at `now`.
+    [[nodiscard]] bool is_gone(const runner_view& runner, state::time_point now) const;
+
+private:
+    /// A group on its way to be opened.
+    struct formation {
+        std::string group;
+        std::uint64_t epoch = 0;
+        std::string model;
+        state::fabric_domain_id domain;
+        std::vector<state::endpoint_id> members; // the first is the head
+        std::map<state::endpoint_id, std::uint64_t> lives; // born_ms by member
+        bool is_open_sent = false;
+    };
+    struct standing_group {
+        const runner_view* head = nullptr; // null: not known
+        std::vector<const runner_view*> members;
+    };
+    struct staging_order {
+        std::string model;
+        std::uint64_t born_ms = 0;
+        state::time_point until{};
+    };
+    struct step; // one call of plan
+
+    [[nodiscard]] bool is_settled(const state::endpoint_id& runner, state::time_point now) const;
+    void collect_groups(step& work);
+    void steer_standing(step& work);
+    void advance_formations(step& work);
+    void form_groups(step& work);
+    void form_in_domain(step& work, const state::fabric_domain_id& domain);
+    [[nodiscard]] std::string choose_model(const step& work, const state::fabric_domain_id& domain,
+                                           const std::vector<const runner_view*>& free) const;
+    [[nodiscard]] bool may_load(std::size_t count, const step& work);
+    void order(step& work, const runner_view& runner, state::runner_order_kind kind,
+               const std::string& group, std::uint64_t epoch);
+
+    const steering_settings m_settings;
+    std::uint64_t m_next_group = 0;
+    std::vector<formation> m_formations;
+    std::map<state::endpoint_id, state::time_point> m_unsettled; // ordered; settled from then on
+    std::map<state::endpoint_id, staging_order> m_stagings;
+    std::map<state::endpoint_id, std::string> m_last_model; // of the group joined last
+    std::map<std::string, state::time_point> m_not_open_since; // by group
+    std::set<std::string> m_closed;                            // groups that were told to close
+    std::deque<state::time_point> m_loads;                  // starts of loads in the last second
+};
+
+} // namespace savoryrelay::coordination
--- /dev/null
+++ b/src/savoryrelay/coordination/serving/work_meter.h
@@ -0,0 +1,48 @@
+// Measures the work that callers bring for each model.
+#pragma once
+
+#include "savoryrelay/state/core/time.h"
+#include "savoryrelay/state/serving/peer_digest.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace savoryrelay::coordination {
+
+/// An average of the work a second, older work counting less. Thread-safe.
+class work_meter {
+public:
+    /// After this time work counts for half.
+    static constexpr state::milliseconds half_life{3'000};
+    /// Work told by a host that has not been heard of for this long does not count.
+    static constexpr state::milliseconds peer_work_age{3'000};
+
+    /// A call came that keeps a group of `model` busy for `work_ms`.
+    void note(const std::string& model, double work_ms, state::time_point now);
+    void apply_peer(const std::string& peer, std::vector<state::model_work> work,
+                    state::time_point now);
+
+    /// This host's own work, in groups kept busy.
+    [[nodiscard]] std::vector<state::model_work> own(state::time_point now) const;
+    /// The work of all hosts by model; empty before any call came.
+    [[nodiscard]] std::map<std::string, double> all(state::time_point now) const;
+
+private:
+    struct average {
+        double work_ms = 0; // decayed sum
+        state::time_point at{};
+    };
+    struct peer_work {
+        std::vector<state::model_work> work;
+        state::time_point at{};
+    };
+    static double decayed(const average& value, state::time_point now);
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, average> m_own;     // guarded by m_mutex
+    std::map<std::string, peer_work> m_peers; // guarded by m_mutex
+};
+
+} // namespace savoryrelay::coordination
--- a/src/savoryrelay/protocol/event_stream/event_splitter.cpp
+++ b/src/savoryrelay/protocol/event_stream/event_splitter.cpp
@@ -12,8 +12,13 @@
 constexpr std::string_view end_mark = "data: [DONE]";
 
 std::optional<std::uint64_t> number_of(std::string_view event) {
-    if (!event.starts_with(id_field)) {
-        return std::nullopt;
+    // The number may follow other fields of the event.
+    while (!event.starts_with(id_field)) {
+        const auto line_end = event.find('\n');
+        if (line_end == std::string_view::npos || line_end + 1 >= event.size()) {
+            return std::nullopt;
+        }
+        event.remove_prefix(line_end + 1);
     }
     event.remove_prefix(id_field.size());
     std::uint64_t number = 0;
--- a/src/savoryrelay/protocol/event_stream/event_splitter.h
+++ b/src/savoryrelay/protocol/event_stream/event_splitter.h
@@ -33,6 +33,12 @@
     /// True once the end mark `data: [DONE]` has been taken.
     [[nodiscard]] bool finished() const { return m_finished; }
 
+    /// True while bytes of an event that is not whole are held.
+    [[nodiscard]] bool has_partial_event() const { return !m_pending.empty(); }
+
+    /// Expects the stream to go on after the event `last`.
+    void continue_after(std::uint64_t last) { m_next_token = last + 1; }
+
     /// Forgets a partial event. Call it before the stream resumes on another
     /// connection; events that repeat earlier numbers are then dropped.
     void resume();
--- /dev/null
+++ b/src/savoryrelay/protocol/peer/bounded_archive.h
@@ -0,0 +1,97 @@
+// Field by field encoding with bounds on cereal archives. An archive believes
+// the sizes it reads, so texts and lists go through these classes instead of
+// cereal's own support for containers.
+#pragma once
+
+#include "savoryrelay/state/core/enum_names.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace savoryrelay::protocol {
+
+/// Writes fields and throws `cereal::Exception` when one exceeds its bound.
+class bounded_writer {
+public:
+    template <typename Number>
+    void number(Number value) {
+        m_archive(value);
+    }
+    template <typename Enum>
+    void choice(Enum value) {
+        number(static_cast<std::uint8_t>(value));
+    }
+    template <typename Length = std::uint8_t>
+    void text(const std::string& value, std::size_t limit) {
+        count<Length>(value.size(), limit);
+        m_archive(cereal::binary_data(value.data(), value.size()));
+    }
+    template <typename Length = std::uint8_t>
+    void count(std::size_t value, std::size_t limit) {
+        if (value > limit) {
+            throw cereal::Exception("a field exceeds its bound");
+        }
+        number(static_cast<Length>(value));
+    }
+    [[nodiscard]] std::string take() const { return m_stream.str(); }
+
+private:
+    std::ostringstream m_stream;
+    cereal::PortableBinaryOutputArchive m_archive{
+        m_stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian()};
+};
+
+/// Reads fields and throws `cereal::Exception` on a bound or a short body.
+class bounded_reader {
+public:
+    explicit bounded_reader(std::string_view body)
+        : m_size(body.size()), m_stream(std::string(body)), m_archive(m_stream) {}
+
+    template <typename Number>
+    Number number() {
+        Number value = 0;
+        m_archive(value);
+        return value;
+    }
+    template <typename Enum>
+    Enum choice() {
+        const auto value = number<std::uint8_t>();
+        if (value >= state::enum_table<Enum>::rows.size()) {
+            throw cereal::Exception("a field has an unknown value");
+        }
+        return static_cast<Enum>(value);
+    }
+    template <typename Length = std::uint8_t>
+    std::string text(std::size_t limit) {
+        std::string value(count<Length>(limit), '\0');
+        m_archive(cereal::binary_data(value.data(), value.size()));
+        return value;
+    }
+    /// Every element takes at least one byte, so a count above the size of the
+    /// body is damage whatever the limit is.
+    template <typename Length = std::uint8_t>
+    std::size_t count(std::size_t limit) {
+        const std::size_t value = number<Length>();
+        if (value > limit || value > m_size) {
+            throw cereal::Exception("a field exceeds its bound");
+        }
+        return value;
+    }
+    void finish() {
+        if (m_stream.peek() != std::istringstream::traits_type::eof()) {
+            throw cereal::Exception("bytes are left after the message");
+        }
+    }
+
+private:
+    std::size_t m_size;
+    std::istringstream m_stream;
+    cereal::PortableBinaryInputArchive m_archive;
+};
+
+} // namespace savoryrelay::protocol
--- a/src/savoryrelay/protocol/peer/peer_codec.cpp
+++ b/src/savoryrelay/protocol/peer/peer_codec.cpp
@@ -3,9 +3,7 @@
 // own support for containers.
 #include "savoryrelay/protocol/peer/peer_codec.h"
 
-#include <cereal/archives/portable_binary.hpp>
-
-#include <sstream>
+#include "savoryrelay/protocol/peer/bounded_archive.h"
 
 namespace savoryrelay::protocol {
 
@@ -16,86 +14,7 @@
 /// Steps in which the age of an evidence is sent; 4 s fit into one byte.
 constexpr std::uint32_t age_step_ms = 16;
 
-/// Writes fields and throws `cereal::Exception` when one exceeds its bound.
-class writer {
-public:
-    template <typename Number>
-    void number(Number value) {
-        m_archive(value);
-    }
-    template <typename Enum>
-    void choice(Enum value) {
-        number(static_cast<std::uint8_t>(value));
-    }
-    template <typename Length = std::uint8_t>
-    void text(const std::string& value, std::size_t limit) {
-        count<Length>(value.size(), limit);
-        m_archive(cereal::binary_data(value.data(), value.size()));
-    }
-    template <typename Length = std::uint8_t>
-    void count(std::size_t value, std::size_t limit) {
-        if (value > limit) {
-            throw cereal::Exception("a field exceeds its bound");
-        }
-        number(static_cast<Length>(value));
-    }
-    [[nodiscard]] std::string take() const { return m_stream.str(); }
-
-private:
-    std::ostringstream m_stream;
-    cereal::PortableBinaryOutputArchive m_archive{
-        m_stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian()};
-};
-
-/// Reads fields and throws `cereal::Exception` on a bound or a short body.
-class reader {
-public:
-    explicit reader(std::string_view body)
-        : m_size(body.size()), m_stream(std::string(body)), m_archive(m_stream) {}
-
-    template <typename Number>
-    Number number() {
-        Number value = 0;
-        m_archive(value);
-        return value;
-    }
-    template <typename Enum>
-    Enum choice() {
-        const auto value = number<std::uint8_t>();
-        if (value >= state::enum_table<Enum>::rows.size()) {
-            throw cereal::Exception("a field has an unknown value");
-        }
-        return static_cast<Enum>(value);
-    }
-    template <typename Length = std::uint8_t>
-    std::string text(std::size_t limit) {
-        std::string value(count<Length>(limit), '\0');
-        m_archive(cereal::binary_data(value.data(), value.size()));
-        return value;
-    }
-    /// Every element takes at least one byte, so a count above the size of the
-    /// body is damage whatever the limit is.
-    template <typename Length = std::uint8_t>
-    std::size_t count(std::size_t limit) {
-        const std::size_t value = number<Length>();
-        if (value > limit || value > m_size) {
-            throw cereal::Exception("a field exceeds its bound");
-        }
-        return value;
-    }
-    void finish() {
-        if (m_stream.peek() != std::istringstream::traits_type::eof()) {
-            throw cereal::Exception("bytes are left after the message");
-        }
-    }
-
-private:
-    std::size_t m_size;
-    std::istringstream m_stream;
-    cereal::PortableBinaryInputArchive m_archive;
-};
-
-void write_update(writer& out, const state::member_update& update) {
+void write_update(bounded_writer& out, const state::member_update& update) {
     out.text(update.id.value(), state::max_member_id_bytes);
     out.text(update.address.ip, state::max_ip_bytes);
     out.number(update.address.port);
@@ -103,7 +22,7 @@
     out.choice(update.state);
 }
 
-state::member_update read_update(reader& in) {
+state::member_update read_update(bounded_reader& in) {
     state::member_update update;
     update.id = state::member_id(in.text(state::max_member_id_bytes));
     update.address.ip = in.text(state::max_ip_bytes);
@@ -116,13 +35,13 @@
     return update;
 }
 
-void write_revisions(writer& out, const state::revision_view& revisions) {
+void write_revisions(bounded_writer& out, const state::revision_view& revisions) {
     out.number(revisions.held);
     out.number(revisions.heard);
     out.number(revisions.announced);
 }
 
-state::revision_view read_revisions(reader& in) {
+state::revision_view read_revisions(bounded_reader& in) {
     state::revision_view revisions;
     revisions.held = in.number<std::uint64_t>();
     revisions.heard = in.number<std::uint64_t>();
@@ -130,14 +49,14 @@
     return revisions;
 }
 
-void write_topic(writer& out, const state::topic_update& update) {
+void write_topic(bounded_writer& out, const state::topic_update& update) {
     out.choice(update.topic);
     out.text(update.key, state::max_topic_key_bytes);
     out.text(update.value, state::max_topic_value_bytes);
     out.number(update.version);
 }
 
-state::topic_update read_topic(reader& in) {
+state::topic_update read_topic(bounded_reader& in) {
     state::topic_update update;
     update.topic = in.choice<state::update_topic>();
     update.key = in.text(state::max_topic_key_bytes);
@@ -146,7 +65,7 @@
     return update;
 }
 
-void write_message(writer& out, const state::peer_message& message) {
+void write_message(bounded_writer& out, const state::peer_message& message) {
     out.choice(message.kind);
     out.text(message.from.value(), state::max_member_id_bytes);
     out.number(message.incarnation);
@@ -169,7 +88,7 @@
     }
 }
 
-state::peer_message read_message(reader& in) {
+state::peer_message read_message(bounded_reader& in) {
     state::peer_message message;
     message.kind = in.choice<state::peer_message_kind>();
     message.from = state::member_id(in.text(state::max_member_id_bytes));
@@ -199,7 +118,7 @@
 state::result<std::string> encode(frame_kind kind, std::size_t limit, const peer_keys& keys,
                                   Write write) {
     try {
-        writer out;
+        bounded_writer out;
         write(out);
         auto frame = sign_frame(kind, out.take(), keys);
         if (frame.size() <= limit) {
@@ -214,9 +133,9 @@
 
 template <typename Read>
 auto decode_body(std::string_view body, Read read)
-    -> state::result<decltype(read(std::declval<reader&>()))> {
+    -> state::result<decltype(read(std::declval<bounded_reader&>()))> {
     try {
-        reader in(body);
+        bounded_reader in(body);
         auto value = read(in);
         in.finish();
         return value;
@@ -227,7 +146,7 @@
 
 template <typename Read>
 auto decode(frame_kind kind, std::string_view frame, std::size_t limit, const peer_keys& keys,
-            Read read) -> state::result<decltype(read(std::declval<reader&>()))> {
+            Read read) -> state::result<decltype(read(std::declval<bounded_reader&>()))> {
     if (frame.size() > limit) {
         return state::fail(failure_kind::message_damaged, "frame exceeds its bound");
     }
@@ -240,7 +159,7 @@
 state::result<std::string> encode_datagram(const state::peer_message& message,
                                            const peer_keys& keys) {
     return encode(frame_kind::datagram, state::max_datagram_bytes, keys,
-                  [&](writer& out) { write_message(out, message); });
+                  [&](bounded_writer& out) { write_message(out, message); });
 }
 
 state::result<state::peer_message> decode_datagram(std::string_view frame, const peer_keys& keys) {
@@ -253,7 +172,7 @@
 
 state::result<std::string> encode_state_request(const state_request& request,
                                                 const peer_keys& keys) {
-    return encode(frame_kind::state_request, state::max_datagram_bytes, keys, [&](writer& out) {
+    return encode(frame_kind::state_request, state::max_datagram_bytes, keys, [&](bounded_writer& out) {
         out.text(request.from.value(), state::max_member_id_bytes);
         out.number(request.nonce);
     });
@@ -261,7 +180,7 @@
 
 state::result<state_request> decode_state_request(std::string_view frame, const peer_keys& keys) {
     return decode(frame_kind::state_request, frame, state::max_datagram_bytes, keys,
-                  [](reader& in) {
+                  [](bounded_reader& in) {
                       state_request request;
                       request.from = state::member_id(in.text(state::max_member_id_bytes));
                       request.nonce = in.number<std::uint64_t>();
@@ -270,7 +189,7 @@
 }
 
 state::result<std::string> encode_state_reply(const state_reply& reply, const peer_keys& keys) {
-    return encode(frame_kind::state_reply, max_state_frame_bytes, keys, [&](writer& out) {
+    return encode(frame_kind::state_reply, max_state_frame_bytes, keys, [&](bounded_writer& out) {
         out.number(reply.nonce);
         write_revisions(out, reply.state.revisions);
         out.count<std::uint16_t>(reply.state.members.size(), max_state_members);
@@ -284,7 +203,7 @@
 state::result<state_reply> decode_state_reply(std::string_view frame, std::uint64_t nonce,
                                               const peer_keys& keys) {
     BOOST_LEAF_AUTO(
-        reply, decode(frame_kind::state_reply, frame, max_state_frame_bytes, keys, [](reader& in) {
+        reply, decode(frame_kind::state_reply, frame, max_state_frame_bytes, keys, [](bounded_reader& in) {
             state_reply read;
             read.nonce = in.number<std::uint64_t>();
             read.state.revisions = read_revisions(in);
--- /dev/null
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -0,0 +1,195 @@
+// Bounded fields of digests and tables.
+#include "savoryrelay/protocol/serving/peer_digest_codec.h"
+
+#include "savoryrelay/protocol/peer/bounded_archive.h"
+
+#include <algorithm>
+
+namespace savoryrelay::protocol {
+namespace {
+
+using state::failure_kind;
+
+constexpr std::size_t max_text_bytes = 200; // of keys and names, given by the store
+constexpr std::size_t max_rows = 20'000;
+constexpr std::size_t max_value_bytes = 8 * 1024 * 1024;
+
+void write_load(bounded_writer& out, const state::endpoint_load_entry& entry) {
+    out.text(entry.endpoint.value(), max_text_bytes);
+    out.number(entry.load.writing);
+    out.number(entry.load.waiting);
+    out.number(static_cast<float>(entry.load.waiting_prompt_tokens));
+}
+
+state::endpoint_load_entry read_load(bounded_reader& in) {
+    state::endpoint_load_entry entry;
+    entry.endpoint = state::endpoint_id(in.text(max_text_bytes));
+    entry.load.writing = in.number<std::uint32_t>();
+    entry.load.waiting = in.number<std::uint32_t>();
+    entry.load.waiting_prompt_tokens = in.number<float>();
+    return entry;
+}
+
+void write_sighting(bounded_writer& out, const state::runner_sighting& sighting) {
+    out.text(sighting.id.value(), max_text_bytes);
+    out.number(sighting.born_ms);
+    out.number(sighting.sequence);
+    out.number(static_cast<std::uint8_t>(sighting.is_silent));
+    out.text(sighting.model, max_text_bytes);
+    out.text(sighting.membership.group, max_text_bytes);
+    out.number(sighting.membership.epoch);
+    out.number(sighting.membership.rank);
+    out.choice(sighting.membership.state);
+    out.number(static_cast<float>(sighting.pace));
+}
+
+state::runner_sighting read_sighting(bounded_reader& in) {
+    state::runner_sighting sighting;
+    sighting.id = state::endpoint_id(in.text(max_text_bytes));
+    sighting.born_ms = in.number<std::uint64_t>();
+    sighting.sequence = in.number<std::uint64_t>();
+    sighting.is_silent = in.number<std::uint8_t>() != 0;
+    sighting.model = in.text(max_text_bytes);
+    sighting.membership.group = in.text(max_text_bytes);
+    sighting.membership.epoch = in.number<std::uint64_t>();
+    sighting.membership.rank = in.number<std::uint32_t>();
+    sighting.membership.state = in.choice<state::membership_state>();
+    sighting.pace = in.number<float>();
+    return sighting;
+}
+
+template <typename Entry>
+std::vector<Entry> part_of(const std::vector<Entry>& all, std::size_t part) {
+    const auto begin = std::min(all.size(), part * max_digest_entries);
+    const auto end = std::min(all.size(), begin + max_digest_entries);
+    return {all.begin() + static_cast<std::ptrdiff_t>(begin),
+            all.begin() + static_cast<std::ptrdiff_t>(end)};
+}
+
+std::size_t parts_of(std::size_t entries) {
+    return (entries + max_digest_entries - 1) / max_digest_entries;
+}
+
+} // namespace
+
+std::vector<state::peer_digest> split_digest(const state::peer_digest& digest) {
+    const auto parts = std::max({std::size_t{1}, parts_of(digest.loads.size()),
+                                 parts_of(digest.peers.size()), parts_of(digest.work.size())});
+    std::vector<state::peer_digest> all;
+    for (std::size_t i = 0; i < parts; ++i) {
+        auto part = digest;
+        part.part = static_cast<std::uint8_t>(i);
+        part.loads = part_of(digest.loads, i);
+        part.peers = part_of(digest.peers, i);
+        part.work = part_of(digest.work, i);
+        part.sightings.clear();
+        all.push_back(std::move(part));
+    }
+    for (std::size_t i = 0; i < parts_of(digest.sightings.size()); ++i) {
+        auto part = digest;
+        part.part = state::peer_digest::sightings_only;
+        part.loads.clear();
+        part.peers.clear();
+        part.work.clear();
+        part.sightings = part_of(digest.sightings, i);
+        all.push_back(std::move(part));
+    }
+    return all;
+}
+
+std::string encode_digest(const state::peer_digest& digest) {
+    bounded_writer out;
+    out.text(digest.host, max_text_bytes);
+    out.number(digest.incarnation);
+    out.number(digest.part);
+    out.text(digest.address, max_text_bytes);
+    out.number(digest.port);
+    out.number(digest.operators_row);
+    out.number(digest.runners_row);
+    out.number(static_cast<std::uint8_t>(digest.is_store_reachable));
+    out.number(static_cast<std::uint8_t>(digest.is_controller));
+    out.count(digest.peers.size(), max_digest_entries);
+    for (const auto& peer : digest.peers) {
+        out.text(peer, max_text_bytes);
+    }
+    out.count(digest.loads.size(), max_digest_entries);
+    for (const auto& entry : digest.loads) {
+        write_load(out, entry);
+    }
+    out.count(digest.work.size(), max_digest_entries);
+    for (const auto& entry : digest.work) {
+        out.text(entry.model, max_text_bytes);
+        out.number(static_cast<float>(entry.groups));
+    }
+    out.count(digest.sightings.size(), max_digest_entries);
+    for (const auto& sighting : digest.sightings) {
+        write_sighting(out, sighting);
+    }
+    return out.take();
+}
+
+state::result<state::peer_digest> decode_digest(std::string_view datagram) {
+    try {
+        bounded_reader in(datagram);
+        state::peer_digest digest;
+        digest.host = in.text(max_text_bytes);
+        digest.incarnation = in.number<std::uint64_t>();
+        digest.part = in.number<std::uint8_t>();
+        digest.address = in.text(max_text_bytes);
+        digest.port = in.number<std::uint16_t>();
+        digest.operators_row = in.number<std::uint64_t>();
+        digest.runners_row = in.number<std::uint64_t>();
+        digest.is_store_reachable = in.number<std::uint8_t>() != 0;
+        digest.is_controller = in.number<std::uint8_t>() != 0;
+        for (auto left = in.count(max_digest_entries); left > 0; --left) {
+            digest.peers.push_back(in.text(max_text_bytes));
+        }
+        for (auto left = in.count(max_digest_entries); left > 0; --left) {
+            digest.loads.push_back(read_load(in));
+        }
+        for (auto left = in.count(max_digest_entries); left > 0; --left) {
+            auto model = in.text(max_text_bytes);
+            digest.work.push_back({std::move(model), in.number<float>()});
+        }
+        for (auto left = in.count(max_digest_entries); left > 0; --left) {
+            digest.sightings.push_back(read_sighting(in));
+        }
+        in.finish();
+        return digest;
+    } catch (const cereal::Exception& damaged) {
+        return state::fail(failure_kind::message_damaged, damaged.what());
+    }
+}
+
+std::string encode_table(const state::table_image& image) {
+    bounded_writer out;
+    out.number(image.version);
+    out.count<std::uint32_t>(image.rows.size(), max_rows);
+    for (const auto& row : image.rows) {
+        out.text(row.key, max_text_bytes);
+        out.number(row.version);
+        out.text<std::uint32_t>(row.value, max_value_bytes);
+    }
+    return out.take();
+}
+
+state::result<state::table_image> decode_table(std::string_view text) {
+    try {
+        bounded_reader in(text);
+        state::table_image image;
+        image.version = in.number<std::uint64_t>();
+        for (auto left = in.count<std::uint32_t>(max_rows); left > 0; --left) {
+            state::mirrored_row row;
+            row.key = in.text(max_text_bytes);
+            row.version = in.number<std::uint64_t>();
+            row.value = in.text<std::uint32_t>(max_value_bytes);
+            image.rows.push_back(std::move(row));
+        }
+        in.finish();
+        return image;
+    } catch (const cereal::Exception& damaged) {
+        return state::fail(failure_kind::message_damaged, damaged.what());
+    }
+}
+
+} // namespace savoryrelay::protocol
--- /dev/null
+++ b/src/savoryrelay/protocol/settings/edge_settings.cpp
@@ -0,0 +1,80 @@
+// Reading and checking of the entry host's settings.
+#include "savoryrelay/protocol/settings/edge_settings.h"
+
+#include "savoryrelay/protocol/settings/yaml_fields.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+#include <limits>
+#include <sstream>
+
+namespace savoryrelay::protocol {
+namespace {
+
+constexpr std::uint64_t max_port = std::numeric_limits<std::uint16_t>::max();
+constexpr std::uint64_t max_threads = 64;
+constexpr double max_stop_s = 600;
+constexpr double ms_per_s = 1'000;
+
+// Reads "address:port".
+network_address read_socket_address(yaml_fields& fields, std::string_view name) {
+    const auto text = fields.required_text(name);
+    const auto colon = text.rfind(':');
+    network_address value;
+    value.address = text.substr(0, colon);
+    std::uint64_t port = 0;
+    if (colon != std::string::npos) {
+        std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    }
+    boost::system::error_code invalid;
+    boost::asio::ip::make_address(value.address, invalid);
+    if (invalid || port == 0 || port > max_port) {
+        fields.note("'" + fields.path_of(name) + "' is '" + text +
+                    "', but must be an IP address and a port such as 10.1.0.4:8080");
+    }
+    value.port = static_cast<std::uint16_t>(port);
+    return value;
+}
+
+state::result<void> read_peers(yaml_fields fields, edge_settings& settings) {
+    settings.peers.address = fields.required_text("address");
+    settings.peers.port =
+        static_cast<std::uint16_t>(fields.number("port", 0, 1, max_port));
+    std::istringstream seeds(fields.text("seeds", ""));
+    for (std::string seed; std::getline(seeds, seed, ',');) {
+        settings.seeds.push_back({seed.substr(0, seed.rfind(':')), settings.peers.port});
+    }
+    return fields.finish();
+}
+
+state::result<void> read_bounds(yaml_fields fields, edge_settings& settings) {
+    settings.stop_limit = state::milliseconds(
+        static_cast<std::int64_t>(fields.real("stop_s", 8, 0.5, max_stop_s) * ms_per_s));
+    settings.repeat_ratio = fields.real("repeat_ratio", settings.repeat_ratio, 0, 10);
+    settings.repeat_reserve = fields.real("repeat_reserve", settings.repeat_reserve, 0, 1e6);
+    return fields.finish();
+}
+
+} // namespace
+
+state::result<edge_settings> read_edge_settings(const std::string& text) {
+    BOOST_LEAF_AUTO(node, parse_yaml(text, state::failure_kind::invalid_settings));
+    yaml_fields fields(node, "", state::failure_kind::invalid_settings);
+    edge_settings settings;
+    settings.host = state::host_id(fields.required_text("host"));
+    settings.availability_zone =
+        state::availability_zone_id(fields.required_text("availability_zone"));
+    settings.callers = read_socket_address(fields, "callers");
+    settings.readiness = read_socket_address(fields, "readiness");
+    settings.store = read_socket_address(fields, "store");
+    settings.metrics = read_socket_address(fields, "metrics");
+    BOOST_LEAF_CHECK(read_peers(fields.mapping("peers"), settings));
+    BOOST_LEAF_CHECK(read_bounds(fields.mapping("bounds"), settings));
+    settings.call_threads = static_cast<std::uint32_t>(
+        fields.number("call_threads", settings.call_threads, 1, max_threads));
+    BOOST_LEAF_CHECK(fields.finish());
+    return settings;
+}
+
+} // namespace savoryrelay::protocol
--- /dev/null
+++ b/src/savoryrelay/protocol/settings/edge_settings.h
@@ -0,0 +1,35 @@
+// Settings of the entry-host program on a platform that keeps all durable state.
+#pragma once
+
+#include "savoryrelay/protocol/settings/daemon_settings.h"
+#include "savoryrelay/state/core/failure.h"
+#include "savoryrelay/state/core/identifier.h"
+#include "savoryrelay/state/core/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace savoryrelay::protocol {
+
+/// Settings of one entry host; docs/settings.md lists them.
+struct edge_settings {
+    state::host_id host;
+    state::availability_zone_id availability_zone;
+    network_address callers;   ///< takes callers' requests
+    network_address readiness; ///< asked by the balancer
+    network_address peers;     ///< datagrams and table reads of other entry hosts
+    network_address metrics;
+    network_address store;
+    std::vector<network_address> seeds; ///< hosts to ask first; their ports are not used
+    state::milliseconds stop_limit{8'000}; ///< from SIGTERM until the process is killed
+    double repeat_ratio = 0.2;          ///< repeats per call that all hosts may send
+    double repeat_reserve = 100;        ///< repeats beyond that in one window, for all hosts
+    std::uint32_t call_threads = 1;     ///< threads that serve calls
+};
+
+/// Reads and checks YAML settings. Fails with `invalid_settings`, naming the
+/// field and, for an unknown one, the nearest known name.
+[[nodiscard]] state::result<edge_settings> read_edge_settings(const std::string& text);
+
+} // namespace savoryrelay::protocol
--- /dev/null
+++ b/src/savoryrelay/state/serving/runner_record.h
@@ -0,0 +1,126 @@
+// What a runner says of itself, in its entry on the platform or in a report.
+#pragma once
+
+#include "savoryrelay/state/core/enum_names.h"
+#include "savoryrelay/state/core/identifier.h"
+#include "savoryrelay/state/core/time.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace savoryrelay::state {
+
+/// Where a runner stands in its group.
+enum class membership_state { joining, ready, open, closing, broken };
+
+template <>
+struct enum_table<membership_state> {
+    static constexpr std::array rows{
+        enum_name<membership_state>{membership_state::joining, "joining"},
+        enum_name<membership_state>{membership_state::ready, "ready"},
+        enum_name<membership_state>{membership_state::open, "open"},
+        enum_name<membership_state>{membership_state::closing, "closing"},
+        enum_name<membership_state>{membership_state::broken, "broken"},
+    };
+};
+
+/// A runner's membership of a group.
+struct group_membership {
+    std::string group;
+    std::uint64_t epoch = 0;
+    std::uint32_t rank = 0; ///< 0: the head, which takes the group's calls
+    membership_state state = membership_state::joining;
+
+    friend bool operator==(const group_membership&, const group_membership&) = default;
+};
+
+/// A runner as last described by itself.
+struct runner_record {
+    endpoint_id id;
+    std::string service;
+    std::string address; ///< IP address
+    std::uint16_t port = 0;
+    availability_zone_id availability_zone;
+    fabric_domain_id fabric_domain;
+    std::uint64_t born_ms = 0;  ///< start of this life, Unix milliseconds; 0: not said
+    std::uint64_t sequence = 0; ///< orders accepted in this life; reports alone tell it
+    std::uint32_t slots = 1;
+    bool is_draining = false;
+    milliseconds cold_remaining{0};
+    std::string model;               ///< that it serves or joins with; empty: none
+    std::vector<std::string> staged; ///< models on its host
+    std::optional<group_membership> membership;
+
+    [[nodiscard]] bool has_staged(std::string_view name) const {
+        return std::find(staged.begin(), staged.end(), name) != staged.end();
+    }
+    /// True when the runner takes calls as the head of an open group.
+    [[nodiscard]] bool is_open_head() const {
+        return membership && membership->rank == 0 && membership->state == membership_state::open;
+    }
+};
+
+/// What a report adds to the record, as of some hundred milliseconds ago.
+struct runner_report {
+    std::optional<std::uint64_t> born_ms;
+    std::optional<std::uint64_t> sequence;
+    std::optional<std::string> model;
+    std::optional<std::vector<std::string>> staged;
+    std::optional<group_membership> membership; ///< nothing: in no group
+    bool is_order_in_progress = false;
+    std::uint32_t queued = 0;
+    std::uint32_t active = 0;
+    double pace = 1; ///< above 1: the runner is slow by that factor
+    milliseconds cold_remaining{0};
+};
+
+/// What an order asks of a runner.
+enum class runner_order_kind { join, open, close_after_queue, close_now, leave, stage };
+
+template <>
+struct enum_table<runner_order_kind> {
+    using k = runner_order_kind;
+    static constexpr std::array rows{
+        enum_name<k>{k::join, "join"},
+        enum_name<k>{k::open, "open"},
+        enum_name<k>{k::close_after_queue, "close_after_queue"},
+        enum_name<k>{k::close_now, "close_now"},
+        enum_name<k>{k::leave, "leave"},
+        enum_name<k>{k::stage, "stage"},
+    };
+};
+
+/// An order to one runner. It takes effect only while the runner's life has
+/// accepted exactly `expected_sequence` orders, so a late copy is harmless.
+struct runner_order {
+    endpoint_id runner;
+    runner_order_kind kind = runner_order_kind::join;
+    std::uint64_t expected_sequence = 0;
+    std::uint64_t fencing_number = 0;
+    std::string group;
+    std::uint64_t epoch = 0;
+    std::string model;
+    std::vector<endpoint_id> members; ///< of a join; the first is the head
+};
+
+/// What a runner answered to an order.
+enum class runner_order_result { accepted, holds_already, does_not_fit, outdated, unknown };
+
+template <>
+struct enum_table<runner_order_result> {
+    using r = runner_order_result;
+    static constexpr std::array rows{
+        enum_name<r>{r::accepted, "accepted"},
+        enum_name<r>{r::holds_already, "holds_already"},
+        enum_name<r>{r::does_not_fit, "does_not_fit"},
+        enum_name<r>{r::outdated, "outdated"},
+        enum_name<r>{r::unknown, "unknown"},
+    };
+};
+
+} // namespace savoryrelay::state
--- /dev/null
+++ b/src/savoryrelay/state/serving/serving_configuration.h
@@ -0,0 +1,139 @@
+// What operators ask of the serving path: routes, services, the engines behind
+// them, customers and their keys.
+#pragma once
+
+#include "savoryrelay/state/core/enum_names.h"
+#include "savoryrelay/state/core/identifier.h"
+#include "savoryrelay/state/core/time.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace savoryrelay::state {
+
+/// What may be repeated of a call.
+enum class call_kind {
+    idempotent,     ///< may run any number of times
+    non_idempotent, ///< runs at most once
+    streaming,      ///< an event stream; runs at most once unless it is resumable
+};
+
+template <>
+struct enum_table<call_kind> {
+    static constexpr std::array rows{
+        enum_name<call_kind>{call_kind::idempotent, "idempotent"},
+        enum_name<call_kind>{call_kind::non_idempotent, "non_idempotent"},
+        enum_name<call_kind>{call_kind::streaming, "streaming"},
+    };
+};
+
+/// A service that takes a part of a route's calls.
+struct weighted_service {
+    std::string service;
+    double weight = 1;
+};
+
+/// The calls of one host name below one path prefix.
+struct route_rule {
+    std::string name;
+    std::string host;        ///< host name, without a port
+    std::string path_prefix; ///< begins and ends with a slash
+    call_kind kind = call_kind::non_idempotent;
+    milliseconds timeout{0};             ///< longest wait of a caller; 0: none
+    milliseconds first_answer_target{0}; ///< until the answer or its first event; 0: none
+    milliseconds event_gap_target{0};    ///< longest pause between events; 0: none
+    std::uint32_t priority = 1;          ///< 0 is the highest
+    std::uint32_t max_attempts = 1;      ///< endpoints that one call may run on
+    bool is_public = false;              ///< needs no key
+    bool is_resumable = false;           ///< a stream may go on at another endpoint
+    bool calls_model = false;            ///< calls name a model and their token counts
+    std::vector<weighted_service> services; ///< at least one
+
+    /// Whether a call of this route may run more than once.
+    [[nodiscard]] bool may_repeat() const {
+        return kind == call_kind::idempotent || (kind == call_kind::streaming && is_resumable);
+    }
+};
+
+/// A model that groups of an engine's runners serve.
+struct model_rule {
+    std::string name;
+    std::uint32_t group_size = 1;
+    double share = 1;             ///< part of the runners at the start, 0 to 1
+    double pace = 1;              ///< factor on all times of the engine
+    milliseconds load_time{0};    ///< from the weight store
+    milliseconds warm_up_time{0}; ///< from the runner's own host
+};
+
+/// Published times and sizes of a service's engine.
+struct engine_rule {
+    std::uint32_t slots = 1;
+    double step_ms = 0;              ///< a token step without requests
+    double step_per_request_ms = 0;  ///< added for each request that is writing
+    double context_ms_per_k = 0;     ///< added per 1,000 tokens of context of these
+    double prompt_tokens_per_ms = 1; ///< speed of reading prompts
+    double pairs_ms_per_million = 0; ///< added per million pairs of prompt tokens
+    std::uint32_t chunk_tokens = 1;  ///< prompt tokens read in one step
+    std::uint32_t steps_per_pass = 1;
+    double usual_prompt_tokens = 0;
+    double usual_answer_tokens = 0;
+    std::uint32_t loads_at_once = 1; ///< more of them slow each other down
+    double loads_per_s = 1;          ///< loads that may start in a second
+    milliseconds form_time{0};       ///< from the order to open until the group serves
+    std::vector<model_rule> models;
+
+    [[nodiscard]] const model_rule* find_model(std::string_view name) const;
+};
+
+/// A service and what its endpoints bear.
+struct service_rule {
+    std::string name;
+    std::string health_path;
+    std::uint32_t max_connections = 0; ///< of an endpoint, from all callers together
+    milliseconds cold_duration{0};
+    double cold_calls_per_s = 0; ///< that a cold endpoint bears; 0: no bound
+    std::optional<engine_rule> engine;
+};
+
+/// Bounds on what callers may send and how long they may take.
+struct caller_limits {
+    std::uint32_t header_bytes = 16 * 1024;
+    std::uint64_t body_bytes = 4 * 1024 * 1024;
+    milliseconds header_timeout{3'000};
+    milliseconds idle_timeout{15'000};
+};
+
+/// A customer and the keys that identify its callers.
+struct customer_rule {
+    customer_id id;
+    std::vector<std::string> keys;
+    std::optional<std::uint32_t> priority; ///< overrides that of the route
+};
+
+/// A whole configuration. Build the indexes with `index` before any look-up.
+struct serving_configuration {
+    std::uint64_t version = 0; ///< 0: none has been received
+    std::vector<route_rule> routes;
+    std::map<std::string, service_rule> services;
+    caller_limits limits;
+    std::vector<customer_rule> customers; ///< empty: calls need no key
+
+    /// Builds the indexes of routes and keys.
+    void index();
+    /// The route of the host whose prefix is the longest one that begins `path`.
+    [[nodiscard]] const route_rule* find_route(std::string_view host, std::string_view path) const;
+    /// The customer that holds `key`, or null.
+    [[nodiscard]] const customer_rule* find_customer(const std::string& key) const;
+
+private:
+    std::unordered_map<std::string, std::vector<std::size_t>> m_routes_by_host; // longest first
+    std::unordered_map<std::string, std::size_t> m_customers_by_key;
+};
+
+} // namespace savoryrelay::state
--- /dev/null
+++ b/src/savoryrelay/state/serving/table_mirror.cpp
@@ -0,0 +1,72 @@
+// Merging of rows by version.
+#include "savoryrelay/state/serving/table_mirror.h"
+
+#include <algorithm>
+#include <set>
+
+namespace savoryrelay::state {
+
+void table_mirror::put(const mirrored_row& row, std::vector<mirrored_row>& changed) {
+    auto& held = m_rows[row.key];
+    if (row.version <= held.version) {
+        return;
+    }
+    const bool was_absent = held.version == 0 || held.is_removed;
+    held = row;
+    m_newest_row = std::max(m_newest_row, row.version);
+    if (!(was_absent && row.is_removed)) {
+        changed.push_back(row);
+    }
+}
+
+std::vector<mirrored_row> table_mirror::apply_changes(const std::vector<mirrored_row>& changes,
+                                                      std::uint64_t version) {
+    const std::scoped_lock lock(m_mutex);
+    std::vector<mirrored_row> changed;
+    for (const auto& row : changes) {
+        put(row, changed);
+    }
+    m_complete_to = std::max(m_complete_to, version);
+    return changed;
+}
+
+std::vector<mirrored_row> table_mirror::apply_image(const table_image& image) {
+    const std::scoped_lock lock(m_mutex);
+    std::vector<mirrored_row> changed;
+    std::set<std::string> present;
+    for (const auto& row : image.rows) {
+        present.insert(row.key);
+        put(row, changed);
+    }
+    for (const auto& [key, row] : std::map(m_rows)) {
+        if (!row.is_removed && row.version <= image.version && !present.contains(key)) {
+            put({key, {}, image.version, true}, changed);
+        }
+    }
+    m_complete_to = std::max(m_complete_to, image.version);
+    return changed;
+}
+
+std::uint64_t table_mirror::complete_to() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_complete_to;
+}
+
+std::uint64_t table_mirror::newest_row() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_newest_row;
+}
+
+table_image table_mirror::image() const {
+    const std::scoped_lock lock(m_mutex);
+    table_image copy;
+    copy.version = m_complete_to;
+    for (const auto& [key, row] : m_rows) {
+        if (!row.is_removed) {
+            copy.rows.push_back(row);
+        }
+    }
+    return copy;
+}
+
+} // namespace savoryrelay::state
--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -10,6 +10,10 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <charconv>
 #include <limits>
 
 namespace savoryrelay::transport {
@@ -63,11 +67,15 @@
     co_return failed;
 }
 
-asio::awaitable<error_code> endpoint_connection::send(const http_request& request,
-                                                      state::milliseconds timeout) {
+void endpoint_connection::start_answer() {
     m_parser.emplace();
     m_parser->header_limit(max_answer_header_bytes);
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+asio::awaitable<error_code> endpoint_connection::send(const http_request& request,
+                                                      state::milliseconds timeout) {
+    start_answer();
     m_watch.extend(timeout);
     const auto [failed, size] = co_await http::async_write(m_stream, request, use_tuple);
     m_watch.disarm();
@@ -113,8 +121,48 @@
     return found == m_parser->get().end() ? std::string{} : std::string(found->value());
 }
 
+http_fields endpoint_connection::fields() const {
+    http_fields all;
+    for (const auto& field : m_parser->get()) {
+        all.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    return all;
+}
+
 bool endpoint_connection::reusable() const {
-    return m_parser && m_parser->is_done() && m_parser->keep_alive();
+    return m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
+}
+
+void endpoint_connection::expect_another_answer() {
+    start_answer();
+}
+
+std::optional<state::milliseconds> endpoint_connection::announced_idle_time() const {
+    constexpr std::string_view parameter = "timeout=";
+    const auto text = header("Keep-Alive");
+    const auto at = text.find(parameter);
+    if (at == std::string::npos) {
+        return std::nullopt;
+    }
+    int seconds = 0;
+    const auto* begin = text.data() + at + parameter.size();
+    const auto parsed = std::from_chars(begin, text.data() + text.size(), seconds);
+    if (parsed.ec != std::errc{}) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+bool endpoint_connection::usable_when_idle(state::time_point now, double share) {
+    const auto limit = announced_idle_time().value_or(usual_idle_time);
+    if (std::chrono::duration<double>(now - m_idle_since) >
+        std::chrono::duration<double>(limit) * share) {
+        return false;
+    }
+    char byte = 0;
+    const auto received = ::recv(m_stream.socket().native_handle(), &byte, sizeof(byte),
+                                 MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 void endpoint_connection::close() {
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -52,13 +52,34 @@
     [[nodiscard]] unsigned status() const;
     /// Header `name` of the answer, or an empty text. Requires a read header.
     [[nodiscard]] std::string header(std::string_view name) const;
+    /// All fields of the answer's header. Requires a read header.
+    [[nodiscard]] http_fields fields() const;
     /// True when the answer is whole and the connection may carry another request.
     [[nodiscard]] bool reusable() const;
+    /// Prepares to read another answer to the same request, after one that
+    /// belonged to an earlier request was read to its end.
+    void expect_another_answer();
+    /// How long the peer keeps the connection when it is idle, by its last
+    /// answer. Nothing when it did not say.
+    [[nodiscard]] std::optional<state::milliseconds> announced_idle_time() const;
+
+    /// Marks the connection as idle since `now`.
+    void set_idle_since(state::time_point now) { m_idle_since = now; }
+    /// True when an idle connection may still carry a request at `now`: the peer
+    /// has neither closed it nor sent anything, and it has been idle for at most
+    /// `share` of the time that the peer announced, or of `usual_idle_time`.
+    [[nodiscard]] bool usable_when_idle(state::time_point now, double share);
     /// Closes the connection at once.
     void close();
 
 private:
+    // Idle time to rely on when the peer announces none.
+    static constexpr state::milliseconds usual_idle_time{4'000};
+
+    void start_answer();
+
     boost::beast::tcp_stream m_stream;
+    state::time_point m_idle_since{};
     progress_watch m_watch; // cancels the pending step when its time is over
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
--- a/src/savoryrelay/transport/http/endpoint_pool.cpp
+++ b/src/savoryrelay/transport/http/endpoint_pool.cpp
@@ -1,6 +1,8 @@
 // Keeping and taking of connections.
 #include "savoryrelay/transport/http/endpoint_pool.h"
 
+#include <chrono>
+
 namespace savoryrelay::transport {
 
 std::string endpoint_pool::key_of(boost::asio::io_context& context, const std::string& address,
@@ -11,19 +13,25 @@
 
 std::unique_ptr<endpoint_connection> endpoint_pool::take(boost::asio::io_context& context,
                                                          const std::string& address,
-                                                         std::uint16_t port) {
-    std::unique_ptr<endpoint_connection> taken;
-    m_kept.update_existing(key_of(context, address, port), [&](auto& connections) {
-        if (!connections.empty()) {
-            taken = std::move(connections.back());
-            connections.pop_back();
+                                                         std::uint16_t port, double idle_share) {
+    const auto now = std::chrono::steady_clock::now();
+    while (true) {
+        std::unique_ptr<endpoint_connection> taken;
+        m_kept.update_existing(key_of(context, address, port), [&](auto& connections) {
+            if (!connections.empty()) {
+                taken = std::move(connections.back());
+                connections.pop_back();
+            }
+        });
+        if (taken == nullptr || taken->usable_when_idle(now, idle_share)) {
+            return taken;
         }
-    });
-    return taken;
+    }
 }
 
 void endpoint_pool::keep(boost::asio::io_context& context, const std::string& address,
                          std::uint16_t port, std::unique_ptr<endpoint_connection> connection) {
+    connection->set_idle_since(std::chrono::steady_clock::now());
     m_kept.update(key_of(context, address, port), [&](auto& connections) {
         if (connections.size() < max_kept) {
             connections.push_back(std::move(connection));
--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -13,6 +13,11 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <utility>
+
 namespace savoryrelay::transport {
 
 namespace asio = boost::asio;
@@ -53,6 +58,7 @@
             }
         }
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        m_stream.socket().cancel(ignored); // a pending watch_caller would keep the socket open
         m_server.forget(m_id);
     }
 
@@ -72,19 +78,21 @@
             co_return true;
         }
         m_idle = true;
-        m_stream.expires_after(m_server.m_limits.idle_timeout);
+        m_watch.extend(m_limits.idle_timeout);
         const auto [failed] =
             co_await m_stream.socket().async_wait(tcp::socket::wait_read, use_tuple);
+        m_watch.disarm();
         m_idle = false;
         co_return !failed;
     }
 
     /// Reads and answers one request. False: the connection is to be closed.
     asio::awaitable<bool> serve_request() {
+        m_limits = m_server.limits();
         http::request_parser<http::string_body> parser;
-        parser.header_limit(m_server.m_limits.header_bytes);
-        parser.body_limit(m_server.m_limits.body_bytes);
-        m_stream.expires_after(m_server.m_limits.request_timeout);
+        parser.header_limit(m_limits.header_bytes);
+        parser.body_limit(m_limits.body_bytes);
+        m_stream.expires_after(m_limits.request_timeout);
         const auto [failed, size] =
             co_await http::async_read(m_stream, m_buffer, parser, use_tuple);
         if (failed) {
@@ -97,19 +105,49 @@
         auto request = parser.release();
         response_writer writer(
             [this](std::array<asio::const_buffer, 3> buffers) -> asio::awaitable<error_code> {
-                m_watch.extend(m_server.m_limits.write_timeout);
+                m_watch.extend(m_limits.write_timeout);
                 const auto [error, written] =
                     co_await asio::async_write(m_stream, buffers, use_tuple);
                 m_watch.disarm();
                 co_return error;
             },
-            request.keep_alive() && !m_server.m_stopping.load());
+            request.keep_alive() && !m_server.m_stopping.load() && !m_server.m_closing.load());
         m_stream.expires_never();
+        m_writer = &writer;
+        watch_caller();
         co_await m_server.m_handler(std::move(request), writer);
+        m_writer = nullptr;
         m_server.request_ended();
         co_return writer.keep_alive();
     }
 
+    /// Waits for the caller to close the connection while its request is
+    /// answered. One wait is pending at most; it outlasts the answer when the
+    /// caller stays, and then ends with the next request.
+    void watch_caller() {
+        if (std::exchange(m_watching, true)) {
+            return;
+        }
+        m_stream.socket().async_wait(
+            tcp::socket::wait_read, [self = shared_from_this()](const error_code& failed) {
+                self->m_watching = false;
+                if (failed || self->m_writer == nullptr) {
+                    return;
+                }
+                char byte = 0;
+                const auto received = ::recv(self->m_stream.socket().native_handle(), &byte,
+                                             sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+                if (received > 0) {
+                    return; // the next request has begun to arrive
+                }
+                if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+                    self->watch_caller();
+                    return;
+                }
+                self->m_writer->note_caller_gone();
+            });
+    }
+
     asio::awaitable<void> refuse_unreadable(error_code failed) {
         const bool too_large =
             failed == http::error::body_limit || failed == http::error::header_limit;
@@ -121,7 +159,7 @@
         }
         response_writer writer(
             [this](std::array<asio::const_buffer, 3> buffers) -> asio::awaitable<error_code> {
-                m_stream.expires_after(m_server.m_limits.write_timeout);
+                m_stream.expires_after(m_limits.write_timeout);
                 const auto [error, written] =
                     co_await asio::async_write(m_stream, buffers, use_tuple);
                 co_return error;
@@ -141,7 +179,7 @@
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         m_buffer.clear();
         std::size_t dropped = 0;
-        m_stream.expires_after(m_server.m_limits.request_timeout);
+        m_stream.expires_after(m_limits.request_timeout);
         while (dropped < max_discarded_bytes) {
             const auto [failed, size] = co_await m_stream.async_read_some(
                 m_buffer.prepare(discard_buffer_bytes), use_tuple);
@@ -153,10 +191,13 @@
     }
 
     http_server& m_server;
+    http_limits m_limits = m_server.limits(); // of the request being served
     std::uint64_t m_id;
     beast::tcp_stream m_stream;
     progress_watch m_watch; // cancels a write that the caller does not take
     beast::flat_buffer m_buffer;
+    response_writer* m_writer = nullptr; // of the request being answered
+    bool m_watching = false;             // a wait of watch_caller is pending
     bool m_idle = false; // true only while no byte of the next request has arrived
 };
 
--- a/src/savoryrelay/transport/http/http_server.h
+++ b/src/savoryrelay/transport/http/http_server.h
@@ -49,6 +49,14 @@
     /// The port that the server listens on.
     [[nodiscard]] std::uint16_t port() const { return m_port; }
 
+    /// Reads the limits from `limits` for each request, in place of those given
+    /// at the start. Call it before the first connection comes.
+    void follow_limits(std::function<http_limits()> limits) { m_limits_hook = std::move(limits); }
+
+    /// Announces with each answer that its connection closes, and goes on
+    /// accepting.
+    void announce_close() { m_closing.store(true); }
+
     /// Closes the listener and idle connections. Requests that have begun are
     /// answered, and their connections close after the answer.
     void stop_accepting();
@@ -64,15 +72,18 @@
     class connection;
 
     boost::asio::awaitable<void> accept_loop();
+    [[nodiscard]] http_limits limits() const { return m_limits_hook ? m_limits_hook() : m_limits; }
     void request_ended();
     void forget(std::uint64_t id);
 
     io_threads& m_threads;
     http_limits m_limits;
+    std::function<http_limits()> m_limits_hook;
     request_handler m_handler;
     boost::asio::ip::tcp::acceptor m_acceptor; // used on the first thread only
     std::uint16_t m_port = 0;
     std::atomic<bool> m_stopping{false};
+    std::atomic<bool> m_closing{false};
     std::atomic<std::size_t> m_open_requests{0};
 
     std::mutex m_idle_mutex;
--- a/src/savoryrelay/transport/http/response_writer.h
+++ b/src/savoryrelay/transport/http/response_writer.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace savoryrelay::transport {
 
@@ -34,6 +35,16 @@
     boost::asio::awaitable<boost::system::error_code> write(std::string_view bytes);
     /// Ends a chunked answer.
     boost::asio::awaitable<boost::system::error_code> finish();
+    /// Calls `gone` once, on the connection's thread, when the caller closes the
+    /// connection before the answer has ended.
+    void on_caller_gone(std::function<void()> gone) { m_caller_gone = std::move(gone); }
+    /// Called by the connection when it sees that the caller has closed it.
+    void note_caller_gone() {
+        if (auto gone = std::exchange(m_caller_gone, nullptr)) {
+            gone();
+        }
+    }
+
     /// Lets the connection close without the end mark of a chunked answer, so
     /// that the caller sees that the answer is not whole.
     void abandon() { m_keep_alive = false; }
@@ -50,6 +61,7 @@
     send_buffers_hook m_send_buffers;
     bool m_keep_alive;
     bool m_started = false;
+    std::function<void()> m_caller_gone;
 };
 
 } // namespace savoryrelay::transport
--- /dev/null
+++ b/src/savoryrelay/transport/http/short_exchange.cpp
@@ -0,0 +1,65 @@
+// Taking a connection, sending, and reading the answer to its end.
+#include "savoryrelay/transport/http/short_exchange.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <vector>
+
+namespace savoryrelay::transport {
+
+namespace asio = boost::asio;
+using state::failure_kind;
+
+namespace {
+
+// A page of the store has at most 1 MB of values, in base64 within JSON.
+constexpr std::size_t max_answer_bytes = 4 * 1024 * 1024;
+constexpr std::size_t read_buffer_bytes = 16 * 1024;
+
+} // namespace
+
+asio::awaitable<state::attempt<short_answer>> run_exchange(endpoint_pool& pool,
+                                                           exchange_target target,
+                                                           http_request request) {
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    auto connection = pool.take(context, target.address, target.port);
+    if (connection == nullptr) {
+        connection = std::make_unique<endpoint_connection>(context);
+        const auto failed =
+            co_await connection->connect(target.address, target.port, target.connect_timeout);
+        if (failed) {
+            co_return state::failure{failure_kind::endpoint_unreachable,
+                                     target.address + ": " + failed.message()};
+        }
+    }
+    request.prepare_payload();
+    if (const auto failed = co_await connection->send(request, target.answer_timeout)) {
+        co_return state::failure{failure_kind::endpoint_failed,
+                                 target.address + ": " + failed.message()};
+    }
+    if (const auto failed = co_await connection->read_header(target.answer_timeout)) {
+        co_return state::failure{failure_kind::endpoint_failed,
+                                 target.address + ": " + failed.message()};
+    }
+    short_answer answer{connection->status(), {}};
+    std::vector<char> buffer(read_buffer_bytes);
+    while (true) {
+        const auto [failed, size] =
+            co_await connection->read_some(asio::buffer(buffer), target.answer_timeout);
+        if (failed || answer.body.size() + size > max_answer_bytes) {
+            co_return state::failure{failure_kind::endpoint_failed,
+                                     target.address + ": the answer is not whole"};
+        }
+        if (size == 0) {
+            break;
+        }
+        answer.body.append(buffer.data(), size);
+    }
+    if (connection->reusable()) {
+        pool.keep(context, target.address, target.port, std::move(connection));
+    }
+    co_return answer;
+}
+
+} // namespace savoryrelay::transport
--- /dev/null
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -0,0 +1,531 @@
+// The way of one call: route, customer, attempts, and the relay of the answer.
+#include "savoryrelay/transport/serving/serving_front.h"
+
+#include "savoryrelay/protocol/event_stream/event_splitter.h"
+#include "savoryrelay/transport/process/log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+namespace savoryrelay::transport {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using coordination::attempt_outcome;
+using coordination::selected_endpoint;
+using state::milliseconds;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_server_error = 500;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_timeout = 504;
+
+constexpr std::size_t read_buffer_bytes = 16 * 1024;
+// Answers of plain services are read whole, so that a broken one can be repeated.
+constexpr std::size_t max_whole_answer_bytes = 16 * 1024 * 1024;
+
+// A way inside a region takes some milliseconds; a connection that is not there
+// after this time goes to an endpoint that is dead or cut off.
+constexpr milliseconds connect_timeout{250};
+constexpr milliseconds send_timeout{1'000};
+// A caller without a deadline, on a route without a time-out, waits this long.
+constexpr milliseconds default_deadline{30'000};
+// Streams: silence that is allowed beyond the predicted first event, and
+// between events, before another group is asked.
+constexpr milliseconds first_event_margin{400};
+constexpr milliseconds least_event_gap{400};
+constexpr double gap_targets = 2;
+// The endpoint is left alone for this long after it did not answer.
+constexpr milliseconds avoid_after_failure{500};
+// Part of the idle time of a kept connection that a call which may not be
+// repeated relies on; an early close by the peer would leave its outcome open.
+constexpr double idle_share_not_repeatable = 0.25;
+// When a refused caller should come back: a stream ends or a group forms by then.
+constexpr milliseconds come_back_soon{250};
+constexpr milliseconds come_back_later{500};
+constexpr milliseconds come_back_no_configuration{300};
+
+milliseconds until(state::time_point deadline, state::time_point now) {
+    return std::chrono::duration_cast<milliseconds>(deadline - now);
+}
+
+} // namespace
+
+/// One call on its way.
+struct serving_front::call_state {
+    call_state(http_request received, response_writer& answer)
+        : request(std::move(received)), writer(answer) {}
+
+    http_request request;
+    response_writer& writer;
+    state::serving_call call;
+    std::shared_ptr<const state::serving_configuration> configuration;
+    const state::route_rule* route = nullptr;
+    const state::service_rule* service = nullptr;
+    std::string customer;
+    state::time_point arrived{};
+    state::time_point deadline{};
+    bool caller_is_gone = false;
+    std::unique_ptr<endpoint_connection> connection; // of the attempt under way
+    protocol::event_splitter events;
+    bool has_events = false;              // events have been sent to the caller
+    std::optional<std::uint64_t> last_event; // sent to the caller
+    std::set<state::endpoint_id> tried;
+    std::uint32_t attempts = 0;
+    // For the log.
+    unsigned status = 0;
+    std::string reason;
+    std::string endpoint;
+    std::optional<state::time_point> first_byte;
+    double predicted_ms = 0;
+};
+
+/// How one attempt ended.
+struct serving_front::attempt_end {
+    attempt_outcome outcome = attempt_outcome::lost;
+    bool endpoint_ended = false;
+    std::string reason;
+    // A whole answer that says failure, to be passed on when nothing better comes.
+    unsigned status = 0;
+    http_fields fields;
+    std::string body;
+};
+
+serving_front::serving_front(serving_parts parts) : m_parts(std::move(parts)) {}
+
+asio::awaitable<void> serving_front::handle(http_request request, response_writer& writer) {
+    call_state call(std::move(request), writer);
+    call.arrived = m_parts.now();
+    call.call = m_parts.codec.decode_call(call.request);
+    call.configuration = m_parts.configuration();
+    m_parts.metrics.counter_of("savoryrelay_calls_total").add();
+
+    if (call.configuration->version == 0) {
+        co_await refuse(call, status_unavailable, "no_configuration", come_back_no_configuration);
+        co_return;
+    }
+    call.route = call.configuration->find_route(call.call.host, call.call.path);
+    if (call.route == nullptr) {
+        co_await refuse(call, status_not_found, "no_route", milliseconds(0));
+        co_return;
+    }
+    if (!call.route->is_public && !call.configuration->customers.empty()) {
+        const auto* customer = call.configuration->find_customer(call.call.key);
+        if (customer == nullptr) {
+            co_await refuse(call, status_unauthorized, "unknown_key", milliseconds(0));
+            co_return;
+        }
+        call.customer = customer->id.value();
+    }
+
+    // One of the route's services, the same for each repeat of the call's id.
+    double total = 0;
+    for (const auto& share : call.route->services) {
+        total += share.weight;
+    }
+    constexpr std::size_t steps = 10'000;
+    double place = total * static_cast<double>(std::hash<std::string>{}(call.call.id.value()) % steps) /
+                   static_cast<double>(steps);
+    std::string service = call.route->services.back().service;
+    for (const auto& share : call.route->services) {
+        if (place < share.weight) {
+            service = share.service;
+            break;
+        }
+        place -= share.weight;
+    }
+    const auto found = call.configuration->services.find(service);
+    if (found == call.configuration->services.end()) {
+        co_await refuse(call, status_unavailable, "unknown_service", come_back_later);
+        co_return;
+    }
+    call.service = &found->second;
+
+    auto wait = call.call.deadline.value_or(default_deadline);
+    if (call.route->timeout.count() > 0) {
+        wait = std::min(wait, call.route->timeout);
+    }
+    call.deadline = call.arrived + wait;
+    if (call.call.last_event) {
+        call.events.continue_after(*call.call.last_event);
+    }
+    writer.on_caller_gone([&call] {
+        call.caller_is_gone = true;
+        if (call.connection != nullptr) {
+            call.connection->close();
+        }
+    });
+    co_await serve(call);
+    writer.on_caller_gone(nullptr);
+    log_end(call);
+}
+
+asio::awaitable<void> serving_front::serve(call_state& call) {
+    const state::deployment_id budget(call.service->name);
+    m_parts.repeats.note_first_attempt(budget);
+    if (call.service->engine) {
+        if (const auto* model = call.service->engine->find_model(call.call.model)) {
+            m_parts.note_work(model->name,
+                              coordination::call_work_ms(*call.service->engine, *model, call.call));
+        }
+    }
+    coordination::call_progress progress(*call.route,
+                                         [&] { return m_parts.repeats.take(budget); });
+    std::optional<attempt_end> failure;
+    std::string reason;
+    while (progress.may_try_again()) {
+        const auto now = m_parts.now();
+        if (call.caller_is_gone) {
+            call.reason = "caller_gone";
+            co_return;
+        }
+        const auto left = until(call.deadline, now);
+        if (left <= milliseconds(0)) {
+            reason = "deadline";
+            break;
+        }
+        const auto selected =
+            m_parts.selector.select(*call.service, call.call, call.tried, left, now);
+        if (const auto* none = std::get_if<coordination::selection_failure>(&selected)) {
+            reason = state::to_name(*none);
+            break;
+        }
+        const auto& chosen = std::get<selected_endpoint>(selected);
+        call.predicted_ms = chosen.predicted_first_event_ms;
+        call.endpoint = chosen.runner.record.id.value();
+        call.tried.insert(chosen.runner.record.id);
+        ++call.attempts;
+        auto end = co_await try_endpoint(call, chosen);
+        call.connection.reset();
+        if (call.caller_is_gone) {
+            end.outcome = attempt_outcome::caller_gone;
+        }
+        progress.note(end.outcome, end.endpoint_ended);
+        reason = end.reason;
+        if (end.outcome == attempt_outcome::delivered ||
+            end.outcome == attempt_outcome::caller_gone) {
+            call.reason = state::to_name(end.outcome);
+            if (end.outcome == attempt_outcome::caller_gone) {
+                call.writer.abandon();
+            }
+            co_return;
+        }
+        log_change("attempt_failed", {{"id", call.call.id.value()},
+                                      {"endpoint", call.endpoint},
+                                      {"outcome", std::string(state::to_name(end.outcome))},
+                                      {"reason", end.reason}});
+        if (end.outcome == attempt_outcome::failed) {
+            failure = std::move(end);
+        }
+    }
+    if (call.caller_is_gone) {
+        call.writer.abandon();
+        call.reason = "caller_gone";
+        co_return;
+    }
+
+    // Give the truest answer that there is.
+    if (call.has_events) {
+        call.writer.abandon();
+        call.reason = "stream_broken: " + reason;
+        co_return;
+    }
+    if (failure) {
+        call.status = failure->status;
+        call.reason = "endpoint_failure";
+        co_await call.writer.send(failure->status, std::move(failure->fields), failure->body);
+        co_return;
+    }
+    if (progress.execution() == state::execution_outcome::not_run) {
+        co_await refuse(call, status_unavailable, reason, come_back_soon);
+        co_return;
+    }
+    const bool is_late = m_parts.now() >= call.deadline;
+    co_await refuse(call, is_late ? status_timeout : status_bad_gateway, reason, milliseconds(0));
+}
+
+asio::awaitable<serving_front::attempt_end>
+serving_front::try_endpoint(call_state& call, const selected_endpoint& chosen) {
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    const auto& runner = chosen.runner.record;
+    const auto sent_at = m_parts.now();
+    const auto avoid = [&] {
+        m_parts.fleet.avoid(runner.id, m_parts.now() + avoid_after_failure);
+        m_parts.note_suspect(runner.id);
+    };
+    attempt_end end;
+
+    // Take a connection. Until the request is sent it has certainly not run.
+    call.connection = m_pool.take(context, runner.address, runner.port,
+                                  call.route->may_repeat() ? endpoint_pool::usual_idle_share
+                                                           : idle_share_not_repeatable);
+    if (call.connection == nullptr) {
+        call.connection = std::make_unique<endpoint_connection>(context);
+        const auto failed = co_await call.connection->connect(
+            runner.address, runner.port,
+            std::min(connect_timeout, until(call.deadline, sent_at)));
+        if (failed) {
+            avoid();
+            end.outcome = attempt_outcome::not_run;
+            end.reason = "connect: " + failed.message();
+            co_return end;
+        }
+    }
+    if (call.caller_is_gone) {
+        co_return end;
+    }
+    endpoint_call addition;
+    addition.endpoint = runner.id;
+    addition.customer = call.customer;
+    addition.last_event = call.last_event;
+    if (call.call.deadline) {
+        addition.time_left = until(call.arrived + *call.call.deadline, m_parts.now());
+    } else {
+        addition.time_left = until(call.deadline, m_parts.now());
+    }
+    const auto request = m_parts.codec.make_endpoint_request(call.request, addition);
+    const double prompt = call.call.prompt_tokens;
+    m_parts.loads.begin(runner.id, prompt);
+    bool is_writing = false;
+    if (const auto failed = co_await call.connection->send(request, send_timeout)) {
+        end.reason = "send: " + failed.message();
+        end.endpoint_ended = failed == asio::error::connection_reset;
+    } else if (call.route->kind == state::call_kind::streaming) {
+        end = co_await relay_stream(call, chosen, is_writing);
+    } else {
+        end = co_await relay_answer(call, chosen);
+    }
+    m_parts.loads.end(runner.id, prompt, is_writing);
+    if (end.outcome == attempt_outcome::lost && !call.caller_is_gone) {
+        avoid();
+    }
+    if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
+        end.outcome == attempt_outcome::not_run) {
+        if (call.connection->reusable()) {
+            m_pool.keep(context, runner.address, runner.port, std::move(call.connection));
+        }
+    }
+    co_return end;
+}
+
+asio::awaitable<serving_front::attempt_end>
+serving_front::take_whole_answer(call_state& call) {
+    attempt_end end;
+    std::vector<char> buffer(read_buffer_bytes);
+    while (true) {
+        const auto [failed, size] = co_await call.connection->read_some(
+            asio::buffer(buffer), std::max(milliseconds(1), until(call.deadline, m_parts.now())));
+        if (failed || end.body.size() + size > max_whole_answer_bytes) {
+            end.reason = "answer is not whole: " + failed.message();
+            end.endpoint_ended = failed == asio::error::connection_reset;
+            co_return end;
+        }
+        if (size == 0) {
+            end.outcome = attempt_outcome::delivered;
+            co_return end;
+        }
+        end.body.append(buffer.data(), size);
+    }
+}
+
+asio::awaitable<serving_front::attempt_end>
+serving_front::relay_answer(call_state& call, const selected_endpoint&) {
+    // Answers to earlier requests on this connection may still come; each names
+    // the request that it belongs to.
+    constexpr int max_foreign_answers = 3;
+    for (int i = 0; i <= max_foreign_answers; ++i) {
+        if (const auto failed = co_await call.connection->read_header(
+                std::max(milliseconds(1), until(call.deadline, m_parts.now())))) {
+            attempt_end end;
+            end.reason = "no answer: " + failed.message();
+            end.endpoint_ended = failed == asio::error::connection_reset;
+            co_return end;
+        }
+        const auto status = call.connection->status();
+        const auto fields = call.connection->fields();
+        const auto head = m_parts.codec.decode_answer(status, fields);
+        auto end = co_await take_whole_answer(call);
+        if (end.outcome != attempt_outcome::delivered) {
+            co_return end;
+        }
+        if (head.request_id != call.call.id.value() && !head.is_not_run) {
+            call.connection->expect_another_answer();
+            continue;
+        }
+        end.status = status;
+        end.fields = m_parts.codec.caller_fields(fields);
+        if (head.is_not_run) {
+            end.outcome = attempt_outcome::not_run;
+            end.reason = "refused with " + std::to_string(status);
+            co_return end;
+        }
+        if (status >= status_server_error) {
+            end.outcome = attempt_outcome::failed;
+            end.reason = "status " + std::to_string(status);
+            co_return end;
+        }
+        call.status = status;
+        call.first_byte = m_parts.now();
+        if (co_await call.writer.send(status, std::move(end.fields), end.body)) {
+            call.writer.abandon();
+        }
+        co_return end;
+    }
+    attempt_end end;
+    end.reason = "only answers to other requests";
+    co_return end;
+}
+
+asio::awaitable<serving_front::attempt_end>
+serving_front::relay_stream(call_state& call, const selected_endpoint& chosen, bool& is_writing) {
+    attempt_end end;
+    const auto failed_with = [&](std::string reason, const error_code& failed) {
+        end.reason = std::move(reason) + ": " + failed.message();
+        end.endpoint_ended = failed == asio::error::connection_reset;
+        return end;
+    };
+    const auto bounded = [&](milliseconds span) {
+        return std::clamp(span, milliseconds(1),
+                          std::max(milliseconds(1), until(call.deadline, m_parts.now())));
+    };
+    const auto first_limit =
+        std::max(milliseconds(static_cast<std::int64_t>(2 * chosen.predicted_first_event_ms)),
+                 call.route->first_answer_target) +
+        first_event_margin;
+    const auto gap_limit = std::max(
+        least_event_gap, std::chrono::duration_cast<milliseconds>(
+                             call.route->event_gap_target * gap_targets));
+
+    if (const auto failed = co_await call.connection->read_header(bounded(first_limit))) {
+        co_return failed_with("no answer", failed);
+    }
+    const auto status = call.connection->status();
+    const auto fields = call.connection->fields();
+    const auto head = m_parts.codec.decode_answer(status, fields);
+    if (status != status_ok || head.request_id != call.call.id.value()) {
+        end = co_await take_whole_answer(call);
+        if (end.outcome != attempt_outcome::delivered) {
+            co_return end;
+        }
+        if (head.request_id != call.call.id.value() && !head.is_not_run) {
+            end.outcome = attempt_outcome::lost;
+            end.reason = "an answer to another request";
+            co_return end;
+        }
+        end.status = status;
+        end.fields = m_parts.codec.caller_fields(fields);
+        end.outcome = head.is_not_run ? attempt_outcome::not_run : attempt_outcome::failed;
+        end.reason = "status " + std::to_string(status);
+        if (end.outcome == attempt_outcome::not_run && !head.faulty_runner.empty()) {
+            m_parts.note_suspect(state::endpoint_id(head.faulty_runner));
+            m_parts.fleet.avoid(chosen.runner.record.id, m_parts.now() + avoid_after_failure);
+        }
+        co_return end;
+    }
+
+    // Relay whole events as they come. The head is sent with the first of them,
+    // so that until then another endpoint's answer can take its place.
+    call.events.resume();
+    std::vector<char> buffer(read_buffer_bytes);
+    while (true) {
+        const auto limit = is_writing ? gap_limit : first_limit;
+        const auto [failed, size] =
+            co_await call.connection->read_some(asio::buffer(buffer), bounded(limit));
+        if (failed) {
+            co_return failed_with(is_writing ? "stream broke off" : "no event", failed);
+        }
+        if (size == 0) {
+            if (call.events.has_partial_event()) {
+                end.reason = "the last event is not whole";
+                co_return end;
+            }
+            break;
+        }
+        const auto taken = state::collect(
+            [&] { return call.events.append(std::string_view(buffer.data(), size)); });
+        if (!taken) {
+            end.reason = taken.error().message();
+            co_return end;
+        }
+        const auto ready = call.events.take();
+        if (ready.empty()) {
+            continue;
+        }
+        if (!is_writing) {
+            is_writing = true;
+            m_parts.loads.note_first_event(chosen.runner.record.id, call.call.prompt_tokens);
+        }
+        if (!call.writer.started()) {
+            call.status = status;
+            call.first_byte = m_parts.now();
+            if (co_await call.writer.start(status, m_parts.codec.caller_fields(fields))) {
+                call.caller_is_gone = true;
+                co_return end;
+            }
+        }
+        call.has_events = true;
+        if (call.events.next_token() > 0) {
+            call.last_event = call.events.next_token() - 1;
+        }
+        if (co_await call.writer.write(ready)) {
+            call.caller_is_gone = true;
+            co_return end;
+        }
+    }
+    if (!call.writer.started()) {
+        call.status = status;
+        co_await call.writer.start(status, m_parts.codec.caller_fields(fields));
+    }
+    if (co_await call.writer.finish()) {
+        call.writer.abandon();
+    }
+    end.outcome = attempt_outcome::delivered;
+    co_return end;
+}
+
+asio::awaitable<void> serving_front::refuse(call_state& call, unsigned status, std::string reason,
+                                            milliseconds come_back) {
+    call.status = status;
+    call.reason = reason;
+    m_parts.metrics.counter_of("savoryrelay_refusals_total").add();
+    auto fields = content_type_field("application/json");
+    fields.push_back(m_parts.codec.request_id_field(call.call.id));
+    if (come_back.count() > 0) {
+        fields.push_back(m_parts.codec.come_back_after(come_back));
+    }
+    if (co_await call.writer.send(status, std::move(fields),
+                                  R"({"error":{"kind":")" + reason + R"("}})")) {
+        call.writer.abandon();
+    }
+    if (call.service == nullptr) {
+        log_end(call);
+    }
+}
+
+void serving_front::log_end(const call_state& call) const {
+    const auto now = m_parts.now();
+    log_change("call_ended",
+               {{"id", call.call.id.value()},
+                {"route", call.route == nullptr ? "" : call.route->name},
+                {"status", std::to_string(call.status)},
+                {"reason", call.reason},
+                {"endpoint", call.endpoint},
+                {"attempts", std::to_string(call.attempts)},
+                {"predicted_ms", std::to_string(static_cast<int>(call.predicted_ms))},
+                {"first_ms", call.first_byte
+                                 ? std::to_string(until(*call.first_byte, call.arrived).count())
+                                 : ""},
+                {"total_ms", std::to_string(until(now, call.arrived).count())},
+                {"configuration", std::to_string(call.configuration->version)}});
+}
+
+} // namespace savoryrelay::transport
--- /dev/null
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -0,0 +1,72 @@
+// The callers' front end of the platform's dialect: finds the route and the
+// customer, sends the call to an endpoint and relays its answer.
+#pragma once
+
+#include "savoryrelay/coordination/retry/retry_budget.h"
+#include "savoryrelay/coordination/serving/call_progress.h"
+#include "savoryrelay/coordination/serving/endpoint_selector.h"
+#include "savoryrelay/coordination/serving/fleet_table.h"
+#include "savoryrelay/coordination/serving/load_book.h"
+#include "savoryrelay/state/metrics/metrics.h"
+#include "savoryrelay/state/serving/serving_configuration.h"
+#include "savoryrelay/transport/http/endpoint_pool.h"
+#include "savoryrelay/transport/http/http_message.h"
+#include "savoryrelay/transport/http/response_writer.h"
+#include "savoryrelay/transport/serving/serving_codec.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace savoryrelay::transport {
+
+/// What the front works with. The references must outlive it.
+struct serving_parts {
+    coordination::fleet_table& fleet;
+    coordination::load_book& loads;
+    coordination::endpoint_selector& selector;
+    coordination::retry_budget& repeats;
+    state::metrics& metrics;
+    serving_codec codec;
+    std::function<std::shared_ptr<const state::serving_configuration>()> configuration;
+    /// A call of `groups` milliseconds of a busy group arrived for `model`.
+    std::function<void(const std::string& model, double work_ms)> note_work;
+    /// An endpoint did not answer; others should be asked about it.
+    std::function<void(const state::endpoint_id&)> note_suspect;
+    std::function<state::time_point()> now;
+};
+
+/// Answers callers' requests. Thread-safe.
+class serving_front {
+public:
+    explicit serving_front(serving_parts parts);
+
+    /// Answers one request.
+    boost::asio::awaitable<void> handle(http_request request, response_writer& writer);
+
+private:
+    struct call_state;
+    struct attempt_end;
+    struct connection_end;
+
+    boost::asio::awaitable<void> serve(call_state& call);
+    boost::asio::awaitable<attempt_end> try_endpoint(call_state& call,
+                                                     const coordination::selected_endpoint& chosen);
+    boost::asio::awaitable<attempt_end> relay_answer(call_state& call,
+                                                     const coordination::selected_endpoint& chosen);
+    boost::asio::awaitable<attempt_end> relay_stream(call_state& call,
+                                                     const coordination::selected_endpoint& chosen,
+                                                     bool& is_writing);
+    boost::asio::awaitable<attempt_end> take_whole_answer(call_state& call);
+    boost::asio::awaitable<void> refuse(call_state& call, unsigned status, std::string reason,
+                                        state::milliseconds come_back);
+    boost::asio::awaitable<void> give_up(call_state& call, std::string reason);
+    void log_end(const call_state& call) const;
+
+    serving_parts m_parts;
+    endpoint_pool m_pool;
+};
+
+} // namespace savoryrelay::transport
