Form the first groups once the fleet is known

Cause: groups formed as runners appeared, so the first domains were split between the models. Ruled out: the weight store (8 and 8 groups were open 2 s before the calls).

--- a/src/savoryrelay/coordination/serving/group_steering.cpp
+++ b/src/savoryrelay/coordination/serving/group_steering.cpp
@@ -244,6 +244,13 @@
 }
 
 void group_steering::form_groups(step& work) {
+    if (work.usable_runners > m_known_runners) {
+        m_grown_at = work.now;
+    }
+    m_known_runners = work.usable_runners;
+    if (work.before_traffic() && work.now - m_grown_at < m_settings.quiet_fleet) {
+        return;
+    }
     std::set<state::endpoint_id> taken;
     for (const auto& forming : m_formations) {
         taken.insert(forming.members.begin(), forming.members.end());
--- a/src/savoryrelay/coordination/serving/group_steering.h
+++ b/src/savoryrelay/coordination/serving/group_steering.h
@@ -31,6 +31,9 @@
     /// A listed runner that has been silent for this long has ended: longer than
     /// the platform takes to remove an entry and than a group takes to break.
     state::milliseconds gone_listed{12'000};
+    /// Before any call has come, groups are formed once no runner has been added
+    /// for this long: a little more than runners take to write their entries.
+    state::milliseconds quiet_fleet{1'300};
     /// Part of the weight store's rate that is used.
     double load_rate_share = 0.8;
 };
@@ -100,6 +103,8 @@
 
     const steering_settings m_settings;
     std::uint64_t m_next_group = 0;
+    std::size_t m_known_runners = 0;
+    state::time_point m_grown_at{}; // when a runner was added last
     std::vector<formation> m_formations;
     std::map<state::endpoint_id, state::time_point> m_unsettled; // ordered; settled from then on
     std::map<state::endpoint_id, staging_order> m_stagings;
