Name the aggregate that is passed to a coroutine

Cause: g++ 12 destroys a braced temporary of a co_await expression twice; a host whose store was away crashed when it fetched a table from a peer.

--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -271,8 +271,9 @@
                                              state::table_mirror& mirror, bool are_operators) {
     transport::http_request request{http::verb::get, path, 11};
     request.set(http::field::host, from.ip);
-    const auto answer = co_await transport::run_exchange(
-        m_pool, {from.ip, from.port, fetch_timeout, fetch_timeout}, std::move(request));
+    // Named, because g++ 12 destroys a braced temporary of a co_await twice.
+    const transport::exchange_target target{from.ip, from.port, fetch_timeout, fetch_timeout};
+    const auto answer = co_await transport::run_exchange(m_pool, target, std::move(request));
     if (!answer || answer.value().status != status_ok) {
         co_return false;
     }
