Let members leave a group whose head is gone before they join another

Cause: a head that was cut off from the lease holder alone was taken for dead after its entry lapsed, and its member joined another group while it was open. Members now leave first, hosts vouch for runners that still answer them, and a holder that misses most runners sends no orders. Ruled out: waiting for the head, which strands the survivors for the length of the cut.

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -45,6 +45,9 @@
 constexpr std::uint32_t silent_after_failures = 2;
 // Suspicions older than this are forgotten.
 constexpr milliseconds suspect_age{600};
+// An answer within this time vouches for a runner that the controller misses.
+constexpr milliseconds vouch_age{400};
+constexpr milliseconds vouch_lasts{1'000};
 
 } // namespace
 
@@ -103,6 +106,14 @@
     asio::post(m_threads.context(0), [this, runner, now] { m_polls[runner].next = now; });
 }
 
+void group_part::apply_told(const state::runner_sighting& sighting, state::time_point now) {
+    if (sighting.is_silent) {
+        note_suspect(sighting.id);
+    } else {
+        m_shared.fleet.note_vouched(sighting.id, now + vouch_lasts);
+    }
+}
+
 std::vector<state::runner_sighting> group_part::sightings(state::time_point now) {
     std::vector<state::runner_sighting> all;
     const auto fleet = m_shared.fleet.snapshot();
@@ -118,8 +129,12 @@
     for (const auto& runner : *fleet) {
         const auto& record = runner.record;
         const bool is_head = record.membership && record.membership->rank == 0;
+        // Other hosts tell whom they had no answer from, and whom they had one
+        // from although the controller has none.
+        const bool is_vouched = !is_controller() && runner.silent_since && runner.answered_at &&
+                                now - *runner.answered_at < vouch_age;
         const bool is_told = is_controller() ? is_head || runner.silent_since
-                                             : suspects.contains(record.id);
+                                             : is_vouched || suspects.contains(record.id);
         if (!is_told) {
             continue;
         }
@@ -127,7 +142,7 @@
         sighting.id = record.id;
         sighting.born_ms = record.born_ms;
         sighting.sequence = record.sequence;
-        sighting.is_silent = !is_controller() || runner.silent_since.has_value();
+        sighting.is_silent = is_controller() ? runner.silent_since.has_value() : !is_vouched;
         sighting.model = record.model;
         sighting.membership = record.membership.value_or(state::group_membership{});
         sighting.pace = runner.pace;
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -38,6 +38,9 @@
     void note_other_controller(state::time_point now);
     /// Some host had no answer from the runner; it is asked at once.
     void note_suspect(const state::endpoint_id& runner);
+    /// What a host without the lease tells of a runner: no answer, or an answer
+    /// that the controller did not get.
+    void apply_told(const state::runner_sighting& sighting, state::time_point now);
     /// What this host tells the others of the runners.
     [[nodiscard]] std::vector<state::runner_sighting> sightings(state::time_point now);
 
--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -198,7 +198,7 @@
             if (digest.is_controller) {
                 m_shared.fleet.apply_sighting(sighting, now);
             } else if (m_groups.is_controller()) {
-                m_groups.note_suspect(sighting.id);
+                m_groups.apply_told(sighting, now);
             }
         }
         return;
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -139,10 +139,11 @@
 }
 
 void fleet_table::note_answer(const state::endpoint_id& id, state::time_point now) {
-    m_runners.update_existing(id, [&](runner_view& runner) {
-        runner.answered_at = now;
-        runner.silent_since.reset();
-    });
+    m_runners.update_existing(id, [&](runner_view& runner) { runner.answered_at = now; });
+}
+
+void fleet_table::note_vouched(const state::endpoint_id& id, state::time_point until) {
+    m_runners.update_existing(id, [&](runner_view& runner) { runner.vouched_until = until; });
 }
 
 void fleet_table::avoid(const state::endpoint_id& id, state::time_point until) {
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -22,6 +22,7 @@
     std::optional<state::time_point> reported_at;     ///< last report, own or passed on
     std::optional<state::time_point> answered_at;     ///< last answer of any kind
     std::optional<state::time_point> silent_since;    ///< first unanswered probe after it
+    std::optional<state::time_point> vouched_until;   ///< another host has had answers lately
     state::time_point cold_until{};
     state::time_point avoided_until{}; ///< calls failed here a short time ago
     bool is_order_in_progress = false;
@@ -68,6 +69,8 @@
     void note_silence(const state::endpoint_id& id, std::uint64_t born_ms, state::time_point now);
     /// The runner answered a call.
     void note_answer(const state::endpoint_id& id, state::time_point now);
+    /// Another host has had an answer from the runner.
+    void note_vouched(const state::endpoint_id& id, state::time_point until);
     /// Keeps calls away from the runner until `until`.
     void avoid(const state::endpoint_id& id, state::time_point until);
 
--- a/src/savoryrelay/coordination/serving/group_steering.cpp
+++ b/src/savoryrelay/coordination/serving/group_steering.cpp
@@ -31,6 +31,9 @@
     std::map<std::string, double> groups_by_model{}; // open ones and formations
     std::map<std::string, std::size_t> runners_by_model{};
     std::size_t usable_runners = 0;
+    double all_runners = 0;
+    double silent_runners = 0;
+    std::set<state::fabric_domain_id> unclear_domains{}; // with runners that have not reported
     std::vector<state::runner_order> orders{};
 
     [[nodiscard]] const runner_view* find(const state::endpoint_id& id) const {
@@ -39,20 +42,20 @@
             [](const runner_view& runner, const auto& key) { return runner.record.id < key; });
         return found == view.fleet->end() || found->record.id != id ? nullptr : &*found;
     }
+    [[nodiscard]] bool has_fresh_report(const runner_view& runner) const {
+        return runner.reported_at && now - *runner.reported_at < report_age;
+    }
     [[nodiscard]] bool is_usable(const runner_view& runner) const {
         return runner.is_listed(now) && !runner.record.is_draining && !runner.silent_since &&
-               runner.reported_at && now - *runner.reported_at < report_age &&
+               has_fresh_report(runner) &&
                !view.zones_out_of_service.contains(runner.record.availability_zone);
     }
     [[nodiscard]] bool before_traffic() const { return view.work.empty(); }
 };
 
 bool group_steering::is_gone(const runner_view& runner, state::time_point now) const {
-    if (!runner.silent_since) {
-        return false;
-    }
-    const auto silence = now - *runner.silent_since;
-    return silence >= (runner.is_listed(now) ? m_settings.gone_listed : m_settings.gone_unlisted);
+    return runner.silent_since && now - *runner.silent_since >= m_settings.gone_after &&
+           !(runner.vouched_until && now < *runner.vouched_until);
 }
 
 bool group_steering::is_settled(const state::endpoint_id& runner, state::time_point now) const {
@@ -103,8 +106,12 @@
                                                       state::time_point now) {
     step work{view, *view.service->engine, now};
     collect_groups(work);
+    if (work.silent_runners > m_settings.cut_off_share * work.all_runners) {
+        return {};
+    }
     advance_formations(work);
     steer_standing(work);
+    release_members(work);
     form_groups(work);
     return std::move(work.orders);
 }
@@ -114,9 +121,18 @@
         if (runner.record.service != work.view.service->name) {
             continue;
         }
+        if (runner.is_listed(work.now)) {
+            work.all_runners += 1;
+            work.silent_runners += runner.silent_since ? 1 : 0;
+        }
         if (work.is_usable(runner)) {
             ++work.usable_runners;
         }
+        const bool is_clear = runner.silent_since ||
+                              (work.has_fresh_report(runner) && !runner.awaits_report);
+        if (runner.is_listed(work.now) && !is_clear) {
+            work.unclear_domains.insert(runner.record.fabric_domain);
+        }
         if (!runner.record.membership || is_gone(runner, work.now)) {
             continue;
         }
@@ -243,6 +259,32 @@
     }
 }
 
+void group_steering::release_members(step& work) {
+    std::erase_if(m_headless_since, [&](const auto& entry) {
+        const auto group = work.groups.find(entry.first);
+        return group == work.groups.end() || group->second.head != nullptr;
+    });
+    for (const auto& [name, group] : work.groups) {
+        const bool is_forming =
+            std::any_of(m_formations.begin(), m_formations.end(),
+                        [&name = name](const formation& each) { return each.group == name; });
+        if (group.head != nullptr || is_forming) {
+            continue;
+        }
+        const auto since = m_headless_since.try_emplace(name, work.now).first->second;
+        if (work.now - since < m_settings.headless_after) {
+            continue;
+        }
+        for (const auto* member : group.members) {
+            if (work.is_usable(*member) &&
+                !work.unclear_domains.contains(member->record.fabric_domain)) {
+                order(work, *member, runner_order_kind::leave, name,
+                      member->record.membership->epoch);
+            }
+        }
+    }
+}
+
 void group_steering::form_groups(step& work) {
     if (work.usable_runners > m_known_runners) {
         m_grown_at = work.now;
@@ -261,12 +303,8 @@
             runner.awaits_report) {
             continue;
         }
-        // A member is free once its group has no head that could serve.
         if (runner.record.membership) {
-            const auto group = work.groups.find(runner.record.membership->group);
-            if (group != work.groups.end() && group->second.head != nullptr) {
-                continue;
-            }
+            continue; // until it has left
         }
         work.free[runner.record.fabric_domain].push_back(&runner);
     }
--- a/src/savoryrelay/coordination/serving/group_steering.h
+++ b/src/savoryrelay/coordination/serving/group_steering.h
@@ -26,11 +26,15 @@
     /// A group that has not been open for this long is nobody's work and is
     /// dissolved. Covers the opening and the lag of reports.
     state::milliseconds abandoned_after{1'000};
-    /// A runner without an entry that has been silent for this long has ended.
-    state::milliseconds gone_unlisted{1'000};
-    /// A listed runner that has been silent for this long has ended: longer than
-    /// the platform takes to remove an entry and than a group takes to break.
-    state::milliseconds gone_listed{12'000};
+    /// A runner that has been silent for this long, while no other host has had
+    /// an answer from it, is treated as ended. Its group's members leave before
+    /// they join another, so that an error about it costs one group at most.
+    state::milliseconds gone_after{1'000};
+    /// Members of a group without a head are told to leave after this time,
+    /// which covers the lag of the head's report.
+    state::milliseconds headless_after{400};
+    /// When more than this part of the runners is silent, this host is cut off.
+    double cut_off_share = 0.6;
     /// Before any call has come, groups are formed once no runner has been added
     /// for this long: a little more than runners take to write their entries.
     state::milliseconds quiet_fleet{1'300};
@@ -52,7 +56,7 @@
 ///
 /// Invariants of its orders: a group is opened only after each of its members
 /// has reported ready under its name, epoch and list; no runner joins another
-/// group while the head of its group is, or may become, open.
+/// group before it has left one whose head is, or may become, open.
 class group_steering {
 public:
     explicit group_steering(steering_settings settings) : m_settings(settings) {}
@@ -92,6 +96,7 @@
     [[nodiscard]] bool is_settled(const state::endpoint_id& runner, state::time_point now) const;
     void collect_groups(step& work);
     void steer_standing(step& work);
+    void release_members(step& work);
     void advance_formations(step& work);
     void form_groups(step& work);
     void form_in_domain(step& work, const state::fabric_domain_id& domain);
@@ -110,6 +115,7 @@
     std::map<state::endpoint_id, staging_order> m_stagings;
     std::map<state::endpoint_id, std::string> m_last_model; // of the group joined last
     std::map<std::string, state::time_point> m_not_open_since; // by group
+    std::map<std::string, state::time_point> m_headless_since; // by group
     std::set<std::string> m_closed;                            // groups that were told to close
     std::deque<state::time_point> m_loads;                  // starts of loads in the last second
 };
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -450,6 +450,7 @@
             }
             break;
         }
+        m_parts.fleet.note_answer(chosen.runner.record.id, m_parts.now());
         const auto taken = state::collect(
             [&] { return call.events.append(std::string_view(buffer.data(), size)); });
         if (!taken) {
