Reject reports of another life at a reused address; close the listener after the balancer's notice

Cause: a report asked at the address of a runner that had ended came from its successor and was taken for the first one's, so new groups were closed 1 s after they opened.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -20,8 +20,9 @@
 constexpr unsigned status_unavailable = 503;
 
 // Time for the balancer to see that the host is leaving, before its listener
-// closes: two questions, a second apart, and the way of the answers.
-constexpr milliseconds balancer_notice{3'200};
+// closes: two questions, a second apart, and the way of the answers. Calls that
+// come later than 3 s may not end before the process is killed.
+constexpr milliseconds balancer_notice{2'800};
 // Left of the stop limit for the end of the process.
 constexpr milliseconds end_reserve{500};
 constexpr milliseconds idle_check{100};
@@ -131,17 +132,14 @@
     log_change("stopping", {{"open_calls", std::to_string(m_caller_server->open_requests())}});
     m_groups.stop();
 
-    // New connections come until the balancer has noticed; calls in flight may
+    // New calls come until the balancer has noticed; those in flight then may
     // take almost all of the time until the process is killed.
     std::mutex mutex;
     std::condition_variable never;
     std::unique_lock lock(mutex);
     const auto last = asked_at + m_settings.stop_limit - end_reserve;
     const auto notice = std::min(last, asked_at + balancer_notice);
-    while (read_clock() < notice ||
-           (m_caller_server->open_requests() > 0 && read_clock() < last)) {
-        never.wait_for(lock, idle_check);
-    }
+    never.wait_until(lock, notice, [&] { return read_clock() >= notice; });
     m_caller_server->stop_accepting();
     while (m_caller_server->open_requests() > 0 && read_clock() < last) {
         never.wait_for(lock, idle_check);
--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -88,6 +88,12 @@
     if (!done) {
         m_shared.metrics.counter_of("savoryrelay_lease_store_failures_total").add();
     }
+    const auto reached = m_lease.phase(groups_lease, m_now());
+    if (reached != phase) {
+        log_change("lease", {{"from", std::string(state::to_name(phase))},
+                             {"to", std::string(state::to_name(reached))},
+                             {"detail", done ? "" : done.error().message()}});
+    }
 }
 
 void group_part::note_other_controller(state::time_point now) {
@@ -194,6 +200,17 @@
     const auto now = m_now();
     auto& poll = m_polls[runner.id];
     poll.is_asking = false;
+    const bool is_same_life =
+        !report || m_shared.fleet.apply_report(runner.id, report.value(), now);
+    if (!is_same_life) {
+        poll.next = now + report_interval;
+        if (poll.failures < silent_after_failures) {
+            m_shared.fleet.note_silence(runner.id, runner.born_ms, now);
+            log_change("runner_replaced", {{"runner", runner.id.value()}});
+        }
+        poll.failures = silent_after_failures;
+        co_return;
+    }
     if (!report) {
         ++poll.failures;
         poll.next = poll.failures < silent_after_failures ? now : now + report_interval;
@@ -211,11 +228,10 @@
     const auto& membership = report.value().membership;
     const auto known = m_shared.fleet.find(runner.id);
     const bool is_busy = report.value().is_order_in_progress ||
-                         (known && known->awaits_report) ||
+                         (known && known->awaits_report_since) ||
                          (membership && (membership->state == state::membership_state::joining ||
                                          membership->state == state::membership_state::ready));
     poll.next = now + (is_busy ? report_interval_busy : report_interval);
-    m_shared.fleet.apply_report(runner.id, report.value(), now);
 }
 
 void group_part::step(state::time_point now) {
@@ -278,7 +294,10 @@
                 {"took_ms",
                  std::to_string(
                      std::chrono::duration_cast<milliseconds>(now - sent_at).count())}});
-    if (result == state::runner_order_result::accepted) {
+    // To leave is done at once, and answered so, but counts as an order.
+    const bool has_left = order.kind == state::runner_order_kind::leave &&
+                          result == state::runner_order_result::holds_already;
+    if (result == state::runner_order_result::accepted || has_left) {
         m_shared.fleet.note_order_accepted(order, now);
     }
     const auto steering = m_steerings.find(runner.service);
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -17,7 +17,7 @@
     runner.reported_at.reset();
     runner.avoided_until = {};
     runner.is_order_in_progress = false;
-    runner.awaits_report = false;
+    runner.awaits_report_since.reset();
     runner.pace = 1;
 }
 
@@ -60,14 +60,16 @@
     });
 }
 
-void fleet_table::apply_report(const state::endpoint_id& id, const state::runner_report& report,
+bool fleet_table::apply_report(const state::endpoint_id& id, const state::runner_report& report,
                                state::time_point now) {
+    bool is_same_life = true;
     m_runners.update_existing(id, [&](runner_view& runner) {
-        if (report.born_ms && *report.born_ms != runner.record.born_ms) {
-            if (*report.born_ms < runner.record.born_ms) {
-                return;
-            }
-            begin_life(runner, *report.born_ms);
+        // The address may belong to another runner by now; a new life of this
+        // one shows in its entry.
+        const auto known_born = runner.record.born_ms;
+        if (report.born_ms && known_born != 0 && *report.born_ms != known_born) {
+            is_same_life = false;
+            return;
         }
         runner.answered_at = now;
         runner.silent_since.reset();
@@ -77,17 +79,20 @@
         runner.cold_until = std::max(runner.cold_until, now + report.cold_remaining);
 
         // Reports lag; one that does not count an accepted order is from before it.
-        if (report.sequence.value_or(0) < runner.record.sequence) {
+        const auto& awaited = runner.awaits_report_since;
+        if (report.sequence.value_or(0) < runner.record.sequence &&
+            !(awaited && now - *awaited > longest_report_lag)) {
             return;
         }
         runner.reported_at = now;
-        runner.awaits_report = false;
+        runner.awaits_report_since.reset();
         runner.record.sequence = report.sequence.value_or(0);
         runner.record.membership = report.membership;
         runner.record.model = report.model.value_or(runner.record.model);
         runner.record.staged = report.staged.value_or(runner.record.staged);
         runner.is_order_in_progress = report.is_order_in_progress;
     });
+    return is_same_life;
 }
 
 void fleet_table::apply_sighting(const state::runner_sighting& sighting, state::time_point now) {
@@ -123,7 +128,7 @@
 void fleet_table::note_order_accepted(const state::runner_order& order, state::time_point now) {
     m_runners.update_existing(order.runner, [&](runner_view& runner) {
         runner.record.sequence = std::max(runner.record.sequence, order.expected_sequence + 1);
-        runner.awaits_report = true;
+        runner.awaits_report_since = now;
         runner.answered_at = now;
         runner.silent_since.reset();
     });
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -26,7 +26,8 @@
     state::time_point cold_until{};
     state::time_point avoided_until{}; ///< calls failed here a short time ago
     bool is_order_in_progress = false;
-    bool awaits_report = false; ///< an order was accepted that no report shows yet
+    /// Since when a report is awaited that shows an accepted order.
+    std::optional<state::time_point> awaits_report_since;
     std::uint32_t queued = 0;
     std::uint32_t active = 0;
     double pace = 1;
@@ -52,14 +53,18 @@
     /// the group, because entries reach the store later than reports.
     static constexpr state::milliseconds report_precedence{1'500};
 
+    /// After this time a report is believed although it counts fewer orders.
+    static constexpr state::milliseconds longest_report_lag{1'000};
+
     fleet_table() : m_snapshot(fleet_snapshot{}) {}
 
     /// A runner's entry as read at `now`.
     void apply_entry(const state::runner_record& entry, state::time_point now);
     /// The entry is gone, which counts from `from` on.
     void apply_removal(const state::endpoint_id& id, state::time_point from);
-    /// A report that the runner gave to this host.
-    void apply_report(const state::endpoint_id& id, const state::runner_report& report,
+    /// A report that this host was given at the runner's address. False: it is
+    /// of another life, so the one that is known has ended.
+    bool apply_report(const state::endpoint_id& id, const state::runner_report& report,
                       state::time_point now);
     /// What another host has seen.
     void apply_sighting(const state::runner_sighting& sighting, state::time_point now);
--- a/src/savoryrelay/coordination/serving/group_steering.cpp
+++ b/src/savoryrelay/coordination/serving/group_steering.cpp
@@ -66,7 +66,7 @@
 void group_steering::order(step& work, const runner_view& runner, runner_order_kind kind,
                            const std::string& group, std::uint64_t epoch) {
     const auto& id = runner.record.id;
-    if (!is_settled(id, work.now) || runner.awaits_report) {
+    if (!is_settled(id, work.now) || runner.awaits_report_since) {
         return;
     }
     state::runner_order order;
@@ -89,8 +89,9 @@
     const bool is_refused =
         result == result_kind::does_not_fit || result == result_kind::outdated;
     m_unsettled[order.runner] =
-        now + (is_refused                                 ? m_settings.refusal_settle
+        now + (is_refused                              ? m_settings.refusal_settle
                : order.kind == runner_order_kind::open ? m_settings.open_settle
+               : result == result_kind::holds_already  ? m_settings.order_settle
                                                        : state::milliseconds(0));
     const bool is_close = order.kind == runner_order_kind::close_now ||
                           order.kind == runner_order_kind::close_after_queue;
@@ -129,7 +130,7 @@
             ++work.usable_runners;
         }
         const bool is_clear = runner.silent_since ||
-                              (work.has_fresh_report(runner) && !runner.awaits_report);
+                              (work.has_fresh_report(runner) && !runner.awaits_report_since);
         if (runner.is_listed(work.now) && !is_clear) {
             work.unclear_domains.insert(runner.record.fabric_domain);
         }
@@ -300,7 +301,7 @@
     for (const auto& runner : *work.view.fleet) {
         if (runner.record.service != work.view.service->name || !work.is_usable(runner) ||
             taken.contains(runner.record.id) || !is_settled(runner.record.id, work.now) ||
-            runner.awaits_report) {
+            runner.awaits_report_since) {
             continue;
         }
         if (runner.record.membership) {
