Plan a layout with spares in each domain and stage only where it makes a group

Cause: each lost member left up to three runners of its domain idle, and fresh or returning runners were made to load weights that no group needed. Ruled out: domains of one model without spares (4 of 8 large groups were left after four deaths). The lease's term is shorter (2.5 s to 1.5 s).

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -25,15 +25,15 @@
 // Two renewals, an order and the drift of clocks fit into the term, also while
 // the store takes some hundred milliseconds for an answer.
 constexpr coordination::lease_settings lease_times{
-    .duration = milliseconds(2'500),
-    .renew_interval = milliseconds(700),
+    .duration = milliseconds(1'500),
+    .renew_interval = milliseconds(400),
     .order_timeout = milliseconds(400),
     .margin = milliseconds(100),
 };
-constexpr milliseconds lease_tick{200};
+constexpr milliseconds lease_tick{100};
 // A controller whose digests have not come for this long may be gone; the
 // store's row decides.
-constexpr milliseconds controller_silence{700};
+constexpr milliseconds controller_silence{400};
 
 constexpr milliseconds step_interval{50};
 // A report is asked for this often, and more often while an order takes effect.
@@ -53,8 +53,9 @@
 
 group_part::group_part(transport::io_threads& threads, platform::store_client& store,
                        shared_state& shared, state::host_id host, std::uint64_t incarnation,
-                       std::function<state::time_point()> now)
-    : m_threads(threads), m_shared(shared), m_host(std::move(host)), m_now(std::move(now)),
+                       bool is_first_start, std::function<state::time_point()> now)
+    : m_threads(threads), m_shared(shared), m_host(std::move(host)),
+      m_is_first_start(is_first_start), m_now(std::move(now)),
       m_lease(lease_times, state::member_id(m_host.value()), incarnation,
               {.platform = store.lease_hooks(lease_table, m_host.value()),
                .codec = protocol::lease_text_codec(),
@@ -253,6 +254,7 @@
         view.fleet = fleet.get();
         view.zones_out_of_service = *m_shared.zones_out_of_service.load();
         view.work = m_shared.work.all(now);
+        view.is_first_start = m_is_first_start;
         view.epoch = ticket.value().fencing_number;
         auto& steering =
             m_steerings.try_emplace(name, coordination::steering_settings{}).first->second;
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -25,7 +25,7 @@
 class group_part {
 public:
     group_part(transport::io_threads& threads, platform::store_client& store, shared_state& shared,
-               state::host_id host, std::uint64_t incarnation,
+               state::host_id host, std::uint64_t incarnation, bool is_first_start,
                std::function<state::time_point()> now);
 
     void start();
@@ -61,6 +61,7 @@
     transport::io_threads& m_threads;
     shared_state& m_shared;
     const state::host_id m_host;
+    const bool m_is_first_start;
     std::function<state::time_point()> m_now;
     coordination::lease_coordinator m_lease;
     std::map<std::string, coordination::group_steering> m_steerings; // control context only
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -129,6 +129,15 @@
     m_runners.update_existing(order.runner, [&](runner_view& runner) {
         runner.record.sequence = std::max(runner.record.sequence, order.expected_sequence + 1);
         runner.awaits_report_since = now;
+        runner.is_effect_known = false;
+        auto& membership = runner.record.membership;
+        if (order.kind == state::runner_order_kind::leave) {
+            membership.reset();
+            runner.is_effect_known = true;
+        } else if (order.kind == state::runner_order_kind::close_now && membership) {
+            membership->state = state::membership_state::ready;
+            runner.is_effect_known = true;
+        }
         runner.answered_at = now;
         runner.silent_since.reset();
     });
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -28,6 +28,7 @@
     bool is_order_in_progress = false;
     /// Since when a report is awaited that shows an accepted order.
     std::optional<state::time_point> awaits_report_since;
+    bool is_effect_known = true; ///< what that order did is known without a report
     std::uint32_t queued = 0;
     std::uint32_t active = 0;
     double pace = 1;
--- a/src/savoryrelay/coordination/serving/group_steering.cpp
+++ b/src/savoryrelay/coordination/serving/group_steering.cpp
@@ -10,11 +10,6 @@
 using state::membership_state;
 using state::runner_order_kind;
 
-// Joining a model that was the runner's last one (given by the platform).
-constexpr state::milliseconds rejoin_time{200};
-// A group that needs longer than this to form is prepared by staging instead of
-// joining, so that its members stay free for another use.
-constexpr state::milliseconds quick_join{3'000};
 constexpr std::chrono::seconds load_window{1};
 // Orders rely on reports that are no older than this.
 constexpr state::milliseconds report_age{1'500};
@@ -29,13 +24,19 @@
     std::map<std::string, standing_group> groups{};
     std::map<state::fabric_domain_id, std::vector<const runner_view*>> free{};
     std::map<std::string, double> groups_by_model{}; // open ones and formations
-    std::map<std::string, std::size_t> runners_by_model{};
+    std::map<state::fabric_domain_id, std::map<std::string, std::size_t>> groups_by_domain{};
+    domain_layout layout{};
+    std::map<std::string, std::size_t> targets{}; // groups by model
     std::size_t usable_runners = 0;
     double all_runners = 0;
     double silent_runners = 0;
     std::set<state::fabric_domain_id> unclear_domains{}; // with runners that have not reported
     std::vector<state::runner_order> orders{};
 
+    /// An order was accepted whose effect no report shows yet.
+    [[nodiscard]] static bool is_unclear(const runner_view& runner) {
+        return runner.awaits_report_since && !runner.is_effect_known;
+    }
     [[nodiscard]] const runner_view* find(const state::endpoint_id& id) const {
         const auto found = std::lower_bound(
             view.fleet->begin(), view.fleet->end(), id,
@@ -50,7 +51,7 @@
                has_fresh_report(runner) &&
                !view.zones_out_of_service.contains(runner.record.availability_zone);
     }
-    [[nodiscard]] bool before_traffic() const { return view.work.empty(); }
+    [[nodiscard]] bool before_traffic() const { return view.is_first_start && view.work.empty(); }
 };
 
 bool group_steering::is_gone(const runner_view& runner, state::time_point now) const {
@@ -66,7 +67,7 @@
 void group_steering::order(step& work, const runner_view& runner, runner_order_kind kind,
                            const std::string& group, std::uint64_t epoch) {
     const auto& id = runner.record.id;
-    if (!is_settled(id, work.now) || runner.awaits_report_since) {
+    if (!is_settled(id, work.now) || work.is_unclear(runner)) {
         return;
     }
     state::runner_order order;
@@ -130,7 +131,7 @@
             ++work.usable_runners;
         }
         const bool is_clear = runner.silent_since ||
-                              (work.has_fresh_report(runner) && !runner.awaits_report_since);
+                              (work.has_fresh_report(runner) && !work.is_unclear(runner));
         if (runner.is_listed(work.now) && !is_clear) {
             work.unclear_domains.insert(runner.record.fabric_domain);
         }
@@ -199,7 +200,7 @@
     };
     for (const auto& forming : m_formations) {
         work.groups_by_model[forming.model] += 1;
-        work.runners_by_model[forming.model] += forming.members.size();
+        ++work.groups_by_domain[forming.domain][forming.model];
     }
     std::erase_if(m_not_open_since,
                   [&](const auto& entry) { return !work.groups.contains(entry.first); });
@@ -238,7 +239,7 @@
                 order(work, head, runner_order_kind::close_after_queue, name, membership.epoch);
             } else {
                 work.groups_by_model[head.record.model] += 1;
-                work.runners_by_model[head.record.model] += size;
+                ++work.groups_by_domain[head.record.fabric_domain][head.record.model];
             }
             break;
         case membership_state::closing:
@@ -294,181 +295,285 @@
     if (work.before_traffic() && work.now - m_grown_at < m_settings.quiet_fleet) {
         return;
     }
+    plan_targets(work);
+
+    // Free are those that are neither in a group nor chosen for one.
     std::set<state::endpoint_id> taken;
     for (const auto& forming : m_formations) {
         taken.insert(forming.members.begin(), forming.members.end());
     }
+    std::set<state::endpoint_id> free_now;
     for (const auto& runner : *work.view.fleet) {
+        const auto& id = runner.record.id;
         if (runner.record.service != work.view.service->name || !work.is_usable(runner) ||
-            taken.contains(runner.record.id) || !is_settled(runner.record.id, work.now) ||
-            runner.awaits_report_since) {
+            runner.record.membership || taken.contains(id)) {
             continue;
         }
-        if (runner.record.membership) {
-            continue; // until it has left
+        free_now.insert(id);
+        m_free_since.try_emplace(id, work.now);
+        if (is_settled(id, work.now) && !work.is_unclear(runner)) {
+            work.free[runner.record.fabric_domain].push_back(&runner);
+        }
+    }
+    std::erase_if(m_free_since,
+                  [&](const auto& entry) { return !free_now.contains(entry.first); });
+    std::erase_if(m_stagings, [&](const auto& entry) {
+        const auto* runner = work.find(entry.first);
+        return work.now >= entry.second.until || runner == nullptr ||
+               runner->record.born_ms != entry.second.born_ms ||
+               runner->record.has_staged(entry.second.model);
+    });
+    for (const auto& entry : std::map(work.free)) {
+        if (work.before_traffic()) {
+            form_first_groups(work, entry.first);
+        } else {
+            form_in_domain(work, entry.first);
         }
-        work.free[runner.record.fabric_domain].push_back(&runner);
     }
+}
 
-    // Domains of all zones in turn, so that a zone does not hold one model alone.
+void group_steering::plan_targets(step& work) {
+    // Domains of all zones in turn, so that no zone holds one model alone.
+    std::map<state::fabric_domain_id, std::size_t> sizes;
+    std::map<state::fabric_domain_id, state::availability_zone_id> zones;
+    for (const auto& runner : *work.view.fleet) {
+        if (runner.record.service == work.view.service->name && work.is_usable(runner)) {
+            ++sizes[runner.record.fabric_domain];
+            zones[runner.record.fabric_domain] = runner.record.availability_zone;
+        }
+    }
     std::map<state::availability_zone_id, std::size_t> seen;
-    std::vector<std::pair<std::size_t, state::fabric_domain_id>> domains;
-    for (const auto& [domain, runners] : work.free) {
-        const auto place = seen[runners.front()->record.availability_zone]++;
-        domains.emplace_back(place, domain);
+    std::vector<std::pair<std::size_t, domain_size>> ordered;
+    for (const auto& [domain, runners] : sizes) {
+        ordered.emplace_back(seen[zones[domain]]++, domain_size{domain, runners});
     }
-    std::stable_sort(domains.begin(), domains.end(),
+    std::stable_sort(ordered.begin(), ordered.end(),
                      [](const auto& left, const auto& right) { return left.first < right.first; });
-    for (const auto& [place, domain] : domains) {
-        form_in_domain(work, domain);
+    std::vector<domain_size> domains;
+    for (auto& entry : ordered) {
+        domains.push_back(std::move(entry.second));
     }
-    std::erase_if(m_stagings, [&](const auto& entry) { return work.now >= entry.second.until; });
+    work.layout = plan_layout(work.engine.models, domains);
+    work.targets = count_groups(work.layout);
 }
 
-std::string group_steering::choose_model(const step& work, const state::fabric_domain_id& domain,
-                                         const std::vector<const runner_view*>& free) const {
-    // How long the quickest group of the model takes to form here.
-    const auto forming_time = [&](const state::model_rule& model) {
-        std::vector<state::milliseconds> times;
-        for (const auto* runner : free) {
-            const auto last = m_last_model.find(runner->record.id);
-            const auto staging = m_stagings.find(runner->record.id);
-            if (last != m_last_model.end() && last->second == model.name) {
-                times.push_back(rejoin_time);
-            } else if (runner->record.has_staged(model.name)) {
-                times.push_back(model.warm_up_time);
-            } else if (staging != m_stagings.end() && staging->second.model == model.name &&
-                       staging->second.born_ms == runner->record.born_ms) {
-                times.push_back(std::chrono::duration_cast<state::milliseconds>(
-                    staging->second.until - work.now));
-            } else {
-                times.push_back(model.load_time);
-            }
-        }
-        std::nth_element(times.begin(), times.begin() + (model.group_size - 1), times.end());
-        return times[model.group_size - 1];
-    };
+bool group_steering::is_wanted(const step& work, const std::string& model) const {
+    const auto found = work.groups_by_model.find(model);
+    const double groups = found == work.groups_by_model.end() ? 0 : found->second;
+    const auto target = work.targets.find(model);
+    if (target != work.targets.end() && groups < static_cast<double>(target->second)) {
+        return true;
+    }
+    const auto busy = work.view.work.find(model);
+    return busy != work.view.work.end() && busy->second > m_settings.busy_share * groups;
+}
 
-    // The model whose groups are busiest, less the time until it is helped.
-    constexpr double time_weight_ms = 4'000;
-    std::string best;
-    double best_score = -1;
-    for (const auto& model : work.engine.models) {
-        if (model.group_size == 0 || free.size() < model.group_size) {
-            continue;
-        }
-        const auto have = work.groups_by_model.find(model.name);
-        const double groups = have == work.groups_by_model.end() ? 0 : have->second;
-        double score = 0;
-        if (work.before_traffic()) {
-            const auto held = work.runners_by_model.find(model.name);
-            const double runners =
-                held == work.runners_by_model.end() ? 0 : static_cast<double>(held->second);
-            score = model.share * static_cast<double>(work.usable_runners) - runners;
-            // A domain of one model loses less when its runners fail one by one.
-            const bool is_here =
-                std::any_of(m_formations.begin(), m_formations.end(), [&](const formation& each) {
-                    return each.domain == domain && each.model == model.name;
-                });
-            if (is_here && score >= model.group_size) {
-                score += static_cast<double>(work.usable_runners);
-            }
-            score += static_cast<double>(work.usable_runners); // stays above none
-        } else {
-            const auto asked = work.view.work.find(model.name);
-            const double busy = asked == work.view.work.end() ? 0 : asked->second;
-            constexpr double least_work = 0.05; // a model without calls still gets a group
-            score = std::max(busy, least_work) / (groups + 0.5);
-            score /= 1 + static_cast<double>(forming_time(model).count()) / time_weight_ms;
+bool group_steering::is_ready_for(const runner_view& runner, const std::string& model) const {
+    const auto last = m_last_model.find(runner.record.id);
+    return runner.record.has_staged(model) ||
+           (last != m_last_model.end() && last->second == model && runner.record.staged.empty());
+}
+
+void group_steering::form_first_groups(step& work, const state::fabric_domain_id& domain) {
+    auto& free = work.free[domain];
+    const auto planned = work.layout.find(domain);
+    if (planned == work.layout.end()) {
+        return;
+    }
+    std::map<std::string, std::size_t> to_form;
+    for (const auto& model : planned->second) {
+        ++to_form[model];
+    }
+    for (auto& [name, count] : to_form) {
+        const auto formed = work.groups_by_domain[domain][name];
+        const auto* model = work.engine.find_model(name);
+        for (auto i = formed; i < count && free.size() >= model->group_size; ++i) {
+            const std::vector<const runner_view*> members(free.begin(),
+                                                          free.begin() + model->group_size);
+            free.erase(free.begin(), free.begin() + model->group_size);
+            start_formation(work, *model, members);
         }
-        if (score > best_score) {
-            best_score = score;
-            best = model.name;
+    }
+
+    // Spares stage the models of their domain in turn.
+    std::size_t place = 0;
+    for (const auto* runner : free) {
+        if (runner->record.staged.empty() && !m_stagings.contains(runner->record.id) &&
+            !planned->second.empty()) {
+            stage(work, *runner, planned->second[place % planned->second.size()]);
         }
+        ++place;
     }
-    return best;
 }
 
-bool group_steering::may_load(std::size_t count, const step& work) {
-    if (work.before_traffic()) {
-        return true; // the weight store's rate counts from the first call on
-    }
-    while (!m_loads.empty() && work.now - m_loads.front() >= load_window) {
-        m_loads.pop_front();
+void group_steering::form_in_domain(step& work, const state::fabric_domain_id& domain) {
+    while (form_ready_group(work, domain)) {
     }
-    const double limit = work.engine.loads_per_s * m_settings.load_rate_share;
-    return static_cast<double>(m_loads.size() + count) <= limit;
+    stage_in_domain(work, domain);
 }
 
-void group_steering::form_in_domain(step& work, const state::fabric_domain_id& domain) {
+bool group_steering::form_ready_group(step& work, const state::fabric_domain_id& domain) {
+    // The wanted model whose groups are busiest, of those that the free runners
+    // can form without a load.
     auto& free = work.free[domain];
-    while (!free.empty()) {
-        const auto name = choose_model(work, domain, free);
-        const auto* model = work.engine.find_model(name);
-        if (model == nullptr) {
-            break;
+    const state::model_rule* best = nullptr;
+    double best_load = 0;
+    for (const auto& model : work.engine.models) {
+        const auto ready = std::count_if(free.begin(), free.end(), [&](const auto* runner) {
+            return is_ready_for(*runner, model.name);
+        });
+        if (ready < static_cast<std::ptrdiff_t>(model.group_size) || model.group_size == 0 ||
+            !is_wanted(work, model.name)) {
+            continue;
         }
+        const auto busy = work.view.work.find(model.name);
+        constexpr double least_work = 0.05; // a model without calls still gets a group
+        const double load =
+            std::max(busy == work.view.work.end() ? 0 : busy->second, least_work) /
+            (work.groups_by_model[model.name] + 0.5);
+        if (best == nullptr || load > best_load) {
+            best = &model;
+            best_load = load;
+        }
+    }
+    if (best == nullptr) {
+        return false;
+    }
 
-        // Take the runners that are ready for it soonest.
-        const auto readiness = [&](const runner_view* runner) {
-            const auto last = m_last_model.find(runner->record.id);
-            const bool was_last = last != m_last_model.end() && last->second == name;
-            const auto staging = m_stagings.find(runner->record.id);
-            const bool is_staging = staging != m_stagings.end() && staging->second.model == name;
-            return was_last ? 0 : runner->record.has_staged(name) ? 1 : is_staging ? 2 : 3;
-        };
-        std::stable_sort(free.begin(), free.end(), [&](const auto* left, const auto* right) {
-            return readiness(left) < readiness(right);
-        });
-        const std::vector<const runner_view*> chosen(free.begin(),
-                                                     free.begin() + model->group_size);
-        free.erase(free.begin(), free.begin() + model->group_size);
-
-        // Members that lack the weights load them first, free for other use meanwhile.
-        std::vector<const runner_view*> lacking;
-        for (const auto* runner : chosen) {
-            if (readiness(runner) >= 2) {
-                lacking.push_back(runner);
-            }
+    // Members of a group of that model join again soonest.
+    const auto was_last = [&](const runner_view* runner) {
+        const auto last = m_last_model.find(runner->record.id);
+        return last != m_last_model.end() && last->second == best->name;
+    };
+    std::stable_sort(free.begin(), free.end(), [&](const auto* left, const auto* right) {
+        return was_last(left) && !was_last(right);
+    });
+    std::vector<const runner_view*> members;
+    std::erase_if(free, [&](const runner_view* runner) {
+        if (members.size() == best->group_size || !is_ready_for(*runner, best->name)) {
+            return false;
         }
-        if (!lacking.empty() && !work.before_traffic() && model->load_time > quick_join) {
-            for (const auto* runner : lacking) {
-                if (readiness(runner) == 2 || !may_load(1, work)) {
-                    continue;
-                }
-                const auto sent = work.orders.size();
-                order(work, *runner, runner_order_kind::stage, {}, 0);
-                if (work.orders.size() > sent) {
-                    work.orders.back().model = name;
-                    m_loads.push_back(work.now);
-                    m_stagings[runner->record.id] = {name, runner->record.born_ms,
-                                                     work.now + model->load_time * 2};
-                }
+        members.push_back(runner);
+        return true;
+    });
+    start_formation(work, *best, members);
+    return true;
+}
+
+void group_steering::stage_in_domain(step& work, const state::fabric_domain_id& domain) {
+    const auto& free = work.free[domain];
+    std::map<std::string, std::size_t> ready; // or getting ready, by model
+    std::vector<const runner_view*> empty;
+    std::vector<const runner_view*> patient; // free for long, with weights on their hosts
+    for (const auto* runner : free) {
+        const auto under_way = m_stagings.find(runner->record.id);
+        if (under_way != m_stagings.end()) {
+            ++ready[under_way->second.model];
+            continue;
+        }
+        if (runner->record.staged.empty()) {
+            empty.push_back(runner);
+            continue;
+        }
+        for (const auto& name : runner->record.staged) {
+            ++ready[name];
+        }
+        if (work.now - m_free_since.at(runner->record.id) >= m_settings.restage_after) {
+            patient.push_back(runner);
+        }
+    }
+
+    // A runner without weights completes the group that lacks fewest, else it
+    // becomes a spare for the model that is most common in its domain.
+    for (const auto* runner : empty) {
+        std::string chosen;
+        double best = -1;
+        for (const auto& model : work.engine.models) {
+            const double held = static_cast<double>(ready[model.name]);
+            const double size = std::max(1U, model.group_size);
+            const double groups = static_cast<double>(work.groups_by_domain[domain][model.name]);
+            const bool completes = is_wanted(work, model.name) && held < size;
+            const double score = (completes ? 1 + held / size : 0) + groups / 100;
+            if (score > best) {
+                best = score;
+                chosen = model.name;
             }
+        }
+        stage(work, *runner, chosen);
+        ++ready[chosen];
+    }
+
+    // Free runners that wait in vain load the weights of a wanted model, when
+    // that makes a group and takes none from another model that lacks one.
+    for (const auto& model : work.engine.models) {
+        if (!is_wanted(work, model.name) || ready[model.name] >= model.group_size) {
             continue;
         }
-        if (!may_load(lacking.size(), work)) {
+        std::vector<const runner_view*> others;
+        for (const auto* runner : patient) {
+            if (!runner->record.has_staged(model.name)) {
+                others.push_back(runner);
+            }
+        }
+        const auto lacking = model.group_size - ready[model.name];
+        if (others.size() < lacking) {
             continue;
         }
-        formation forming;
-        forming.group =
-            "g" + std::to_string(work.view.epoch) + "-" + std::to_string(m_next_group++);
-        forming.epoch = work.view.epoch;
-        forming.model = name;
-        forming.domain = domain;
-        for (const auto* runner : chosen) {
-            forming.members.push_back(runner->record.id);
-            forming.lives[runner->record.id] = runner->record.born_ms;
-        }
-        for (const auto* runner : chosen) {
-            order(work, *runner, runner_order_kind::join, forming.group, forming.epoch);
-            work.orders.back().model = name;
+        for (std::size_t i = 0; i < lacking; ++i) {
+            stage(work, *others[i], model.name);
+        }
+        return;
+    }
+}
+
+void group_steering::stage(step& work, const runner_view& runner, const std::string& name) {
+    const auto* model = work.engine.find_model(name);
+    if (model == nullptr || m_stagings.contains(runner.record.id) || !may_load(work)) {
+        return;
+    }
+    const auto sent = work.orders.size();
+    order(work, runner, runner_order_kind::stage, {}, 0);
+    if (work.orders.size() == sent) {
+        return;
+    }
+    work.orders.back().model = name;
+    m_loads.push_back(work.now);
+    m_stagings[runner.record.id] = {name, runner.record.born_ms, work.now + model->load_time * 2};
+}
+
+void group_steering::start_formation(step& work, const state::model_rule& model,
+                                     const std::vector<const runner_view*>& members) {
+    formation forming;
+    forming.group = "g" + std::to_string(work.view.epoch) + "-" + std::to_string(m_next_group++);
+    forming.epoch = work.view.epoch;
+    forming.model = model.name;
+    forming.domain = members.front()->record.fabric_domain;
+    for (const auto* runner : members) {
+        forming.members.push_back(runner->record.id);
+        forming.lives[runner->record.id] = runner->record.born_ms;
+    }
+    for (const auto* runner : members) {
+        const auto sent = work.orders.size();
+        order(work, *runner, runner_order_kind::join, forming.group, forming.epoch);
+        if (work.orders.size() > sent) {
+            work.orders.back().model = model.name;
             work.orders.back().members = forming.members;
         }
-        work.groups_by_model[name] += 1;
-        work.runners_by_model[name] += chosen.size();
-        m_formations.push_back(std::move(forming));
     }
+    work.groups_by_model[model.name] += 1;
+    ++work.groups_by_domain[forming.domain][model.name];
+    m_formations.push_back(std::move(forming));
+}
+
+bool group_steering::may_load(const step& work) {
+    if (work.before_traffic()) {
+        return true; // the weight store's rate counts from the first call on
+    }
+    while (!m_loads.empty() && work.now - m_loads.front() >= load_window) {
+        m_loads.pop_front();
+    }
+    return static_cast<double>(m_loads.size() + 1) <=
+           work.engine.loads_per_s * m_settings.load_rate_share;
 }
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/serving/group_steering.h
+++ b/src/savoryrelay/coordination/serving/group_steering.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "savoryrelay/coordination/serving/fleet_table.h"
+#include "savoryrelay/coordination/serving/group_layout.h"
 #include "savoryrelay/state/serving/serving_configuration.h"
 
 #include <deque>
@@ -38,6 +39,11 @@
     /// Before any call has come, groups are formed once no runner has been added
     /// for this long: a little more than runners take to write their entries.
     state::milliseconds quiet_fleet{1'300};
+    /// A free runner keeps the weights on its host for this long before it loads
+    /// others for a model that lacks groups.
+    state::milliseconds restage_after{3'000};
+    /// A model whose groups are busier than this gets more than its planned ones.
+    double busy_share = 0.7;
     /// Part of the weight store's rate that is used.
     double load_rate_share = 0.8;
 };
@@ -48,6 +54,7 @@
     const fleet_snapshot* fleet = nullptr;
     std::set<state::availability_zone_id> zones_out_of_service;
     std::map<std::string, double> work; ///< groups kept busy by model; empty before any call
+    bool is_first_start = false;        ///< of the whole system: loads before calls are cheap
     std::uint64_t epoch = 0;            ///< of the lease under which orders are sent
 };
 
@@ -99,10 +106,17 @@
     void release_members(step& work);
     void advance_formations(step& work);
     void form_groups(step& work);
+    void plan_targets(step& work);
+    [[nodiscard]] bool is_wanted(const step& work, const std::string& model) const;
+    [[nodiscard]] bool is_ready_for(const runner_view& runner, const std::string& model) const;
+    void form_first_groups(step& work, const state::fabric_domain_id& domain);
     void form_in_domain(step& work, const state::fabric_domain_id& domain);
-    [[nodiscard]] std::string choose_model(const step& work, const state::fabric_domain_id& domain,
-                                           const std::vector<const runner_view*>& free) const;
-    [[nodiscard]] bool may_load(std::size_t count, const step& work);
+    [[nodiscard]] bool form_ready_group(step& work, const state::fabric_domain_id& domain);
+    void stage_in_domain(step& work, const state::fabric_domain_id& domain);
+    void stage(step& work, const runner_view& runner, const std::string& model);
+    void start_formation(step& work, const state::model_rule& model,
+                         const std::vector<const runner_view*>& members);
+    [[nodiscard]] bool may_load(const step& work);
     void order(step& work, const runner_view& runner, state::runner_order_kind kind,
                const std::string& group, std::uint64_t epoch);
 
@@ -114,6 +128,7 @@
     std::map<state::endpoint_id, state::time_point> m_unsettled; // ordered; settled from then on
     std::map<state::endpoint_id, staging_order> m_stagings;
     std::map<state::endpoint_id, std::string> m_last_model; // of the group joined last
+    std::map<state::endpoint_id, state::time_point> m_free_since;
     std::map<std::string, state::time_point> m_not_open_since; // by group
     std::map<std::string, state::time_point> m_headless_since; // by group
     std::set<std::string> m_closed;                            // groups that were told to close
--- a/src/savoryrelay/protocol/settings/edge_settings.cpp
+++ b/src/savoryrelay/protocol/settings/edge_settings.cpp
@@ -71,6 +71,7 @@
     settings.metrics = read_socket_address(fields, "metrics");
     BOOST_LEAF_CHECK(read_peers(fields.mapping("peers"), settings));
     BOOST_LEAF_CHECK(read_bounds(fields.mapping("bounds"), settings));
+    settings.is_first_start = fields.flag("first_start", false);
     settings.call_threads = static_cast<std::uint32_t>(
         fields.number("call_threads", settings.call_threads, 1, max_threads));
     BOOST_LEAF_CHECK(fields.finish());
--- a/src/savoryrelay/protocol/settings/edge_settings.h
+++ b/src/savoryrelay/protocol/settings/edge_settings.h
@@ -22,6 +22,7 @@
     network_address metrics;
     network_address store;
     std::vector<network_address> seeds; ///< hosts to ask first; their ports are not used
+    bool is_first_start = false; ///< the whole system starts for the first time
     state::milliseconds stop_limit{8'000}; ///< from SIGTERM until the process is killed
     double repeat_ratio = 0.2;          ///< repeats per call that all hosts may send
     double repeat_reserve = 100;        ///< repeats beyond that in one window, for all hosts
