Ask other hosts about silent runners, correct predictions, and hold no calls beyond the batch

First events came 110 to 150 ms later than predicted, so late groups were taken; calls beyond a batch made the whole batch late.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -54,11 +54,11 @@
                m_settings.is_first_start, read_clock),
       m_peers(m_threads, m_store, m_shared, m_tables, m_groups, m_settings, m_incarnation,
               read_clock),
-      m_selector(m_shared.fleet, m_shared.loads, m_settings.availability_zone,
+      m_selector(m_shared.fleet, m_shared.loads, m_shared.correction, m_settings.availability_zone,
                  {.zones_out_of_service = [this] { return m_shared.zones_out_of_service.load(); },
                   .host_count = [this] { return m_shared.host_count.load(); }}),
-      m_front({m_shared.fleet, m_shared.loads, m_selector, m_shared.repeats, m_shared.metrics,
-               platform::make_serving_codec(), [this] { return m_shared.configuration.load(); },
+      m_front({m_shared.fleet, m_shared.loads, m_selector, m_shared.correction, m_shared.repeats,
+               m_shared.metrics, platform::make_serving_codec(), [this] { return m_shared.configuration.load(); },
                [this](const std::string& model, double work_ms) {
                    m_shared.work.note(model, work_ms, read_clock());
                },
--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -37,17 +37,19 @@
 
 constexpr milliseconds step_interval{50};
 // A report is asked for this often, and more often while an order takes effect.
-constexpr milliseconds report_interval{400};
+constexpr milliseconds report_interval{700};
 constexpr milliseconds report_interval_busy{100};
 // Runners answer reports without a slot, within some milliseconds; two
 // unanswered ones in a row are taken for silence.
-constexpr milliseconds report_timeout{300};
+constexpr milliseconds report_timeout{200};
 constexpr std::uint32_t silent_after_failures = 2;
 // Suspicions older than this are forgotten.
 constexpr milliseconds suspect_age{600};
-// An answer within this time vouches for a runner that the controller misses.
-constexpr milliseconds vouch_age{400};
-constexpr milliseconds vouch_lasts{1'000};
+// A runner that the controller doubts is asked this often by the other hosts; an
+// answer vouches for it until a little after the next one is due.
+constexpr milliseconds doubt_interval{1'000};
+constexpr milliseconds vouch_age{1'100};
+constexpr milliseconds vouch_lasts{400};
 
 } // namespace
 
@@ -121,10 +123,41 @@
     }
 }
 
+std::vector<state::endpoint_id> group_part::doubts() {
+    const std::scoped_lock lock(m_mutex);
+    return {m_doubts.begin(), m_doubts.end()};
+}
+
+void group_part::ask_doubted(const std::vector<state::endpoint_id>& runners) {
+    const auto now = m_now();
+    for (const auto& id : runners) {
+        const auto runner = m_shared.fleet.find(id);
+        const std::scoped_lock lock(m_mutex);
+        auto& asked_at = m_doubted_at[id];
+        if (runner && now - asked_at >= doubt_interval) {
+            asked_at = now;
+            asio::co_spawn(m_threads.context(0), ask_once(runner->record), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> group_part::ask_once(state::runner_record runner) {
+    const auto report = co_await platform::ask_report(m_pool, runner, report_timeout);
+    if (!report) {
+        co_return;
+    }
+    const auto now = m_now();
+    if (m_shared.fleet.apply_report(runner.id, report.value(), now)) {
+        const std::scoped_lock lock(m_mutex);
+        m_vouched_at[runner.id] = now;
+    }
+}
+
 std::vector<state::runner_sighting> group_part::sightings(state::time_point now) {
     std::vector<state::runner_sighting> all;
     const auto fleet = m_shared.fleet.snapshot();
     std::set<state::endpoint_id> suspects;
+    std::set<state::endpoint_id> vouched;
     {
         const std::scoped_lock lock(m_mutex);
         std::erase_if(m_suspects,
@@ -132,14 +165,16 @@
         for (const auto& [id, at] : m_suspects) {
             suspects.insert(id);
         }
+        std::erase_if(m_vouched_at,
+                      [&](const auto& entry) { return now - entry.second > vouch_age; });
+        for (const auto& [id, at] : m_vouched_at) {
+            vouched.insert(id);
+        }
     }
     for (const auto& runner : *fleet) {
         const auto& record = runner.record;
         const bool is_head = record.membership && record.membership->rank == 0;
-        // Other hosts tell whom they had no answer from, and whom they had one
-        // from although the controller has none.
-        const bool is_vouched = !is_controller() && runner.silent_since && runner.answered_at &&
-                                now - *runner.answered_at < vouch_age;
+        const bool is_vouched = !is_controller() && vouched.contains(record.id);
         const bool is_told = is_controller() ? is_head || runner.silent_since
                                              : is_vouched || suspects.contains(record.id);
         if (!is_told) {
@@ -182,6 +217,14 @@
 void group_part::ask_due_runners(state::time_point now) {
     const auto fleet = m_shared.fleet.snapshot();
     const auto configuration = m_shared.configuration.load();
+    {
+        // Doubts end with the runner.
+        const std::scoped_lock lock(m_mutex);
+        std::erase_if(m_doubts, [&](const auto& id) {
+            const auto runner = m_shared.fleet.find(id);
+            return !runner || !runner->is_listed(now);
+        });
+    }
     for (const auto& runner : *fleet) {
         const auto service = configuration->services.find(runner.record.service);
         if (service == configuration->services.end() || !service->second.engine) {
@@ -215,7 +258,14 @@
     if (!report) {
         ++poll.failures;
         poll.next = poll.failures < silent_after_failures ? now : now + report_interval;
-        if (poll.failures == silent_after_failures) {
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_doubts.insert(runner.id);
+        }
+        const auto known = m_shared.fleet.find(runner.id);
+        const bool is_vouched = known && known->vouched_until && now < *known->vouched_until;
+        if (poll.failures >= silent_after_failures && known && !known->silent_since &&
+            !is_vouched) {
             m_shared.fleet.note_silence(runner.id, runner.born_ms, now);
             log_change("runner_silent", {{"runner", runner.id.value()},
                                          {"detail", report.error().message()}});
@@ -226,6 +276,10 @@
         log_change("runner_answers", {{"runner", runner.id.value()}});
     }
     poll.failures = 0;
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_doubts.erase(runner.id);
+    }
     const auto& membership = report.value().membership;
     const auto known = m_shared.fleet.find(runner.id);
     const bool is_busy = report.value().is_order_in_progress ||
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -41,6 +41,10 @@
     /// What a host without the lease tells of a runner: no answer, or an answer
     /// that the controller did not get.
     void apply_told(const state::runner_sighting& sighting, state::time_point now);
+    /// Runners that did not answer this host, the controller.
+    [[nodiscard]] std::vector<state::endpoint_id> doubts();
+    /// Asks runners that the controller doubts; answers are told as sightings.
+    void ask_doubted(const std::vector<state::endpoint_id>& runners);
     /// What this host tells the others of the runners.
     [[nodiscard]] std::vector<state::runner_sighting> sightings(state::time_point now);
 
@@ -56,6 +60,7 @@
     void step(state::time_point now);
     void ask_due_runners(state::time_point now);
     boost::asio::awaitable<void> ask(state::runner_record runner);
+    boost::asio::awaitable<void> ask_once(state::runner_record runner);
     boost::asio::awaitable<void> send(state::runner_record runner, state::runner_order order);
 
     transport::io_threads& m_threads;
@@ -74,6 +79,9 @@
     std::mutex m_mutex; // guards what follows
     state::time_point m_other_controller_at{};
     std::map<state::endpoint_id, state::time_point> m_suspects;
+    std::set<state::endpoint_id> m_doubts;
+    std::map<state::endpoint_id, state::time_point> m_doubted_at;  // asked for the controller
+    std::map<state::endpoint_id, state::time_point> m_vouched_at;  // they answered
 
     transport::worker_thread m_lease_worker;
 };
--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -137,6 +137,7 @@
     digest.loads = m_shared.loads.own();
     digest.work = m_shared.work.own(now);
     digest.sightings = m_groups.sightings(now);
+    digest.doubts = m_groups.doubts();
 
     std::vector<state::member_address> receivers;
     {
@@ -203,6 +204,9 @@
         }
         return;
     }
+    if (digest.is_controller) {
+        m_groups.ask_doubted(digest.doubts);
+    }
     m_shared.loads.apply_peer(digest.host + "/" + std::to_string(digest.part), digest.loads, now);
     if (digest.part == 0) {
         m_shared.work.apply_peer(digest.host, digest.work, now);
--- a/src/edge/shared_state.h
+++ b/src/edge/shared_state.h
@@ -4,6 +4,7 @@
 #include "savoryrelay/coordination/retry/retry_budget.h"
 #include "savoryrelay/coordination/serving/fleet_table.h"
 #include "savoryrelay/coordination/serving/load_book.h"
+#include "savoryrelay/coordination/serving/prediction_correction.h"
 #include "savoryrelay/coordination/serving/work_meter.h"
 #include "savoryrelay/state/core/snapshot_cell.h"
 #include "savoryrelay/state/metrics/metrics.h"
@@ -31,6 +32,7 @@
     coordination::fleet_table fleet;
     coordination::load_book loads;
     coordination::work_meter work;
+    coordination::prediction_correction correction;
     coordination::retry_budget repeats;
     std::atomic<bool> is_stopping{false};
     std::atomic<bool> is_store_reachable{false};
--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -55,7 +55,6 @@
                                 state::milliseconds time_left, state::time_point now) const {
     const auto loads = m_loads.all(now);
     const auto& engine = *service.engine;
-    const double most = engine.slots * (1 + queue_share);
     std::vector<group_candidate> candidates;
     for (const auto* head : heads) {
         group_candidate candidate;
@@ -65,27 +64,21 @@
         if (const auto load = loads.find(head->record.id); load != loads.end()) {
             candidate.load = load->second;
         }
-        if (candidate.load.writing + candidate.load.waiting < most) {
-            candidates.push_back(std::move(candidate));
-        }
-    }
-    if (candidates.empty()) {
-        return selection_failure::all_full;
-    }
-    auto choice = m_hooks.choose(engine, model, candidates, call, true);
-    if (!choice) {
-        choice = m_hooks.choose(engine, model, candidates, call, false);
+        candidates.push_back(std::move(candidate));
     }
+    const auto choice = m_hooks.choose(engine, model, candidates, call, true);
     if (!choice) {
         return selection_failure::all_full;
     }
-    if (choice->prediction.first_event_ms > static_cast<double>(time_left.count())) {
+    const double predicted =
+        std::max(1.0, choice->prediction.first_event_ms + m_correction.correction_ms(model.name));
+    if (predicted > static_cast<double>(time_left.count())) {
         return selection_failure::too_late;
     }
     const auto head = std::find_if(heads.begin(), heads.end(), [&](const auto* each) {
         return each->record.id == choice->head;
     });
-    return selected_endpoint{**head, choice->prediction.first_event_ms};
+    return selected_endpoint{**head, predicted, choice->prediction.first_event_ms};
 }
 
 std::variant<selected_endpoint, selection_failure>
@@ -116,7 +109,7 @@
     if (best == nullptr) {
         return some_full ? selection_failure::all_full : selection_failure::none_in_service;
     }
-    return selected_endpoint{*best, 0};
+    return selected_endpoint{*best, 0, 0};
 }
 
 bool endpoint_selector::take_cold_place(const state::service_rule& service,
--- a/src/savoryrelay/coordination/serving/endpoint_selector.h
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -4,6 +4,7 @@
 #include "savoryrelay/coordination/serving/fleet_table.h"
 #include "savoryrelay/coordination/serving/group_choice.h"
 #include "savoryrelay/coordination/serving/load_book.h"
+#include "savoryrelay/coordination/serving/prediction_correction.h"
 
 #include <functional>
 #include <memory>
@@ -18,6 +19,7 @@
 struct selected_endpoint {
     runner_view runner;
     double predicted_first_event_ms = 0; ///< 0 for plain services
+    double uncorrected_first_event_ms = 0; ///< before what was learned of the model
 };
 
 /// Why no endpoint was selected.
@@ -53,13 +55,11 @@
 /// Thread-safe.
 class endpoint_selector {
 public:
-    /// Calls beyond the batch that wait at an endpoint, per place of the batch.
-    static constexpr double queue_share = 0.25;
-
     endpoint_selector(const fleet_table& fleet, const load_book& loads,
+                      const prediction_correction& correction,
                       state::availability_zone_id own_zone, selector_hooks hooks)
-        : m_fleet(fleet), m_loads(loads), m_own_zone(std::move(own_zone)),
-          m_hooks(std::move(hooks)) {}
+        : m_fleet(fleet), m_loads(loads), m_correction(correction),
+          m_own_zone(std::move(own_zone)), m_hooks(std::move(hooks)) {}
 
     /// Selects an endpoint of `service` that is not among `excluded`.
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
@@ -83,6 +83,7 @@
 
     const fleet_table& m_fleet;
     const load_book& m_loads;
+    const prediction_correction& m_correction;
     const state::availability_zone_id m_own_zone;
     const selector_hooks m_hooks;
     state::sharded_map<state::endpoint_id, std::vector<state::time_point>> m_cold_calls;
--- a/src/savoryrelay/coordination/serving/group_steering.cpp
+++ b/src/savoryrelay/coordination/serving/group_steering.cpp
@@ -55,7 +55,12 @@
 };
 
 bool group_steering::is_gone(const runner_view& runner, state::time_point now) const {
-    return runner.silent_since && now - *runner.silent_since >= m_settings.gone_after &&
+    return is_silent_for(runner, m_settings.gone_after, now);
+}
+
+bool group_steering::is_silent_for(const runner_view& runner, state::milliseconds span,
+                                   state::time_point now) const {
+    return runner.silent_since && now - *runner.silent_since >= span &&
            !(runner.vouched_until && now < *runner.vouched_until);
 }
 
@@ -220,10 +225,13 @@
         const bool is_lost =
             group.members.size() < size ||
             std::any_of(group.members.begin(), group.members.end(),
-                        [](const auto* member) { return member->silent_since.has_value(); });
+                        [&](const auto* member) {
+                            return is_silent_for(*member, m_settings.lost_after, work.now);
+                        });
         const bool is_leaving =
             std::any_of(group.members.begin(), group.members.end(), [&](const auto* member) {
-                return member->record.is_draining || !member->is_listed(work.now);
+                return member->record.is_draining ||
+                       (!member->is_listed(work.now) && work.has_fresh_report(*member));
             });
         if (membership.state == membership_state::open) {
             m_not_open_since.erase(name);
@@ -509,9 +517,19 @@
         if (!is_wanted(work, model.name) || ready[model.name] >= model.group_size) {
             continue;
         }
+        // Only from models whose groups are less busy.
+        const auto load = [&](const std::string& name) {
+            const auto busy = work.view.work.find(name);
+            const auto groups = work.groups_by_model.find(name);
+            return (busy == work.view.work.end() ? 0 : busy->second) /
+                   (0.5 + (groups == work.groups_by_model.end() ? 0 : groups->second));
+        };
         std::vector<const runner_view*> others;
         for (const auto* runner : patient) {
-            if (!runner->record.has_staged(model.name)) {
+            const bool is_less_busy = std::all_of(
+                runner->record.staged.begin(), runner->record.staged.end(),
+                [&](const std::string& staged) { return load(staged) < load(model.name); });
+            if (!runner->record.has_staged(model.name) && is_less_busy) {
                 others.push_back(runner);
             }
         }
--- a/src/savoryrelay/coordination/serving/group_steering.h
+++ b/src/savoryrelay/coordination/serving/group_steering.h
@@ -31,6 +31,9 @@
     /// an answer from it, is treated as ended. Its group's members leave before
     /// they join another, so that an error about it costs one group at most.
     state::milliseconds gone_after{1'000};
+    /// A silent member counts as lost after this time, in which other hosts that
+    /// have an answer from it can say so.
+    state::milliseconds lost_after{150};
     /// Members of a group without a head are told to leave after this time,
     /// which covers the lag of the head's report.
     state::milliseconds headless_after{400};
@@ -41,7 +44,7 @@
     state::milliseconds quiet_fleet{1'300};
     /// A free runner keeps the weights on its host for this long before it loads
     /// others for a model that lacks groups.
-    state::milliseconds restage_after{3'000};
+    state::milliseconds restage_after{6'000};
     /// A model whose groups are busier than this gets more than its planned ones.
     double busy_share = 0.7;
     /// Part of the weight store's rate that is used.
@@ -100,6 +103,8 @@
     };
     struct step; // one call of plan
 
+    [[nodiscard]] bool is_silent_for(const runner_view& runner, state::milliseconds span,
+                                     state::time_point now) const;
     [[nodiscard]] bool is_settled(const state::endpoint_id& runner, state::time_point now) const;
     void collect_groups(step& work);
     void steer_standing(step& work);
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -74,7 +74,8 @@
 
 std::vector<state::peer_digest> split_digest(const state::peer_digest& digest) {
     const auto parts = std::max({std::size_t{1}, parts_of(digest.loads.size()),
-                                 parts_of(digest.peers.size()), parts_of(digest.work.size())});
+                                 parts_of(digest.peers.size()), parts_of(digest.work.size()),
+                                 parts_of(digest.doubts.size())});
     std::vector<state::peer_digest> all;
     for (std::size_t i = 0; i < parts; ++i) {
         auto part = digest;
@@ -82,6 +83,7 @@
         part.loads = part_of(digest.loads, i);
         part.peers = part_of(digest.peers, i);
         part.work = part_of(digest.work, i);
+        part.doubts = part_of(digest.doubts, i);
         part.sightings.clear();
         all.push_back(std::move(part));
     }
@@ -91,6 +93,7 @@
         part.loads.clear();
         part.peers.clear();
         part.work.clear();
+        part.doubts.clear();
         part.sightings = part_of(digest.sightings, i);
         all.push_back(std::move(part));
     }
@@ -125,6 +128,10 @@
     for (const auto& sighting : digest.sightings) {
         write_sighting(out, sighting);
     }
+    out.count(digest.doubts.size(), max_digest_entries);
+    for (const auto& id : digest.doubts) {
+        out.text(id.value(), max_text_bytes);
+    }
     return out.take();
 }
 
@@ -154,6 +161,9 @@
         for (auto left = in.count(max_digest_entries); left > 0; --left) {
             digest.sightings.push_back(read_sighting(in));
         }
+        for (auto left = in.count(max_digest_entries); left > 0; --left) {
+            digest.doubts.emplace_back(in.text(max_text_bytes));
+        }
         in.finish();
         return digest;
     } catch (const cereal::Exception& damaged) {
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -63,7 +63,11 @@
     std::vector<std::string> peers; ///< "address:port" of hosts that it knows
     std::vector<endpoint_load_entry> loads;
     std::vector<model_work> work;
-    std::vector<runner_sighting> sightings; ///< of the controller: all heads; else: silent ones
+    /// Of the controller: all heads and silent runners. Of others: runners that
+    /// did not answer them, and those that did although the controller doubts them.
+    std::vector<runner_sighting> sightings;
+    /// Of the controller: runners that did not answer it, which others ask too.
+    std::vector<endpoint_id> doubts;
 };
 
 } // namespace savoryrelay::state
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -5,7 +5,9 @@
 #include "savoryrelay/transport/process/log.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -49,11 +51,26 @@
 // Part of the idle time of a kept connection that a call which may not be
 // repeated relies on; an early close by the peer would leave its outcome open.
 constexpr double idle_share_not_repeatable = 0.25;
-// When a refused caller should come back: a stream ends or a group forms by then.
-constexpr milliseconds come_back_soon{250};
+// A group that says it is not the one, or is full, is left alone for this long;
+// by then the controller has told of it.
+constexpr milliseconds avoid_after_refusal{250};
+// A call waits for a place for this part of its target at most. A refusal costs
+// a caller more the longer the call was held.
+constexpr double queue_target_share = 0.3;
+constexpr milliseconds longest_queue{200};
+constexpr milliseconds queue_step{20};
+// How long a call waits on a host that has just started and knows no configuration.
+constexpr milliseconds start_wait{250};
+// When a refused caller should come back: a group forms by then.
+constexpr milliseconds come_back_soon{1'000};
 constexpr milliseconds come_back_later{500};
 constexpr milliseconds come_back_no_configuration{300};
 
+asio::awaitable<void> pause_for(milliseconds span) {
+    asio::steady_timer timer(co_await asio::this_coro::executor, span);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
 milliseconds until(state::time_point deadline, state::time_point now) {
     return std::chrono::duration_cast<milliseconds>(deadline - now);
 }
@@ -109,6 +126,10 @@
     call.configuration = m_parts.configuration();
     m_parts.metrics.counter_of("savoryrelay_calls_total").add();
 
+    while (call.configuration->version == 0 && m_parts.now() - call.arrived < start_wait) {
+        co_await pause_for(queue_step);
+        call.configuration = m_parts.configuration();
+    }
     if (call.configuration->version == 0) {
         co_await refuse(call, status_unavailable, "no_configuration", come_back_no_configuration);
         co_return;
@@ -193,8 +214,10 @@
             reason = "deadline";
             break;
         }
-        const auto selected =
-            m_parts.selector.select(*call.service, call.call, call.tried, left, now);
+        const auto selected = co_await select_in_time(call);
+        if (call.caller_is_gone) {
+            continue;
+        }
         if (const auto* none = std::get_if<coordination::selection_failure>(&selected)) {
             reason = state::to_name(*none);
             break;
@@ -253,6 +276,24 @@
     co_await refuse(call, is_late ? status_timeout : status_bad_gateway, reason, milliseconds(0));
 }
 
+asio::awaitable<std::variant<selected_endpoint, coordination::selection_failure>>
+serving_front::select_in_time(call_state& call) {
+    const auto begun = m_parts.now();
+    const auto longest = std::min(
+        longest_queue, std::chrono::duration_cast<milliseconds>(call.route->first_answer_target *
+                                                                queue_target_share));
+    while (true) {
+        const auto now = m_parts.now();
+        auto selected = m_parts.selector.select(*call.service, call.call, call.tried,
+                                                until(call.deadline, now), now);
+        if (std::holds_alternative<selected_endpoint>(selected) || now - begun >= longest ||
+            call.caller_is_gone) {
+            co_return selected;
+        }
+        co_await pause_for(queue_step);
+    }
+}
+
 asio::awaitable<serving_front::attempt_end>
 serving_front::try_endpoint(call_state& call, const selected_endpoint& chosen) {
     auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
@@ -305,6 +346,9 @@
         end = co_await relay_answer(call, chosen);
     }
     m_parts.loads.end(runner.id, prompt, is_writing);
+    if (end.outcome == attempt_outcome::not_run && call.service->engine) {
+        m_parts.fleet.avoid(runner.id, m_parts.now() + avoid_after_refusal);
+    }
     if (end.outcome == attempt_outcome::lost && !call.caller_is_gone) {
         avoid();
     }
@@ -388,6 +432,7 @@
 asio::awaitable<serving_front::attempt_end>
 serving_front::relay_stream(call_state& call, const selected_endpoint& chosen, bool& is_writing) {
     attempt_end end;
+    const auto sent_at = m_parts.now();
     const auto failed_with = [&](std::string reason, const error_code& failed) {
         end.reason = std::move(reason) + ": " + failed.message();
         end.endpoint_ended = failed == asio::error::connection_reset;
@@ -427,7 +472,6 @@
         end.reason = "status " + std::to_string(status);
         if (end.outcome == attempt_outcome::not_run && !head.faulty_runner.empty()) {
             m_parts.note_suspect(state::endpoint_id(head.faulty_runner));
-            m_parts.fleet.avoid(chosen.runner.record.id, m_parts.now() + avoid_after_failure);
         }
         co_return end;
     }
@@ -463,6 +507,9 @@
         }
         if (!is_writing) {
             is_writing = true;
+            m_parts.correction.learn(
+                call.call.model, chosen.uncorrected_first_event_ms,
+                static_cast<double>(until(m_parts.now(), sent_at).count()));
             m_parts.loads.note_first_event(chosen.runner.record.id, call.call.prompt_tokens);
         }
         if (!call.writer.started()) {
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -27,6 +27,7 @@
     coordination::fleet_table& fleet;
     coordination::load_book& loads;
     coordination::endpoint_selector& selector;
+    coordination::prediction_correction& correction;
     coordination::retry_budget& repeats;
     state::metrics& metrics;
     serving_codec codec;
@@ -52,6 +53,9 @@
     struct connection_end;
 
     boost::asio::awaitable<void> serve(call_state& call);
+    boost::asio::awaitable<std::variant<coordination::selected_endpoint,
+                                        coordination::selection_failure>>
+    select_in_time(call_state& call);
     boost::asio::awaitable<attempt_end> try_endpoint(call_state& call,
                                                      const coordination::selected_endpoint& chosen);
     boost::asio::awaitable<attempt_end> relay_answer(call_state& call,
