--- a/src/savoryrelay/coordination/serving/group_steering.cpp
+++ b/src/savoryrelay/coordination/serving/group_steering.cpp
@@ -365,17 +365,31 @@
     work.targets = count_groups(work.layout);
 }
 
-bool group_steering::is_wanted(const step& work, const std::string& model) const {
+bool group_steering::is_below_target(const step& work, const std::string& model) {
     const auto found = work.groups_by_model.find(model);
     const double groups = found == work.groups_by_model.end() ? 0 : found->second;
     const auto target = work.targets.find(model);
-    if (target != work.targets.end() && groups < static_cast<double>(target->second)) {
+    return target != work.targets.end() && groups < static_cast<double>(target->second);
+}
+
+bool group_steering::is_wanted(const step& work, const std::string& model) const {
+    if (is_below_target(work, model)) {
         return true;
     }
+    const auto found = work.groups_by_model.find(model);
+    const double groups = found == work.groups_by_model.end() ? 0 : found->second;
     const auto busy = work.view.work.find(model);
     return busy != work.view.work.end() && busy->second > m_settings.busy_share * groups;
 }
 
+double group_steering::load_of(const step& work, const std::string& model) {
+    constexpr double least_work = 0.05; // a model without calls still gets a group
+    const auto busy = work.view.work.find(model);
+    const auto groups = work.groups_by_model.find(model);
+    return std::max(busy == work.view.work.end() ? 0 : busy->second, least_work) /
+           (0.5 + (groups == work.groups_by_model.end() ? 0 : groups->second));
+}
+
 bool group_steering::is_ready_for(const runner_view& runner, const std::string& model) const {
     const auto last = m_last_model.find(runner.record.id);
     return runner.record.has_staged(model) ||
@@ -434,11 +448,9 @@
             !is_wanted(work, model.name)) {
             continue;
         }
-        const auto busy = work.view.work.find(model.name);
-        constexpr double least_work = 0.05; // a model without calls still gets a group
-        const double load =
-            std::max(busy == work.view.work.end() ? 0 : busy->second, least_work) /
-            (work.groups_by_model[model.name] + 0.5);
+        constexpr double planned_first = 1'000; // before those that are only busy
+        const double load = load_of(work, model.name) +
+                            (is_below_target(work, model.name) ? planned_first : 0);
         if (best == nullptr || load > best_load) {
             best = &model;
             best_load = load;
@@ -491,8 +503,9 @@
         }
     }
 
-    // A runner without weights completes the group that lacks fewest, else it
-    // becomes a spare for the model that is most common in its domain.
+    // A runner without weights completes a group of a wanted model, the busier
+    // and the nearer to a group the better; else it becomes a spare for the
+    // model that is most common in its domain.
     for (const auto* runner : empty) {
         std::string chosen;
         double best = -1;
@@ -501,7 +514,10 @@
             const double size = std::max(1U, model.group_size);
             const double groups = static_cast<double>(work.groups_by_domain[domain][model.name]);
             const bool completes = is_wanted(work, model.name) && held < size;
-            const double score = (completes ? 1 + held / size : 0) + groups / 100;
+            const double load = load_of(work, model.name);
+            const double score =
+                (completes ? 1 + held / size + load / (load + 1) : 0) + groups / 100 +
+                (completes && is_below_target(work, model.name) ? 1 : 0);
             if (score > best) {
                 best = score;
                 chosen = model.name;
@@ -518,17 +534,13 @@
             continue;
         }
         // Only from models whose groups are less busy.
-        const auto load = [&](const std::string& name) {
-            const auto busy = work.view.work.find(name);
-            const auto groups = work.groups_by_model.find(name);
-            return (busy == work.view.work.end() ? 0 : busy->second) /
-                   (0.5 + (groups == work.groups_by_model.end() ? 0 : groups->second));
-        };
         std::vector<const runner_view*> others;
         for (const auto* runner : patient) {
             const bool is_less_busy = std::all_of(
                 runner->record.staged.begin(), runner->record.staged.end(),
-                [&](const std::string& staged) { return load(staged) < load(model.name); });
+                [&](const std::string& staged) {
+                    return load_of(work, staged) < load_of(work, model.name);
+                });
             if (!runner->record.has_staged(model.name) && is_less_busy) {
                 others.push_back(runner);
             }
--- a/src/savoryrelay/coordination/serving/group_steering.h
+++ b/src/savoryrelay/coordination/serving/group_steering.h
@@ -112,7 +112,11 @@
     void advance_formations(step& work);
     void form_groups(step& work);
     void plan_targets(step& work);
+    /// Whether the model has fewer groups than planned.
+    [[nodiscard]] static bool is_below_target(const step& work, const std::string& model);
     [[nodiscard]] bool is_wanted(const step& work, const std::string& model) const;
+    /// Work of a model for each of its groups.
+    [[nodiscard]] static double load_of(const step& work, const std::string& model);
     [[nodiscard]] bool is_ready_for(const runner_view& runner, const std::string& model) const;
     void form_first_groups(step& work, const state::fabric_domain_id& domain);
     void form_in_domain(step& work, const state::fabric_domain_id& domain);
@@ -125,7 +129,7 @@
     void order(step& work, const runner_view& runner, state::runner_order_kind kind,
                const std::string& group, std::uint64_t epoch);
 
-    const steering_settings m_settings;
+    steering_settings m_settings;
     std::uint64_t m_next_group = 0;
     std::size_t m_known_runners = 0;
     state::time_point m_grown_at{}; // when a runner was added last
--- /dev/null
+++ b/tests/coordination/serving/call_progress_test.cpp
@@ -0,0 +1,75 @@
+// What may be tried again, and which refusal is true.
+#include "savoryrelay/coordination/serving/call_progress.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace savoryrelay;
+using coordination::attempt_outcome;
+using coordination::call_progress;
+using state::call_kind;
+using state::execution_outcome;
+
+namespace {
+
+state::route_rule route_of(call_kind kind, bool is_resumable, std::uint32_t attempts) {
+    state::route_rule route;
+    route.kind = kind;
+    route.is_resumable = is_resumable;
+    route.max_attempts = attempts;
+    return route;
+}
+
+} // namespace
+
+TEST_CASE("a call that may not be repeated is sent again only after it has not run") {
+    const auto route = route_of(call_kind::non_idempotent, false, 1);
+    call_progress refused(route, [] { return true; });
+    refused.note(attempt_outcome::not_run, false);
+    CHECK(refused.may_try_again());
+    CHECK(refused.execution() == execution_outcome::not_run);
+
+    call_progress lost(route, [] { return true; });
+    lost.note(attempt_outcome::lost, true);
+    CHECK_FALSE(lost.may_try_again());
+    CHECK(lost.execution() == execution_outcome::unknown);
+}
+
+TEST_CASE("a resumable stream runs on as many living endpoints as its route allows") {
+    const auto route = route_of(call_kind::streaming, true, 2);
+    call_progress progress(route, [] { return true; });
+    progress.note(attempt_outcome::lost, false);
+    CHECK(progress.may_try_again());
+    progress.note(attempt_outcome::lost, false);
+    CHECK_FALSE(progress.may_try_again());
+
+    call_progress ended(route, [] { return true; });
+    ended.note(attempt_outcome::lost, true);
+    ended.note(attempt_outcome::lost, false);
+    CHECK(ended.may_try_again());
+}
+
+TEST_CASE("a repeat needs the budget, a first attempt does not") {
+    const auto route = route_of(call_kind::idempotent, false, 3);
+    call_progress progress(route, [] { return false; });
+    CHECK(progress.may_try_again());
+    progress.note(attempt_outcome::not_run, false);
+    CHECK_FALSE(progress.may_try_again());
+}
+
+TEST_CASE("no sequence of ends lets a call run twice that may run once, or makes a false refusal") {
+    CHECK(rc::check("at most once and truthful", [] {
+        const bool is_stream = *rc::gen::arbitrary<bool>();
+        const auto route = route_of(is_stream ? call_kind::streaming : call_kind::non_idempotent,
+                                    false, *rc::gen::inRange<std::uint32_t>(1, 4));
+        call_progress progress(route, [] { return true; });
+        int runs = 0;
+        while (progress.may_try_again()) {
+            const auto end = static_cast<attempt_outcome>(*rc::gen::inRange(0, 5));
+            runs += end == attempt_outcome::not_run ? 0 : 1;
+            RC_ASSERT(runs <= 1);
+            progress.note(end, *rc::gen::arbitrary<bool>());
+        }
+        RC_ASSERT((progress.execution() == execution_outcome::not_run) == (runs == 0));
+    }));
+}
--- /dev/null
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -0,0 +1,142 @@
+// What is believed of a runner, from sources that lag behind each other.
+#include "savoryrelay/coordination/serving/fleet_table.h"
+#include "savoryrelay/coordination/serving/load_book.h"
+#include "savoryrelay/coordination/serving/work_meter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace savoryrelay;
+using namespace savoryrelay::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+const state::time_point start{1h};
+const state::endpoint_id id("r1");
+
+state::runner_record entry(std::uint64_t born) {
+    state::runner_record record;
+    record.id = id;
+    record.service = "model";
+    record.born_ms = born;
+    return record;
+}
+
+state::runner_report report(std::uint64_t born, std::uint64_t sequence, const char* group) {
+    state::runner_report value;
+    value.born_ms = born;
+    value.sequence = sequence;
+    if (*group != '\0') {
+        value.membership = state::group_membership{group, 1, 0, state::membership_state::open};
+    }
+    return value;
+}
+
+state::runner_order order(state::runner_order_kind kind, std::uint64_t sequence) {
+    state::runner_order value;
+    value.runner = id;
+    value.kind = kind;
+    value.expected_sequence = sequence;
+    return value;
+}
+
+} // namespace
+
+TEST_CASE("a report that does not count an accepted order does not undo it") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    fleet.apply_report(id, report(5, 2, "g"), start);
+    fleet.note_order_accepted(order(state::runner_order_kind::leave, 2), start + 10ms);
+    CHECK_FALSE(fleet.find(id)->record.membership);
+
+    fleet.apply_report(id, report(5, 2, "g"), start + 100ms);
+    CHECK_FALSE(fleet.find(id)->record.membership);
+    CHECK(fleet.find(id)->record.sequence == 3);
+
+    // Beyond any lag the report is right, and the order was none.
+    fleet.apply_report(id, report(5, 2, "g"), start + 2s);
+    CHECK(fleet.find(id)->record.membership);
+    CHECK(fleet.find(id)->record.sequence == 2);
+}
+
+TEST_CASE("a report of another life at the same address is rejected") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    CHECK(fleet.apply_report(id, report(5, 1, "g"), start));
+    CHECK_FALSE(fleet.apply_report(id, report(9, 7, "other"), start));
+    CHECK(fleet.find(id)->record.membership->group == "g");
+
+    // The entry of the new life resets what the old one was told.
+    fleet.apply_entry(entry(9), start);
+    CHECK_FALSE(fleet.find(id)->record.membership);
+    CHECK(fleet.find(id)->record.sequence == 0);
+    CHECK(fleet.apply_report(id, report(9, 0, ""), start));
+}
+
+TEST_CASE("a removed entry counts until its grace is over, and a draining runner stays so") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    fleet.apply_removal(id, start + 2s);
+    CHECK(fleet.find(id)->may_take_calls(start + 1s));
+    CHECK_FALSE(fleet.find(id)->may_take_calls(start + 2s));
+    fleet.apply_entry(entry(5), start + 3s);
+    CHECK(fleet.find(id)->may_take_calls(start + 3s));
+
+    auto draining = entry(5);
+    draining.is_draining = true;
+    fleet.apply_entry(draining, start + 4s);
+    fleet.apply_entry(entry(5), start + 5s);
+    CHECK_FALSE(fleet.find(id)->may_take_calls(start + 5s));
+}
+
+TEST_CASE("silence that another host reported ends with an answer") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    state::runner_sighting sighting;
+    sighting.id = id;
+    sighting.born_ms = 5;
+    sighting.is_silent = true;
+    fleet.apply_sighting(sighting, start);
+    CHECK_FALSE(fleet.find(id)->may_take_calls(start));
+    fleet.apply_report(id, report(5, 0, ""), start);
+    CHECK(fleet.find(id)->may_take_calls(start));
+}
+
+TEST_CASE("runners that are long gone are forgotten") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    fleet.apply_removal(id, start);
+    fleet.refresh(start + fleet_table::forget_after);
+    CHECK(fleet.snapshot()->size() == 1);
+    fleet.refresh(start + fleet_table::forget_after + 1ms);
+    CHECK(fleet.snapshot()->empty());
+}
+
+TEST_CASE("loads of all hosts are added, and those of a host that fell silent are not") {
+    load_book book;
+    book.begin(id, 100);
+    book.begin(id, 50);
+    book.note_first_event(id, 50);
+    book.apply_peer("h2", {{id, {3, 1, 400}}}, start);
+    const auto load = book.all(start + 100ms).at(id);
+    CHECK(load.writing == 4);
+    CHECK(load.waiting == 2);
+    CHECK(load.waiting_prompt_tokens == Approx(500));
+    CHECK(book.all(start + load_book::peer_load_age + 1ms).at(id).writing == 1);
+    book.end(id, 50, true);
+    book.end(id, 100, false);
+    CHECK(book.own().empty());
+}
+
+TEST_CASE("the work of an even stream of calls is its rate") {
+    work_meter meter;
+    CHECK(meter.all(start).empty());
+    auto now = start;
+    for (int i = 0; i < 2'000; ++i) {
+        now += 20ms;
+        meter.note("m", 10, now); // half of a group
+    }
+    meter.apply_peer("h2", {{"m", 1.5}}, now);
+    CHECK(meter.all(now).at("m") == Approx(2.0).epsilon(0.05));
+    CHECK(meter.all(now + work_meter::peer_work_age + 1ms).at("m") < 0.5);
+}
--- /dev/null
+++ b/tests/coordination/serving/group_steering_test.cpp
@@ -0,0 +1,128 @@
+// Groups from nothing, their repair, and the rules of groups under lost, late
+// and rival orders.
+#include "savoryrelay/coordination/serving/group_steering.h"
+#include "support/runner_world.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace savoryrelay;
+using namespace savoryrelay::coordination;
+using namespace savoryrelay::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+void run(runner_world& world, group_steering& steering, state::milliseconds span,
+         std::uint64_t epoch = 1) {
+    const auto end = world.now + span;
+    while (world.now < end) {
+        world.advance(steering, epoch);
+    }
+}
+
+} // namespace
+
+TEST_CASE("empty runners become the planned groups") {
+    runner_world world(1, {}, 3, 8);
+    group_steering steering({});
+    run(world, steering, 20s);
+    CHECK(world.open_groups("large") == 3);
+    CHECK(world.open_groups("small") == 3);
+    CHECK(world.violations.empty());
+}
+
+TEST_CASE("orders stop once the groups stand") {
+    runner_world world(1, {}, 3, 8);
+    group_steering steering({});
+    run(world, steering, 30s);
+    const auto sent = world.orders_sent;
+    run(world, steering, 20s);
+    CHECK(world.orders_sent == sent);
+}
+
+TEST_CASE("a group that loses a member is whole again by its domain's spare") {
+    for (const bool is_head : {false, true}) {
+        runner_world world(1, {}, 1, 8);
+        group_steering steering({});
+        run(world, steering, 20s);
+        REQUIRE(world.open_groups("large") == 1);
+        for (auto& [id, runner] : world.runners) {
+            const auto& membership = runner.record.membership;
+            if (membership && runner.record.model == "large" &&
+                (membership->rank == 0) == is_head) {
+                runner.is_dead = true;
+                break;
+            }
+        }
+        CHECK(world.open_groups("large") == 0);
+        // The spare may have to load the weights first, which takes 4 s here.
+        run(world, steering, 12s);
+        CHECK(world.open_groups("large") == 1);
+        CHECK(world.violations.empty());
+    }
+}
+
+TEST_CASE("a head that is cut off from the lease holder does not make its members break a rule") {
+    // Found on tadyang-relay scale-1: a member joined a group while its own was open.
+    runner_world world(1, {}, 1, 8);
+    group_steering steering({});
+    run(world, steering, 20s);
+    for (auto& [id, runner] : world.runners) {
+        if (runner.record.is_open_head()) {
+            runner.cut_until = world.now + 5s;
+            world.fleet.apply_removal(id, world.now + 3s);
+        }
+    }
+    run(world, steering, 8s);
+    CHECK(world.violations.empty());
+}
+
+TEST_CASE("a successor without memory keeps the groups that stand") {
+    runner_world world(1, {}, 3, 8);
+    {
+        group_steering first({});
+        run(world, first, 30s);
+    }
+    const auto sent = world.orders_sent;
+    group_steering second({});
+    run(world, second, 10s, 2);
+    CHECK(world.orders_sent == sent);
+    CHECK(world.open_groups("large") == 3);
+}
+
+TEST_CASE("groups that nobody opens are dissolved and their runners used") {
+    runner_world world(1, {}, 1, 8);
+    group_steering first({});
+    while (world.orders_sent < 3) {
+        world.advance(first, 1);
+    }
+    group_steering second({});
+    run(world, second, 20s, 2);
+    CHECK(world.open_groups("large") == 1);
+    CHECK(world.open_groups("small") == 1);
+    CHECK(world.violations.empty());
+}
+
+TEST_CASE("the rules of groups hold under lost, late and rival orders, deaths and cuts") {
+    CHECK(rc::check("rules of groups", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        runner_world world(seed, {0.15, 0.5, 0.01, 0.01}, 2, 8);
+        group_steering first({});
+        group_steering second({});
+        std::uint64_t epoch = 1;
+        for (int i = 0; i < 600; ++i) {
+            world.advance(first, epoch);
+            // The lease passes on now and then; the former holder sends a last
+            // round of orders under its old epoch.
+            if (i % 150 == 149) {
+                world.advance(first, epoch);
+                std::swap(first, second);
+                ++epoch;
+            }
+        }
+        if (!world.violations.empty()) {
+            RC_FAIL(world.violations.front());
+        }
+    }));
+}
--- /dev/null
+++ b/tests/platform/codecs_test.cpp
@@ -0,0 +1,176 @@
+// Decoding of the platform's rows, reports and header fields.
+#include "platform/call_headers.h"
+#include "platform/configuration_codec.h"
+#include "platform/json_fields.h"
+#include "platform/runner_codec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace savoryrelay;
+using namespace savoryrelay::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string configuration = R"({"version":7,
+ "routes":[{"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming",
+  "timeout_ms":8000,"latency_target_ms":500,"priority":1,
+  "backends":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":2,
+  "public":false,"session_affinity":true,"stream_resume":true,"gap_target_ms":300},
+  {"name":"r2","host":"a.example","path_prefix":"/y/","kind":"brand_new","service":"s2"}],
+ "services":[{"name":"s1","health_path":"/health","max_connections":474,"cold_start_s":3.0,
+  "cold_per_s":38.0,"engine":{"slots":26,"stride":5,"step_ms":6.07,"per_seq_ms":0.241,
+  "read_per_s":46000.0,"chunk":2048,"loads_per_s":4.0,"loads_at_once":6,
+  "usual":{"prompt":1076,"answer":116},"models":[{"name":"m0","size":4,"share":0.67,"pace":1.0,
+  "load_s":16.0,"warmup_s":1.6}]}},{"name":"s2"}],
+ "limits":{"max_header_bytes":16384,"idle_timeout_ms":15000},
+ "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1}],"a_new_field":{"x":1}})";
+
+const std::string entry = R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","version":"v1",
+ "slots":26,"state":"ready","cold_remaining_ms":1200.5,"models":[{"name":"m0","version":1}],
+ "sequence":4,"domain":"d0","staged":["m0"],"born":1777699062468,
+ "group":{"name":"g1","epoch":3,"rank":1,"state":"joining"}})";
+
+transport::http_request make_request() {
+    transport::http_request request{boost::beast::http::verb::post, "/x/1?q=2", 11};
+    request.set("Host", "a.example");
+    request.set("Attempt-Id", "id1");
+    request.set("Deadline-Ms", "8000");
+    request.set("Key", "k1");
+    request.set("Tenant", "forged");
+    request.set("Expect-Instance", "forged");
+    request.set("Model", "m0");
+    request.set("Token-Counts", "1460,80");
+    request.set("Connection", "keep-alive, X-Hop");
+    request.set("X-Hop", "1");
+    request.set("X-Other", "2");
+    request.body() = "body";
+    request.prepare_payload();
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("a configuration is decoded, unknown kinds counting as not repeatable") {
+    const auto read = state::collect([] { return decode_configuration(configuration); });
+    REQUIRE(read);
+    const auto& value = read.value();
+    CHECK(value.version == 7);
+    const auto* route = value.find_route("a.example", "/x/1");
+    REQUIRE(route != nullptr);
+    CHECK(route->may_repeat());
+    CHECK(route->timeout == 8s);
+    CHECK(route->services.size() == 2);
+    CHECK_FALSE(value.find_route("a.example", "/y/1")->may_repeat());
+    const auto& engine = *value.services.at("s1").engine;
+    CHECK(engine.prompt_tokens_per_ms == Approx(46));
+    CHECK(engine.models.front().warm_up_time == 1600ms);
+    CHECK_FALSE(value.services.at("s2").engine);
+    CHECK(value.find_customer("k2")->id.value() == "t1");
+}
+
+TEST_CASE("an entry is decoded without its count of writes") {
+    const auto read =
+        state::collect([] { return decode_entry(state::endpoint_id("i-1"), entry); });
+    REQUIRE(read);
+    const auto& record = read.value();
+    CHECK(record.address == "10.1.0.9");
+    CHECK(record.port == 8080);
+    CHECK(record.sequence == 0); // the entry's `sequence` does not count orders
+    CHECK(record.born_ms == 1777699062468);
+    CHECK(record.membership->state == state::membership_state::joining);
+    CHECK(record.has_staged("m0"));
+}
+
+TEST_CASE("an entry of another writer names no runner") {
+    for (const auto* text :
+         {"", "{}", "[1]", "\xff\xfe",
+          R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","state":"asleep"})",
+          R"({"service":"s1","address":"10.1.0.9","zone":"a","state":"ready"})",
+          R"({"service":"s1","address":"nowhere:80","zone":"a","state":"ready"})",
+          R"({"service":7,"address":"10.1.0.9:8080","zone":"a","state":"ready"})",
+          R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","state":"ready","slots":"6"})",
+          R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","state":"ready","group":{"name":"g","state":"?"}})"}) {
+        CHECK_FALSE(state::collect(
+            [&] { return decode_entry(state::endpoint_id("i-1"), text); }));
+    }
+}
+
+TEST_CASE("no text makes a decoder fail in another way than by its error") {
+    CHECK(rc::check("decoders bear any text", [] {
+        const auto damage = [](std::string text) {
+            const auto count = *rc::gen::inRange(0, 4);
+            for (int i = 0; i < count; ++i) {
+                text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+            }
+            return text.substr(0, *rc::gen::inRange<std::size_t>(0, text.size() + 1));
+        };
+        const auto row = damage(entry);
+        static_cast<void>(
+            state::collect([&] { return decode_entry(state::endpoint_id("i"), row); }));
+        static_cast<void>(state::collect([&] { return decode_report(row); }));
+        const auto document = damage(configuration);
+        static_cast<void>(state::collect([&] { return decode_configuration(document); }));
+    }));
+}
+
+TEST_CASE("a request goes on unchanged but for the fields of this system and of one connection") {
+    const auto call = decode_call(make_request());
+    CHECK(call.id.value() == "id1");
+    CHECK(call.prompt_tokens == 1460);
+    CHECK(call.longest_answer_tokens == 80);
+    CHECK(*call.deadline == 8s);
+
+    transport::endpoint_call addition;
+    addition.endpoint = state::endpoint_id("i-1");
+    addition.customer = "t1";
+    addition.time_left = 7'500ms;
+    addition.last_event = 12;
+    const auto request = make_endpoint_request(make_request(), addition);
+    CHECK(request.target() == "/x/1?q=2");
+    CHECK(request.body() == "body");
+    CHECK(transport::header_of(request, "Host") == "a.example");
+    CHECK(transport::header_of(request, "Attempt-Id") == "id1");
+    CHECK(transport::header_of(request, "Tenant") == "t1");
+    CHECK(transport::header_of(request, "Expect-Instance") == "i-1");
+    CHECK(transport::header_of(request, "Deadline-Ms") == "7500");
+    CHECK(transport::header_of(request, "Last-Event-Id") == "12");
+    CHECK(transport::header_of(request, "X-Other") == "2");
+    CHECK(transport::header_of(request, "Key").empty());
+    CHECK(transport::header_of(request, "X-Hop").empty());
+    CHECK(transport::header_of(request, "Connection").empty());
+
+    addition.customer.clear();
+    CHECK(transport::header_of(make_endpoint_request(make_request(), addition), "Tenant").empty());
+}
+
+TEST_CASE("an answer's head says what is known of the run") {
+    transport::http_fields fields;
+    fields.push_back({"Attempt-Id", "id1"});
+    fields.push_back({"Not-Executed", "1"});
+    fields.push_back({"Content-Length", "3"});
+    CHECK(decode_answer(503, fields).is_not_run);
+    CHECK(decode_answer(421, {}).is_not_run);
+    CHECK_FALSE(decode_answer(500, {}).is_not_run);
+    CHECK(caller_fields(fields).size() == 2);
+    CHECK(come_back_after(250ms).value == "0.25");
+}
+
+TEST_CASE("orders carry the count that makes a late copy harmless") {
+    state::runner_order order;
+    order.kind = state::runner_order_kind::join;
+    order.expected_sequence = 4;
+    order.fencing_number = 9;
+    order.group = "g";
+    order.epoch = 9;
+    order.model = "m0";
+    order.members = {state::endpoint_id("i-1"), state::endpoint_id("i-2")};
+    CHECK(encode_order(order) ==
+          R"({"expected_rev":4,"fencing_token":9,"operation":"join","model":"m0","members":["i-1","i-2"],"group":"g","epoch":9})");
+    order.kind = state::runner_order_kind::close_now;
+    CHECK_THAT(encode_order(order), Catch::Contains(R"("mode":"abort")"));
+    CHECK(decode_order_status(202) == state::runner_order_result::accepted);
+    CHECK(decode_order_status(412) == state::runner_order_result::outdated);
+    CHECK(decode_order_status(400) == state::runner_order_result::does_not_fit);
+}
--- /dev/null
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -0,0 +1,98 @@
+// Digests and tables between entry hosts: round trips, sizes and damage.
+#include "savoryrelay/protocol/serving/peer_digest_codec.h"
+#include "savoryrelay/protocol/settings/edge_settings.h"
+#include "savoryrelay/state/member/member.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace savoryrelay;
+using namespace savoryrelay::protocol;
+
+namespace {
+
+state::peer_digest make_digest(std::size_t entries) {
+    state::peer_digest digest;
+    digest.host = "edge-a-1";
+    digest.incarnation = 7;
+    digest.address = "10.1.0.40";
+    digest.port = 7340;
+    digest.is_controller = true;
+    for (std::size_t i = 0; i < entries; ++i) {
+        const auto id = state::endpoint_id("i-" + std::to_string(1'000'000 + i));
+        digest.loads.push_back({id, {1, 2, 300}});
+        state::runner_sighting sighting;
+        sighting.id = id;
+        sighting.model = "daka510000";
+        sighting.membership = {"g12-34", 12, 0, state::membership_state::open};
+        digest.sightings.push_back(sighting);
+        digest.doubts.push_back(id);
+    }
+    return digest;
+}
+
+} // namespace
+
+TEST_CASE("a digest of any size is split into datagrams that carry all of it") {
+    for (const std::size_t entries : {0, 1, 12, 13, 40}) {
+        std::size_t loads = 0;
+        std::size_t sightings = 0;
+        std::size_t doubts = 0;
+        for (const auto& part : split_digest(make_digest(entries))) {
+            const auto text = encode_digest(part);
+            CHECK(text.size() <= state::max_datagram_bytes);
+            const auto read = state::collect([&] { return decode_digest(text); });
+            REQUIRE(read);
+            CHECK(read.value().host == "edge-a-1");
+            CHECK(read.value().is_controller);
+            loads += read.value().loads.size();
+            sightings += read.value().sightings.size();
+            doubts += read.value().doubts.size();
+        }
+        CHECK(loads == entries);
+        CHECK(sightings == entries);
+        CHECK(doubts == entries);
+    }
+}
+
+TEST_CASE("damaged digests and tables are refused without harm") {
+    CHECK(rc::check("damage is refused", [] {
+        auto text = encode_digest(split_digest(make_digest(3)).front());
+        const auto place = *rc::gen::inRange<std::size_t>(0, text.size());
+        text[place] = *rc::gen::arbitrary<char>();
+        text.resize(*rc::gen::inRange<std::size_t>(0, text.size() + 1));
+        static_cast<void>(state::collect([&] { return decode_digest(text); }));
+        const auto bytes = *rc::gen::arbitrary<std::string>();
+        static_cast<void>(state::collect([&] { return decode_digest(bytes); }));
+        static_cast<void>(state::collect([&] { return decode_table(bytes); }));
+    }));
+}
+
+TEST_CASE("a table survives its way to a peer") {
+    const state::table_image image{{{"config", std::string("a\0b", 3), 9, false}}, 12};
+    const auto read = state::collect([&] { return decode_table(encode_table(image)); });
+    REQUIRE(read);
+    CHECK(read.value().version == 12);
+    CHECK(read.value().rows.front().value == image.rows.front().value);
+}
+
+TEST_CASE("settings of an entry host name the field that is wrong") {
+    const std::string good = "host: edge-a-1\navailability_zone: a\ncallers: 10.1.0.4:8080\n"
+                             "readiness: 10.1.0.4:8081\nmetrics: 10.1.0.4:8082\n"
+                             "store: 10.2.0.7:8223\npeers: {address: 10.1.0.4, port: 7340, "
+                             "seeds: '10.1.0.4:1,10.2.0.4:1'}\n";
+    const auto read = state::collect([&] { return read_edge_settings(good); });
+    REQUIRE(read);
+    CHECK(read.value().callers.port == 8080);
+    CHECK(read.value().seeds.size() == 2);
+    CHECK(read.value().seeds[1].port == 7340);
+
+    const auto message_of = [](const std::string& text) {
+        const auto failed = state::collect([&] { return read_edge_settings(text); });
+        REQUIRE_FALSE(failed);
+        return failed.error().message();
+    };
+    CHECK_THAT(message_of(good + "call_thread: 2\n"), Catch::Contains("call_threads"));
+    CHECK_THAT(message_of(std::string(good).replace(good.find("10.1.0.4:8080"), 13, "nowhere")),
+               Catch::Contains("callers"));
+}
--- /dev/null
+++ b/tests/state/table_mirror_test.cpp
@@ -0,0 +1,91 @@
+// The local copy of a table, whatever the order and source of what it is given.
+#include "savoryrelay/state/serving/table_mirror.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <map>
+#include <set>
+
+using namespace savoryrelay::state;
+
+TEST_CASE("an image removes the rows that it lacks, and no newer ones") {
+    table_mirror mirror;
+    mirror.apply_changes({{"a", "1", 3, false}, {"b", "1", 9, false}}, 9);
+    const auto changed = mirror.apply_image({{{"c", "1", 4, false}}, 5});
+    CHECK(changed.size() == 2); // c came, a went
+    const auto image = mirror.image();
+    REQUIRE(image.rows.size() == 2);
+    CHECK(image.rows[0].key == "b");
+    CHECK(image.rows[1].key == "c");
+    CHECK(mirror.complete_to() == 9);
+    CHECK(mirror.newest_row() == 9);
+}
+
+TEST_CASE("a change that is older than the held row has no effect") {
+    table_mirror mirror;
+    mirror.apply_changes({{"a", "new", 7, false}}, 7);
+    CHECK(mirror.apply_changes({{"a", "old", 5, false}}, 5).empty());
+    CHECK(mirror.apply_changes({{"a", "", 6, true}}, 6).empty());
+    CHECK(mirror.image().rows.front().value == "new");
+}
+
+TEST_CASE("mirrors that got the same history in any order and form agree") {
+    CHECK(rc::check("mirrors converge", [] {
+        // A history of writes and removals of few keys.
+        const auto length = *rc::gen::inRange<std::uint64_t>(1, 30);
+        std::vector<mirrored_row> history;
+        for (std::uint64_t version = 1; version <= length; ++version) {
+            const auto key = std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
+            const bool is_removed = *rc::gen::arbitrary<bool>();
+            history.push_back({key, is_removed ? "" : std::to_string(version), version, is_removed});
+        }
+        std::map<std::string, mirrored_row> truth;
+        table_mirror mirror;
+        std::map<std::string, std::uint64_t> seen;
+        for (const auto& row : history) {
+            truth[row.key] = row;
+        }
+        const auto image_at = [&](std::uint64_t version) {
+            std::map<std::string, mirrored_row> rows;
+            for (const auto& row : history) {
+                if (row.version <= version) {
+                    rows[row.key] = row;
+                }
+            }
+            table_image image;
+            image.version = version;
+            for (const auto& [key, row] : rows) {
+                if (!row.is_removed) {
+                    image.rows.push_back(row);
+                }
+            }
+            return image;
+        };
+        const auto steps = *rc::gen::inRange(0, 12);
+        for (int i = 0; i < steps; ++i) {
+            if (*rc::gen::arbitrary<bool>()) {
+                mirror.apply_image(image_at(*rc::gen::inRange<std::uint64_t>(1, length + 1)));
+            } else {
+                const auto from = *rc::gen::inRange<std::size_t>(0, history.size());
+                mirror.apply_changes({history.begin() + static_cast<std::ptrdiff_t>(from),
+                                      history.end()},
+                                     length);
+            }
+            for (const auto& row : mirror.image().rows) {
+                RC_ASSERT(row.version >= seen[row.key]);
+                seen[row.key] = row.version;
+            }
+        }
+        mirror.apply_changes(history, length);
+        std::size_t present = 0;
+        for (const auto& [key, row] : truth) {
+            present += row.is_removed ? 0 : 1;
+        }
+        const auto image = mirror.image();
+        RC_ASSERT(image.rows.size() == present);
+        for (const auto& row : image.rows) {
+            RC_ASSERT(row.value == truth.at(row.key).value);
+        }
+    }));
+}
--- /dev/null
+++ b/tests/support/runner_world.h
@@ -0,0 +1,320 @@
+// Runners of one service in simulated time, as the steering of groups sees
+// them: orders may be lost or carried out late, reports lag, runners die, are
+// cut off and come back. The world checks the rules of groups by itself.
+#pragma once
+
+#include "savoryrelay/coordination/serving/group_steering.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace savoryrelay::tests {
+
+/// What a world may do to orders and runners.
+struct world_faults {
+    double lost_orders = 0;    ///< part of the orders without an answer
+    double applied_late = 0;   ///< part of those that are carried out later
+    double crash_chance = 0;   ///< of some runner, in each step
+    double cut_chance = 0;     ///< of some runner from the lease holder, in each step
+};
+
+class runner_world {
+public:
+    using clock = std::chrono::steady_clock;
+    static constexpr state::milliseconds step{50};
+    static constexpr state::milliseconds report_lag{200};
+
+    struct runner {
+        state::runner_record record;
+        bool is_dead = false;
+        state::time_point cut_until{};
+        std::uint64_t seen_epoch = 0;
+        std::vector<state::endpoint_id> members;
+        state::time_point changes_at{}; // joining -> ready, opening -> open
+        bool is_opening = false;
+        std::deque<std::pair<state::time_point, state::runner_record>> history;
+    };
+    struct late_order {
+        state::time_point at{};
+        state::runner_order order;
+    };
+
+    runner_world(std::uint64_t seed, world_faults faults, std::size_t domains,
+                 std::size_t runners_per_domain)
+        : m_random(seed), m_faults(faults) {
+        service.name = "model";
+        state::engine_rule engine;
+        engine.slots = 26;
+        engine.loads_per_s = 4;
+        engine.models = {{"large", 4, 0.67, 1.0, std::chrono::seconds(4), state::milliseconds(400)},
+                         {"small", 2, 0.33, 0.6, std::chrono::seconds(3), state::milliseconds(300)}};
+        service.engine = engine;
+        for (std::size_t d = 0; d < domains; ++d) {
+            for (std::size_t i = 0; i < runners_per_domain; ++i) {
+                add_runner("d" + std::to_string(d));
+            }
+        }
+    }
+
+    void add_runner(const std::string& domain) {
+        runner value;
+        value.record.id = state::endpoint_id("r" + std::to_string(m_next_id++));
+        value.record.service = service.name;
+        value.record.fabric_domain = state::fabric_domain_id(domain);
+        value.record.availability_zone = state::availability_zone_id("z");
+        value.record.born_ms = m_next_id;
+        fleet.apply_entry(value.record, now);
+        runners[value.record.id] = std::move(value);
+    }
+
+    /// One step under `steering`, with the epoch of its lease.
+    void advance(coordination::group_steering& steering, std::uint64_t epoch) {
+        now += step;
+        live();
+        hurt();
+        deliver_reports();
+        fleet.refresh(now);
+        coordination::steering_view view;
+        const auto snapshot = fleet.snapshot();
+        view.service = &service;
+        view.fleet = snapshot.get();
+        view.work = {{"large", 2.0}, {"small", 2.0}};
+        view.epoch = epoch;
+        for (const auto& order : steering.plan(view, now)) {
+            send(steering, order);
+        }
+    }
+
+    [[nodiscard]] std::size_t open_groups(const std::string& model) const {
+        std::size_t count = 0;
+        for (const auto& [id, each] : runners) {
+            count += !each.is_dead && each.record.is_open_head() && each.record.model == model &&
+                     is_whole(each);
+        }
+        return count;
+    }
+
+    state::service_rule service;
+    state::time_point now{std::chrono::hours(1)};
+    coordination::fleet_table fleet;
+    std::map<state::endpoint_id, runner> runners;
+    std::vector<std::string> violations;
+    std::size_t orders_sent = 0;
+
+private:
+    static bool holds(const runner& each, const std::string& group) {
+        return each.record.membership && each.record.membership->group == group;
+    }
+
+    [[nodiscard]] bool is_whole(const runner& head) const {
+        for (const auto& id : head.members) {
+            const auto& member = runners.at(id);
+            if (member.is_dead || !holds(member, head.record.membership->group)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    bool chance(double part) {
+        return std::uniform_real_distribution<>(0, 1)(m_random) < part;
+    }
+
+    runner& any_runner() {
+        auto place = runners.begin();
+        std::advance(place, static_cast<std::ptrdiff_t>(
+                                std::uniform_int_distribution<std::size_t>(
+                                    0, runners.size() - 1)(m_random)));
+        return place->second;
+    }
+
+    void live() {
+        for (auto& [id, each] : runners) {
+            auto& membership = each.record.membership;
+            if (membership && membership->state == state::membership_state::joining &&
+                now >= each.changes_at) {
+                membership->state = state::membership_state::ready;
+                each.record.staged = {each.record.model};
+            }
+            if (each.is_opening && now >= each.changes_at) {
+                each.is_opening = false;
+                membership->state = state::membership_state::open;
+            }
+            each.history.emplace_back(now, each.record);
+            while (each.history.size() > 1 && now - each.history[1].first >= report_lag) {
+                each.history.pop_front();
+            }
+        }
+        for (const auto& late : std::exchange(m_late, {})) {
+            if (now >= late.at) {
+                apply(late.order);
+            } else {
+                m_late.push_back(late);
+            }
+        }
+    }
+
+    void hurt() {
+        if (chance(m_faults.crash_chance)) {
+            auto& victim = any_runner();
+            if (!victim.is_dead) {
+                victim.is_dead = true;
+                victim.record.membership.reset();
+                m_unlist_at[victim.record.id] = now + std::chrono::seconds(3);
+                add_runner(victim.record.fabric_domain.value());
+            }
+        }
+        if (chance(m_faults.cut_chance)) {
+            any_runner().cut_until = now + std::chrono::seconds(4);
+        }
+        for (const auto& [id, at] : std::map(m_unlist_at)) {
+            if (now >= at) {
+                fleet.apply_removal(id, now);
+                m_unlist_at.erase(id);
+            }
+        }
+    }
+
+    void deliver_reports() {
+        for (auto& [id, each] : runners) {
+            if (each.history.empty()) {
+                continue; // started in this step
+            }
+            if (each.is_dead || now < each.cut_until) {
+                fleet.note_silence(id, each.record.born_ms, now);
+                continue;
+            }
+            const auto& seen = each.history.front().second;
+            state::runner_report report;
+            report.born_ms = seen.born_ms;
+            report.sequence = seen.sequence;
+            report.model = seen.model;
+            report.staged = seen.staged;
+            report.membership = seen.membership;
+            fleet.apply_report(id, report, now);
+        }
+    }
+
+    void send(coordination::group_steering& steering, const state::runner_order& order) {
+        ++orders_sent;
+        const auto& target = runners.at(order.runner);
+        if (target.is_dead || now < target.cut_until || chance(m_faults.lost_orders)) {
+            if (chance(m_faults.applied_late)) {
+                m_late.push_back({now + std::chrono::seconds(2 + order.expected_sequence % 7),
+                                  order});
+            }
+            steering.note_result(order, state::runner_order_result::unknown, now);
+            return;
+        }
+        const auto result = apply(order);
+        const bool has_left = order.kind == state::runner_order_kind::leave &&
+                              result == state::runner_order_result::holds_already;
+        if (result == state::runner_order_result::accepted || has_left) {
+            fleet.note_order_accepted(order, now);
+        }
+        steering.note_result(order, result, now);
+    }
+
+    state::runner_order_result apply(const state::runner_order& order) {
+        using kind = state::runner_order_kind;
+        using result = state::runner_order_result;
+        auto& each = runners.at(order.runner);
+        if (each.is_dead || order.expected_sequence != each.record.sequence) {
+            return result::does_not_fit;
+        }
+        const bool is_own = holds(each, order.group) &&
+                            each.record.membership->epoch == order.epoch;
+        switch (order.kind) {
+        case kind::join:
+            return join(each, order);
+        case kind::open:
+            if (!is_own || each.record.membership->state != state::membership_state::ready) {
+                return result::does_not_fit;
+            }
+            check_opened(each, order);
+            each.is_opening = true;
+            each.changes_at = now + state::milliseconds(300);
+            break;
+        case kind::close_now:
+        case kind::close_after_queue:
+            if (!is_own || each.record.membership->rank != 0) {
+                return result::does_not_fit;
+            }
+            each.is_opening = false;
+            each.record.membership->state = state::membership_state::ready;
+            break;
+        case kind::leave:
+            if (!is_own) {
+                return result::does_not_fit;
+            }
+            each.is_opening = false;
+            each.record.membership.reset();
+            ++each.record.sequence;
+            return result::holds_already;
+        case kind::stage:
+            each.record.staged = {order.model};
+            break;
+        }
+        ++each.record.sequence;
+        return result::accepted;
+    }
+
+    state::runner_order_result join(runner& each, const state::runner_order& order) {
+        if (order.epoch < each.seen_epoch) {
+            return state::runner_order_result::outdated;
+        }
+        check_joined(each, order);
+        each.seen_epoch = order.epoch;
+        each.members = order.members;
+        each.is_opening = false;
+        each.record.model = order.model;
+        const auto place =
+            std::find(order.members.begin(), order.members.end(), each.record.id);
+        each.record.membership = state::group_membership{
+            order.group, order.epoch,
+            static_cast<std::uint32_t>(place - order.members.begin()),
+            state::membership_state::joining};
+        each.changes_at = now + state::milliseconds(each.record.has_staged(order.model) ? 200 : 900);
+        ++each.record.sequence;
+        return state::runner_order_result::accepted;
+    }
+
+    // A runner must not join another group while the head of its own, which it
+    // has not left, is open.
+    void check_joined(const runner& each, const state::runner_order& order) {
+        if (!each.record.membership || each.record.membership->group == order.group) {
+            return;
+        }
+        for (const auto& [id, head] : runners) {
+            if (!head.is_dead && head.record.is_open_head() &&
+                holds(head, each.record.membership->group)) {
+                violations.push_back(each.record.id.value() + " joined " + order.group +
+                                     " while " + head.record.membership->group + " was open");
+            }
+        }
+    }
+
+    // A group must not open before each member was ready under its name.
+    void check_opened(const runner& head, const state::runner_order& order) {
+        for (const auto& id : head.members) {
+            const auto& member = runners.at(id);
+            const bool is_lost = member.is_dead || !holds(member, order.group);
+            if (!is_lost &&
+                member.record.membership->state == state::membership_state::joining) {
+                violations.push_back(order.group + " opened before " + id.value() + " was ready");
+            }
+        }
+    }
+
+    std::mt19937_64 m_random;
+    world_faults m_faults;
+    std::size_t m_next_id = 0;
+    std::vector<late_order> m_late;
+    std::map<state::endpoint_id, state::time_point> m_unlist_at;
+};
+
+} // namespace savoryrelay::tests
