Play the whole path on the platform as processes, and log to standard output without blocking

Stand-ins of the store and of a runner speak the platform's protocol; 11 cases start entry hosts on them: groups from nothing, keys, a lost booking, broken and resumed streams, configuration, a lost head, a host that starts without the store, a killed lease holder, the graceful stop, a reader that does not read. Log lines go through a bounded queue; what the reader does not take is dropped and counted.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -77,5 +77,6 @@
         return exit_cannot_start;
     }
     relay.run(signals);
+    transport::stop_log();
     return EXIT_SUCCESS;
 }
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -67,9 +67,11 @@
         host.start();
         host.run(signals);
     } catch (const std::exception& error) {
+        transport::stop_log();
         std::cerr << "cannot start: " << error.what()
                   << "; free the address or change it in the settings\n";
         return exit_cannot_start;
     }
+    transport::stop_log();
     return EXIT_SUCCESS;
 }
--- a/src/savoryrelay/transport/process/log.cpp
+++ b/src/savoryrelay/transport/process/log.cpp
@@ -1,15 +1,83 @@
-// Set-up of Boost.Log and the form of a line.
+// Set-up of Boost.Log with a bounded queue, and the form of a line.
 #include "savoryrelay/transport/process/log.h"
 
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/log/utility/setup/formatter_parser.hpp>
+#include <boost/make_shared.hpp>
 
-#include <iostream>
+#include <atomic>
+#include <poll.h>
+#include <unistd.h>
 
 namespace savoryrelay::transport {
 namespace {
 
+namespace sinks = boost::log::sinks;
+
+// Lines that wait for the writing thread: about 1 MB at most.
+constexpr std::size_t queue_lines = 4'096;
+// A reader that makes no room within this time is taken for stopped.
+constexpr int reader_wait_ms = 20;
+// A pipe that is writable takes this much at once (POSIX).
+constexpr std::size_t max_line_bytes = 4'096;
+
+std::atomic<std::uint64_t> dropped{0};
+
+/// Drops the line that finds the queue full, and counts it.
+struct drop_and_count {
+    template <typename Lock>
+    static bool on_overflow(const boost::log::record_view&, Lock&) {
+        dropped.fetch_add(1, std::memory_order_relaxed);
+        return false;
+    }
+    static void on_queue_space_available() {}
+    static void interrupt() {}
+};
+
+/// Writes whole lines to standard output while its reader makes room.
+class standard_output
+    : public sinks::basic_formatted_sink_backend<char, sinks::synchronized_feeding> {
+public:
+    void consume(const boost::log::record_view&, const string_type& text) {
+        const auto lost = dropped.load(std::memory_order_relaxed);
+        if (lost != m_reported &&
+            write_line("level=warning event=log_dropped lines=" + std::to_string(lost))) {
+            m_reported = lost;
+        }
+        if (!write_line(text)) {
+            dropped.fetch_add(1, std::memory_order_relaxed);
+        }
+    }
+
+private:
+    bool write_line(std::string line) {
+        line.resize(std::min(line.size(), max_line_bytes - 1));
+        line += '\n';
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        m_is_stuck = ::poll(&output, 1, m_is_stuck ? 0 : reader_wait_ms) != 1 ||
+                     (output.revents & POLLOUT) == 0;
+        return !m_is_stuck &&
+               ::write(STDOUT_FILENO, line.data(), line.size()) ==
+                   static_cast<ssize_t>(line.size());
+    }
+
+    bool m_is_stuck = false;
+    std::uint64_t m_reported = 0;
+};
+
+using log_sink = sinks::asynchronous_sink<standard_output,
+                                          sinks::bounded_fifo_queue<queue_lines, drop_and_count>>;
+
+boost::shared_ptr<log_sink>& sink() {
+    static boost::shared_ptr<log_sink> the_sink;
+    return the_sink;
+}
+
 std::string to_line(std::string_view event, std::initializer_list<log_field> fields) {
     std::string line(event);
     for (const auto& field : fields) {
@@ -34,8 +102,23 @@
 
 void start_log() {
     boost::log::add_common_attributes();
-    boost::log::add_console_log(std::cerr, boost::log::keywords::format = "%TimeStamp% %Message%",
-                                boost::log::keywords::auto_flush = true);
+    sink() = boost::make_shared<log_sink>(boost::make_shared<standard_output>());
+    sink()->set_formatter(boost::log::parse_formatter("%TimeStamp% %Message%"));
+    boost::log::core::get()->add_sink(sink());
+}
+
+void stop_log() {
+    if (sink() == nullptr) {
+        return;
+    }
+    boost::log::core::get()->remove_sink(sink());
+    sink()->stop();
+    sink()->flush();
+    sink().reset();
+}
+
+std::uint64_t dropped_log_lines() {
+    return dropped.load(std::memory_order_relaxed);
 }
 
 void log_change(std::string_view event, std::initializer_list<log_field> fields) {
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -2,7 +2,9 @@
 // trials and tests.
 #include "engine_standin.h"
 #include "platform_standin.h"
+#include "runner_standin.h"
 #include "service_standin.h"
+#include "store_standin.h"
 
 #include "savoryrelay/protocol/platform/platform_messages.h"
 #include "savoryrelay/transport/process/signals.h"
@@ -24,6 +26,8 @@
   savoryrelay_standin engine [--address=IP] [--port=N] [--token-ms=N] [--fencing=RULE]
   savoryrelay_standin service [--address=IP] [--port=N]
   savoryrelay_standin platform [--address=IP] [--port=N] [--hosts=FILE]
+  savoryrelay_standin store [--address=IP] [--port=N]
+  savoryrelay_standin runner --id=ID [--born=MS] [--address=IP] [--port=N] [--token-ms=N]
   savoryrelay_standin --help
 
 Options:
@@ -31,6 +35,8 @@
   --port=N         Port to listen at; 0 takes a free one [default: 0].
   --token-ms=N     Milliseconds between tokens [default: 5].
   --fencing=RULE   Treatment of old fencing numbers: enforced or ignored [default: ignored].
+  --id=ID          Identifier of the runner.
+  --born=MS        Start of the runner's life, Unix milliseconds [default: 1].
   --hosts=FILE     JSON host list as GET /v1/hosts answers it.
 
 Faults are set by POST /control, for example {"delay_ms": 200}.
@@ -55,6 +61,10 @@
     standin::engine_standin engine(engine_settings, switches);
     standin::service_standin service(switches);
     standin::platform_standin platform(switches);
+    standin::store_standin store(switches);
+    const auto& runner_id = arguments.at("--id");
+    standin::runner_standin runner(switches, runner_id ? runner_id.asString() : std::string{},
+                                   static_cast<std::uint64_t>(arguments.at("--born").asLong()));
     if (const auto& hosts = arguments.at("--hosts")) {
         const std::ifstream file(hosts.asString());
         std::ostringstream text;
@@ -75,6 +85,14 @@
         role = [&](transport::http_request request, transport::response_writer& writer) {
             return service.handle(std::move(request), writer);
         };
+    } else if (arguments.at("store").asBool()) {
+        role = [&](transport::http_request request, transport::response_writer& writer) {
+            return store.handle(std::move(request), writer);
+        };
+    } else if (arguments.at("runner").asBool()) {
+        role = [&](transport::http_request request, transport::response_writer& writer) {
+            return runner.handle(std::move(request), writer);
+        };
     } else {
         role = [&](transport::http_request request, transport::response_writer& writer) {
             return platform.handle(std::move(request), writer);
--- /dev/null
+++ b/src/standin/runner_standin.cpp
@@ -0,0 +1,177 @@
+// Orders, reports and answers of a runner.
+#include "runner_standin.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace savoryrelay::standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using state::membership_state;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_accepted = 202;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_precondition_failed = 412;
+constexpr unsigned status_other_runner = 421;
+
+} // namespace
+
+runner_standin::runner_standin(control_switches& switches, std::string id, std::uint64_t born_ms)
+    : m_switches(switches), m_id(std::move(id)), m_born_ms(born_ms) {}
+
+std::string runner_standin::report() {
+    const std::scoped_lock lock(m_mutex);
+    json::object object;
+    object["born"] = m_born_ms;
+    object["sequence"] = m_record.sequence;
+    object["busy"] = false;
+    object["pace"] = 1.0;
+    json::array models;
+    if (!m_record.model.empty()) {
+        models.push_back(json::object{{"name", m_record.model}, {"version", 1}});
+    }
+    object["models"] = std::move(models);
+    json::array staged;
+    for (const auto& model : m_record.staged) {
+        staged.emplace_back(model);
+    }
+    object["staged"] = std::move(staged);
+    if (m_record.membership) {
+        const auto& membership = *m_record.membership;
+        object["group"] = json::object{{"name", membership.group},
+                                       {"epoch", membership.epoch},
+                                       {"rank", membership.rank},
+                                       {"state", std::string(state::to_name(membership.state))}};
+    } else {
+        object["group"] = nullptr;
+    }
+    return json::serialize(object);
+}
+
+unsigned runner_standin::take_order(const std::string& body) {
+    const auto order = json::parse(body).as_object();
+    const std::scoped_lock lock(m_mutex);
+    if (order.at("expected_rev").to_number<std::uint64_t>() != m_record.sequence) {
+        return status_conflict;
+    }
+    const auto operation = std::string(order.at("operation").as_string());
+    if (operation == "stage") {
+        m_record.staged = {std::string(order.at("model").as_string())};
+        ++m_record.sequence;
+        return status_accepted;
+    }
+    const auto group = std::string(order.at("group").as_string());
+    const auto epoch = order.at("epoch").to_number<std::uint64_t>();
+    if (operation == "join") {
+        if (m_record.membership && epoch < m_record.membership->epoch) {
+            return status_precondition_failed;
+        }
+        const auto& members = order.at("members").as_array();
+        const auto place = std::find_if(members.begin(), members.end(), [&](const auto& each) {
+            return each.as_string() == m_id;
+        });
+        m_record.model = std::string(order.at("model").as_string());
+        m_record.staged = {m_record.model};
+        m_record.membership = state::group_membership{
+            group, epoch, static_cast<std::uint32_t>(place - members.begin()),
+            membership_state::ready};
+        ++m_record.sequence;
+        return status_accepted;
+    }
+    if (!m_record.membership || m_record.membership->group != group ||
+        m_record.membership->epoch != epoch) {
+        return status_conflict;
+    }
+    ++m_record.sequence;
+    if (operation == "open") {
+        m_record.membership->state = membership_state::open;
+        return status_accepted;
+    }
+    if (operation == "close") {
+        m_record.membership->state = membership_state::ready;
+        return status_accepted;
+    }
+    m_record.membership.reset(); // leave, which is done at once
+    return status_ok;
+}
+
+asio::awaitable<void> runner_standin::stream(const transport::http_request& request,
+                                             transport::response_writer& writer) {
+    auto fields = transport::content_type_field("text/event-stream");
+    fields.push_back({"Attempt-Id", transport::header_of(request, "Attempt-Id")});
+    fields.push_back({"Server-Seal", m_id});
+    if (co_await writer.start(status_ok, std::move(fields))) {
+        co_return;
+    }
+    const auto last = transport::header_of(request, "Last-Event-Id");
+    for (int event = last.empty() ? 0 : std::stoi(last) + 1; event < max_events; ++event) {
+        co_await pause_for(state::milliseconds(m_switches.token_ms));
+        if (const auto limit = m_switches.break_after_tokens.load();
+            limit > 0 && event >= static_cast<int>(limit)) {
+            m_switches.break_after_tokens = 0;
+            writer.abandon();
+            co_return;
+        }
+        const auto text =
+            "id: " + std::to_string(event) + "\ndata: " + m_id + "\n\n";
+        if (co_await writer.write(text)) {
+            co_return;
+        }
+    }
+    co_await writer.finish();
+}
+
+asio::awaitable<void> runner_standin::handle(transport::http_request request,
+                                             transport::response_writer& writer) {
+    const auto expected = transport::header_of(request, "Expect-Instance");
+    if (!expected.empty() && expected != m_id) {
+        co_await send_json(writer, status_other_runner, "{}");
+        co_return;
+    }
+    if (request.target() == "/report") {
+        co_await send_json(writer, status_ok, report());
+        co_return;
+    }
+    if (request.target() == "/order") {
+        co_await send_json(writer, take_order(request.body()), "");
+        co_return;
+    }
+    if (request.target() == "/runs") {
+        const std::scoped_lock lock(m_mutex);
+        co_await send_json(writer, status_ok, std::to_string(m_runs));
+        co_return;
+    }
+    bool is_head = true;
+    const bool needs_model = !transport::header_of(request, "Model").empty();
+    {
+        const std::scoped_lock lock(m_mutex);
+        is_head = !needs_model || m_record.is_open_head();
+        m_runs += is_head ? 1 : 0;
+    }
+    if (!is_head) {
+        co_await send_json(writer, status_other_runner, "{}");
+        co_return;
+    }
+    if (needs_model) {
+        co_await stream(request, writer);
+        co_return;
+    }
+    if (m_switches.lose_replies > 0) {
+        --m_switches.lose_replies;
+        writer.abandon();
+        co_return;
+    }
+    auto fields = transport::content_type_field("text/plain");
+    fields.push_back({"Attempt-Id", transport::header_of(request, "Attempt-Id")});
+    fields.push_back({"Server-Seal", m_id});
+    fields.push_back({"Seen-Customer", transport::header_of(request, "Tenant")});
+    const auto body = "ran by " + m_id + " for " + transport::header_of(request, "Tenant");
+    co_await writer.send(status_ok, std::move(fields), body);
+}
+
+} // namespace savoryrelay::standin
--- /dev/null
+++ b/src/standin/store_standin.cpp
@@ -0,0 +1,151 @@
+// The store's calls over a map.
+#include "store_standin.h"
+
+#include <boost/json.hpp>
+#include <boost/url/parse.hpp>
+
+#include <openssl/evp.h>
+
+#include <chrono>
+#include <vector>
+
+namespace savoryrelay::standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_condition_failed = 412;
+constexpr unsigned status_not_found = 404;
+constexpr state::milliseconds feed_step{10};
+
+std::string base64(const std::string& bytes) {
+    std::vector<unsigned char> text(4 * ((bytes.size() + 2) / 3) + 1);
+    const auto size =
+        EVP_EncodeBlock(text.data(), reinterpret_cast<const unsigned char*>(bytes.data()),
+                        static_cast<int>(bytes.size()));
+    return {text.begin(), text.begin() + size};
+}
+
+std::string text_of(const json::object& object, std::string_view name) {
+    return std::string(object.at(name).as_string());
+}
+
+} // namespace
+
+json::object store_standin::to_json(const row_key& key, const row& value) {
+    json::object object;
+    object["table"] = key.first;
+    object["part"] = "";
+    object["key"] = key.second;
+    object["value"] = value.value;
+    object["ver"] = value.version;
+    if (value.is_removed) {
+        object["tombstone"] = true;
+    }
+    return object;
+}
+
+std::pair<unsigned, std::string> store_standin::transact(const std::string& body) {
+    const auto transaction = json::parse(body).as_object();
+    const std::scoped_lock lock(m_mutex);
+    const auto key_of = [](const json::object& each) {
+        return row_key{text_of(each, "table"), text_of(each, "key")};
+    };
+    json::array conflicting;
+    for (const auto& each : transaction.at("expected_rev").as_array()) {
+        const auto key = key_of(each.as_object());
+        const auto& held = m_rows[key];
+        const auto version = held.is_removed ? 0 : held.version;
+        if (version != each.as_object().at("ver").to_number<std::uint64_t>()) {
+            conflicting.push_back(to_json(key, held));
+        }
+    }
+    json::object answer;
+    if (!conflicting.empty()) {
+        answer["rows"] = std::move(conflicting);
+        answer["ver"] = m_version;
+        return {status_condition_failed, json::serialize(answer)};
+    }
+    ++m_version;
+    for (const auto& each : transaction.at("set_keys").as_array()) {
+        m_rows[key_of(each.as_object())] = {text_of(each.as_object(), "value"), m_version, false};
+    }
+    for (const auto& each : transaction.at("remove").as_array()) {
+        m_rows[key_of(each.as_object())] = {{}, m_version, true};
+    }
+    answer["ver"] = m_version;
+    return {status_ok, json::serialize(answer)};
+}
+
+std::string store_standin::rows_after(const std::string& table, const std::string& from,
+                                      std::uint64_t after, bool with_removed, std::size_t* count) {
+    const std::scoped_lock lock(m_mutex);
+    json::array rows;
+    for (auto place = m_rows.lower_bound({table, from});
+         place != m_rows.end() && place->first.first == table; ++place) {
+        if (place->second.version > after && (with_removed || !place->second.is_removed)) {
+            rows.push_back(to_json(place->first, place->second));
+        }
+    }
+    *count = rows.size();
+    json::object answer;
+    answer["rows"] = std::move(rows);
+    answer["has_more"] = false;
+    answer["ver"] = m_version;
+    return json::serialize(answer);
+}
+
+void store_standin::write_as_operator(const std::string& body) {
+    const auto object = json::parse(body).as_object();
+    const std::scoped_lock lock(m_mutex);
+    const row_key key{text_of(object, "table"), text_of(object, "key")};
+    const auto& value = object.at("value");
+    ++m_version;
+    m_rows[key] = value.is_null() ? row{{}, m_version, true}
+                                  : row{base64(json::serialize(value)), m_version, false};
+}
+
+asio::awaitable<void> store_standin::handle(transport::http_request request,
+                                            transport::response_writer& writer) {
+    const auto url = boost::urls::parse_origin_form(request.target()).value();
+    const auto path = std::string(url.encoded_path());
+    const auto parameter = [&](std::string_view name) -> std::string {
+        const auto found = url.params().find(name);
+        return found == url.params().end() ? std::string{} : std::string((*found).value);
+    };
+    if (path == "/operator") {
+        write_as_operator(request.body());
+        co_await send_json(writer, status_ok, "{}");
+    } else if (path == "/rows-tx") {
+        const auto [status, body] = transact(request.body());
+        if (m_switches.lose_replies > 0) {
+            --m_switches.lose_replies;
+            writer.abandon();
+            co_return;
+        }
+        co_await send_json(writer, status, body);
+    } else if (path == "/rows-get") {
+        std::size_t count = 0;
+        co_await send_json(writer, status_ok,
+                           rows_after(parameter("table"), parameter("from"), 0, false, &count));
+    } else if (path == "/rows-feed") {
+        const auto end = std::chrono::steady_clock::now() +
+                         state::milliseconds(std::stoll(parameter("wait_ms")));
+        std::size_t count = 0;
+        auto body = rows_after(parameter("table"), {}, std::stoull(parameter("after_rev")), true,
+                               &count);
+        while (count == 0 && std::chrono::steady_clock::now() < end) {
+            co_await pause_for(feed_step);
+            body = rows_after(parameter("table"), {}, std::stoull(parameter("after_rev")), true,
+                              &count);
+        }
+        co_await send_json(writer, status_ok, body);
+    } else {
+        co_await send_json(writer, status_not_found, "{}");
+    }
+}
+
+} // namespace savoryrelay::standin
--- /dev/null
+++ b/tests/process/edge_test.cpp
@@ -0,0 +1,191 @@
+// The whole path on the platform: groups from nothing, calls, configuration,
+// loss of a runner, of the store and of a host, and the graceful stop.
+#include "edge_fixture.h"
+
+using namespace savoryrelay::tests;
+
+namespace {
+
+std::string whole_stream() {
+    std::string ids;
+    for (int i = 0; i < 8; ++i) {
+        ids += std::to_string(i);
+    }
+    return ids;
+}
+
+// The numbers of a stream's events in their order.
+std::string ids_of(const std::string& body) {
+    std::string ids;
+    for (auto at = body.find("id: "); at != std::string::npos; at = body.find("id: ", at + 1)) {
+        ids += body[at + 4];
+    }
+    return ids;
+}
+
+} // namespace
+
+TEST_CASE("edge: a group forms from nothing and a stream comes whole, through each host") {
+    edge_fixture fixture(2);
+    for (std::size_t host = 0; host < 2; ++host) {
+        fixture.hosts[host]->wait_until_ready();
+        const auto answer = fixture.ask_until_served(host);
+        CHECK(answer.whole);
+        CHECK(ids_of(answer.body) == whole_stream());
+    }
+}
+
+TEST_CASE("edge: routes, keys and customers") {
+    edge_fixture fixture;
+    const auto& port = fixture.hosts[0]->callers;
+    fixture.hosts[0]->wait_until_ready();
+    test_answer booked;
+    while (booked.status != 200) {
+        booked = fetch(port, http::verb::post, "/book/1", "x", edge_fixture::headers("b1"));
+    }
+    CHECK(booked.body == "ran by p1 for workshop");
+
+    auto wrong_key = edge_fixture::headers("b2");
+    wrong_key[2].second = "nobody";
+    CHECK(fetch(port, http::verb::post, "/book/1", "x", wrong_key).status == 401);
+    CHECK(fetch(port, http::verb::get, "/none/1", "", edge_fixture::headers("b3")).status == 404);
+}
+
+TEST_CASE("edge: a booking whose answer is lost is not repeated, and not called not-run") {
+    edge_fixture fixture;
+    const auto& port = fixture.hosts[0]->callers;
+    fixture.hosts[0]->wait_until_ready();
+    while (fetch(port, http::verb::get, "/look/1", "", edge_fixture::headers("l")).status != 200) {
+    }
+    const auto before = std::stoi(fixture.runs(fixture.plain));
+    fixture.plain.control(R"({"lose_replies":1})");
+    const auto lost = fetch(port, http::verb::post, "/book/1", "x", edge_fixture::headers("b"));
+    CHECK((lost.status == 502 || lost.status == 504));
+    CHECK(std::stoi(fixture.runs(fixture.plain)) == before + 1);
+
+    // A call that may be repeated is, once the endpoint is used again.
+    fixture.plain.control(R"({"lose_replies":0})");
+    test_answer looked;
+    while (looked.status != 200) {
+        looked = fetch(port, http::verb::get, "/look/1", "", edge_fixture::headers("l2"));
+    }
+}
+
+TEST_CASE("edge: a stream that breaks off goes on at another run without a missing event") {
+    edge_fixture fixture;
+    fixture.ask_until_served();
+    for (auto& runner : fixture.models) {
+        runner->control(R"({"break_after_tokens":3})");
+    }
+    // One group only: the break leaves no other one, so the answer must not look whole.
+    const auto broken = fixture.ask("s1");
+    CHECK_FALSE(broken.whole);
+    CHECK(ids_of(broken.body) == "012");
+
+    // The caller goes on after its last event.
+    auto headers = edge_fixture::headers("s2", true);
+    headers.emplace_back("Last-Event-Id", "2");
+    test_answer rest;
+    while (rest.status != 200) {
+        rest = fetch(fixture.hosts[0]->callers, http::verb::post, "/ask/1", "prompt", headers);
+    }
+    CHECK(rest.whole);
+    CHECK(ids_of(rest.body) == "34567");
+}
+
+TEST_CASE("edge: a new configuration is in force, and an old row does not bring it back") {
+    edge_fixture fixture;
+    const auto& port = fixture.hosts[0]->callers;
+    fixture.hosts[0]->wait_until_ready();
+    fixture.write_configuration(5, "k1");
+    while (fetch(port, http::verb::get, "/v5/1", "", edge_fixture::headers("c")).status != 200) {
+    }
+    CHECK(fetch(port, http::verb::get, "/v1/1", "", edge_fixture::headers("c2")).status == 404);
+    fixture.write_configuration(4, "k1");
+    fixture.write_configuration(6, "k2");
+    unsigned status = 0;
+    while (status != 401) {
+        status = fetch(port, http::verb::get, "/look/1", "", edge_fixture::headers("c3")).status;
+        CHECK(status != 404);
+        REQUIRE(status != 0);
+    }
+}
+
+TEST_CASE("edge: a group that loses its head is formed again with the spare") {
+    edge_fixture fixture;
+    const auto first = fixture.ask_until_served();
+    const auto head = first.body.substr(first.body.find("data: ") + 6, 2);
+    const auto index = static_cast<std::size_t>(head[1] - '0');
+    fixture.models[index]->process.send(SIGKILL);
+    fixture.write_row("servers", head, "null");
+    const auto again = fixture.ask_until_served();
+    CHECK(again.body.find("data: " + head) == std::string::npos);
+    CHECK(ids_of(again.body) == whole_stream());
+}
+
+TEST_CASE("edge: a host that starts while the store is away learns all from its peers") {
+    edge_fixture fixture(1);
+    fixture.ask_until_served();
+    fixture.store.control(R"({"down":true})");
+    auto& late = fixture.add_host("edge-late");
+    late.wait_until_ready();
+    const auto answer = fixture.ask_until_served(1);
+    CHECK(ids_of(answer.body) == whole_stream());
+}
+
+TEST_CASE("edge: a host that knows no configuration says so and promises that nothing ran") {
+    edge_fixture fixture(0);
+    fixture.store.control(R"({"down":true})");
+    auto& host = fixture.add_host("edge-alone");
+    CHECK(fetch(host.readiness, http::verb::get, "/readiness").status == 503);
+    CHECK(fetch(host.callers, http::verb::post, "/book/1", "x", edge_fixture::headers("b"))
+              .status == 503);
+}
+
+TEST_CASE("edge: another host takes over the groups when the lease holder is killed") {
+    edge_fixture fixture(2);
+    fixture.ask_until_served(0);
+    fixture.ask_until_served(1);
+    // Whichever host holds the lease, one of the two kills hits it.
+    fixture.hosts[0]->process->send(SIGKILL);
+    fixture.hosts[0]->process->wait();
+    const auto first = fixture.ask_until_served(1);
+    const auto head = first.body.substr(first.body.find("data: ") + 6, 2);
+    const auto index = static_cast<std::size_t>(head[1] - '0');
+    fixture.models[index]->process.send(SIGKILL);
+    fixture.write_row("servers", head, "null");
+    const auto again = fixture.ask_until_served(1);
+    CHECK(again.body.find("data: " + head) == std::string::npos);
+}
+
+TEST_CASE("edge: a stop finishes the open stream and is not ready meanwhile") {
+    edge_fixture fixture;
+    fixture.ask_until_served();
+    for (auto& runner : fixture.models) {
+        runner->control(R"({"token_ms":150})");
+    }
+    test_exchange open(fixture.hosts[0]->callers, http::verb::post, "/ask/1", "prompt",
+                       edge_fixture::headers("s", true));
+    REQUIRE(open.read_until("id: 0"));
+    fixture.hosts[0]->process->send(SIGTERM);
+    fixture.hosts[0]->process->read_until("event=stopping");
+    CHECK(fetch(fixture.hosts[0]->readiness, http::verb::get, "/readiness").status == 503);
+    const auto answer = open.finish();
+    CHECK(answer.whole);
+    CHECK(ids_of(answer.body) == whole_stream());
+    CHECK(fixture.hosts[0]->process->wait() == 0);
+}
+
+TEST_CASE("edge: a reader that does not read its log does not stop a host") {
+    edge_fixture fixture;
+    fixture.hosts[0]->wait_until_ready();
+    const auto& port = fixture.hosts[0]->callers;
+    // Some thousand lines, far more than the pipe and the queue hold.
+    constexpr int calls = 6'000;
+    for (int i = 0; i < calls; ++i) {
+        REQUIRE(fetch(port, http::verb::get, "/none/1", "", edge_fixture::headers("n")).status ==
+                404);
+    }
+    const auto metrics = fetch(fixture.hosts[0]->metrics, http::verb::get, "/metrics").body;
+    CHECK(metrics.find("savoryrelay_calls_total 6000") != std::string::npos);
+}
