--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -3,6 +3,7 @@
 #include "command.h"
 #include "configuration_command.h"
 #include "drain_command.h"
+#include "explain_command.h"
 #include "init_command.h"
 #include "status_command.h"
 
@@ -24,6 +25,7 @@
     command_row{"audit", "list, show, verify or export a record", run_audit},
     command_row{"configuration", "show, submit or compare a configuration", run_configuration},
     command_row{"drain", "take an endpoint or an availability zone out of service", run_drain},
+    command_row{"explain", "tell from logs why a request ended as it did", run_explain},
     command_row{"init", "generate settings and configuration from answers", run_init},
     command_row{"return", "bring an endpoint or an availability zone back", run_return},
     command_row{"status", "show members, endpoints and open requests", run_status},
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -45,7 +45,8 @@
 
 edge_host::edge_host(protocol::edge_settings settings)
     : m_settings(std::move(settings)), m_incarnation(make_incarnation()),
-      m_shared({m_settings.repeat_ratio, m_settings.repeat_burst, m_settings.repeat_window}), m_threads(1 + m_settings.call_threads),
+      m_shared({m_settings.repeat_ratio, m_settings.repeat_burst, m_settings.repeat_window}),
+      m_threads(1 + m_settings.call_threads),
       m_store(m_threads, {m_settings.store.address, m_settings.store.port}),
       m_tables(m_threads, m_store, m_shared, read_clock),
       m_groups(m_threads, m_store, m_shared, m_settings.host, m_incarnation,
@@ -56,7 +57,8 @@
                  {.zones_out_of_service = [this] { return m_shared.zones_out_of_service.load(); },
                   .host_count = [this] { return m_shared.host_count.load(); }}),
       m_front({m_shared.fleet, m_shared.loads, m_selector, m_shared.correction, m_shared.repeats,
-               m_shared.metrics, platform::make_serving_codec(), [this] { return m_shared.configuration.load(); },
+               m_shared.metrics, platform::make_serving_codec(),
+               [this] { return m_shared.configuration.load(); },
                [this](const std::string& model, double work_ms) {
                    m_shared.work.note(model, work_ms, read_clock());
                },
@@ -71,15 +73,13 @@
 void edge_host::start() {
     const auto listen = [this](const protocol::network_address& address,
                                transport::request_handler handler) {
-        return std::make_unique<transport::http_server>(m_threads, address.address, address.port,
-                                                        transport::http_limits{},
-                                                        std::move(handler));
+        return std::make_unique<transport::http_server>(
+            m_threads, address.address, address.port, transport::http_limits{}, std::move(handler));
     };
-    m_caller_server =
-        listen(m_settings.callers,
-               [this](transport::http_request request, transport::response_writer& writer) {
-                   return m_front.handle(std::move(request), writer);
-               });
+    m_caller_server = listen(m_settings.callers, [this](transport::http_request request,
+                                                        transport::response_writer& writer) {
+        return m_front.handle(std::move(request), writer);
+    });
     m_caller_server->follow_limits([this] {
         const auto limits = m_shared.configuration.load()->limits;
         transport::http_limits bounds;
@@ -89,15 +89,14 @@
         bounds.request_timeout = request_timeout;
         return bounds;
     });
-    m_readiness_server =
-        listen(m_settings.readiness,
-               [this](transport::http_request request, transport::response_writer& writer) {
-                   return answer_readiness(std::move(request), writer);
-               });
+    m_readiness_server = listen(m_settings.readiness, [this](transport::http_request request,
+                                                             transport::response_writer& writer) {
+        return answer_readiness(std::move(request), writer);
+    });
     m_metrics_server =
         listen(m_settings.metrics,
-               [this](transport::http_request, transport::response_writer& writer)
-                   -> asio::awaitable<void> {
+               [this](transport::http_request,
+                      transport::response_writer& writer) -> asio::awaitable<void> {
                    const auto text = m_shared.metrics.to_prometheus();
                    co_await writer.send(
                        status_ok, transport::content_type_field("text/plain; version=0.0.4"), text);
@@ -105,14 +104,13 @@
     m_tables.start();
     m_groups.start();
     m_peers.start();
-    log_change("started", {{"host", m_settings.host.value()},
-                           {"incarnation", std::to_string(m_incarnation)}});
+    log_change("started",
+               {{"host", m_settings.host.value()}, {"incarnation", std::to_string(m_incarnation)}});
 }
 
 asio::awaitable<void> edge_host::answer_readiness(transport::http_request,
                                                   transport::response_writer& writer) {
-    const bool is_ready =
-        !m_shared.is_stopping && m_shared.configuration.load()->version > 0;
+    const bool is_ready = !m_shared.is_stopping && m_shared.configuration.load()->version > 0;
     co_await writer.send(is_ready ? status_ok : status_unavailable,
                          transport::content_type_field("text/plain"), is_ready ? "ready" : "");
 }
--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -267,8 +267,8 @@
         if (poll.failures >= silent_after_failures && known && !known->silent_since &&
             !is_vouched) {
             m_shared.fleet.note_silence(runner.id, runner.born_ms, now);
-            log_change("runner_silent", {{"runner", runner.id.value()},
-                                         {"detail", report.error().message()}});
+            log_change("runner_silent",
+                       {{"runner", runner.id.value()}, {"detail", report.error().message()}});
         }
         co_return;
     }
@@ -282,11 +282,11 @@
     }
     const auto& membership = report.value().membership;
     const auto known = m_shared.fleet.find(runner.id);
-    const bool is_busy = report.value().is_order_in_progress ||
-                         (known && known->awaits_report_since) ||
-                         (membership && (membership->state == state::membership_state::joining ||
-                                         (membership->state == state::membership_state::ready &&
-                                          membership->rank == 0)));
+    const bool is_busy =
+        report.value().is_order_in_progress || (known && known->awaits_report_since) ||
+        (membership &&
+         (membership->state == state::membership_state::joining ||
+          (membership->state == state::membership_state::ready && membership->rank == 0)));
     poll.next = now + (is_busy ? report_interval_busy : report_interval);
 }
 
@@ -324,8 +324,7 @@
 }
 
 asio::awaitable<void> group_part::send(state::runner_record runner, state::runner_order order) {
-    const auto ticket =
-        state::collect([&] { return m_lease.begin_order(groups_lease, m_now()); });
+    const auto ticket = state::collect([&] { return m_lease.begin_order(groups_lease, m_now()); });
     if (!ticket || ticket.value().fencing_number != order.fencing_number) {
         co_return;
     }
@@ -337,8 +336,7 @@
     const auto end = result == state::runner_order_result::unknown
                          ? coordination::order_end::no_reply
                          : coordination::order_end::replied;
-    static_cast<void>(
-        state::collect([&] { return m_lease.end_order(ticket.value(), end, now); }));
+    static_cast<void>(state::collect([&] { return m_lease.end_order(ticket.value(), end, now); }));
     log_change("order",
                {{"runner", runner.id.value()},
                 {"order", std::string(state::to_name(order.kind))},
@@ -349,8 +347,7 @@
                 {"result", std::string(state::to_name(result))},
                 {"detail", answer.detail},
                 {"took_ms",
-                 std::to_string(
-                     std::chrono::duration_cast<milliseconds>(now - sent_at).count())}});
+                 std::to_string(std::chrono::duration_cast<milliseconds>(now - sent_at).count())}});
     // To leave is done at once, and answered so, but counts as an order.
     const bool has_left = order.kind == state::runner_order_kind::leave &&
                           result == state::runner_order_result::holds_already;
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -74,14 +74,13 @@
     transport::endpoint_pool m_pool;
     std::atomic<bool> m_is_controller{false};
     std::atomic<bool> m_is_stopping{false};
-    std::uint64_t m_epoch = 0; // control context only
 
     std::mutex m_mutex; // guards what follows
     state::time_point m_other_controller_at{};
     std::map<state::endpoint_id, state::time_point> m_suspects;
     std::set<state::endpoint_id> m_doubts;
-    std::map<state::endpoint_id, state::time_point> m_doubted_at;  // asked for the controller
-    std::map<state::endpoint_id, state::time_point> m_vouched_at;  // they answered
+    std::map<state::endpoint_id, state::time_point> m_doubted_at; // asked for the controller
+    std::map<state::endpoint_id, state::time_point> m_vouched_at; // they answered
 
     transport::worker_thread m_lease_worker;
 };
--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -290,9 +290,9 @@
         m_tables.runners_changed(changed);
     }
     if (!changed.empty()) {
-        transport::log_change("table_from_peer", {{"peer", from.ip},
-                                                  {"path", path},
-                                                  {"changes", std::to_string(changed.size())}});
+        transport::log_change(
+            "table_from_peer",
+            {{"peer", from.ip}, {"path", path}, {"changes", std::to_string(changed.size())}});
     }
     co_return true;
 }
@@ -301,7 +301,7 @@
                                               transport::response_writer& writer) {
     const auto path = std::string(request.target());
     const bool is_known = path == operators_path || path == runners_path;
-    const auto body = path == operators_path  ? protocol::encode_table(m_shared.operators.image())
+    const auto body = path == operators_path ? protocol::encode_table(m_shared.operators.image())
                       : path == runners_path ? protocol::encode_table(m_shared.runners.image())
                                              : std::string{};
     auto fields = transport::content_type_field("application/octet-stream");
--- a/src/edge/store_part.cpp
+++ b/src/edge/store_part.cpp
@@ -70,8 +70,8 @@
             m_recovered_at = now;
         }
         log_change("store_regained",
-                   {{"after_ms", std::to_string(
-                                     std::chrono::duration_cast<milliseconds>(outage).count())}});
+                   {{"after_ms",
+                     std::to_string(std::chrono::duration_cast<milliseconds>(outage).count())}});
         m_failing_since.reset();
     }
 }
@@ -162,11 +162,10 @@
         const auto known = m_shared.fleet.find(id);
         if (!known || !known->has_entry || known->record.born_ms != entry.value().born_ms ||
             known->record.is_draining != entry.value().is_draining) {
-            log_change("runner_listed",
-                       {{"runner", row.key},
-                        {"service", entry.value().service},
-                        {"domain", entry.value().fabric_domain.value()},
-                        {"draining", entry.value().is_draining ? "yes" : "no"}});
+            log_change("runner_listed", {{"runner", row.key},
+                                         {"service", entry.value().service},
+                                         {"domain", entry.value().fabric_domain.value()},
+                                         {"draining", entry.value().is_draining ? "yes" : "no"}});
         }
         m_shared.fleet.apply_entry(entry.value(), now);
     }
--- a/src/savoryrelay/coordination/serving/call_progress.cpp
+++ b/src/savoryrelay/coordination/serving/call_progress.cpp
@@ -33,8 +33,7 @@
 }
 
 state::execution_outcome call_progress::execution() const {
-    return m_may_have_run ? state::execution_outcome::unknown
-                          : state::execution_outcome::not_run;
+    return m_may_have_run ? state::execution_outcome::unknown : state::execution_outcome::not_run;
 }
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/serving/call_progress.h
+++ b/src/savoryrelay/coordination/serving/call_progress.h
@@ -65,7 +65,7 @@
     take_repeat_hook m_take_repeat;
     std::uint32_t m_attempts = 0;
     std::uint32_t m_refusals = 0;
-    std::uint32_t m_runs = 0;           // on endpoints that still live
+    std::uint32_t m_runs = 0; // on endpoints that still live
     bool m_may_have_run = false;
     bool m_has_ended = false; // delivered, or nobody waits
 };
--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -23,18 +23,18 @@
     std::vector<const runner_view*> runners;
     for (const auto& runner : *fleet) {
         const auto& record = runner.record;
-        const bool serves = service.engine
-                                ? model != nullptr && record.is_open_head() &&
-                                      record.model == model->name
-                                : true;
+        const bool serves = service.engine ? model != nullptr && record.is_open_head() &&
+                                                 record.model == model->name
+                                           : true;
         if (record.service == service.name && serves && runner.may_take_calls(now) &&
             !excluded.contains(record.id) && !out_of_service->contains(record.availability_zone)) {
             runners.push_back(&runner);
         }
     }
     while (!runners.empty()) {
-        auto selected = service.engine ? select_group(service, *model, call, runners, time_left, now)
-                                       : select_plain(runners, now);
+        auto selected = service.engine
+                            ? select_group(service, *model, call, runners, time_left, now)
+                            : select_plain(runners, now);
         if (const auto* endpoint = std::get_if<selected_endpoint>(&selected)) {
             if (!take_cold_place(service, endpoint->runner, now)) {
                 std::erase_if(runners, [&](const auto* each) {
@@ -117,8 +117,8 @@
     if (service.cold_calls_per_s <= 0 || now >= runner.cold_until) {
         return true;
     }
-    const auto share =
-        service.cold_calls_per_s / static_cast<double>(std::max<std::size_t>(1, m_hooks.host_count()));
+    const auto share = service.cold_calls_per_s /
+                       static_cast<double>(std::max<std::size_t>(1, m_hooks.host_count()));
     const auto places = std::max<std::size_t>(1, static_cast<std::size_t>(share));
     return m_cold_calls.update(runner.record.id, [&](std::vector<state::time_point>& calls) {
         std::erase_if(calls, [&](state::time_point at) { return now - at >= cold_window; });
--- a/src/savoryrelay/coordination/serving/endpoint_selector.h
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -18,7 +18,7 @@
 /// An endpoint selected for one attempt.
 struct selected_endpoint {
     runner_view runner;
-    double predicted_first_event_ms = 0; ///< 0 for plain services
+    double predicted_first_event_ms = 0;   ///< 0 for plain services
     double uncorrected_first_event_ms = 0; ///< before what was learned of the model
 };
 
@@ -56,10 +56,10 @@
 class endpoint_selector {
 public:
     endpoint_selector(const fleet_table& fleet, const load_book& loads,
-                      const prediction_correction& correction,
-                      state::availability_zone_id own_zone, selector_hooks hooks)
-        : m_fleet(fleet), m_loads(loads), m_correction(correction),
-          m_own_zone(std::move(own_zone)), m_hooks(std::move(hooks)) {}
+                      const prediction_correction& correction, state::availability_zone_id own_zone,
+                      selector_hooks hooks)
+        : m_fleet(fleet), m_loads(loads), m_correction(correction), m_own_zone(std::move(own_zone)),
+          m_hooks(std::move(hooks)) {}
 
     /// Selects an endpoint of `service` that is not among `excluded`.
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -178,9 +178,8 @@
     });
     fleet_snapshot all;
     m_runners.for_each([&](const auto&, const runner_view& runner) { all.push_back(runner); });
-    std::sort(all.begin(), all.end(), [](const auto& left, const auto& right) {
-        return left.record.id < right.record.id;
-    });
+    std::sort(all.begin(), all.end(),
+              [](const auto& left, const auto& right) { return left.record.id < right.record.id; });
     m_snapshot.replace_if(std::move(all), [](const auto&, const auto&) { return true; });
 }
 
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -17,12 +17,12 @@
 /// A runner as this host knows it.
 struct runner_view {
     state::runner_record record;
-    bool has_entry = false;                           ///< listed on the platform
-    std::optional<state::time_point> unlisted_from;   ///< when a removed entry counts as gone
-    std::optional<state::time_point> reported_at;     ///< last report, own or passed on
-    std::optional<state::time_point> answered_at;     ///< last answer of any kind
-    std::optional<state::time_point> silent_since;    ///< first unanswered probe after it
-    std::optional<state::time_point> vouched_until;   ///< another host has had answers lately
+    bool has_entry = false;                         ///< listed on the platform
+    std::optional<state::time_point> unlisted_from; ///< when a removed entry counts as gone
+    std::optional<state::time_point> reported_at;   ///< last report, own or passed on
+    std::optional<state::time_point> answered_at;   ///< last answer of any kind
+    std::optional<state::time_point> silent_since;  ///< first unanswered probe after it
+    std::optional<state::time_point> vouched_until; ///< another host has had answers lately
     state::time_point cold_until{};
     state::time_point avoided_until{}; ///< calls failed here a short time ago
     bool is_order_in_progress = false;
--- a/src/savoryrelay/coordination/serving/group_choice.cpp
+++ b/src/savoryrelay/coordination/serving/group_choice.cpp
@@ -18,13 +18,13 @@
 double step_ms(const state::engine_rule& engine, double writers) {
     const double context = engine.usual_prompt_tokens + engine.usual_answer_tokens;
     constexpr double tokens_per_k = 1'000;
-    return engine.step_ms +
-           writers * (engine.step_per_request_ms + engine.context_ms_per_k * context / tokens_per_k);
+    return engine.step_ms + writers * (engine.step_per_request_ms +
+                                       engine.context_ms_per_k * context / tokens_per_k);
 }
 
 double answer_tokens(const state::engine_rule& engine, const state::serving_call& call) {
-    double tokens = call.expected_answer_tokens > 0 ? call.expected_answer_tokens
-                                                    : engine.usual_answer_tokens;
+    double tokens =
+        call.expected_answer_tokens > 0 ? call.expected_answer_tokens : engine.usual_answer_tokens;
     if (call.longest_answer_tokens > 0) {
         tokens = std::min(tokens, call.longest_answer_tokens);
     }
@@ -61,9 +61,9 @@
         const double stream_ms = engine.usual_answer_tokens * step_ms(engine, batch);
         first_ms += (in_flight - batch) * stream_ms / batch;
     }
-    const double gap_ms = steps * step_ms(engine, std::min(in_flight, batch)) +
-                          std::min<double>(tokens, engine.chunk_tokens) /
-                              engine.prompt_tokens_per_ms;
+    const double gap_ms =
+        steps * step_ms(engine, std::min(in_flight, batch)) +
+        std::min<double>(tokens, engine.chunk_tokens) / engine.prompt_tokens_per_ms;
     return {pace * first_ms + candidate.crossing_ms, pace * gap_ms};
 }
 
--- a/src/savoryrelay/coordination/serving/group_layout.cpp
+++ b/src/savoryrelay/coordination/serving/group_layout.cpp
@@ -8,10 +8,10 @@
 
 domain_layout plan_layout(const std::vector<state::model_rule>& models,
                           const std::vector<domain_size>& domains) {
-    const double all = std::accumulate(
-        domains.begin(), domains.end(), 0.0, [](double sum, const domain_size& each) {
-            return sum + static_cast<double>(each.runners);
-        });
+    const double all = std::accumulate(domains.begin(), domains.end(), 0.0,
+                                       [](double sum, const domain_size& each) {
+                                           return sum + static_cast<double>(each.runners);
+                                       });
     std::map<std::string, double> held; // runners by model
     domain_layout layout;
     for (const auto& [domain, runners] : domains) {
--- a/src/savoryrelay/coordination/serving/group_steering.cpp
+++ b/src/savoryrelay/coordination/serving/group_steering.cpp
@@ -92,8 +92,7 @@
         return; // settled by time and the next report
     }
     using result_kind = state::runner_order_result;
-    const bool is_refused =
-        result == result_kind::does_not_fit || result == result_kind::outdated;
+    const bool is_refused = result == result_kind::does_not_fit || result == result_kind::outdated;
     m_unsettled[order.runner] =
         now + (is_refused                              ? m_settings.refusal_settle
                : order.kind == runner_order_kind::open ? m_settings.open_settle
@@ -135,8 +134,8 @@
         if (work.is_usable(runner)) {
             ++work.usable_runners;
         }
-        const bool is_clear = runner.silent_since ||
-                              (work.has_fresh_report(runner) && !work.is_unclear(runner));
+        const bool is_clear =
+            runner.silent_since || (work.has_fresh_report(runner) && !work.is_unclear(runner));
         if (runner.is_listed(work.now) && !is_clear) {
             work.unclear_domains.insert(runner.record.fabric_domain);
         }
@@ -224,10 +223,9 @@
         const auto size = model == nullptr ? group.members.size() : model->group_size;
         const bool is_lost =
             group.members.size() < size ||
-            std::any_of(group.members.begin(), group.members.end(),
-                        [&](const auto* member) {
-                            return is_silent_for(*member, m_settings.lost_after, work.now);
-                        });
+            std::any_of(group.members.begin(), group.members.end(), [&](const auto* member) {
+                return is_silent_for(*member, m_settings.lost_after, work.now);
+            });
         const bool is_leaving =
             std::any_of(group.members.begin(), group.members.end(), [&](const auto* member) {
                 return member->record.is_draining ||
@@ -323,8 +321,7 @@
             work.free[runner.record.fabric_domain].push_back(&runner);
         }
     }
-    std::erase_if(m_free_since,
-                  [&](const auto& entry) { return !free_now.contains(entry.first); });
+    std::erase_if(m_free_since, [&](const auto& entry) { return !free_now.contains(entry.first); });
     std::erase_if(m_stagings, [&](const auto& entry) {
         const auto* runner = work.find(entry.first);
         return work.now >= entry.second.until || runner == nullptr ||
@@ -449,8 +446,8 @@
             continue;
         }
         constexpr double planned_first = 1'000; // before those that are only busy
-        const double load = load_of(work, model.name) +
-                            (is_below_target(work, model.name) ? planned_first : 0);
+        const double load =
+            load_of(work, model.name) + (is_below_target(work, model.name) ? planned_first : 0);
         if (best == nullptr || load > best_load) {
             best = &model;
             best_load = load;
@@ -515,9 +512,9 @@
             const double groups = static_cast<double>(work.groups_by_domain[domain][model.name]);
             const bool completes = is_wanted(work, model.name) && held < size;
             const double load = load_of(work, model.name);
-            const double score =
-                (completes ? 1 + held / size + load / (load + 1) : 0) + groups / 100 +
-                (completes && is_below_target(work, model.name) ? 1 : 0);
+            const double score = (completes ? 1 + held / size + load / (load + 1) : 0) +
+                                 groups / 100 +
+                                 (completes && is_below_target(work, model.name) ? 1 : 0);
             if (score > best) {
                 best = score;
                 chosen = model.name;
@@ -536,11 +533,11 @@
         // Only from models whose groups are less busy.
         std::vector<const runner_view*> others;
         for (const auto* runner : patient) {
-            const bool is_less_busy = std::all_of(
-                runner->record.staged.begin(), runner->record.staged.end(),
-                [&](const std::string& staged) {
-                    return load_of(work, staged) < load_of(work, model.name);
-                });
+            const bool is_less_busy =
+                std::all_of(runner->record.staged.begin(), runner->record.staged.end(),
+                            [&](const std::string& staged) {
+                                return load_of(work, staged) < load_of(work, model.name);
+                            });
             if (!runner->record.has_staged(model.name) && is_less_busy) {
                 others.push_back(runner);
             }
--- a/src/savoryrelay/coordination/serving/group_steering.h
+++ b/src/savoryrelay/coordination/serving/group_steering.h
@@ -88,7 +88,7 @@
         std::uint64_t epoch = 0;
         std::string model;
         state::fabric_domain_id domain;
-        std::vector<state::endpoint_id> members; // the first is the head
+        std::vector<state::endpoint_id> members;           // the first is the head
         std::map<state::endpoint_id, std::uint64_t> lives; // born_ms by member
         bool is_open_sent = false;
     };
@@ -141,7 +141,7 @@
     std::map<std::string, state::time_point> m_not_open_since; // by group
     std::map<std::string, state::time_point> m_headless_since; // by group
     std::set<std::string> m_closed;                            // groups that were told to close
-    std::deque<state::time_point> m_loads;                  // starts of loads in the last second
+    std::deque<state::time_point> m_loads;                     // starts of loads in the last second
 };
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/serving/repeat_window.cpp
+++ b/src/savoryrelay/coordination/serving/repeat_window.cpp
@@ -25,9 +25,8 @@
         static_cast<double>(std::max<std::size_t>(1, m_hosts.load(std::memory_order_relaxed)));
     return m_services.update(service, [&](counts& value) {
         forget_old(value, now);
-        const double most =
-            safe_share * (m_bound.ratio * static_cast<double>(value.calls.size()) +
-                          m_bound.burst / hosts);
+        const double most = safe_share * (m_bound.ratio * static_cast<double>(value.calls.size()) +
+                                          m_bound.burst / hosts);
         if (static_cast<double>(value.repeats.size()) + 1 > most) {
             return false;
         }
--- a/src/savoryrelay/protocol/peer/peer_codec.cpp
+++ b/src/savoryrelay/protocol/peer/peer_codec.cpp
@@ -172,10 +172,11 @@
 
 state::result<std::string> encode_state_request(const state_request& request,
                                                 const peer_keys& keys) {
-    return encode(frame_kind::state_request, state::max_datagram_bytes, keys, [&](bounded_writer& out) {
-        out.text(request.from.value(), state::max_member_id_bytes);
-        out.number(request.nonce);
-    });
+    return encode(frame_kind::state_request, state::max_datagram_bytes, keys,
+                  [&](bounded_writer& out) {
+                      out.text(request.from.value(), state::max_member_id_bytes);
+                      out.number(request.nonce);
+                  });
 }
 
 state::result<state_request> decode_state_request(std::string_view frame, const peer_keys& keys) {
@@ -203,7 +204,8 @@
 state::result<state_reply> decode_state_reply(std::string_view frame, std::uint64_t nonce,
                                               const peer_keys& keys) {
     BOOST_LEAF_AUTO(
-        reply, decode(frame_kind::state_reply, frame, max_state_frame_bytes, keys, [](bounded_reader& in) {
+        reply,
+        decode(frame_kind::state_reply, frame, max_state_frame_bytes, keys, [](bounded_reader& in) {
             state_reply read;
             read.nonce = in.number<std::uint64_t>();
             read.state.revisions = read_revisions(in);
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -73,9 +73,9 @@
 } // namespace
 
 std::vector<state::peer_digest> split_digest(const state::peer_digest& digest) {
-    const auto parts = std::max({std::size_t{1}, parts_of(digest.loads.size()),
-                                 parts_of(digest.peers.size()), parts_of(digest.work.size()),
-                                 parts_of(digest.doubts.size())});
+    const auto parts =
+        std::max({std::size_t{1}, parts_of(digest.loads.size()), parts_of(digest.peers.size()),
+                  parts_of(digest.work.size()), parts_of(digest.doubts.size())});
     std::vector<state::peer_digest> all;
     for (std::size_t i = 0; i < parts; ++i) {
         auto part = digest;
--- a/src/savoryrelay/protocol/settings/edge_settings.cpp
+++ b/src/savoryrelay/protocol/settings/edge_settings.cpp
@@ -3,7 +3,7 @@
 
 #include "savoryrelay/protocol/settings/yaml_fields.h"
 
-#include <boost/asio/ip/address.hpp>
+#include <arpa/inet.h>
 
 #include <charconv>
 #include <limits>
@@ -28,9 +28,9 @@
     if (colon != std::string::npos) {
         std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
     }
-    boost::system::error_code invalid;
-    boost::asio::ip::make_address(value.address, invalid);
-    if (invalid || port == 0 || port > max_port) {
+    in_addr parsed{};
+    const bool is_address = ::inet_pton(AF_INET, value.address.c_str(), &parsed) == 1;
+    if (!is_address || port == 0 || port > max_port) {
         fields.note("'" + fields.path_of(name) + "' is '" + text +
                     "', but must be an IP address and a port such as 10.1.0.4:8080");
     }
@@ -40,8 +40,7 @@
 
 state::result<void> read_peers(yaml_fields fields, edge_settings& settings) {
     settings.peers.address = fields.required_text("address");
-    settings.peers.port =
-        static_cast<std::uint16_t>(fields.number("port", 0, 1, max_port));
+    settings.peers.port = static_cast<std::uint16_t>(fields.number("port", 0, 1, max_port));
     std::istringstream seeds(fields.text("seeds", ""));
     for (std::string seed; std::getline(seeds, seed, ',');) {
         settings.seeds.push_back({seed.substr(0, seed.rfind(':')), settings.peers.port});
@@ -54,8 +53,8 @@
         static_cast<std::int64_t>(fields.real("stop_s", 8, 0.5, max_stop_s) * ms_per_s));
     settings.repeat_ratio = fields.real("repeat_ratio", settings.repeat_ratio, 0, 10);
     settings.repeat_burst = fields.real("repeat_burst", settings.repeat_burst, 0, 1e6);
-    settings.repeat_window = state::milliseconds(static_cast<std::int64_t>(
-        fields.real("repeat_window_s", 10, 1, max_window_s) * ms_per_s));
+    settings.repeat_window = state::milliseconds(
+        static_cast<std::int64_t>(fields.real("repeat_window_s", 10, 1, max_window_s) * ms_per_s));
     return fields.finish();
 }
 
--- a/src/savoryrelay/protocol/settings/edge_settings.h
+++ b/src/savoryrelay/protocol/settings/edge_settings.h
@@ -21,13 +21,13 @@
     network_address peers;     ///< datagrams and table reads of other entry hosts
     network_address metrics;
     network_address store;
-    std::vector<network_address> seeds; ///< hosts to ask first; their ports are not used
-    bool is_first_start = false; ///< the whole system starts for the first time
+    std::vector<network_address> seeds;    ///< hosts to ask first; their ports are not used
+    bool is_first_start = false;           ///< the whole system starts for the first time
     state::milliseconds stop_limit{8'000}; ///< from SIGTERM until the process is killed
-    double repeat_ratio = 0.2;          ///< repeats per call that all hosts may send
-    double repeat_burst = 100;          ///< repeats beyond that in one window, for all hosts
+    double repeat_ratio = 0.2;             ///< repeats per call that all hosts may send
+    double repeat_burst = 100;             ///< repeats beyond that in one window, for all hosts
     state::milliseconds repeat_window{10'000};
-    std::uint32_t call_threads = 1;     ///< threads that serve calls
+    std::uint32_t call_threads = 1; ///< threads that serve calls
 };
 
 /// Reads and checks YAML settings. Fails with `invalid_settings`, naming the
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -56,10 +56,10 @@
     std::uint8_t part = 0;         ///< number of this datagram when the lists take several
     std::string address;           ///< IP address for peers
     std::uint16_t port = 0;
-    std::uint64_t operators_row = 0;  ///< newest version of an operators' row
-    std::uint64_t runners_row = 0;    ///< newest version of a runners' row
+    std::uint64_t operators_row = 0; ///< newest version of an operators' row
+    std::uint64_t runners_row = 0;   ///< newest version of a runners' row
     bool is_store_reachable = false;
-    bool is_controller = false; ///< holds the lease on the groups
+    bool is_controller = false;     ///< holds the lease on the groups
     std::vector<std::string> peers; ///< "address:port" of hosts that it knows
     std::vector<endpoint_load_entry> loads;
     std::vector<model_work> work;
--- a/src/savoryrelay/state/serving/serving_call.h
+++ b/src/savoryrelay/state/serving/serving_call.h
@@ -15,8 +15,8 @@
     request_id id; ///< new for each attempt of a caller
     std::string host;
     std::string path;
-    std::string key;                      ///< empty: none
-    std::optional<milliseconds> deadline; ///< how long the caller waits, from its arrival
+    std::string key;                         ///< empty: none
+    std::optional<milliseconds> deadline;    ///< how long the caller waits, from its arrival
     std::optional<std::uint64_t> last_event; ///< the stream goes on after this event
     std::string model;                       ///< empty: the call needs no model
     double prompt_tokens = 0;
@@ -27,8 +27,8 @@
 /// How the head of an endpoint's answer is to be read.
 struct answer_head {
     unsigned status = 0;
-    std::string request_id;    ///< echoed by the endpoint
-    bool is_not_run = false;   ///< the endpoint says that it has not run the request
+    std::string request_id;         ///< echoed by the endpoint
+    bool is_not_run = false;        ///< the endpoint says that it has not run the request
     bool is_other_endpoint = false; ///< another runner has the address
     bool has_receipt = false;
     bool is_event_stream = false;
--- a/src/savoryrelay/state/serving/serving_configuration.h
+++ b/src/savoryrelay/state/serving/serving_configuration.h
@@ -45,14 +45,14 @@
     std::string host;        ///< host name, without a port
     std::string path_prefix; ///< begins and ends with a slash
     call_kind kind = call_kind::non_idempotent;
-    milliseconds timeout{0};             ///< longest wait of a caller; 0: none
-    milliseconds first_answer_target{0}; ///< until the answer or its first event; 0: none
-    milliseconds event_gap_target{0};    ///< longest pause between events; 0: none
-    std::uint32_t priority = 1;          ///< 0 is the highest
-    std::uint32_t max_attempts = 1;      ///< endpoints that one call may run on
-    bool is_public = false;              ///< needs no key
-    bool is_resumable = false;           ///< a stream may go on at another endpoint
-    bool calls_model = false;            ///< calls name a model and their token counts
+    milliseconds timeout{0};                ///< longest wait of a caller; 0: none
+    milliseconds first_answer_target{0};    ///< until the answer or its first event; 0: none
+    milliseconds event_gap_target{0};       ///< longest pause between events; 0: none
+    std::uint32_t priority = 1;             ///< 0 is the highest
+    std::uint32_t max_attempts = 1;         ///< endpoints that one call may run on
+    bool is_public = false;                 ///< needs no key
+    bool is_resumable = false;              ///< a stream may go on at another endpoint
+    bool calls_model = false;               ///< calls name a model and their token counts
     std::vector<weighted_service> services; ///< at least one
 
     /// Whether a call of this route may run more than once.
--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -160,8 +160,8 @@
         return false;
     }
     char byte = 0;
-    const auto received = ::recv(m_stream.socket().native_handle(), &byte, sizeof(byte),
-                                 MSG_PEEK | MSG_DONTWAIT);
+    const auto received =
+        ::recv(m_stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -198,7 +198,7 @@
     beast::flat_buffer m_buffer;
     response_writer* m_writer = nullptr; // of the request being answered
     bool m_watching = false;             // a wait of watch_caller is pending
-    bool m_idle = false; // true only while no byte of the next request has arrived
+    bool m_idle = false;                 // true only while no byte of the next request has arrived
 };
 
 http_server::http_server(io_threads& threads, const std::string& address, std::uint16_t port,
--- a/src/savoryrelay/transport/http/short_exchange.cpp
+++ b/src/savoryrelay/transport/http/short_exchange.cpp
@@ -19,9 +19,8 @@
 
 } // namespace
 
-asio::awaitable<state::attempt<short_answer>> run_exchange(endpoint_pool& pool,
-                                                           exchange_target target,
-                                                           http_request request) {
+asio::awaitable<state::attempt<short_answer>>
+run_exchange(endpoint_pool& pool, exchange_target target, http_request request) {
     auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
     auto connection = pool.take(context, target.address, target.port);
     if (connection == nullptr) {
--- a/src/savoryrelay/transport/http/short_exchange.h
+++ b/src/savoryrelay/transport/http/short_exchange.h
@@ -30,7 +30,6 @@
 /// sends it twice. Fails with `endpoint_unreachable` when no byte has left, and
 /// with `endpoint_failed` when the request may have been carried out.
 [[nodiscard]] boost::asio::awaitable<state::attempt<short_answer>>
-run_exchange(endpoint_pool& pool, exchange_target target,
-             http_request request);
+run_exchange(endpoint_pool& pool, exchange_target target, http_request request);
 
 } // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/process/log.cpp
+++ b/src/savoryrelay/transport/process/log.cpp
@@ -61,9 +61,8 @@
         pollfd output{STDOUT_FILENO, POLLOUT, 0};
         m_is_stuck = ::poll(&output, 1, m_is_stuck ? 0 : reader_wait_ms) != 1 ||
                      (output.revents & POLLOUT) == 0;
-        return !m_is_stuck &&
-               ::write(STDOUT_FILENO, line.data(), line.size()) ==
-                   static_cast<ssize_t>(line.size());
+        return !m_is_stuck && ::write(STDOUT_FILENO, line.data(), line.size()) ==
+                                  static_cast<ssize_t>(line.size());
     }
 
     bool m_is_stuck = false;
--- a/src/savoryrelay/transport/serving/serving_codec.h
+++ b/src/savoryrelay/transport/serving/serving_codec.h
@@ -12,8 +12,8 @@
 
 /// What is added to a request on its way to an endpoint.
 struct endpoint_call {
-    state::endpoint_id endpoint;         ///< any other one must refuse the request
-    std::string customer;                ///< empty: none
+    state::endpoint_id endpoint; ///< any other one must refuse the request
+    std::string customer;        ///< empty: none
     std::optional<state::milliseconds> time_left;
     std::optional<std::uint64_t> last_event; ///< the stream goes on after this event
 };
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -96,7 +96,7 @@
     bool caller_is_gone = false;
     std::unique_ptr<endpoint_connection> connection; // of the attempt under way
     protocol::event_splitter events;
-    bool has_events = false;              // events have been sent to the caller
+    bool has_events = false;                 // events have been sent to the caller
     std::optional<std::uint64_t> last_event; // sent to the caller
     std::set<state::endpoint_id> tried;
     std::uint32_t attempts = 0;
@@ -156,7 +156,8 @@
         total += share.weight;
     }
     constexpr std::size_t steps = 10'000;
-    double place = total * static_cast<double>(std::hash<std::string>{}(call.call.id.value()) % steps) /
+    double place = total *
+                   static_cast<double>(std::hash<std::string>{}(call.call.id.value()) % steps) /
                    static_cast<double>(steps);
     std::string service = call.route->services.back().service;
     for (const auto& share : call.route->services) {
@@ -200,11 +201,8 @@
                               coordination::call_work_ms(*call.service->engine, *model, call.call));
         }
     }
-    coordination::call_progress progress(*call.route,
-                                         [&] {
-                                             return m_parts.repeats.take(call.service->name,
-                                                                         m_parts.now());
-                                         });
+    coordination::call_progress progress(
+        *call.route, [&] { return m_parts.repeats.take(call.service->name, m_parts.now()); });
     std::optional<attempt_end> failure;
     std::string reason;
     while (progress.may_try_again()) {
@@ -283,9 +281,9 @@
 asio::awaitable<std::variant<selected_endpoint, coordination::selection_failure>>
 serving_front::select_in_time(call_state& call) {
     const auto begun = m_parts.now();
-    const auto longest = std::min(
-        longest_queue, std::chrono::duration_cast<milliseconds>(call.route->first_answer_target *
-                                                                queue_target_share));
+    const auto longest =
+        std::min(longest_queue, std::chrono::duration_cast<milliseconds>(
+                                    call.route->first_answer_target * queue_target_share));
     while (true) {
         const auto now = m_parts.now();
         auto selected = m_parts.selector.select(*call.service, call.call, call.tried,
@@ -316,8 +314,7 @@
     if (call.connection == nullptr) {
         call.connection = std::make_unique<endpoint_connection>(context);
         const auto failed = co_await call.connection->connect(
-            runner.address, runner.port,
-            std::min(connect_timeout, until(call.deadline, sent_at)));
+            runner.address, runner.port, std::min(connect_timeout, until(call.deadline, sent_at)));
         if (failed) {
             avoid();
             end.outcome = attempt_outcome::not_run;
@@ -365,8 +362,7 @@
     co_return end;
 }
 
-asio::awaitable<serving_front::attempt_end>
-serving_front::take_whole_answer(call_state& call) {
+asio::awaitable<serving_front::attempt_end> serving_front::take_whole_answer(call_state& call) {
     attempt_end end;
     std::vector<char> buffer(read_buffer_bytes);
     while (true) {
@@ -385,8 +381,8 @@
     }
 }
 
-asio::awaitable<serving_front::attempt_end>
-serving_front::relay_answer(call_state& call, const selected_endpoint&) {
+asio::awaitable<serving_front::attempt_end> serving_front::relay_answer(call_state& call,
+                                                                        const selected_endpoint&) {
     // Answers to earlier requests on this connection may still come; each names
     // the request that it belongs to.
     constexpr int max_foreign_answers = 3;
@@ -451,8 +447,8 @@
                  call.route->first_answer_target) +
         first_event_margin;
     const auto gap_limit = std::max(
-        least_event_gap, std::chrono::duration_cast<milliseconds>(
-                             call.route->event_gap_target * gap_targets));
+        least_event_gap,
+        std::chrono::duration_cast<milliseconds>(call.route->event_gap_target * gap_targets));
 
     if (const auto failed = co_await call.connection->read_header(bounded(first_limit))) {
         co_return failed_with("no answer", failed);
@@ -499,8 +495,8 @@
             break;
         }
         m_parts.fleet.note_answer(chosen.runner.record.id, m_parts.now());
-        const auto taken = state::collect(
-            [&] { return call.events.append(std::string_view(buffer.data(), size)); });
+        const std::string_view received(buffer.data(), size);
+        const auto taken = state::collect([&] { return call.events.append(received); });
         if (!taken) {
             end.reason = taken.error().message();
             co_return end;
@@ -511,9 +507,8 @@
         }
         if (!is_writing) {
             is_writing = true;
-            m_parts.correction.learn(
-                call.call.model, chosen.uncorrected_first_event_ms,
-                static_cast<double>(until(m_parts.now(), sent_at).count()));
+            m_parts.correction.learn(call.call.model, chosen.uncorrected_first_event_ms,
+                                     static_cast<double>(until(m_parts.now(), sent_at).count()));
             m_parts.loads.note_first_event(chosen.runner.record.id, call.call.prompt_tokens);
         }
         if (!call.writer.started()) {
@@ -565,19 +560,19 @@
 
 void serving_front::log_end(const call_state& call) const {
     const auto now = m_parts.now();
-    log_change("call_ended",
-               {{"id", call.call.id.value()},
-                {"route", call.route == nullptr ? "" : call.route->name},
-                {"status", std::to_string(call.status)},
-                {"reason", call.reason},
-                {"endpoint", call.endpoint},
-                {"attempts", std::to_string(call.attempts)},
-                {"predicted_ms", std::to_string(static_cast<int>(call.predicted_ms))},
-                {"first_ms", call.first_byte
-                                 ? std::to_string(until(*call.first_byte, call.arrived).count())
-                                 : ""},
-                {"total_ms", std::to_string(until(now, call.arrived).count())},
-                {"configuration", std::to_string(call.configuration->version)}});
+    log_change(
+        "call_ended",
+        {{"id", call.call.id.value()},
+         {"route", call.route == nullptr ? "" : call.route->name},
+         {"status", std::to_string(call.status)},
+         {"reason", call.reason},
+         {"endpoint", call.endpoint},
+         {"attempts", std::to_string(call.attempts)},
+         {"predicted_ms", std::to_string(static_cast<int>(call.predicted_ms))},
+         {"first_ms",
+          call.first_byte ? std::to_string(until(*call.first_byte, call.arrived).count()) : ""},
+         {"total_ms", std::to_string(until(now, call.arrived).count())},
+         {"configuration", std::to_string(call.configuration->version)}});
 }
 
 } // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -50,23 +50,20 @@
 private:
     struct call_state;
     struct attempt_end;
-    struct connection_end;
 
     boost::asio::awaitable<void> serve(call_state& call);
-    boost::asio::awaitable<std::variant<coordination::selected_endpoint,
-                                        coordination::selection_failure>>
+    boost::asio::awaitable<
+        std::variant<coordination::selected_endpoint, coordination::selection_failure>>
     select_in_time(call_state& call);
     boost::asio::awaitable<attempt_end> try_endpoint(call_state& call,
                                                      const coordination::selected_endpoint& chosen);
     boost::asio::awaitable<attempt_end> relay_answer(call_state& call,
                                                      const coordination::selected_endpoint& chosen);
-    boost::asio::awaitable<attempt_end> relay_stream(call_state& call,
-                                                     const coordination::selected_endpoint& chosen,
-                                                     bool& is_writing);
+    boost::asio::awaitable<attempt_end>
+    relay_stream(call_state& call, const coordination::selected_endpoint& chosen, bool& is_writing);
     boost::asio::awaitable<attempt_end> take_whole_answer(call_state& call);
     boost::asio::awaitable<void> refuse(call_state& call, unsigned status, std::string reason,
                                         state::milliseconds come_back);
-    boost::asio::awaitable<void> give_up(call_state& call, std::string reason);
     void log_end(const call_state& call) const;
 
     serving_parts m_parts;
--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -72,9 +72,8 @@
             return status_precondition_failed;
         }
         const auto& members = order.at("members").as_array();
-        const auto place = std::find_if(members.begin(), members.end(), [&](const auto& each) {
-            return each.as_string() == m_id;
-        });
+        const auto place = std::find_if(members.begin(), members.end(),
+                                        [&](const auto& each) { return each.as_string() == m_id; });
         m_record.model = std::string(order.at("model").as_string());
         m_record.staged = {m_record.model};
         m_record.membership = state::group_membership{
@@ -117,8 +116,7 @@
             writer.abandon();
             co_return;
         }
-        const auto text =
-            "id: " + std::to_string(event) + "\ndata: " + m_id + "\n\n";
+        const auto text = "id: " + std::to_string(event) + "\ndata: " + m_id + "\n\n";
         if (co_await writer.write(text)) {
             co_return;
         }
--- a/src/standin/store_standin.cpp
+++ b/src/standin/store_standin.cpp
@@ -135,8 +135,8 @@
         const auto end = std::chrono::steady_clock::now() +
                          state::milliseconds(std::stoll(parameter("wait_ms")));
         std::size_t count = 0;
-        auto body = rows_after(parameter("table"), {}, std::stoull(parameter("after_rev")), true,
-                               &count);
+        auto body =
+            rows_after(parameter("table"), {}, std::stoull(parameter("after_rev")), true, &count);
         while (count == 0 && std::chrono::steady_clock::now() < end) {
             co_await pause_for(feed_step);
             body = rows_after(parameter("table"), {}, std::stoull(parameter("after_rev")), true,
--- a/src/standin/store_standin.h
+++ b/src/standin/store_standin.h
@@ -43,8 +43,8 @@
 
     control_switches& m_switches;
     std::mutex m_mutex;
-    std::map<row_key, row> m_rows;  // guarded by m_mutex
-    std::uint64_t m_version = 0;    // guarded by m_mutex
+    std::map<row_key, row> m_rows; // guarded by m_mutex
+    std::uint64_t m_version = 0;   // guarded by m_mutex
 };
 
 } // namespace savoryrelay::standin
--- a/tests/coordination/serving/repeat_window_test.cpp
+++ b/tests/coordination/serving/repeat_window_test.cpp
@@ -53,9 +53,8 @@
                 repeats.push_back(now);
             }
             const auto in_window = [&](const std::vector<state::time_point>& times) {
-                return static_cast<double>(
-                    std::count_if(times.begin(), times.end(),
-                                  [&](auto at) { return now - at < bound.window; }));
+                return static_cast<double>(std::count_if(
+                    times.begin(), times.end(), [&](auto at) { return now - at < bound.window; }));
             };
             RC_ASSERT(in_window(repeats) <= bound.ratio * in_window(calls) + bound.burst);
         }
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -71,8 +71,7 @@
 }
 
 TEST_CASE("an entry is decoded without its count of writes") {
-    const auto read =
-        state::collect([] { return decode_entry(state::endpoint_id("i-1"), entry); });
+    const auto read = state::collect([] { return decode_entry(state::endpoint_id("i-1"), entry); });
     REQUIRE(read);
     const auto& record = read.value();
     CHECK(record.address == "10.1.0.9");
@@ -84,16 +83,16 @@
 }
 
 TEST_CASE("an entry of another writer names no runner") {
-    for (const auto* text :
-         {"", "{}", "[1]", "\xff\xfe",
-          R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","state":"asleep"})",
-          R"({"service":"s1","address":"10.1.0.9","zone":"a","state":"ready"})",
-          R"({"service":"s1","address":"nowhere:80","zone":"a","state":"ready"})",
-          R"({"service":7,"address":"10.1.0.9:8080","zone":"a","state":"ready"})",
-          R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","state":"ready","slots":"6"})",
-          R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","state":"ready","group":{"name":"g","state":"?"}})"}) {
-        CHECK_FALSE(state::collect(
-            [&] { return decode_entry(state::endpoint_id("i-1"), text); }));
+    for (
+        const auto* text :
+        {"", "{}", "[1]", "\xff\xfe",
+         R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","state":"asleep"})",
+         R"({"service":"s1","address":"10.1.0.9","zone":"a","state":"ready"})",
+         R"({"service":"s1","address":"nowhere:80","zone":"a","state":"ready"})",
+         R"({"service":7,"address":"10.1.0.9:8080","zone":"a","state":"ready"})",
+         R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","state":"ready","slots":"6"})",
+         R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","state":"ready","group":{"name":"g","state":"?"}})"}) {
+        CHECK_FALSE(state::collect([&] { return decode_entry(state::endpoint_id("i-1"), text); }));
     }
 }
 
@@ -166,8 +165,9 @@
     order.epoch = 9;
     order.model = "m0";
     order.members = {state::endpoint_id("i-1"), state::endpoint_id("i-2")};
-    CHECK(encode_order(order) ==
-          R"({"expected_rev":4,"fencing_token":9,"operation":"join","model":"m0","members":["i-1","i-2"],"group":"g","epoch":9})");
+    CHECK(
+        encode_order(order) ==
+        R"({"expected_rev":4,"fencing_token":9,"operation":"join","model":"m0","members":["i-1","i-2"],"group":"g","epoch":9})");
     order.kind = state::runner_order_kind::close_now;
     CHECK_THAT(encode_order(order), Catch::Contains(R"("mode":"abort")"));
     CHECK(decode_order_status(202) == state::runner_order_result::accepted);
--- a/tests/process/edge_fixture.h
+++ b/tests/process/edge_fixture.h
@@ -81,13 +81,12 @@
         constexpr std::size_t first_address = 10;
         host.peer_address = "127.0.0." + std::to_string(first_address + hosts.size());
         const auto path = folder.write(
-            name + ".yaml", "host: " + name + "\navailability_zone: zone-a\ncallers: 127.0.0.1:" +
-                                host.callers + "\nreadiness: 127.0.0.1:" + host.readiness +
-                                "\nmetrics: 127.0.0.1:" + host.metrics +
-                                "\nstore: 127.0.0.1:" + store.port +
-                                "\npeers: {address: " + host.peer_address +
-                                ", port: " + peer_port +
-                                ", seeds: '" + seeds + "'}\n");
+            name + ".yaml",
+            "host: " + name + "\navailability_zone: zone-a\ncallers: 127.0.0.1:" + host.callers +
+                "\nreadiness: 127.0.0.1:" + host.readiness +
+                "\nmetrics: 127.0.0.1:" + host.metrics + "\nstore: 127.0.0.1:" + store.port +
+                "\npeers: {address: " + host.peer_address + ", port: " + peer_port + ", seeds: '" +
+                seeds + "'}\n");
         host.process = std::make_unique<child_process>(
             "savoryrelay_edge", std::vector<std::string>{"--settings=" + path});
         host.process->read_until("event=started");
@@ -96,8 +95,7 @@
     void write_row(const std::string& table, const std::string& key,
                    const std::string& json) const {
         REQUIRE(fetch(store.port, http::verb::post, "/operator",
-                      R"({"table":")" + table + R"(","key":")" + key + R"(","value":)" + json +
-                          "}")
+                      R"({"table":")" + table + R"(","key":")" + key + R"(","value":)" + json + "}")
                     .status == 200);
     }
 
@@ -111,9 +109,8 @@
 
     void write_configuration(int version, const std::string& key = "k1") const {
         const std::string number = std::to_string(version);
-        write_row(
-            "op", "config",
-            R"({"version":)" + number + R"(,"routes":[
+        write_row("op", "config",
+                  R"({"version":)" + number + R"(,"routes":[
  {"name":"ask","host":"a.example","path_prefix":"/ask/","kind":"streaming","timeout_ms":5000,
   "latency_target_ms":500,"gap_target_ms":300,"max_attempts":2,"session_affinity":true,
   "stream_resume":true,"service":"model"},
@@ -121,18 +118,19 @@
   "timeout_ms":3000,"latency_target_ms":200,"max_attempts":1,"service":"orders"},
  {"name":"look","host":"a.example","path_prefix":"/look/","kind":"idempotent",
   "timeout_ms":3000,"latency_target_ms":200,"max_attempts":2,"service":"orders"},
- {"name":"v)" + number + R"(","host":"a.example","path_prefix":"/v)" + number +
-                R"(/","kind":"idempotent","service":"orders"}],
+ {"name":"v)" + number +
+                      R"(","host":"a.example","path_prefix":"/v)" + number +
+                      R"(/","kind":"idempotent","service":"orders"}],
  "services":[{"name":"model","engine":{"slots":8,"step_ms":5,"read_per_s":46000,"chunk":2048,
   "stride":5,"loads_per_s":50,"loads_at_once":6,"usual":{"prompt":100,"answer":8},
   "models":[{"name":"gold","size":2,"share":1,"pace":1,"load_s":1,"warmup_s":1}]}},
   {"name":"orders"}],"limits":{},"tenants":[{"name":"workshop","api_keys":[")" +
-                key + R"("]}]})");
+                      key + R"("]}]})");
     }
 
     [[nodiscard]] static test_headers headers(const std::string& id, bool is_model = false) {
-        test_headers all{{"Host", "a.example"}, {"Attempt-Id", id}, {"Key", "k1"},
-                         {"Deadline-Ms", "5000"}};
+        test_headers all{
+            {"Host", "a.example"}, {"Attempt-Id", id}, {"Key", "k1"}, {"Deadline-Ms", "5000"}};
         if (is_model) {
             all.insert(all.end(), {{"Model", "gold"}, {"Token-Counts", "100,8"}});
         }
--- a/tests/process/edge_test.cpp
+++ b/tests/process/edge_test.cpp
@@ -138,8 +138,9 @@
     fixture.store.control(R"({"down":true})");
     auto& host = fixture.add_host("edge-alone");
     CHECK(fetch(host.readiness, http::verb::get, "/readiness").status == 503);
-    CHECK(fetch(host.callers, http::verb::post, "/book/1", "x", edge_fixture::headers("b"))
-              .status == 503);
+    CHECK(
+        fetch(host.callers, http::verb::post, "/book/1", "x", edge_fixture::headers("b")).status ==
+        503);
 }
 
 TEST_CASE("edge: another host takes over the groups when the lease holder is killed") {
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 TEST_CASE("a digest of any size is split into datagrams that carry all of it") {
-    for (const std::size_t entries : {0, 1, 12, 13, 40}) {
+    for (const std::size_t entries : {0U, 1U, 12U, 13U, 40U}) {
         std::size_t loads = 0;
         std::size_t sightings = 0;
         std::size_t doubts = 0;
--- a/tests/state/table_mirror_test.cpp
+++ b/tests/state/table_mirror_test.cpp
@@ -38,7 +38,8 @@
         for (std::uint64_t version = 1; version <= length; ++version) {
             const auto key = std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 4)));
             const bool is_removed = *rc::gen::arbitrary<bool>();
-            history.push_back({key, is_removed ? "" : std::to_string(version), version, is_removed});
+            history.push_back(
+                {key, is_removed ? "" : std::to_string(version), version, is_removed});
         }
         std::map<std::string, mirrored_row> truth;
         table_mirror mirror;
@@ -68,9 +69,8 @@
                 mirror.apply_image(image_at(*rc::gen::inRange<std::uint64_t>(1, length + 1)));
             } else {
                 const auto from = *rc::gen::inRange<std::size_t>(0, history.size());
-                mirror.apply_changes({history.begin() + static_cast<std::ptrdiff_t>(from),
-                                      history.end()},
-                                     length);
+                mirror.apply_changes(
+                    {history.begin() + static_cast<std::ptrdiff_t>(from), history.end()}, length);
             }
             for (const auto& row : mirror.image().rows) {
                 RC_ASSERT(row.version >= seen[row.key]);
--- a/tests/support/runner_world.h
+++ b/tests/support/runner_world.h
@@ -16,10 +16,10 @@
 
 /// What a world may do to orders and runners.
 struct world_faults {
-    double lost_orders = 0;    ///< part of the orders without an answer
-    double applied_late = 0;   ///< part of those that are carried out later
-    double crash_chance = 0;   ///< of some runner, in each step
-    double cut_chance = 0;     ///< of some runner from the lease holder, in each step
+    double lost_orders = 0;  ///< part of the orders without an answer
+    double applied_late = 0; ///< part of those that are carried out later
+    double crash_chance = 0; ///< of some runner, in each step
+    double cut_chance = 0;   ///< of some runner from the lease holder, in each step
 };
 
 class runner_world {
@@ -50,8 +50,9 @@
         state::engine_rule engine;
         engine.slots = 26;
         engine.loads_per_s = 4;
-        engine.models = {{"large", 4, 0.67, 1.0, std::chrono::seconds(4), state::milliseconds(400)},
-                         {"small", 2, 0.33, 0.6, std::chrono::seconds(3), state::milliseconds(300)}};
+        engine.models = {
+            {"large", 4, 0.67, 1.0, std::chrono::seconds(4), state::milliseconds(400)},
+            {"small", 2, 0.33, 0.6, std::chrono::seconds(3), state::milliseconds(300)}};
         service.engine = engine;
         for (std::size_t d = 0; d < domains; ++d) {
             for (std::size_t i = 0; i < runners_per_domain; ++i) {
@@ -120,15 +121,12 @@
         return true;
     }
 
-    bool chance(double part) {
-        return std::uniform_real_distribution<>(0, 1)(m_random) < part;
-    }
+    bool chance(double part) { return std::uniform_real_distribution<>(0, 1)(m_random) < part; }
 
     runner& any_runner() {
         auto place = runners.begin();
-        std::advance(place, static_cast<std::ptrdiff_t>(
-                                std::uniform_int_distribution<std::size_t>(
-                                    0, runners.size() - 1)(m_random)));
+        std::advance(place, static_cast<std::ptrdiff_t>(std::uniform_int_distribution<std::size_t>(
+                                0, runners.size() - 1)(m_random)));
         return place->second;
     }
 
@@ -204,8 +202,8 @@
         const auto& target = runners.at(order.runner);
         if (target.is_dead || now < target.cut_until || chance(m_faults.lost_orders)) {
             if (chance(m_faults.applied_late)) {
-                m_late.push_back({now + std::chrono::seconds(2 + order.expected_sequence % 7),
-                                  order});
+                m_late.push_back(
+                    {now + std::chrono::seconds(2 + order.expected_sequence % 7), order});
             }
             steering.note_result(order, state::runner_order_result::unknown, now);
             return;
@@ -226,8 +224,8 @@
         if (each.is_dead || order.expected_sequence != each.record.sequence) {
             return result::does_not_fit;
         }
-        const bool is_own = holds(each, order.group) &&
-                            each.record.membership->epoch == order.epoch;
+        const bool is_own =
+            holds(each, order.group) && each.record.membership->epoch == order.epoch;
         switch (order.kind) {
         case kind::join:
             return join(each, order);
@@ -272,13 +270,12 @@
         each.members = order.members;
         each.is_opening = false;
         each.record.model = order.model;
-        const auto place =
-            std::find(order.members.begin(), order.members.end(), each.record.id);
+        const auto place = std::find(order.members.begin(), order.members.end(), each.record.id);
         each.record.membership = state::group_membership{
-            order.group, order.epoch,
-            static_cast<std::uint32_t>(place - order.members.begin()),
+            order.group, order.epoch, static_cast<std::uint32_t>(place - order.members.begin()),
             state::membership_state::joining};
-        each.changes_at = now + state::milliseconds(each.record.has_staged(order.model) ? 200 : 900);
+        each.changes_at =
+            now + state::milliseconds(each.record.has_staged(order.model) ? 200 : 900);
         ++each.record.sequence;
         return state::runner_order_result::accepted;
     }
@@ -292,8 +289,8 @@
         for (const auto& [id, head] : runners) {
             if (!head.is_dead && head.record.is_open_head() &&
                 holds(head, each.record.membership->group)) {
-                violations.push_back(each.record.id.value() + " joined " + order.group +
-                                     " while " + head.record.membership->group + " was open");
+                violations.push_back(each.record.id.value() + " joined " + order.group + " while " +
+                                     head.record.membership->group + " was open");
             }
         }
     }
@@ -303,8 +300,7 @@
         for (const auto& id : head.members) {
             const auto& member = runners.at(id);
             const bool is_lost = member.is_dead || !holds(member, order.group);
-            if (!is_lost &&
-                member.record.membership->state == state::membership_state::joining) {
+            if (!is_lost && member.record.membership->state == state::membership_state::joining) {
                 violations.push_back(order.group + " opened before " + id.value() + " was ready");
             }
         }
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -23,9 +23,31 @@
     "protocol": ("boost/asio", "boost/beast/core", "cxxtools/net"),
 }
 
+# Spellings of the platform, which only its adapter and the stand-ins may use.
+PLATFORM_SPELLINGS = re.compile(
+    r"rows-tx|rows-get|rows-feed|Expect-Instance|Not-Executed|Token-Counts|Attempt-Id|Server-Seal|"
+    r"expected_rev\b|fencing_token"
+)
+
 INCLUDE = re.compile(r'^\s*#\s*include\s*[<"]([^>"]+)[>"]')
 
 
+def check_platform(source: pathlib.Path) -> list[str]:
+    """The library must not include the adapter, and no program may spell its names."""
+    violations = []
+    for path in sorted(p for p in source.rglob("*") if p.suffix in (".h", ".cpp")):
+        part = path.relative_to(source).parts[0]
+        if part == "standin":
+            continue
+        text = path.read_text()
+        name = path.relative_to(source)
+        if PLATFORM_SPELLINGS.search(text):
+            violations.append(f"{name}: spells a name of the platform")
+        if part == "savoryrelay" and '#include "platform/' in text:
+            violations.append(f"{name}: includes the platform's adapter")
+    return violations
+
+
 def main() -> int:
     root = pathlib.Path(__file__).resolve().parent.parent / "src" / "savoryrelay"
     violations = []
@@ -46,6 +68,7 @@
                     violations.append(f"{path.relative_to(root)}:{number}: {layer} includes {target}")
             elif target.startswith(FORBIDDEN_LIBRARIES.get(layer, ())):
                 violations.append(f"{path.relative_to(root)}:{number}: {layer} includes {target}")
+    violations += check_platform(root.parent)
     for violation in violations:
         print(violation)
     print(f"layer check: {len(files)} files, {len(violations)} violations")
