Read through: one pause, one reader of settings files, no unused switches

pause_for stood in four files and the reading of a settings file in three; the choice among groups had a switch that was always on; two fields of an answer's head and two names had no reader.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -3,10 +3,9 @@
 
 #include "savoryrelay/state/digest/digest.h"
 #include "savoryrelay/transport/process/log.h"
+#include "savoryrelay/transport/process/settings_file.h"
 
 #include <chrono>
-#include <fstream>
-#include <sstream>
 
 namespace savoryrelay::daemon {
 
@@ -25,16 +24,6 @@
     return std::chrono::steady_clock::now();
 }
 
-state::result<std::string> read_file(const std::string& path) {
-    const std::ifstream file(path);
-    if (!file) {
-        return state::fail(failure_kind::invalid_settings, "cannot read the file '" + path + "'");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 } // namespace
 
 relay_daemon::relay_daemon(protocol::daemon_settings settings, std::string incarnation)
@@ -155,7 +144,7 @@
     if (m_settings.configuration_file.empty()) {
         return {};
     }
-    BOOST_LEAF_AUTO(text, read_file(m_settings.configuration_file));
+    BOOST_LEAF_AUTO(text, transport::read_settings_file(m_settings.configuration_file));
     BOOST_LEAF_CHECK(m_membership.submit(text, 0, "configuration_file", read_clock()));
     return {};
 }
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,11 +2,11 @@
 #include "daemon.h"
 
 #include "savoryrelay/transport/process/log.h"
+#include "savoryrelay/transport/process/settings_file.h"
 
 #include <docopt.h>
 
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <random>
 #include <sstream>
@@ -34,14 +34,8 @@
 constexpr int exit_invalid_settings = 2;
 
 state::result<protocol::daemon_settings> load_settings(const std::string& path) {
-    const std::ifstream file(path);
-    if (!file) {
-        return state::fail(state::failure_kind::invalid_settings,
-                           "cannot read the file '" + path + "'");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return protocol::read_daemon_settings(text.str());
+    BOOST_LEAF_AUTO(text, transport::read_settings_file(path));
+    return protocol::read_daemon_settings(text);
 }
 
 std::string make_incarnation(const protocol::daemon_settings& settings) {
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -2,13 +2,12 @@
 #include "edge.h"
 
 #include "savoryrelay/transport/process/log.h"
+#include "savoryrelay/transport/process/settings_file.h"
 
 #include <docopt.h>
 
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
@@ -33,14 +32,8 @@
 constexpr int exit_invalid_settings = 2;
 
 state::result<protocol::edge_settings> load_settings(const std::string& path) {
-    const std::ifstream file(path);
-    if (!file) {
-        return state::fail(state::failure_kind::invalid_settings,
-                           "cannot read the file '" + path + "'");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return protocol::read_edge_settings(text.str());
+    BOOST_LEAF_AUTO(text, transport::read_settings_file(path));
+    return protocol::read_edge_settings(text);
 }
 
 } // namespace
--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -4,6 +4,7 @@
 #include "savoryrelay/protocol/serving/peer_digest_codec.h"
 #include "savoryrelay/transport/http/short_exchange.h"
 #include "savoryrelay/transport/process/log.h"
+#include "savoryrelay/transport/process/pause.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,6 +19,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using state::milliseconds;
+using transport::pause_for;
 
 namespace {
 
@@ -45,11 +47,6 @@
     return address.ip + ":" + std::to_string(address.port);
 }
 
-asio::awaitable<void> pause_for(milliseconds span) {
-    asio::steady_timer timer(co_await asio::this_coro::executor, span);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 } // namespace
 
 peer_part::peer_part(transport::io_threads& threads, platform::store_client& store,
--- a/src/edge/store_part.cpp
+++ b/src/edge/store_part.cpp
@@ -5,6 +5,7 @@
 #include "platform/runner_codec.h"
 #include "platform/wire_names.h"
 #include "savoryrelay/transport/process/log.h"
+#include "savoryrelay/transport/process/pause.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,6 +18,7 @@
 using state::milliseconds;
 using transport::log_change;
 using transport::log_warning;
+using transport::pause_for;
 
 namespace {
 
@@ -32,11 +34,6 @@
 // Failures shorter than this are no outage in which entries lapse.
 constexpr milliseconds least_outage{1'000};
 
-asio::awaitable<void> pause_for(milliseconds span) {
-    asio::steady_timer timer(co_await asio::this_coro::executor, span);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 } // namespace
 
 store_part::store_part(transport::io_threads& threads, platform::store_client& store,
--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -66,7 +66,7 @@
         }
         candidates.push_back(std::move(candidate));
     }
-    const auto choice = m_hooks.choose(engine, model, candidates, call, true);
+    const auto choice = m_hooks.choose(engine, model, candidates, call);
     if (!choice) {
         return selection_failure::all_full;
     }
--- a/src/savoryrelay/coordination/serving/group_choice.cpp
+++ b/src/savoryrelay/coordination/serving/group_choice.cpp
@@ -70,11 +70,11 @@
 std::optional<group_choice> choose_group(const state::engine_rule& engine,
                                          const state::model_rule& model,
                                          const std::vector<group_candidate>& candidates,
-                                         const state::serving_call& call, bool only_free_places) {
+                                         const state::serving_call& call) {
     std::optional<group_choice> best;
     for (const auto& candidate : candidates) {
         const auto in_flight = candidate.load.writing + candidate.load.waiting;
-        if (only_free_places && in_flight >= engine.slots) {
+        if (in_flight >= engine.slots) {
             continue;
         }
         const auto prediction = predict(engine, model, candidate, call);
--- a/src/savoryrelay/coordination/serving/group_choice.h
+++ b/src/savoryrelay/coordination/serving/group_choice.h
@@ -42,15 +42,13 @@
 };
 
 /// The candidate with the earliest predicted first event, among those with a
-/// place. Candidates without a place in their batch are left out when
-/// `only_free_places` is set.
+/// place in their batch.
 [[nodiscard]] std::optional<group_choice>
 choose_group(const state::engine_rule& engine, const state::model_rule& model,
-             const std::vector<group_candidate>& candidates, const state::serving_call& call,
-             bool only_free_places);
+             const std::vector<group_candidate>& candidates, const state::serving_call& call);
 
 using choose_group_hook = std::function<std::optional<group_choice>(
     const state::engine_rule&, const state::model_rule&, const std::vector<group_candidate>&,
-    const state::serving_call&, bool)>;
+    const state::serving_call&)>;
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/state/serving/serving_call.h
+++ b/src/savoryrelay/state/serving/serving_call.h
@@ -30,9 +30,7 @@
     std::string request_id;         ///< echoed by the endpoint
     bool is_not_run = false;        ///< the endpoint says that it has not run the request
     bool is_other_endpoint = false; ///< another runner has the address
-    bool has_receipt = false;
-    bool is_event_stream = false;
-    std::string faulty_runner; ///< a member that the answering head cannot reach
+    std::string faulty_runner;      ///< a member that the answering head cannot reach
 };
 
 } // namespace savoryrelay::state
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -3,9 +3,9 @@
 
 #include "savoryrelay/protocol/event_stream/event_splitter.h"
 #include "savoryrelay/transport/process/log.h"
+#include "savoryrelay/transport/process/pause.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -68,11 +68,6 @@
 constexpr milliseconds come_back_later{500};
 constexpr milliseconds come_back_no_configuration{300};
 
-asio::awaitable<void> pause_for(milliseconds span) {
-    asio::steady_timer timer(co_await asio::this_coro::executor, span);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 milliseconds until(state::time_point deadline, state::time_point now) {
     return std::chrono::duration_cast<milliseconds>(deadline - now);
 }
--- a/src/standin/standin_server.cpp
+++ b/src/standin/standin_server.cpp
@@ -1,10 +1,6 @@
 // The control path and the faults that every role can show.
 #include "standin_server.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace savoryrelay::standin {
 
 namespace asio = boost::asio;
@@ -26,11 +22,6 @@
 
 } // namespace
 
-asio::awaitable<void> pause_for(state::milliseconds span) {
-    asio::steady_timer timer(co_await asio::this_coro::executor, span);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 asio::awaitable<void> send_json(transport::response_writer& writer, unsigned status,
                                 std::string body) {
     auto fields = transport::content_type_field("application/json");
--- a/src/standin/standin_server.h
+++ b/src/standin/standin_server.h
@@ -5,6 +5,7 @@
 #include "standin_control.h"
 
 #include "savoryrelay/transport/http/http_server.h"
+#include "savoryrelay/transport/process/pause.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -15,8 +16,7 @@
 
 namespace savoryrelay::standin {
 
-/// Waits for `span` on the calling coroutine's thread.
-boost::asio::awaitable<void> pause_for(state::milliseconds span);
+using transport::pause_for;
 
 /// Sends a JSON answer.
 boost::asio::awaitable<void> send_json(transport::response_writer& writer, unsigned status,
--- a/tests/coordination/serving/group_choice_test.cpp
+++ b/tests/coordination/serving/group_choice_test.cpp
@@ -48,7 +48,7 @@
     const auto engine = make_engine();
     const auto& model = engine.models.front();
     const auto chosen_among = [&](std::vector<group_candidate> candidates) {
-        const auto choice = choose_group(engine, model, candidates, make_call(), true);
+        const auto choice = choose_group(engine, model, candidates, make_call());
         return choice ? choice->head.value() : std::string("none");
     };
     CHECK(chosen_among({candidate("idle", 0, 0), candidate("writing", 20, 0)}) == "idle");
