Tell other hosts of heads that have left their groups

Cause: the lease holder told the others of heads and silent runners only. Ruled out: late digests (all hosts heard the holder all the time).

Change: a runner that was a head within the last 3 s is told of, whatever it is now; a runner that refuses again is paused for twice as long, up to 4 s.

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -173,9 +173,8 @@
     }
     for (const auto& runner : *fleet) {
         const auto& record = runner.record;
-        const bool is_head = record.membership && record.membership->rank == 0;
         const bool is_vouched = !is_controller() && vouched.contains(record.id);
-        const bool is_told = is_controller() ? is_head || runner.silent_since
+        const bool is_told = is_controller() ? runner.was_head_lately(now) || runner.silent_since
                                              : is_vouched || suspects.contains(record.id);
         if (!is_told) {
             continue;
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -16,9 +16,21 @@
     runner.silent_since.reset();
     runner.reported_at.reset();
     runner.avoided_until = {};
+    runner.refusal_pause = state::milliseconds(0);
     runner.is_order_in_progress = false;
     runner.awaits_report_since.reset();
     runner.pace = 1;
+    runner.headed_at.reset();
+    runner.last_model.clear();
+}
+
+// Only a group that the runner has joined to the end has brought it its model.
+void note_model(runner_view& runner) {
+    const auto& membership = runner.record.membership;
+    if (membership && membership->state != state::membership_state::joining &&
+        !runner.record.model.empty()) {
+        runner.last_model = runner.record.model;
+    }
 }
 
 } // namespace
@@ -48,6 +60,7 @@
             runner.record.model = known.model;
             runner.record.staged = known.staged;
         }
+        note_model(runner);
     });
 }
 
@@ -91,6 +104,7 @@
         runner.record.model = report.model.value_or(runner.record.model);
         runner.record.staged = report.staged.value_or(runner.record.staged);
         runner.is_order_in_progress = report.is_order_in_progress;
+        note_model(runner);
     });
     return is_same_life;
 }
@@ -122,6 +136,7 @@
         } else {
             runner.record.membership = sighting.membership;
         }
+        note_model(runner);
     });
 }
 
@@ -153,7 +168,21 @@
 }
 
 void fleet_table::note_answer(const state::endpoint_id& id, state::time_point now) {
-    m_runners.update_existing(id, [&](runner_view& runner) { runner.answered_at = now; });
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        runner.answered_at = now;
+        runner.refusal_pause = state::milliseconds(0);
+    });
+}
+
+void fleet_table::note_refusal(const state::endpoint_id& id, state::time_point now) {
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        if (now < runner.avoided_until) {
+            return; // a call that was sent before the pause began
+        }
+        runner.refusal_pause =
+            std::clamp(2 * runner.refusal_pause, least_refusal_pause, longest_refusal_pause);
+        runner.avoided_until = now + runner.refusal_pause;
+    });
 }
 
 void fleet_table::note_vouched(const state::endpoint_id& id, state::time_point until) {
@@ -177,7 +206,12 @@
                now - *runner.unlisted_from > forget_after && now - answered > forget_after;
     });
     fleet_snapshot all;
-    m_runners.for_each([&](const auto&, const runner_view& runner) { all.push_back(runner); });
+    m_runners.change_each([&](const auto&, runner_view& runner) {
+        if (runner.record.is_head()) {
+            runner.headed_at = now;
+        }
+        all.push_back(runner);
+    });
     std::sort(all.begin(), all.end(),
               [](const auto& left, const auto& right) { return left.record.id < right.record.id; });
     m_snapshot.replace_if(std::move(all), [](const auto&, const auto&) { return true; });
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -16,6 +16,9 @@
 
 /// A runner as this host knows it.
 struct runner_view {
+    /// Entries lag behind reports by a heartbeat and the store's feed.
+    static constexpr state::milliseconds former_head_age{3'000};
+
     state::runner_record record;
     bool has_entry = false;                         ///< listed on the platform
     std::optional<state::time_point> unlisted_from; ///< when a removed entry counts as gone
@@ -24,8 +27,11 @@
     std::optional<state::time_point> silent_since;  ///< first unanswered probe after it
     std::optional<state::time_point> vouched_until; ///< another host has had answers lately
     state::time_point cold_until{};
-    state::time_point avoided_until{}; ///< calls failed here a short time ago
+    state::time_point avoided_until{};          ///< calls failed here a short time ago
+    state::milliseconds refusal_pause{0};       ///< the last one; 0 after an answer
+    std::optional<state::time_point> headed_at; ///< when it was last seen as a group's head
     bool is_order_in_progress = false;
+    std::string last_model; ///< of the last group in which it was ready in this life
     /// Since when a report is awaited that shows an accepted order.
     std::optional<state::time_point> awaits_report_since;
     bool is_effect_known = true; ///< what that order did is known without a report
@@ -37,6 +43,11 @@
     [[nodiscard]] bool is_listed(state::time_point now) const {
         return has_entry || (unlisted_from && now < *unlisted_from);
     }
+    /// A head, or one until lately. Other hosts must learn of its end too,
+    /// although its entry may say otherwise for some seconds.
+    [[nodiscard]] bool was_head_lately(state::time_point now) const {
+        return headed_at && now - *headed_at < former_head_age;
+    }
     /// May receive calls at `now`, its group and zone aside.
     [[nodiscard]] bool may_take_calls(state::time_point now) const {
         return is_listed(now) && !record.is_draining && !silent_since && now >= avoided_until;
@@ -57,6 +68,12 @@
     /// After this time a report is believed although it counts fewer orders.
     static constexpr state::milliseconds longest_report_lag{1'000};
 
+    /// A runner that says it is not the head of an open group is left alone for
+    /// this long, and for twice as long each time it says so again, because what
+    /// this host believes of it may stay wrong while it is cut off.
+    static constexpr state::milliseconds least_refusal_pause{250};
+    static constexpr state::milliseconds longest_refusal_pause{4'000};
+
     fleet_table() : m_snapshot(fleet_snapshot{}) {}
 
     /// A runner's entry as read at `now`.
@@ -77,12 +94,14 @@
     void note_answer(const state::endpoint_id& id, state::time_point now);
     /// Another host has had an answer from the runner.
     void note_vouched(const state::endpoint_id& id, state::time_point until);
+    /// The runner refused a call because it is not the one that serves it.
+    void note_refusal(const state::endpoint_id& id, state::time_point now);
     /// Keeps calls away from the runner until `until`.
     void avoid(const state::endpoint_id& id, state::time_point until);
 
     [[nodiscard]] std::optional<runner_view> find(const state::endpoint_id& id) const;
 
-    /// Rebuilds the snapshot and forgets runners that are long gone.
+    /// Rebuilds the snapshot, notes the heads, and forgets runners that are long gone.
     void refresh(state::time_point now);
     /// All runners as of the last refresh, ordered by their ids.
     [[nodiscard]] std::shared_ptr<const fleet_snapshot> snapshot() const {
--- a/src/savoryrelay/state/core/sharded_map.h
+++ b/src/savoryrelay/state/core/sharded_map.h
@@ -106,6 +106,17 @@
         }
     }
 
+    /// Runs `change(key, value)` on each entry, one shard at a time.
+    template <typename Change>
+    void change_each(Change change) {
+        for (auto& shard : m_shards) {
+            const std::scoped_lock lock(shard.mutex);
+            for (auto& [key, value] : shard.values) {
+                change(key, value);
+            }
+        }
+    }
+
     /// The number of entries, summed shard by shard.
     [[nodiscard]] std::size_t size() const {
         std::size_t total = 0;
--- a/src/savoryrelay/state/serving/runner_record.h
+++ b/src/savoryrelay/state/serving/runner_record.h
@@ -59,9 +59,11 @@
     [[nodiscard]] bool has_staged(std::string_view name) const {
         return std::find(staged.begin(), staged.end(), name) != staged.end();
     }
+    /// True when the runner is the first member of its group.
+    [[nodiscard]] bool is_head() const { return membership && membership->rank == 0; }
     /// True when the runner takes calls as the head of an open group.
     [[nodiscard]] bool is_open_head() const {
-        return membership && membership->rank == 0 && membership->state == membership_state::open;
+        return is_head() && membership->state == membership_state::open;
     }
 };
 
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -51,9 +51,6 @@
 // Part of the idle time of a kept connection that a call which may not be
 // repeated relies on; an early close by the peer would leave its outcome open.
 constexpr double idle_share_not_repeatable = 0.25;
-// A group that says it is not the one, or is full, is left alone for this long;
-// by then the controller has told of it.
-constexpr milliseconds avoid_after_refusal{250};
 // A wait that was bounded by the deadline ends a little before or after it.
 constexpr milliseconds deadline_accuracy{20};
 // A call waits for a place for this part of its target at most. A refusal costs
@@ -343,7 +340,7 @@
     }
     m_parts.loads.end(runner.id, prompt, is_writing);
     if (end.outcome == attempt_outcome::not_run && call.service->engine) {
-        m_parts.fleet.avoid(runner.id, m_parts.now() + avoid_after_refusal);
+        m_parts.fleet.note_refusal(runner.id, m_parts.now());
     }
     if (end.outcome == attempt_outcome::lost && !call.caller_is_gone) {
         avoid();
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -140,3 +140,58 @@
     CHECK(meter.all(now).at("m") == Approx(2.0).epsilon(0.05));
     CHECK(meter.all(now + work_meter::peer_work_age + 1ms).at("m") < 0.5);
 }
+
+TEST_CASE("a runner that refuses calls again and again is left alone for longer") {
+    // Found on tadyang-relay scale-1: 1,285 calls to heads that had left their groups.
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    const auto pause_after = [&](state::time_point at) {
+        fleet.note_refusal(id, at);
+        return fleet.find(id)->avoided_until - at;
+    };
+    CHECK(pause_after(start) == fleet_table::least_refusal_pause);
+    // Calls that were on their way together count once.
+    fleet.note_refusal(id, start + 10ms);
+    CHECK(fleet.find(id)->avoided_until == start + fleet_table::least_refusal_pause);
+    CHECK(pause_after(start + 1s) == 2 * fleet_table::least_refusal_pause);
+    CHECK(pause_after(start + 10s) == 4 * fleet_table::least_refusal_pause);
+    for (int i = 2; i < 10; ++i) {
+        CHECK(pause_after(start + i * 10s) <= fleet_table::longest_refusal_pause);
+    }
+    // An answer to a call ends the doubt.
+    fleet.note_answer(id, start + 200s);
+    CHECK(pause_after(start + 201s) == fleet_table::least_refusal_pause);
+}
+
+TEST_CASE("a head that has left its group is told of for some time") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    fleet.apply_report(id, report(5, 2, "g"), start);
+    fleet.refresh(start);
+    CHECK(fleet.find(id)->was_head_lately(start));
+    fleet.note_order_accepted(order(state::runner_order_kind::leave, 2), start + 10ms);
+    fleet.refresh(start + 50ms);
+    CHECK_FALSE(fleet.find(id)->record.is_head());
+    CHECK(fleet.find(id)->was_head_lately(start + 50ms));
+    CHECK_FALSE(fleet.find(id)->was_head_lately(start + runner_view::former_head_age));
+}
+
+TEST_CASE("the last model of a runner is that of the group in which it was ready") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    auto joining = report(5, 1, "g");
+    joining.model = "large";
+    joining.membership->state = state::membership_state::joining;
+    fleet.apply_report(id, joining, start);
+    CHECK(fleet.find(id)->last_model.empty());
+    auto open = joining;
+    open.membership->state = state::membership_state::open;
+    fleet.apply_report(id, open, start + 1s);
+    CHECK(fleet.find(id)->last_model == "large");
+
+    // It is kept when the runner leaves, and ends with its life.
+    fleet.apply_report(id, report(5, 2, ""), start + 2s);
+    CHECK(fleet.find(id)->last_model == "large");
+    fleet.apply_entry(entry(6), start + 3s);
+    CHECK(fleet.find(id)->last_model.empty());
+}
