Warm up spares so that they join a group at once

Cause: spares had staged one model each and joined with a warm-up of 1.6 s; a spare for the small model could not complete a large group.

A formation that loses a member is dissolved at once instead of after a second. Runners that are ready for a model count as such when weights are staged for it.

--- a/src/savoryrelay/coordination/serving/group_steering.cpp
+++ b/src/savoryrelay/coordination/serving/group_steering.cpp
@@ -159,26 +159,31 @@
 }
 
 void group_steering::advance_formations(step& work) {
+    // A member that is lost, or was taken by a rival's order, ends a formation;
+    // what there is of its group is dissolved.
+    const auto ends = [&](const formation& forming) {
+        m_closed.insert(forming.group);
+        return true;
+    };
     std::erase_if(m_formations, [&](formation& forming) {
-        // A member that is lost, or was taken by a rival's order, ends the formation.
         bool all_ready = true;
         for (const auto& id : forming.members) {
             const auto* runner = work.find(id);
             if (runner == nullptr || runner->record.born_ms != forming.lives.at(id) ||
                 !work.is_usable(*runner)) {
-                return true;
+                return ends(forming);
             }
             const auto& membership = runner->record.membership;
             const bool is_member = membership && membership->group == forming.group &&
                                    membership->epoch == forming.epoch;
             if (is_member && membership->state == membership_state::broken) {
-                return true;
+                return ends(forming);
             }
             if (!is_member) {
                 all_ready = false;
                 if (is_settled(id, work.now)) {
                     if (work.view.epoch != forming.epoch) {
-                        return true;
+                        return ends(forming);
                     }
                     const auto sent = work.orders.size();
                     order(work, *runner, runner_order_kind::join, forming.group, forming.epoch);
@@ -197,9 +202,11 @@
         if (head.record.is_open_head() && head.record.membership->group == forming.group) {
             return true;
         }
+        if (all_ready && forming.is_warm_up) {
+            return ends(forming);
+        }
         if (all_ready) {
             order(work, head, runner_order_kind::open, forming.group, forming.epoch);
-            forming.is_open_sent = true;
         }
         return false;
     });
@@ -211,6 +218,9 @@
                            [&](const formation& each) { return each.group == name; });
     };
     for (const auto& forming : m_formations) {
+        if (forming.is_warm_up) {
+            continue;
+        }
         work.balance.add_group(forming.model);
         ++work.groups_by_domain[forming.domain][forming.model];
     }
@@ -353,6 +363,7 @@
         } else {
             form_in_domain(work, entry.first);
         }
+        warm_up_spares(work, entry.first);
     }
     convert_groups(work);
     stage_second_models(work);
@@ -593,8 +604,8 @@
             empty.push_back(runner);
             continue;
         }
-        for (const auto& name : runner->record.staged) {
-            ++ready[name];
+        for (const auto& model : work.engine.models) {
+            ready[model.name] += is_ready_for(*runner, model.name) ? 1 : 0;
         }
         if (work.now - m_free_since.at(runner->record.id) >= m_settings.restage_after) {
             patient.push_back(runner);
@@ -639,7 +650,7 @@
                 [&](const std::string& staged) {
                     return work.balance.load_of(staged) < work.balance.load_of(model.name);
                 });
-            if (!runner->record.has_staged(model.name) && is_less_busy) {
+            if (!is_ready_for(*runner, model.name) && is_less_busy) {
                 others.push_back(runner);
             }
         }
@@ -654,6 +665,20 @@
     }
 }
 
+void group_steering::warm_up_spares(step& work, const state::fabric_domain_id& domain) {
+    auto& free = work.free[domain];
+    std::erase_if(free, [&](const runner_view* runner) {
+        const auto& staged = runner->record.staged;
+        const auto* model = staged.empty() ? nullptr : work.engine.find_model(staged.front());
+        if (model == nullptr || !runner->last_model.empty() ||
+            m_stagings.contains(runner->record.id)) {
+            return false;
+        }
+        start_formation(work, *model, {runner}, true);
+        return true;
+    });
+}
+
 void group_steering::stage(step& work, const runner_view& runner, const std::string& name) {
     const auto* model = work.engine.find_model(name);
     if (model == nullptr || m_stagings.contains(runner.record.id) || !may_load(work)) {
@@ -671,8 +696,10 @@
 }
 
 void group_steering::start_formation(step& work, const state::model_rule& model,
-                                     const std::vector<const runner_view*>& members) {
+                                     const std::vector<const runner_view*>& members,
+                                     bool is_warm_up) {
     formation forming;
+    forming.is_warm_up = is_warm_up;
     forming.group = "g" + std::to_string(work.view.epoch) + "-" + std::to_string(m_next_group++);
     forming.epoch = work.view.epoch;
     forming.model = model.name;
@@ -689,8 +716,10 @@
             work.orders.back().members = forming.members;
         }
     }
-    work.balance.add_group(model.name);
-    ++work.groups_by_domain[forming.domain][model.name];
+    if (!is_warm_up) {
+        work.balance.add_group(model.name);
+        ++work.groups_by_domain[forming.domain][model.name];
+    }
     m_formations.push_back(std::move(forming));
 }
 
--- a/src/savoryrelay/coordination/serving/group_steering.h
+++ b/src/savoryrelay/coordination/serving/group_steering.h
@@ -97,7 +97,9 @@
         state::fabric_domain_id domain;
         std::vector<state::endpoint_id> members;           // the first is the head
         std::map<state::endpoint_id, std::uint64_t> lives; // born_ms by member
-        bool is_open_sent = false;
+        /// One spare joins alone and leaves once it is ready, so that it can join
+        /// a group of the model at once and has room for other weights.
+        bool is_warm_up = false;
     };
     struct standing_group {
         const runner_view* head = nullptr; // null: not known
@@ -134,8 +136,9 @@
     [[nodiscard]] bool form_ready_group(step& work, const state::fabric_domain_id& domain);
     void stage_in_domain(step& work, const state::fabric_domain_id& domain);
     void stage(step& work, const runner_view& runner, const std::string& model);
+    void warm_up_spares(step& work, const state::fabric_domain_id& domain);
     void start_formation(step& work, const state::model_rule& model,
-                         const std::vector<const runner_view*>& members);
+                         const std::vector<const runner_view*>& members, bool is_warm_up = false);
     [[nodiscard]] bool may_load(const step& work);
     void order(step& work, const runner_view& runner, state::runner_order_kind kind,
                const std::string& group, std::uint64_t epoch);
