Keep weights for a restart while runners hold a second model

A successor did not know the last models of free runners and warmed them up again, which replaced them; and a runner that a conversion had moved could not go back.

Change: a second model replaces staged weights only where the domain's hosts keep as many as its groups of that model need. Spares load by joining alone before calls come, then hold the second model; members follow. A model that lacks groups is staged as well, whatever its size. Free runners' last models are told to other hosts once a second. A group counts for a conversion by its members that are ready.

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -45,6 +45,9 @@
 constexpr std::uint32_t silent_after_failures = 2;
 // Suspicions older than this are forgotten.
 constexpr milliseconds suspect_age{600};
+// The controller tells the last model of free runners this often; a successor
+// needs it within its first second.
+constexpr milliseconds free_told_interval{1'000};
 // A runner that the controller doubts is asked this often by the other hosts; an
 // answer vouches for it until a little after the next one is due.
 constexpr milliseconds doubt_interval{1'000};
@@ -171,10 +174,18 @@
             vouched.insert(id);
         }
     }
+    // Members tell the last model by their entries; of free runners the others
+    // know it from here alone.
+    const bool tells_free = now >= m_free_told_at + free_told_interval;
+    if (tells_free) {
+        m_free_told_at = now;
+    }
     for (const auto& runner : *fleet) {
         const auto& record = runner.record;
+        const bool is_free = !record.membership && !runner.last_model.empty();
         const bool is_vouched = !is_controller() && vouched.contains(record.id);
-        const bool is_told = is_controller() ? runner.was_head_lately(now) || runner.silent_since
+        const bool is_told = is_controller() ? runner.was_head_lately(now) || runner.silent_since ||
+                                                   (tells_free && is_free)
                                              : is_vouched || suspects.contains(record.id);
         if (!is_told) {
             continue;
@@ -184,7 +195,7 @@
         sighting.born_ms = record.born_ms;
         sighting.sequence = record.sequence;
         sighting.is_silent = is_controller() ? runner.silent_since.has_value() : !is_vouched;
-        sighting.model = record.model;
+        sighting.model = is_free ? runner.last_model : record.model;
         sighting.membership = record.membership.value_or(state::group_membership{});
         sighting.pace = runner.pace;
         all.push_back(std::move(sighting));
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -71,6 +71,7 @@
     coordination::lease_coordinator m_lease;
     std::map<std::string, coordination::group_steering> m_steerings; // control context only
     std::map<state::endpoint_id, poll_state> m_polls;                // control context only
+    state::time_point m_free_told_at{};                              // control context only
     transport::endpoint_pool m_pool;
     std::atomic<bool> m_is_controller{false};
     std::atomic<bool> m_is_stopping{false};
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -133,6 +133,9 @@
         runner.pace = sighting.pace;
         if (sighting.membership.group.empty()) {
             runner.record.membership.reset();
+            if (!sighting.model.empty()) {
+                runner.last_model = sighting.model;
+            }
         } else {
             runner.record.membership = sighting.membership;
         }
--- a/src/savoryrelay/coordination/serving/group_steering.cpp
+++ b/src/savoryrelay/coordination/serving/group_steering.cpp
@@ -389,16 +389,12 @@
             m_closed.contains(name)) {
             continue;
         }
-        convertible_group candidate{
-            group.head->record.id, group.head->record.model, group.members.size(), {}};
+        convertible_group candidate{group.head->record.id, group.head->record.model, {}};
         for (const auto& model : work.engine.models) {
-            const bool are_ready =
-                std::all_of(group.members.begin(), group.members.end(), [&](const auto* member) {
+            candidate.ready[model.name] = static_cast<std::size_t>(
+                std::count_if(group.members.begin(), group.members.end(), [&](const auto* member) {
                     return work.is_usable(*member) && is_ready_for(*member, model.name);
-                });
-            if (are_ready) {
-                candidate.ready_for.insert(model.name);
-            }
+                }));
         }
         stocks[group.head->record.fabric_domain].groups.push_back(std::move(candidate));
     }
@@ -420,33 +416,71 @@
 }
 
 void group_steering::stage_second_models(step& work) {
-    const auto most = work.engine.loads_at_once > m_settings.reserved_loads
-                          ? work.engine.loads_at_once - m_settings.reserved_loads
-                          : 1;
+    // The weights on the hosts of a domain, those on their way included.
+    std::map<state::fabric_domain_id, std::map<std::string, std::size_t>> held;
+    std::vector<const runner_view*> candidates;
     for (const auto& runner : *work.view.fleet) {
-        if (!work.before_traffic() && m_stagings.size() >= most) {
-            return;
+        if (runner.record.service != work.view.service->name || !work.is_usable(runner)) {
+            continue;
+        }
+        auto& in_domain = held[runner.record.fabric_domain];
+        if (const auto under_way = m_stagings.find(runner.record.id);
+            under_way != m_stagings.end()) {
+            ++in_domain[under_way->second.model];
+            continue;
         }
-        // With the model of its last group a runner needs no staged weights.
         const auto& staged = runner.record.staged;
+        for (const auto& name : staged) {
+            ++in_domain[name];
+        }
         const bool holds_other =
             std::any_of(staged.begin(), staged.end(),
                         [&](const std::string& name) { return name != runner.last_model; });
-        if (runner.record.service != work.view.service->name || !work.is_usable(runner) ||
-            runner.last_model.empty() || holds_other) {
+        if (!runner.last_model.empty() && !holds_other) {
+            candidates.push_back(&runner);
+        }
+    }
+
+    // Free runners first: they are what a group is repaired with.
+    std::stable_partition(candidates.begin(), candidates.end(),
+                          [](const auto* runner) { return !runner->record.membership; });
+    const auto most = work.engine.loads_at_once > m_settings.reserved_loads
+                          ? work.engine.loads_at_once - m_settings.reserved_loads
+                          : 1;
+    for (const auto* runner : candidates) {
+        if (!work.before_traffic() && m_stagings.size() >= most) {
+            return;
+        }
+        // A runner that starts again has only the weights on its host: those of
+        // each group in the domain must stay on some.
+        auto& in_domain = held[runner->record.fabric_domain];
+        const auto& last = runner->last_model;
+        const auto* last_model = work.engine.find_model(last);
+        const auto needed = last_model == nullptr
+                                ? 0
+                                : work.groups_by_domain[runner->record.fabric_domain][last] *
+                                      last_model->group_size;
+        if (runner->record.has_staged(last) && in_domain[last] <= needed) {
             continue;
         }
-        const auto* last = work.engine.find_model(runner.last_model);
         const state::model_rule* best = nullptr;
         for (const auto& model : work.engine.models) {
-            if (last != nullptr && model.group_size > last->group_size &&
+            const bool helps =
+                (work.before_traffic() && !runner->record.membership) ||
+                (last_model != nullptr && model.group_size > last_model->group_size) ||
+                (work.balance.is_wanted(model.name) &&
+                 work.balance.load_of(model.name) > work.balance.load_of(last));
+            if (model.name != last && helps &&
                 (best == nullptr ||
                  work.balance.load_of(model.name) > work.balance.load_of(best->name))) {
                 best = &model;
             }
         }
-        if (best != nullptr) {
-            stage(work, runner, best->name);
+        if (best != nullptr && stage(work, *runner, best->name)) {
+            if (runner->record.has_staged(last)) {
+                --in_domain[last];
+            }
+            ++in_domain[best->name];
         }
     }
 }
@@ -501,15 +535,22 @@
         }
     }
 
-    // Spares stage the models of their domain in turn.
-    std::size_t place = 0;
-    for (const auto* runner : free) {
-        if (runner->record.staged.empty() && !m_stagings.contains(runner->record.id) &&
-            !planned->second.empty()) {
-            stage(work, *runner, planned->second[place % planned->second.size()]);
+    // Spares load the model whose groups need most runners by joining one of
+    // their own; a second model follows.
+    const state::model_rule* largest = nullptr;
+    for (const auto& name : planned->second) {
+        const auto* model = work.engine.find_model(name);
+        if (largest == nullptr || model->group_size > largest->group_size) {
+            largest = model;
         }
-        ++place;
     }
+    std::erase_if(free, [&](const runner_view* runner) {
+        if (largest == nullptr || !runner->record.staged.empty()) {
+            return false;
+        }
+        start_formation(work, *largest, {runner}, true);
+        return true;
+    });
 }
 
 void group_steering::form_in_domain(step& work, const state::fabric_domain_id& domain) {
@@ -679,20 +720,21 @@
     });
 }
 
-void group_steering::stage(step& work, const runner_view& runner, const std::string& name) {
+bool group_steering::stage(step& work, const runner_view& runner, const std::string& name) {
     const auto* model = work.engine.find_model(name);
     if (model == nullptr || m_stagings.contains(runner.record.id) || !may_load(work)) {
-        return;
+        return false;
     }
     const auto sent = work.orders.size();
     order(work, runner, runner_order_kind::stage, {}, 0);
     if (work.orders.size() == sent) {
-        return;
+        return false;
     }
     work.orders.back().model = name;
     m_loads.push_back(work.now);
     m_stagings[runner.record.id] = {name, runner.record.born_ms, work.now,
                                     work.now + model->load_time * 2};
+    return true;
 }
 
 void group_steering::start_formation(step& work, const state::model_rule& model,
--- a/src/savoryrelay/coordination/serving/group_steering.h
+++ b/src/savoryrelay/coordination/serving/group_steering.h
@@ -124,8 +124,8 @@
     void plan_targets(step& work);
     /// Closes groups of a model with plenty for one that lacks them.
     void convert_groups(step& work);
-    /// Has members of small groups load a model of larger groups, which need
-    /// more runners at once; their own model they can join again without weights.
+    /// Has runners load a second model beside that of their last group, which
+    /// they can join again without weights.
     void stage_second_models(step& work);
     /// Whether a group of `model` would take runners that a busier model waits for.
     [[nodiscard]] bool is_kept_for_busier(const step& work, const state::fabric_domain_id& domain,
@@ -135,7 +135,8 @@
     void form_in_domain(step& work, const state::fabric_domain_id& domain);
     [[nodiscard]] bool form_ready_group(step& work, const state::fabric_domain_id& domain);
     void stage_in_domain(step& work, const state::fabric_domain_id& domain);
-    void stage(step& work, const runner_view& runner, const std::string& model);
+    /// False: it cannot be ordered now.
+    bool stage(step& work, const runner_view& runner, const std::string& model);
     void warm_up_spares(step& work, const state::fabric_domain_id& domain);
     void start_formation(step& work, const state::model_rule& model,
                          const std::vector<const runner_view*>& members, bool is_warm_up = false);
--- a/src/savoryrelay/coordination/serving/model_balance.cpp
+++ b/src/savoryrelay/coordination/serving/model_balance.cpp
@@ -85,10 +85,11 @@
                 if (runners >= model.group_size) {
                     break;
                 }
-                if (group.model != model.name && group.ready_for.contains(model.name) &&
+                const auto ready = group.ready.find(model.name);
+                if (group.model != model.name && ready != group.ready.end() && ready->second > 0 &&
                     balance.may_trade(group.model, closed[group.model] + 1, model.name)) {
                     ++closed[group.model];
-                    runners += group.size;
+                    runners += ready->second;
                     candidate.heads.push_back(group.head);
                 }
             }
--- a/src/savoryrelay/coordination/serving/model_balance.h
+++ b/src/savoryrelay/coordination/serving/model_balance.h
@@ -8,7 +8,6 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -52,12 +51,11 @@
     std::map<std::string, std::size_t> m_targets;
 };
 
-/// An open group whose members could serve other models without a load.
+/// An open group some of whose members could serve other models without a load.
 struct convertible_group {
     state::endpoint_id head;
     std::string model;
-    std::size_t size = 0;
-    std::set<std::string> ready_for; ///< models that every member is ready for
+    std::map<std::string, std::size_t> ready; ///< members that are ready for a model
 };
 
 /// What a fabric domain holds.
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -40,8 +40,8 @@
     endpoint_id id;
     std::uint64_t born_ms = 0;
     std::uint64_t sequence = 0;
-    bool is_silent = false; ///< does not answer
-    std::string model;
+    bool is_silent = false;      ///< does not answer
+    std::string model;           ///< of its group, or of the last one when it has none
     group_membership membership; ///< an empty group name: none
     double pace = 1;
 };
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -195,3 +195,17 @@
     fleet.apply_entry(entry(6), start + 3s);
     CHECK(fleet.find(id)->last_model.empty());
 }
+
+TEST_CASE("other hosts learn the last model of a free runner") {
+    // Found on tadyang-relay trouble-2: a successor warmed up all spares again.
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    state::runner_sighting sighting;
+    sighting.id = id;
+    sighting.born_ms = 5;
+    sighting.sequence = 2;
+    sighting.model = "small";
+    fleet.apply_sighting(sighting, start + 1s);
+    CHECK(fleet.find(id)->last_model == "small");
+    CHECK_FALSE(fleet.find(id)->record.membership);
+}
--- a/tests/coordination/serving/model_balance_test.cpp
+++ b/tests/coordination/serving/model_balance_test.cpp
@@ -29,11 +29,7 @@
 }
 
 convertible_group small_group(const char* head, bool is_ready) {
-    convertible_group group{state::endpoint_id(head), "small", 2, {"small"}};
-    if (is_ready) {
-        group.ready_for.insert("large");
-    }
-    return group;
+    return {state::endpoint_id(head), "small", {{"small", 2}, {"large", is_ready ? 2 : 0}}};
 }
 
 } // namespace
@@ -54,6 +50,17 @@
     CHECK(chosen->heads == std::vector{state::endpoint_id("b1")});
 }
 
+TEST_CASE("one member that is ready is enough where one is lacking") {
+    const auto engine = make_engine();
+    const convertible_group half{state::endpoint_id("a1"), "small", {{"small", 2}, {"large", 1}}};
+    const auto with_free = [&](std::size_t free) {
+        return std::vector<domain_stock>{{state::fabric_domain_id("a"), {{"large", free}}, {half}}};
+    };
+    const auto balance = make_balance(3, 3, 3, 8);
+    CHECK(choose_conversion(engine, balance, with_free(3)));
+    CHECK_FALSE(choose_conversion(engine, balance, with_free(2)));
+}
+
 TEST_CASE("no group is given up that its model needs as much") {
     const auto engine = make_engine();
     const std::vector<domain_stock> domains{
