Count calls by kind, endpoint, outcome and reason, with latency histograms

Gauges tell the configuration's version, the store, hosts, runners, groups by model and state, and calls in flight.

The process test that read the old counter now reads the labelled one, with the same number of calls: as strict.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -1,6 +1,8 @@
 // Joining of the parts, readiness and the graceful stop.
 #include "edge.h"
 
+#include "state_gauges.h"
+
 #include "platform/call_headers.h"
 #include "savoryrelay/transport/process/log.h"
 
@@ -97,6 +99,7 @@
         listen(m_settings.metrics,
                [this](transport::http_request,
                       transport::response_writer& writer) -> asio::awaitable<void> {
+                   set_state_gauges(m_shared, m_groups.is_controller(), read_clock());
                    const auto text = m_shared.metrics.to_prometheus();
                    co_await writer.send(
                        status_ok, transport::content_type_field("text/plain; version=0.0.4"), text);
--- /dev/null
+++ b/src/edge/state_gauges.cpp
@@ -0,0 +1,58 @@
+// Reading of the shared state into gauges.
+#include "state_gauges.h"
+
+#include <map>
+#include <string>
+#include <utility>
+
+namespace savoryrelay::edge {
+
+void set_state_gauges(shared_state& shared, bool is_controller, state::time_point now) {
+    auto& metrics = shared.metrics;
+    const auto set = [&](const std::string& name, auto value,
+                         const state::metric_labels& labels = {}) {
+        metrics.gauge_of(name, labels).set(static_cast<std::int64_t>(value));
+    };
+    set("savoryrelay_configuration_version", shared.configuration.load()->version);
+    set("savoryrelay_store_reachable", shared.is_store_reachable.load() ? 1 : 0);
+    set("savoryrelay_hosts", shared.host_count.load());
+    set("savoryrelay_controller", is_controller ? 1 : 0);
+
+    // Groups and states that were there before fall to 0.
+    std::map<std::pair<std::string, std::string>, std::int64_t> groups;
+    std::int64_t listed = 0;
+    std::int64_t silent = 0;
+    const auto fleet = shared.fleet.snapshot();
+    for (const auto& runner : *fleet) {
+        listed += runner.is_listed(now) ? 1 : 0;
+        silent += runner.silent_since ? 1 : 0;
+        if (runner.record.is_head()) {
+            ++groups[{runner.record.model,
+                      std::string(state::to_name(runner.record.membership->state))}];
+        }
+    }
+    set("savoryrelay_runners_listed", listed);
+    set("savoryrelay_runners_silent", silent);
+    for (const auto& [name, service] : shared.configuration.load()->services) {
+        if (!service.engine) {
+            continue;
+        }
+        for (const auto& model : service.engine->models) {
+            for (const auto& row : state::enum_table<state::membership_state>::rows) {
+                const std::string state_name(row.name);
+                set("savoryrelay_groups", groups[{model.name, state_name}],
+                    {{"model", model.name}, {"state", state_name}});
+            }
+        }
+    }
+    std::int64_t waiting = 0;
+    std::int64_t writing = 0;
+    for (const auto& entry : shared.loads.own()) {
+        waiting += entry.load.waiting;
+        writing += entry.load.writing;
+    }
+    set("savoryrelay_calls_waiting", waiting);
+    set("savoryrelay_calls_writing", writing);
+}
+
+} // namespace savoryrelay::edge
--- a/src/savoryrelay/state/metrics/metrics.cpp
+++ b/src/savoryrelay/state/metrics/metrics.cpp
@@ -10,7 +10,9 @@
 #include <array>
 #include <functional>
 #include <sstream>
+#include <string_view>
 #include <thread>
+#include <tuple>
 
 namespace savoryrelay::state {
 namespace {
@@ -69,51 +71,122 @@
     return {total, weighted[0] / divisor, weighted[1] / divisor, weighted[2] / divisor};
 }
 
-template <typename Metric>
-Metric& metrics::find_or_create(std::vector<named<Metric>>& rows, const std::string& name) {
+namespace {
+
+// A label's value must not end its quotes.
+std::string escaped(const std::string& value) {
+    std::string text;
+    for (const char c : value) {
+        if (c == '"' || c == '\\') {
+            text += '\\';
+        }
+        text += c == '\n' ? ' ' : c;
+    }
+    return text;
+}
+
+std::string to_text(const metric_labels& labels) {
+    std::string text;
+    for (const auto& label : labels) {
+        text += (text.empty() ? "" : ",") + label.name + "=\"" + escaped(label.value) + "\"";
+    }
+    return text;
+}
+
+// Names of a metric's rows, with its labels and one more in front.
+std::string with_labels(const std::string& name, const std::string& own,
+                        const std::string& labels) {
+    const auto all = own + (own.empty() || labels.empty() ? "" : ",") + labels;
+    return all.empty() ? name : name + "{" + all + "}";
+}
+
+// One line of type for all rows of a name, which stand together.
+class type_lines {
+public:
+    explicit type_lines(std::ostream& out) : m_out(out) {}
+    void begin(const std::string& name, std::string_view type) {
+        if (name != m_last) {
+            m_out << "# TYPE " << name << ' ' << type << '\n';
+            m_last = name;
+        }
+    }
+
+private:
+    std::ostream& m_out;
+    std::string m_last;
+};
+
+} // namespace
+
+template <typename Metric, typename Make>
+Metric& metrics::find_or_create(std::vector<named<Metric>>& rows, const std::string& name,
+                                const metric_labels& labels, Make make) {
+    const auto key = std::tuple(name, to_text(labels));
     const auto place =
-        std::lower_bound(rows.begin(), rows.end(), name,
-                         [](const auto& row, const auto& n) { return row.name < n; });
-    if (place != rows.end() && place->name == name) {
+        std::lower_bound(rows.begin(), rows.end(), key, [](const auto& row, const auto& k) {
+            return std::tie(row.name, row.labels) < k;
+        });
+    if (place != rows.end() && std::tie(place->name, place->labels) == key) {
         return *place->metric;
     }
-    return *rows.insert(place, {name, std::make_unique<Metric>()})->metric;
+    return *rows.insert(place, {name, std::get<1>(key), make()})->metric;
 }
 
-counter& metrics::counter_of(const std::string& name) {
+counter& metrics::counter_of(const std::string& name, const metric_labels& labels) {
     const std::scoped_lock lock(m_mutex);
-    return find_or_create(m_counters, name);
+    return find_or_create(m_counters, name, labels, [] { return std::make_unique<counter>(); });
 }
 
-gauge& metrics::gauge_of(const std::string& name) {
+gauge& metrics::gauge_of(const std::string& name, const metric_labels& labels) {
     const std::scoped_lock lock(m_mutex);
-    return find_or_create(m_gauges, name);
+    return find_or_create(m_gauges, name, labels, [] { return std::make_unique<gauge>(); });
 }
 
 quantiles& metrics::quantiles_of(const std::string& name) {
     const std::scoped_lock lock(m_mutex);
-    return find_or_create(m_quantiles, name);
+    return find_or_create(m_quantiles, name, {}, [] { return std::make_unique<quantiles>(); });
+}
+
+histogram& metrics::latency_of(const std::string& name, const metric_labels& labels) {
+    const std::scoped_lock lock(m_mutex);
+    return find_or_create(m_latencies, name, labels,
+                          [] { return std::make_unique<histogram>(latency_bounds_s); });
 }
 
 std::string metrics::to_prometheus() const {
     std::ostringstream out;
+    type_lines types(out);
     const std::scoped_lock lock(m_mutex);
     for (const auto& row : m_counters) {
-        out << "# TYPE " << row.name << " counter\n"
-            << row.name << ' ' << row.metric->value() << '\n';
+        types.begin(row.name, "counter");
+        out << with_labels(row.name, {}, row.labels) << ' ' << row.metric->value() << '\n';
     }
     for (const auto& row : m_gauges) {
-        out << "# TYPE " << row.name << " gauge\n"
-            << row.name << ' ' << row.metric->value() << '\n';
+        types.begin(row.name, "gauge");
+        out << with_labels(row.name, {}, row.labels) << ' ' << row.metric->value() << '\n';
     }
     for (const auto& row : m_quantiles) {
         const auto summary = row.metric->read();
-        out << "# TYPE " << row.name << " summary\n"
-            << row.name << "{quantile=\"0.5\"} " << summary.p50 << '\n'
+        types.begin(row.name, "summary");
+        out << row.name << "{quantile=\"0.5\"} " << summary.p50 << '\n'
             << row.name << "{quantile=\"0.95\"} " << summary.p95 << '\n'
             << row.name << "{quantile=\"0.99\"} " << summary.p99 << '\n'
             << row.name << "_count " << summary.count << '\n';
     }
+    for (const auto& row : m_latencies) {
+        const auto summary = row.metric->read();
+        types.begin(row.name, "histogram");
+        for (const auto& bucket : summary.buckets) {
+            std::ostringstream bound;
+            bound << "le=\"" << bucket.upper_bound << '"';
+            out << with_labels(row.name + "_bucket", bound.str(), row.labels) << ' ' << bucket.count
+                << '\n';
+        }
+        out << with_labels(row.name + "_bucket", "le=\"+Inf\"", row.labels) << ' ' << summary.count
+            << '\n'
+            << with_labels(row.name + "_sum", {}, row.labels) << ' ' << summary.sum << '\n'
+            << with_labels(row.name + "_count", {}, row.labels) << ' ' << summary.count << '\n';
+    }
     return out.str();
 }
 
--- a/src/savoryrelay/state/metrics/metrics.h
+++ b/src/savoryrelay/state/metrics/metrics.h
@@ -1,6 +1,8 @@
-// Counters and latency quantiles of one process. Names carry their unit.
+// Counters, gauges and latencies of one process. Names carry their unit.
 #pragma once
 
+#include "savoryrelay/state/metrics/histogram.h"
+
 #include <atomic>
 #include <cstdint>
 #include <memory>
@@ -56,6 +58,13 @@
     std::vector<std::unique_ptr<shard>> m_shards;
 };
 
+/// A label of a metric and its value.
+struct metric_label {
+    std::string name;
+    std::string value;
+};
+using metric_labels = std::vector<metric_label>;
+
 /// All metrics of a process by name. References stay valid for its lifetime.
 class metrics {
 public:
@@ -65,11 +74,16 @@
     metrics& operator=(const metrics&) = delete;
 
     /// The counter called `name`, created at the first call. `name` ends in `_total`.
-    counter& counter_of(const std::string& name);
-    /// The gauge called `name`.
-    gauge& gauge_of(const std::string& name);
+    counter& counter_of(const std::string& name) { return counter_of(name, {}); }
+    /// The counter of one set of label values, of which there must be few.
+    counter& counter_of(const std::string& name, const metric_labels& labels);
+    /// The gauge called `name`, of one set of label values.
+    gauge& gauge_of(const std::string& name, const metric_labels& labels = {});
     /// The quantiles called `name`, which ends in a unit, for example `_seconds`.
     quantiles& quantiles_of(const std::string& name);
+    /// The histogram called `name`, which ends in `_seconds`, of one set of label
+    /// values, with the buckets of `latency_bounds_s`.
+    histogram& latency_of(const std::string& name, const metric_labels& labels);
 
     /// All metrics in Prometheus' text format, in the order of their names.
     [[nodiscard]] std::string to_prometheus() const;
@@ -78,15 +92,19 @@
     template <typename Metric>
     struct named {
         std::string name;
+        std::string labels; // as printed, without braces
         std::unique_ptr<Metric> metric;
     };
-    template <typename Metric>
-    static Metric& find_or_create(std::vector<named<Metric>>& rows, const std::string& name);
+    /// `make` makes a metric that is not there yet.
+    template <typename Metric, typename Make>
+    static Metric& find_or_create(std::vector<named<Metric>>& rows, const std::string& name,
+                                  const metric_labels& labels, Make make);
 
     mutable std::mutex m_mutex;
     std::vector<named<counter>> m_counters;    // guarded by m_mutex, sorted by name
     std::vector<named<gauge>> m_gauges;        // guarded by m_mutex, sorted by name
     std::vector<named<quantiles>> m_quantiles; // guarded by m_mutex, sorted by name
+    std::vector<named<histogram>> m_latencies; // guarded by m_mutex, sorted by name
 };
 
 } // namespace savoryrelay::state
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -24,6 +24,7 @@
 namespace {
 
 constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_unauthorized = 401;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_server_error = 500;
@@ -65,6 +66,22 @@
 constexpr milliseconds come_back_later{500};
 constexpr milliseconds come_back_no_configuration{300};
 
+constexpr double ms_per_s = 1'000;
+
+// What a call came to, for counting.
+std::string_view outcome_of(unsigned status, std::string_view reason) {
+    if (reason == "caller_gone") {
+        return "abandoned";
+    }
+    if (reason.starts_with("stream_broken")) {
+        return "broken";
+    }
+    if (status == status_unavailable) {
+        return "refused";
+    }
+    return status >= status_bad_request ? "failed" : "delivered";
+}
+
 milliseconds until(state::time_point deadline, state::time_point now) {
     return std::chrono::duration_cast<milliseconds>(deadline - now);
 }
@@ -118,7 +135,6 @@
     call.arrived = m_parts.now();
     call.call = m_parts.codec.decode_call(call.request);
     call.configuration = m_parts.configuration();
-    m_parts.metrics.counter_of("savoryrelay_calls_total").add();
 
     while (call.configuration->version == 0 && m_parts.now() - call.arrived < start_wait) {
         co_await pause_for(queue_step);
@@ -182,7 +198,7 @@
     });
     co_await serve(call);
     writer.on_caller_gone(nullptr);
-    log_end(call);
+    note_end(call);
 }
 
 asio::awaitable<void> serving_front::serve(call_state& call) {
@@ -236,6 +252,11 @@
             }
             co_return;
         }
+        m_parts.metrics
+            .counter_of("savoryrelay_attempts_failed_total",
+                        {{"endpoint", call.service->name},
+                         {"outcome", std::string(state::to_name(end.outcome))}})
+            .add();
         log_change("attempt_failed", {{"id", call.call.id.value()},
                                       {"endpoint", call.endpoint},
                                       {"outcome", std::string(state::to_name(end.outcome))},
@@ -535,7 +556,6 @@
                                             milliseconds come_back) {
     call.status = status;
     call.reason = reason;
-    m_parts.metrics.counter_of("savoryrelay_refusals_total").add();
     auto fields = content_type_field("application/json");
     fields.push_back(m_parts.codec.request_id_field(call.call.id));
     if (come_back.count() > 0) {
@@ -546,12 +566,32 @@
         call.writer.abandon();
     }
     if (call.service == nullptr) {
-        log_end(call);
+        note_end(call);
     }
 }
 
-void serving_front::log_end(const call_state& call) const {
+void serving_front::note_end(const call_state& call) const {
     const auto now = m_parts.now();
+    const std::string kind(call.route == nullptr ? "none" : state::to_name(call.route->kind));
+    const std::string endpoint = call.service == nullptr ? "none" : call.service->name;
+    // Only the part that comes from a fixed set of words.
+    const auto reason = call.reason.substr(0, call.reason.find(':'));
+    m_parts.metrics
+        .counter_of("savoryrelay_calls_total",
+                    {{"kind", kind},
+                     {"endpoint", endpoint},
+                     {"outcome", std::string(outcome_of(call.status, call.reason))},
+                     {"reason", reason}})
+        .add();
+    const auto seconds = [&](state::time_point at) {
+        return static_cast<double>(until(at, call.arrived).count()) / ms_per_s;
+    };
+    const state::metric_labels labels{{"kind", kind}, {"endpoint", endpoint}};
+    if (call.first_byte) {
+        m_parts.metrics.latency_of("savoryrelay_first_answer_seconds", labels)
+            .record(seconds(*call.first_byte));
+    }
+    m_parts.metrics.latency_of("savoryrelay_call_seconds", labels).record(seconds(now));
     log_change(
         "call_ended",
         {{"id", call.call.id.value()},
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -64,7 +64,8 @@
     boost::asio::awaitable<attempt_end> take_whole_answer(call_state& call);
     boost::asio::awaitable<void> refuse(call_state& call, unsigned status, std::string reason,
                                         state::milliseconds come_back);
-    void log_end(const call_state& call) const;
+    /// Counts and logs a call that has ended.
+    void note_end(const call_state& call) const;
 
     serving_parts m_parts;
     endpoint_pool m_pool;
--- a/tests/process/edge_test.cpp
+++ b/tests/process/edge_test.cpp
@@ -188,5 +188,6 @@
                 404);
     }
     const auto metrics = fetch(fixture.hosts[0]->metrics, http::verb::get, "/metrics").body;
-    CHECK(metrics.find("savoryrelay_calls_total 6000") != std::string::npos);
+    CHECK(metrics.find("savoryrelay_calls_total{kind=\"none\",endpoint=\"none\","
+                       "outcome=\"failed\",reason=\"no_route\"} 6000\n") != std::string::npos);
 }
