Leave the lease to hosts with enough processor time

Change: a host with less than 0.2 of a core, by a new setting, waits 1.2 s more before it tries for the lease.

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -34,6 +34,11 @@
 // A controller whose digests have not come for this long may be gone; the
 // store's row decides.
 constexpr milliseconds controller_silence{400};
+// The lease holder asks every runner for reports and tells every host of them.
+// A host with less than this share of a core leaves the lease to others for a
+// while: at 228 runners a holder with 0.12 of a core fell behind its reports.
+constexpr double enough_processor_share = 0.2;
+constexpr milliseconds weak_host_wait{1'200};
 
 constexpr milliseconds step_interval{50};
 // A report is asked for this often, and more often while an order takes effect.
@@ -57,15 +62,20 @@
 } // namespace
 
 group_part::group_part(transport::io_threads& threads, platform::store_client& store,
-                       shared_state& shared, state::host_id host, std::uint64_t incarnation,
-                       bool is_first_start, std::function<state::time_point()> now)
-    : m_threads(threads), m_shared(shared), m_host(std::move(host)),
-      m_is_first_start(is_first_start), m_now(std::move(now)),
-      m_lease(lease_times, state::member_id(m_host.value()), incarnation,
-              {.platform = store.lease_hooks(lease_table, m_host.value()),
-               .codec = protocol::lease_text_codec(),
-               .clock = m_now},
-              shared.metrics) {}
+                       shared_state& shared, const protocol::edge_settings& settings,
+                       std::uint64_t incarnation, std::function<state::time_point()> now)
+    : m_threads(threads), m_shared(shared), m_host(settings.host),
+      m_is_first_start(settings.is_first_start),
+      m_lease_wait(controller_silence + (settings.processor_share < enough_processor_share
+                                             ? weak_host_wait
+                                             : milliseconds(0))),
+      m_now(std::move(now)), m_lease(lease_times, state::member_id(m_host.value()), incarnation,
+                                     {.platform = store.lease_hooks(lease_table, m_host.value()),
+                                      .codec = protocol::lease_text_codec(),
+                                      .clock = m_now},
+                                     shared.metrics) {
+    m_other_controller_at = m_now();
+}
 
 void group_part::start() {
     m_lease_worker.repeat(lease_tick, [this] { maintain_lease(); });
@@ -84,7 +94,7 @@
     bool other_is_alive = false;
     {
         const std::scoped_lock lock(m_mutex);
-        other_is_alive = now - m_other_controller_at < controller_silence;
+        other_is_alive = now - m_other_controller_at < m_lease_wait;
     }
     if (phase == state::lease_phase::observing && (other_is_alive || m_is_stopping)) {
         return;
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -7,6 +7,7 @@
 #include "platform/store_client.h"
 #include "savoryrelay/coordination/lease/lease_coordinator.h"
 #include "savoryrelay/coordination/serving/group_steering.h"
+#include "savoryrelay/protocol/settings/edge_settings.h"
 #include "savoryrelay/transport/http/endpoint_pool.h"
 #include "savoryrelay/transport/process/io_threads.h"
 #include "savoryrelay/transport/process/worker_thread.h"
@@ -25,7 +26,7 @@
 class group_part {
 public:
     group_part(transport::io_threads& threads, platform::store_client& store, shared_state& shared,
-               state::host_id host, std::uint64_t incarnation, bool is_first_start,
+               const protocol::edge_settings& settings, std::uint64_t incarnation,
                std::function<state::time_point()> now);
 
     void start();
@@ -67,6 +68,7 @@
     shared_state& m_shared;
     const state::host_id m_host;
     const bool m_is_first_start;
+    const state::milliseconds m_lease_wait; ///< without a holder's digest, before a try
     std::function<state::time_point()> m_now;
     coordination::lease_coordinator m_lease;
     std::map<std::string, coordination::group_steering> m_steerings; // control context only
--- a/src/savoryrelay/protocol/settings/edge_settings.cpp
+++ b/src/savoryrelay/protocol/settings/edge_settings.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint64_t max_threads = 64;
 constexpr double max_stop_s = 600;
 constexpr double max_window_s = 3'600;
+constexpr double max_processor_share = 1'024;
 constexpr double max_leave_ms = 60'000;
 constexpr double ms_per_s = 1'000;
 
@@ -77,6 +78,8 @@
     BOOST_LEAF_CHECK(read_peers(fields.mapping("peers"), settings));
     BOOST_LEAF_CHECK(read_bounds(fields.mapping("bounds"), settings));
     settings.is_first_start = fields.flag("first_start", false);
+    settings.processor_share =
+        fields.real("processor_share", settings.processor_share, 0.01, max_processor_share);
     settings.call_threads = static_cast<std::uint32_t>(
         fields.number("call_threads", settings.call_threads, 1, max_threads));
     BOOST_LEAF_CHECK(fields.finish());
--- a/src/savoryrelay/protocol/settings/edge_settings.h
+++ b/src/savoryrelay/protocol/settings/edge_settings.h
@@ -26,9 +26,10 @@
     state::milliseconds stop_limit{8'000}; ///< from SIGTERM until the process is killed
     /// How soon after a runner's notice no call may reach it any more.
     state::milliseconds leave_limit{2'000};
-    double repeat_ratio = 0.2;             ///< repeats per call that all hosts may send
-    double repeat_burst = 100;             ///< repeats beyond that in one window, for all hosts
+    double repeat_ratio = 0.2; ///< repeats per call that all hosts may send
+    double repeat_burst = 100; ///< repeats beyond that in one window, for all hosts
     state::milliseconds repeat_window{10'000};
+    double processor_share = 1;     ///< of a core, which this host may use
     std::uint32_t call_threads = 1; ///< threads that serve calls
 };
 
