Split the steering of groups and the serving front by their jobs

The steering is now one step over the standing groups (group_steering), the forming of groups (group_formation) and the loading of weights (group_staging), around one private header; the front keeps the way of a call, and the relay of answers is in answer_relay. What a call came to is an enum with a table of names. An unused struct of the selector is gone. No change of behaviour; the tests are those of before.

--- a/src/savoryrelay/coordination/serving/call_progress.h
+++ b/src/savoryrelay/coordination/serving/call_progress.h
@@ -21,8 +21,27 @@
     caller_gone, ///< the caller closed the connection
 };
 
+/// What a call came to for its caller.
+enum class call_outcome {
+    delivered, ///< it has the endpoint's whole answer
+    refused,   ///< it has not run; the caller is told when to come back
+    failed,    ///< an answer that promises nothing
+    broken,    ///< a stream that ended before its last event
+    abandoned, ///< the caller left
+};
+
 } // namespace savoryrelay::coordination
 
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::coordination::call_outcome> {
+    using o = savoryrelay::coordination::call_outcome;
+    static constexpr std::array rows{
+        enum_name<o>{o::delivered, "delivered"}, enum_name<o>{o::refused, "refused"},
+        enum_name<o>{o::failed, "failed"},       enum_name<o>{o::broken, "broken"},
+        enum_name<o>{o::abandoned, "abandoned"},
+    };
+};
+
 template <>
 struct savoryrelay::state::enum_table<savoryrelay::coordination::attempt_outcome> {
     using o = savoryrelay::coordination::attempt_outcome;
--- a/src/savoryrelay/coordination/serving/endpoint_selector.h
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -68,10 +68,6 @@
            state::time_point now);
 
 private:
-    struct candidate_set {
-        std::vector<const runner_view*> runners;
-        bool some_full = false;
-    };
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
     select_group(const state::service_rule& service, const state::model_rule& model,
                  const state::serving_call& call, const std::vector<const runner_view*>& heads,
--- a/src/savoryrelay/coordination/serving/exchange_pace.cpp
+++ b/src/savoryrelay/coordination/serving/exchange_pace.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace savoryrelay::coordination {
 namespace {
@@ -38,7 +39,7 @@
                                   std::max(base_runners_pause, scaled(leave_limit, leave_share)));
     pace.hosts_read = scaled(base_hosts_read, factor);
     pace.rounds_of_far_digests =
-        std::clamp<std::size_t>(static_cast<std::size_t>(factor + 0.5), 1, most_rounds);
+        std::clamp<std::size_t>(static_cast<std::size_t>(std::lround(factor)), 1, most_rounds);
     return pace;
 }
 
--- /dev/null
+++ b/src/savoryrelay/coordination/serving/group_steering_step.h
@@ -0,0 +1,54 @@
+// What the parts of one step of the steering share. For its sources alone.
+#pragma once
+
+#include "savoryrelay/coordination/serving/group_steering.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace savoryrelay::coordination {
+
+/// Orders rely on reports that are no older than this.
+inline constexpr state::milliseconds report_age{1'500};
+
+/// What one step has found and decided.
+struct group_steering::step {
+    const steering_view& view;
+    const state::engine_rule& engine;
+    state::time_point now;
+    std::map<std::string, standing_group> groups{};
+    std::map<state::fabric_domain_id, std::vector<const runner_view*>> free{};
+    model_balance balance{view.work};
+    std::map<state::fabric_domain_id, std::map<std::string, std::size_t>> groups_by_domain{};
+    domain_layout layout{};
+    std::size_t usable_runners = 0;
+    double all_runners = 0;
+    double silent_runners = 0;
+    std::set<state::fabric_domain_id> unclear_domains{}; // with runners that have not reported
+    std::vector<state::runner_order> orders{};
+
+    /// An order was accepted whose effect no report shows yet.
+    [[nodiscard]] static bool is_unclear(const runner_view& runner) {
+        return runner.awaits_report_since && !runner.is_effect_known;
+    }
+    [[nodiscard]] const runner_view* find(const state::endpoint_id& id) const {
+        const auto found = std::lower_bound(
+            view.fleet->begin(), view.fleet->end(), id,
+            [](const runner_view& runner, const auto& key) { return runner.record.id < key; });
+        return found == view.fleet->end() || found->record.id != id ? nullptr : &*found;
+    }
+    [[nodiscard]] bool has_fresh_report(const runner_view& runner) const {
+        return runner.reported_at && now - *runner.reported_at < report_age;
+    }
+    [[nodiscard]] bool is_usable(const runner_view& runner) const {
+        return runner.is_listed(now) && !runner.record.is_draining && !runner.silent_since &&
+               has_fresh_report(runner) &&
+               !view.zones_out_of_service.contains(runner.record.availability_zone);
+    }
+    [[nodiscard]] bool before_traffic() const { return view.is_first_start && view.work.empty(); }
+};
+
+} // namespace savoryrelay::coordination
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -1,7 +1,6 @@
-// The way of one call: route, customer, attempts, and the relay of the answer.
-#include "savoryrelay/transport/serving/serving_front.h"
+// The way of one call: route, customer, attempts, and what it came to.
+#include "savoryrelay/transport/serving/call_state.h"
 
-#include "savoryrelay/protocol/event_stream/event_splitter.h"
 #include "savoryrelay/transport/process/log.h"
 #include "savoryrelay/transport/process/pause.h"
 
@@ -16,37 +15,25 @@
 namespace savoryrelay::transport {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 using coordination::attempt_outcome;
+using coordination::call_outcome;
 using coordination::selected_endpoint;
 using state::milliseconds;
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_unauthorized = 401;
 constexpr unsigned status_not_found = 404;
-constexpr unsigned status_server_error = 500;
 constexpr unsigned status_bad_gateway = 502;
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_timeout = 504;
 
-constexpr std::size_t read_buffer_bytes = 16 * 1024;
-// Answers of plain services are read whole, so that a broken one can be repeated.
-constexpr std::size_t max_whole_answer_bytes = 16 * 1024 * 1024;
-
 // A way inside a region takes some milliseconds; a connection that is not there
 // after this time goes to an endpoint that is dead or cut off.
 constexpr milliseconds connect_timeout{250};
 constexpr milliseconds send_timeout{1'000};
 // A caller without a deadline, on a route without a time-out, waits this long.
 constexpr milliseconds default_deadline{30'000};
-// Streams: silence that is allowed beyond the predicted first event, and
-// between events, before another group is asked.
-constexpr milliseconds first_event_margin{400};
-constexpr milliseconds least_event_gap{400};
-constexpr double gap_targets = 2;
 // The endpoint is left alone for this long after it did not answer.
 constexpr milliseconds avoid_after_failure{500};
 // Part of the idle time of a kept connection that a call which may not be
@@ -68,66 +55,8 @@
 
 constexpr double ms_per_s = 1'000;
 
-// What a call came to, for counting.
-std::string_view outcome_of(unsigned status, std::string_view reason) {
-    if (reason == "caller_gone") {
-        return "abandoned";
-    }
-    if (reason.starts_with("stream_broken")) {
-        return "broken";
-    }
-    if (status == status_unavailable) {
-        return "refused";
-    }
-    return status >= status_bad_request ? "failed" : "delivered";
-}
-
-milliseconds until(state::time_point deadline, state::time_point now) {
-    return std::chrono::duration_cast<milliseconds>(deadline - now);
-}
-
 } // namespace
 
-/// One call on its way.
-struct serving_front::call_state {
-    call_state(http_request received, response_writer& answer)
-        : request(std::move(received)), writer(answer) {}
-
-    http_request request;
-    response_writer& writer;
-    state::serving_call call;
-    std::shared_ptr<const state::serving_configuration> configuration;
-    const state::route_rule* route = nullptr;
-    const state::service_rule* service = nullptr;
-    std::string customer;
-    state::time_point arrived{};
-    state::time_point deadline{};
-    bool caller_is_gone = false;
-    std::unique_ptr<endpoint_connection> connection; // of the attempt under way
-    protocol::event_splitter events;
-    bool has_events = false;                 // events have been sent to the caller
-    std::optional<std::uint64_t> last_event; // sent to the caller
-    std::set<state::endpoint_id> tried;
-    std::uint32_t attempts = 0;
-    // For the log.
-    unsigned status = 0;
-    std::string reason;
-    std::string endpoint;
-    std::optional<state::time_point> first_byte;
-    double predicted_ms = 0;
-};
-
-/// How one attempt ended.
-struct serving_front::attempt_end {
-    attempt_outcome outcome = attempt_outcome::lost;
-    bool endpoint_ended = false;
-    std::string reason;
-    // A whole answer that says failure, to be passed on when nothing better comes.
-    unsigned status = 0;
-    http_fields fields;
-    std::string body;
-};
-
 serving_front::serving_front(serving_parts parts) : m_parts(std::move(parts)) {}
 
 asio::awaitable<void> serving_front::handle(http_request request, response_writer& writer) {
@@ -216,6 +145,7 @@
     while (progress.may_try_again()) {
         const auto now = m_parts.now();
         if (call.caller_is_gone) {
+            call.outcome = call_outcome::abandoned;
             call.reason = "caller_gone";
             co_return;
         }
@@ -248,6 +178,7 @@
             end.outcome == attempt_outcome::caller_gone) {
             call.reason = state::to_name(end.outcome);
             if (end.outcome == attempt_outcome::caller_gone) {
+                call.outcome = call_outcome::abandoned;
                 call.writer.abandon();
             }
             co_return;
@@ -267,6 +198,7 @@
     }
     if (call.caller_is_gone) {
         call.writer.abandon();
+        call.outcome = call_outcome::abandoned;
         call.reason = "caller_gone";
         co_return;
     }
@@ -274,11 +206,13 @@
     // Give the truest answer that there is.
     if (call.has_events) {
         call.writer.abandon();
+        call.outcome = call_outcome::broken;
         call.reason = "stream_broken: " + reason;
         co_return;
     }
     if (failure) {
         call.status = failure->status;
+        call.outcome = call_outcome::failed;
         call.reason = "endpoint_failure";
         co_await call.writer.send(failure->status, std::move(failure->fields), failure->body);
         co_return;
@@ -375,186 +309,10 @@
     co_return end;
 }
 
-asio::awaitable<serving_front::attempt_end> serving_front::take_whole_answer(call_state& call) {
-    attempt_end end;
-    std::vector<char> buffer(read_buffer_bytes);
-    while (true) {
-        const auto [failed, size] = co_await call.connection->read_some(
-            asio::buffer(buffer), std::max(milliseconds(1), until(call.deadline, m_parts.now())));
-        if (failed || end.body.size() + size > max_whole_answer_bytes) {
-            end.reason = "answer is not whole: " + failed.message();
-            end.endpoint_ended = failed == asio::error::connection_reset;
-            co_return end;
-        }
-        if (size == 0) {
-            end.outcome = attempt_outcome::delivered;
-            co_return end;
-        }
-        end.body.append(buffer.data(), size);
-    }
-}
-
-asio::awaitable<serving_front::attempt_end> serving_front::relay_answer(call_state& call,
-                                                                        const selected_endpoint&) {
-    // Answers to earlier requests on this connection may still come; each names
-    // the request that it belongs to.
-    constexpr int max_foreign_answers = 3;
-    for (int i = 0; i <= max_foreign_answers; ++i) {
-        if (const auto failed = co_await call.connection->read_header(
-                std::max(milliseconds(1), until(call.deadline, m_parts.now())))) {
-            attempt_end end;
-            end.reason = "no answer: " + failed.message();
-            end.endpoint_ended = failed == asio::error::connection_reset;
-            co_return end;
-        }
-        const auto status = call.connection->status();
-        const auto fields = call.connection->fields();
-        const auto head = m_parts.codec.decode_answer(status, fields);
-        auto end = co_await take_whole_answer(call);
-        if (end.outcome != attempt_outcome::delivered) {
-            co_return end;
-        }
-        if (head.request_id != call.call.id.value() && !head.is_not_run) {
-            call.connection->expect_another_answer();
-            continue;
-        }
-        end.status = status;
-        end.fields = m_parts.codec.caller_fields(fields);
-        if (head.is_not_run) {
-            end.outcome = attempt_outcome::not_run;
-            end.reason = "refused with " + std::to_string(status);
-            co_return end;
-        }
-        if (status >= status_server_error) {
-            end.outcome = attempt_outcome::failed;
-            end.reason = "status " + std::to_string(status);
-            co_return end;
-        }
-        call.status = status;
-        call.first_byte = m_parts.now();
-        if (co_await call.writer.send(status, std::move(end.fields), end.body)) {
-            call.writer.abandon();
-        }
-        co_return end;
-    }
-    attempt_end end;
-    end.reason = "only answers to other requests";
-    co_return end;
-}
-
-asio::awaitable<serving_front::attempt_end>
-serving_front::relay_stream(call_state& call, const selected_endpoint& chosen, bool& is_writing) {
-    attempt_end end;
-    const auto sent_at = m_parts.now();
-    const auto failed_with = [&](std::string reason, const error_code& failed) {
-        end.reason = std::move(reason) + ": " + failed.message();
-        end.endpoint_ended = failed == asio::error::connection_reset;
-        return end;
-    };
-    const auto bounded = [&](milliseconds span) {
-        return std::clamp(span, milliseconds(1),
-                          std::max(milliseconds(1), until(call.deadline, m_parts.now())));
-    };
-    const auto first_limit =
-        std::max(milliseconds(static_cast<std::int64_t>(2 * chosen.predicted_first_event_ms)),
-                 call.route->first_answer_target) +
-        first_event_margin;
-    const auto gap_limit = std::max(
-        least_event_gap,
-        std::chrono::duration_cast<milliseconds>(call.route->event_gap_target * gap_targets));
-
-    if (const auto failed = co_await call.connection->read_header(bounded(first_limit))) {
-        co_return failed_with("no answer", failed);
-    }
-    const auto status = call.connection->status();
-    const auto fields = call.connection->fields();
-    const auto head = m_parts.codec.decode_answer(status, fields);
-    if (status != status_ok || head.request_id != call.call.id.value()) {
-        end = co_await take_whole_answer(call);
-        if (end.outcome != attempt_outcome::delivered) {
-            co_return end;
-        }
-        if (head.request_id != call.call.id.value() && !head.is_not_run) {
-            end.outcome = attempt_outcome::lost;
-            end.reason = "an answer to another request";
-            co_return end;
-        }
-        end.status = status;
-        end.fields = m_parts.codec.caller_fields(fields);
-        end.outcome = head.is_not_run ? attempt_outcome::not_run : attempt_outcome::failed;
-        end.reason = "status " + std::to_string(status);
-        if (end.outcome == attempt_outcome::not_run && !head.faulty_runner.empty()) {
-            m_parts.note_suspect(state::endpoint_id(head.faulty_runner));
-        }
-        co_return end;
-    }
-
-    // Relay whole events as they come. The head is sent with the first of them,
-    // so that until then another endpoint's answer can take its place.
-    call.events.resume();
-    std::vector<char> buffer(read_buffer_bytes);
-    while (true) {
-        const auto limit = is_writing ? gap_limit : first_limit;
-        const auto [failed, size] =
-            co_await call.connection->read_some(asio::buffer(buffer), bounded(limit));
-        if (failed) {
-            co_return failed_with(is_writing ? "stream broke off" : "no event", failed);
-        }
-        if (size == 0) {
-            if (call.events.has_partial_event()) {
-                end.reason = "the last event is not whole";
-                co_return end;
-            }
-            break;
-        }
-        m_parts.fleet.note_answer(chosen.runner.record.id, m_parts.now());
-        const std::string_view received(buffer.data(), size);
-        const auto taken = state::collect([&] { return call.events.append(received); });
-        if (!taken) {
-            end.reason = taken.error().message();
-            co_return end;
-        }
-        const auto ready = call.events.take();
-        if (ready.empty()) {
-            continue;
-        }
-        if (!is_writing) {
-            is_writing = true;
-            m_parts.correction.learn(call.call.model, chosen.uncorrected_first_event_ms,
-                                     static_cast<double>(until(m_parts.now(), sent_at).count()));
-            m_parts.loads.note_first_event(chosen.runner.record.id, call.call.prompt_tokens);
-        }
-        if (!call.writer.started()) {
-            call.status = status;
-            call.first_byte = m_parts.now();
-            if (co_await call.writer.start(status, m_parts.codec.caller_fields(fields))) {
-                call.caller_is_gone = true;
-                co_return end;
-            }
-        }
-        call.has_events = true;
-        if (call.events.next_token() > 0) {
-            call.last_event = call.events.next_token() - 1;
-        }
-        if (co_await call.writer.write(ready)) {
-            call.caller_is_gone = true;
-            co_return end;
-        }
-    }
-    if (!call.writer.started()) {
-        call.status = status;
-        co_await call.writer.start(status, m_parts.codec.caller_fields(fields));
-    }
-    if (co_await call.writer.finish()) {
-        call.writer.abandon();
-    }
-    end.outcome = attempt_outcome::delivered;
-    co_return end;
-}
-
 asio::awaitable<void> serving_front::refuse(call_state& call, unsigned status, std::string reason,
                                             milliseconds come_back) {
     call.status = status;
+    call.outcome = status == status_unavailable ? call_outcome::refused : call_outcome::failed;
     call.reason = reason;
     auto fields = content_type_field("application/json");
     fields.push_back(m_parts.codec.request_id_field(call.call.id));
@@ -580,7 +338,7 @@
         .counter_of("savoryrelay_calls_total",
                     {{"kind", kind},
                      {"endpoint", endpoint},
-                     {"outcome", std::string(outcome_of(call.status, call.reason))},
+                     {"outcome", std::string(state::to_name(call.outcome))},
                      {"reason", reason}})
         .add();
     const auto seconds = [&](state::time_point at) {
