--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -10,6 +10,8 @@
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
+#include <random>
+#include <thread>
 
 namespace savoryrelay::edge {
 
@@ -46,11 +48,24 @@
                                           .count());
 }
 
+// Returns a source of random numbers for each thread.
+coordination::random_hook make_random(std::uint64_t seed) {
+    return [seed] {
+        thread_local std::mt19937_64 engine(
+            seed ^ std::hash<std::thread::id>{}(std::this_thread::get_id()));
+        return engine();
+    };
+}
+
 } // namespace
 
 edge_host::edge_host(protocol::edge_settings settings)
     : m_settings(std::move(settings)), m_incarnation(make_incarnation()),
-      m_shared({m_settings.repeat_ratio, m_settings.repeat_burst, m_settings.repeat_window},
+      m_shared({m_settings.host.value(),
+                {m_settings.peers.address, m_settings.peers.port},
+                m_settings.availability_zone,
+                m_settings.processor_share},
+               {m_settings.repeat_ratio, m_settings.repeat_burst, m_settings.repeat_window},
                m_settings.leave_limit),
       m_threads(1 + m_settings.call_threads),
       m_store(m_threads, {m_settings.store.address, m_settings.store.port}),
@@ -58,9 +73,11 @@
       m_groups(m_threads, m_store, m_shared, m_settings, m_incarnation, read_clock),
       m_peers(m_threads, m_store, m_shared, m_tables, m_groups, m_settings, m_incarnation,
               read_clock),
-      m_selector(m_shared.fleet, m_shared.loads, m_shared.correction, m_settings.availability_zone,
+      m_selector(m_shared.fleet, m_shared.loads, m_shared.correction, m_shared.own_host,
                  {.zones_out_of_service = [this] { return m_shared.zones_out_of_service.load(); },
-                  .host_count = [this] { return m_shared.host_count.load(); }}),
+                  .host_count = [this] { return m_shared.host_count.load(); },
+                  .host_hashes = [this] { return m_shared.hosts.name_hashes(); },
+                  .random = make_random(m_incarnation)}),
       m_front({m_shared.fleet, m_shared.loads, m_selector, m_shared.correction, m_shared.repeats,
                m_shared.metrics, platform::make_serving_codec(),
                [this] { return m_shared.configuration.load(); },
--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -34,11 +34,12 @@
 // A controller that has sent no digest for this long may have stopped. The lease row in
 // the store decides.
 constexpr milliseconds controller_silence{400};
-// The lease holder requests reports from every runner and sends them to every host. A
-// host with less than this share of a core waits longer before it tries to take the lease:
-// with 228 runners, a holder with 0.12 of a core could not keep up with the reports.
+// The lease holder requests reports from every runner and sends observations to every hub.
+// A host with less than this share of a core waits longer before it tries to take the
+// lease: with 228 runners, a holder with 0.12 of a core could not keep up with the reports.
+// So does a host that learns of the controller only through its hub, and there are many.
 constexpr double min_processor_share = 0.2;
-constexpr milliseconds low_processor_delay{1'200};
+constexpr milliseconds successor_delay{3'000};
 
 constexpr milliseconds step_interval{50};
 // Interval of the report requests to a runner, and the shorter interval while an order
@@ -70,10 +71,7 @@
                        shared_state& shared, const protocol::edge_settings& settings,
                        std::uint64_t incarnation, std::function<state::time_point()> now)
     : m_threads(threads), m_shared(shared), m_host(settings.host),
-      m_is_first_start(settings.is_first_start),
-      m_takeover_delay(controller_silence + (settings.processor_share < min_processor_share
-                                                 ? low_processor_delay
-                                                 : milliseconds(0))),
+      m_is_first_start(settings.is_first_start), m_processor_share(settings.processor_share),
       m_now(std::move(now)), m_lease(lease_times, state::member_id(m_host.value()), incarnation,
                                      {.platform = store.lease_hooks(lease_table, m_host.value()),
                                       .codec = protocol::lease_text_codec(),
@@ -93,13 +91,19 @@
     m_lease_worker.stop();
 }
 
+milliseconds group_part::takeover_delay() const {
+    const bool is_first =
+        m_processor_share >= min_processor_share && m_shared.is_store_reader.load();
+    return controller_silence + (is_first ? milliseconds(0) : successor_delay);
+}
+
 void group_part::maintain_lease() {
     const auto now = m_now();
     const auto phase = m_lease.phase(groups_lease, now);
     bool controller_is_alive = false;
     {
         const std::scoped_lock lock(m_mutex);
-        controller_is_alive = now - m_controller_digest_at < m_takeover_delay;
+        controller_is_alive = now - m_controller_digest_at < takeover_delay();
     }
     if (phase == state::lease_phase::observing && (controller_is_alive || m_is_stopping)) {
         return;
@@ -117,9 +121,17 @@
     }
 }
 
-void group_part::note_controller_digest(state::time_point now) {
+void group_part::note_controller_digest(state::time_point at) {
+    const std::scoped_lock lock(m_mutex);
+    m_controller_digest_at = std::max(m_controller_digest_at, at);
+}
+
+milliseconds group_part::controller_age(state::time_point now) {
+    if (is_controller()) {
+        return milliseconds(0);
+    }
     const std::scoped_lock lock(m_mutex);
-    m_controller_digest_at = now;
+    return std::chrono::duration_cast<milliseconds>(now - m_controller_digest_at);
 }
 
 void group_part::report_suspect(const state::endpoint_id& runner) {
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -35,8 +35,10 @@
 
     /// Returns whether this host holds the lease.
     [[nodiscard]] bool is_controller() const { return m_is_controller.load(); }
-    /// Records that a digest of the lease holder arrived.
-    void note_controller_digest(state::time_point now);
+    /// Records that a digest of the lease holder arrived at `at`, here or at the hub.
+    void note_controller_digest(state::time_point at);
+    /// Returns the time since the last digest of the lease holder; 0 if this host holds it.
+    [[nodiscard]] state::milliseconds controller_age(state::time_point now);
     /// Records that a host got no answer from the runner, and makes its next report request
     /// due immediately.
     void report_suspect(const state::endpoint_id& runner);
@@ -60,6 +62,9 @@
     };
 
     void maintain_lease();
+    /// Returns the time without a controller's digest after which this host tries to take
+    /// the lease.
+    [[nodiscard]] state::milliseconds takeover_delay() const;
     boost::asio::awaitable<void> run_steps();
     void plan_orders(state::time_point now);
     void poll_due_runners(state::time_point now);
@@ -71,8 +76,7 @@
     shared_state& m_shared;
     const state::host_id m_host;
     const bool m_is_first_start;
-    /// Time without a controller's digest after which this host tries to take the lease.
-    const state::milliseconds m_takeover_delay;
+    const double m_processor_share;
     std::function<state::time_point()> m_now;
     coordination::lease_coordinator m_lease;
     std::map<std::string, coordination::group_reconciler> m_reconcilers; // control context only
--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -1,4 +1,4 @@
-// Sends and receives digests, and fetches tables from peers.
+// Sends and receives digests, and copies tables from peers.
 #include "peer_part.h"
 
 #include "savoryrelay/protocol/serving/peer_digest_codec.h"
@@ -12,41 +12,42 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <array>
 #include <charconv>
 
 namespace savoryrelay::edge {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
+using coordination::shared_table;
+using coordination::to_text;
+using state::digest_scope;
 using state::milliseconds;
+using state::peer_digest;
 using transport::pause_for;
 
 namespace {
 
 constexpr auto hosts_table = "savoryrelay_hosts";
-constexpr auto operators_path = "/tables/operators";
-constexpr auto runners_path = "/tables/runners";
+// A table is requested as "/tables/NAME" or, for its changes after a version, as
+// "/tables/NAME?after=VERSION".
+constexpr std::string_view tables_path = "/tables/";
+constexpr std::string_view after_parameter = "?after=";
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 
 constexpr milliseconds digest_interval{100};
-// A host that has been silent for this long gets only every tenth digest.
-constexpr milliseconds peer_silence{3'000};
-constexpr std::uint64_t silent_peer_rounds = 10;
-// The limits of the whole fleet are divided among the hosts that sent a digest within this
-// time.
-constexpr milliseconds counted_peer_max_age{30'000};
+// All hosts of a fleet start within a third of a second. The second read of the table of
+// hosts finds all of them.
+constexpr milliseconds second_hosts_read_delay{2'500};
+constexpr milliseconds hosts_read_interval{5'000};
 constexpr milliseconds hosts_retry_interval{500};
-// Interval of the check for a peer whose operators' table is newer, and interval at which
-// the runners' table is fetched from a peer while the store does not answer.
-constexpr milliseconds fetch_interval{150};
-constexpr milliseconds runners_fetch_interval{600};
+// Interval of the check for a peer whose tables are newer, and interval at which the
+// runners' table is copied.
+constexpr milliseconds copy_interval{150};
+constexpr milliseconds runners_copy_interval{450};
 constexpr milliseconds fetch_timeout{600};
 
-std::string to_text(const state::member_address& address) {
-    return address.ip + ":" + std::to_string(address.port);
-}
-
 } // namespace
 
 peer_part::peer_part(transport::io_threads& threads, platform::store_client& store,
@@ -54,11 +55,21 @@
                      const protocol::edge_settings& settings, std::uint64_t incarnation,
                      std::function<state::time_point()> now)
     : m_threads(threads), m_store(store), m_shared(shared), m_tables(tables), m_groups(groups),
-      m_settings(settings), m_incarnation(incarnation), m_now(std::move(now)) {}
+      m_settings(settings), m_incarnation(incarnation), m_now(std::move(now)),
+      m_directory(shared.hosts),
+      m_exchange(
+          shared.hosts,
+          {.describe = [this](peer_digest& digest, state::time_point at) { describe(digest, at); },
+           .loads = [this](digest_scope scope,
+                           state::time_point at) { return m_shared.loads.report(scope, at); },
+           .work = [this](digest_scope scope,
+                          state::time_point at) { return m_shared.work.report(scope, at); },
+           .observations = [this](state::time_point at) { return m_groups.observations(at); },
+           .runners_to_confirm = [this] { return m_groups.runners_to_confirm(); }}) {}
 
 void peer_part::start() {
     for (const auto& seed : m_settings.seeds) {
-        add_address(seed.address + ":" + std::to_string(seed.port));
+        m_directory.add({"", {seed.address, seed.port}, {}, 0});
     }
     const auto& local = m_settings.peers;
     m_server = std::make_unique<transport::http_server>(
@@ -71,103 +82,52 @@
         transport::datagram_hooks{[this](std::string_view datagram) { receive(datagram); }});
     asio::co_spawn(m_threads.context(0), exchange_digests(), asio::detached);
     asio::co_spawn(m_threads.context(0), sync_hosts_table(), asio::detached);
-    asio::co_spawn(m_threads.context(0), fetch_missing_tables(), asio::detached);
+    asio::co_spawn(m_threads.context(0), copy_tables(), asio::detached);
 }
 
 void peer_part::stop() {
     m_endpoint.reset();
 }
 
-void peer_part::add_address(const std::string& address_and_port) {
-    const auto colon = address_and_port.rfind(':');
-    std::uint16_t port = 0;
-    if (colon != std::string::npos) {
-        std::from_chars(address_and_port.data() + colon + 1,
-                        address_and_port.data() + address_and_port.size(), port);
-    }
-    const auto own = to_text({m_settings.peers.address, m_settings.peers.port});
-    if (port == 0 || address_and_port == own) {
-        return;
-    }
-    const std::scoped_lock lock(m_mutex);
-    m_peers[address_and_port].address = {address_and_port.substr(0, colon), port};
-}
-
 asio::awaitable<void> peer_part::exchange_digests() {
     asio::steady_timer timer(co_await asio::this_coro::executor);
     while (!m_shared.is_stopping) {
         const auto now = m_now();
-        send_digests(now);
         update_host_count(now);
+        send_digests(now);
         timer.expires_after(digest_interval);
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
 
 void peer_part::update_host_count(state::time_point now) {
-    std::size_t active = 1;
-    {
-        const std::scoped_lock lock(m_mutex);
-        for (const auto& [key, peer] : m_peers) {
-            active +=
-                peer.last_digest_at && now - *peer.last_digest_at < counted_peer_max_age ? 1 : 0;
-        }
-    }
-    const auto count = std::max(active, m_listed_hosts);
+    const auto count = std::max(m_directory.host_count(now), m_listed_hosts);
     m_shared.host_count = count;
     m_shared.repeats.set_hosts(count);
 }
 
-void peer_part::send_digests(state::time_point now) {
-    ++m_round;
-    state::peer_digest digest;
-    digest.host = m_settings.host.value();
+void peer_part::describe(peer_digest& digest, state::time_point now) {
+    digest.host = m_shared.own_host;
     digest.incarnation = m_incarnation;
-    digest.address = m_settings.peers.address;
-    digest.port = m_settings.peers.port;
-    digest.availability_zone = m_settings.availability_zone;
     digest.operators_version = m_shared.operators.newest_row_version();
     digest.runners_version = m_shared.runners.newest_row_version();
-    digest.is_store_reachable = m_shared.is_store_reachable;
+    digest.tables_age = m_tables.age(now);
+    digest.return_grace = m_tables.return_grace(now);
     digest.is_controller = m_groups.is_controller();
-    digest.loads = m_shared.loads.own();
-    digest.work = m_shared.work.own(now);
-    digest.observations = m_groups.observations(now);
-    digest.runners_to_confirm = m_groups.runners_to_confirm();
+    digest.controller_age = m_groups.controller_age(now);
+}
 
-    const std::uint64_t rounds_per_remote_digest = m_shared.intervals().rounds_per_remote_digest;
-    std::vector<state::member_address> receivers;
-    {
-        const std::scoped_lock lock(m_mutex);
-        const auto size = m_peers.size();
-        std::size_t index = 0;
-        for (const auto& [key, peer] : m_peers) {
-            const bool is_silent =
-                !peer.last_digest_at || now - *peer.last_digest_at > peer_silence;
-            // Each digest lists a few of the known peers, different ones in each round, so that
-            // all hosts learn of each other.
-            if (!is_silent && (index++ + m_round) % std::max<std::size_t>(1, size / 2) == 0 &&
-                digest.peers.size() < 3) {
-                digest.peers.push_back(key);
-            }
-            // All hosts get each digest of the controller, because a takeover of the lease
-            // depends on them.
-            const bool gets_every_round =
-                digest.is_controller || peer.availability_zone == m_settings.availability_zone;
-            const auto rounds = is_silent          ? silent_peer_rounds
-                                : gets_every_round ? 1
-                                                   : rounds_per_remote_digest;
-            if (m_round % rounds == 0) {
-                receivers.push_back(peer.address);
+void peer_part::send_digests(state::time_point now) {
+    const auto outgoing = m_exchange.next_round(now);
+    m_shared.is_store_reader = m_exchange.is_store_reader() && m_knows_hosts;
+    for (const auto& [digest, receivers] : outgoing) {
+        for (const auto& part : protocol::split_digest(digest)) {
+            const auto datagram = protocol::encode_digest(part);
+            for (const auto& receiver : receivers) {
+                m_endpoint->send(receiver, datagram);
             }
         }
     }
-    for (const auto& part : protocol::split_digest(digest)) {
-        const auto datagram = protocol::encode_digest(part);
-        for (const auto& receiver : receivers) {
-            m_endpoint->send(receiver, datagram);
-        }
-    }
 }
 
 void peer_part::receive(std::string_view datagram) {
@@ -177,117 +137,137 @@
         return;
     }
     const auto& digest = decoded.value();
-    if (digest.host == m_settings.host.value()) {
-        return;
-    }
     const auto now = m_now();
-    const auto key = to_text({digest.address, digest.port});
-    {
-        const std::scoped_lock lock(m_mutex);
-        auto& peer = m_peers[key];
-        if (digest.incarnation < peer.incarnation) {
-            return;
-        }
-        peer.address = {digest.address, digest.port};
-        peer.incarnation = digest.incarnation;
-        peer.availability_zone = digest.availability_zone;
-        peer.last_digest_at = now;
-        peer.operators_version = digest.operators_version;
-        peer.is_store_reachable = digest.is_store_reachable;
+    const auto received = m_exchange.receive(digest, now);
+    if (!received.is_accepted) {
+        return;
     }
-    for (const auto& address : digest.peers) {
-        add_address(address);
+    const std::string copy(received.forward_to.empty() ? std::string_view() : datagram);
+    for (const auto& receiver : received.forward_to) {
+        m_endpoint->send(receiver, copy);
     }
     if (digest.is_controller) {
         m_groups.note_controller_digest(now);
+    } else if (digest.scope == digest_scope::fleet) {
+        m_groups.note_controller_digest(now - digest.controller_age);
     }
-    if (digest.part == state::peer_digest::observations_only) {
-        for (const auto& observation : digest.observations) {
-            if (digest.is_controller) {
-                m_shared.fleet.apply_observation(observation, now);
-            } else if (m_groups.is_controller()) {
-                m_groups.apply_peer_observation(observation, now);
-            }
-        }
-        return;
+    if (digest.scope == digest_scope::hub || digest.scope == digest_scope::fleet) {
+        m_tables.note_return_grace(digest.return_grace, now);
     }
+    apply_observations(digest, now);
     if (digest.is_controller) {
         m_groups.poll_runners_to_confirm(digest.runners_to_confirm);
     }
-    m_shared.loads.apply_peer(digest.host + "/" + std::to_string(digest.part), digest.loads, now);
-    if (digest.part == 0) {
-        m_shared.work.apply_peer(digest.host, digest.work, now);
+    if (received.is_load_source) {
+        m_shared.loads.apply_peer(digest.host.name + "/" + std::to_string(digest.part),
+                                  digest.scope, digest.loads, now);
+        if (digest.part == 0) {
+            m_shared.work.apply_peer(digest.host.name, digest.scope, digest.work, now);
+        }
     }
 }
 
-asio::awaitable<void> peer_part::sync_hosts_table() {
-    const auto own = to_text({m_settings.peers.address, m_settings.peers.port});
-    bool is_written = false;
-    while (!m_shared.is_stopping) {
-        if (!is_written) {
-            const auto written =
-                co_await m_store.put_row(hosts_table, m_settings.host.value(), own);
-            is_written = written.has_value();
+void peer_part::apply_observations(const peer_digest& digest, state::time_point now) {
+    const bool is_controller = m_groups.is_controller();
+    for (const auto& observation : digest.observations) {
+        if (digest.is_controller) {
+            m_shared.fleet.apply_observation(observation, now);
+        } else if (is_controller) {
+            m_groups.apply_peer_observation(observation, now);
         }
-        const auto hosts = co_await m_store.read_table(hosts_table);
-        if (hosts) {
-            m_listed_hosts = hosts.value().rows.size();
-            for (const auto& row : hosts.value().rows) {
-                add_address(row.value);
-            }
+    }
+}
+
+asio::awaitable<bool> peer_part::read_hosts_table() {
+    const auto hosts = co_await m_store.read_table(hosts_table);
+    if (!hosts) {
+        co_return false;
+    }
+    m_listed_hosts = hosts.value().rows.size();
+    m_knows_hosts = true;
+    for (const auto& row : hosts.value().rows) {
+        const auto host =
+            state::collect([&] { return protocol::decode_host_row(row.key, row.value); });
+        if (host) {
+            m_directory.add(host.value());
+        } else {
+            m_shared.metrics.counter_of("savoryrelay_host_rows_damaged_total").add();
         }
-        co_await pause_for(is_written && hosts && m_listed_hosts > 1
-                               ? m_shared.intervals().hosts_read_interval
-                               : hosts_retry_interval);
     }
+    co_return true;
+}
+
+asio::awaitable<void> peer_part::sync_hosts_table() {
+    const auto own = protocol::encode_host_row(m_shared.own_host);
+    while (!(co_await m_store.put_row(hosts_table, m_settings.host.value(), own)).has_value()) {
+        m_knows_hosts = true; // as far as it can be known without the store
+        co_await pause_for(hosts_retry_interval);
+    }
+    while (!co_await read_hosts_table()) {
+        m_knows_hosts = true;
+        co_await pause_for(hosts_retry_interval);
+    }
+    co_await pause_for(second_hosts_read_delay);
+    while (!m_shared.is_stopping) {
+        // Members learn of further hosts from their hub.
+        const bool must_read = m_shared.is_store_reader || !m_directory.hears_hub(m_now());
+        const bool is_read = must_read && co_await read_hosts_table();
+        co_await pause_for(is_read || !must_read ? hosts_read_interval : hosts_retry_interval);
+    }
+}
+
+state::table_mirror& peer_part::mirror_of(shared_table table) {
+    return table == shared_table::operators ? m_shared.operators : m_shared.runners;
 }
 
-asio::awaitable<void> peer_part::fetch_missing_tables() {
+asio::awaitable<void> peer_part::copy_tables() {
+    state::time_point operators_fetched_at{};
     state::time_point runners_fetched_at{};
     while (!m_shared.is_stopping) {
-        co_await pause_for(fetch_interval);
-        const auto now = m_now();
-        std::optional<state::member_address> peer_with_newer_table;
-        std::optional<state::member_address> peer_with_store;
-        {
-            const std::scoped_lock lock(m_mutex);
-            const auto own = m_shared.operators.newest_row_version();
-            for (const auto& [key, peer] : m_peers) {
-                if (!peer.last_digest_at || now - *peer.last_digest_at > peer_silence) {
-                    continue;
-                }
-                if (peer.operators_version > own) {
-                    peer_with_newer_table = peer.address;
-                }
-                if (peer.is_store_reachable) {
-                    peer_with_store = peer.address;
-                }
-            }
-        }
-        if (peer_with_newer_table) {
-            co_await fetch_table(*peer_with_newer_table, operators_path, m_shared.operators, true);
+        co_await pause_for(copy_interval);
+        const bool has_operators =
+            co_await copy_table(shared_table::operators, m_shared.operators, operators_fetched_at);
+        if (m_tables.follows_store() && m_shared.is_store_reachable) {
+            continue;
         }
-        const bool must_fetch_runners =
-            !m_shared.is_store_reachable && now - runners_fetched_at >= runners_fetch_interval;
-        if (must_fetch_runners && peer_with_store) {
-            runners_fetched_at = now;
-            co_await fetch_table(*peer_with_store, runners_path, m_shared.runners, false);
-        } else if (must_fetch_runners && peer_with_newer_table &&
-                   m_shared.runners.newest_row_version() == 0) {
-            runners_fetched_at = now;
-            co_await fetch_table(*peer_with_newer_table, runners_path, m_shared.runners, false);
+        const bool has_runners =
+            co_await copy_table(shared_table::runners, m_shared.runners, runners_fetched_at);
+        const auto source = m_directory.best_source(shared_table::runners, m_now());
+        if (has_operators && has_runners && source && m_shared.operators.synced_version() > 0 &&
+            m_shared.runners.synced_version() > 0) {
+            m_tables.note_current(source->current_at);
         }
     }
 }
 
-asio::awaitable<bool> peer_part::fetch_table(state::member_address from, std::string path,
-                                             state::table_mirror& mirror, bool is_operators_table) {
+asio::awaitable<bool> peer_part::copy_table(shared_table table, state::table_mirror& mirror,
+                                            state::time_point& fetched_at) {
+    const auto now = m_now();
+    const auto source = m_directory.best_source(table, now);
+    if (!source) {
+        co_return false;
+    }
+    if (source->version <= mirror.synced_version()) {
+        co_return true;
+    }
+    if (table == shared_table::runners && now - fetched_at < runners_copy_interval) {
+        co_return true; // the copy is no older than the interval
+    }
+    fetched_at = now;
+    co_return co_await fetch_table(source->address, table, mirror);
+}
+
+asio::awaitable<bool> peer_part::fetch_table(state::member_address from, shared_table table,
+                                             state::table_mirror& mirror) {
+    const auto path = std::string(tables_path) + std::string(state::to_name(table)) +
+                      std::string(after_parameter) + std::to_string(mirror.synced_version());
     transport::http_request request{http::verb::get, path, 11};
     request.set(http::field::host, from.ip);
     // A named variable, because g++ 12 destroys a braced temporary in a co_await twice.
     const transport::exchange_target target{from.ip, from.port, fetch_timeout, fetch_timeout};
     const auto answer = co_await transport::run_exchange(m_pool, target, std::move(request));
     if (!answer || answer.value().status != status_ok) {
+        m_shared.metrics.counter_of("savoryrelay_peer_table_failures_total").add();
         co_return false;
     }
     const auto image = state::collect([&] { return protocol::decode_table(answer.value().body); });
@@ -295,13 +275,14 @@
         transport::log_warning("peer_table_damaged", {{"detail", image.error().message()}});
         co_return false;
     }
+    const bool was_empty = mirror.synced_version() == 0;
     const auto changed = mirror.apply_image(image.value());
-    if (is_operators_table) {
+    if (table == shared_table::operators) {
         m_tables.apply_operators(changed);
     } else {
         m_tables.apply_runners(changed);
     }
-    if (!changed.empty()) {
+    if (was_empty && !changed.empty()) {
         transport::log_info(
             "table_from_peer",
             {{"peer", from.ip}, {"path", path}, {"changes", std::to_string(changed.size())}});
@@ -311,13 +292,24 @@
 
 asio::awaitable<void> peer_part::answer_table(transport::http_request request,
                                               transport::response_writer& writer) {
-    const auto path = std::string(request.target());
-    const bool is_known = path == operators_path || path == runners_path;
-    const auto body = path == operators_path ? protocol::encode_table(m_shared.operators.image())
-                      : path == runners_path ? protocol::encode_table(m_shared.runners.image())
-                                             : std::string{};
+    const std::string_view target(request.target().data(), request.target().size());
+    const auto query = target.find(after_parameter);
+    const auto path = target.substr(0, query);
+    std::uint64_t after = 0;
+    if (query != std::string_view::npos) {
+        const auto text = target.substr(query + after_parameter.size());
+        std::from_chars(text.data(), text.data() + text.size(), after);
+    }
+    std::optional<std::string> body;
+    for (const auto table : {shared_table::operators, shared_table::runners}) {
+        if (path.starts_with(tables_path) &&
+            path.substr(tables_path.size()) == state::to_name(table)) {
+            body = protocol::encode_table(mirror_of(table).changes_since(after));
+        }
+    }
     auto fields = transport::content_type_field("application/octet-stream");
-    co_await writer.send(is_known ? status_ok : status_not_found, std::move(fields), body);
+    co_await writer.send(body ? status_ok : status_not_found, std::move(fields),
+                         body.value_or(std::string{}));
 }
 
 } // namespace savoryrelay::edge
--- a/src/edge/peer_part.h
+++ b/src/edge/peer_part.h
@@ -1,19 +1,18 @@
 // The exchange between entry hosts: digests as datagrams several times a second, and
-// whole tables over HTTP for a host that cannot reach the store or has an older table.
+// tables and their changes over HTTP for hosts that do not follow the store themselves.
 #pragma once
 
 #include "group_part.h"
 #include "shared_state.h"
 #include "store_part.h"
 
+#include "savoryrelay/coordination/exchange/digest_exchange.h"
 #include "savoryrelay/protocol/settings/edge_settings.h"
 #include "savoryrelay/transport/datagram/datagram_endpoint.h"
 #include "savoryrelay/transport/http/endpoint_pool.h"
 #include "savoryrelay/transport/http/http_server.h"
 
-#include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 
 namespace savoryrelay::edge {
@@ -30,26 +29,24 @@
     void stop();
 
 private:
-    struct known_host {
-        state::member_address address;
-        state::availability_zone_id availability_zone; ///< empty until the first digest
-        std::uint64_t incarnation = 0;
-        std::optional<state::time_point> last_digest_at;
-        std::uint64_t operators_version = 0;
-        bool is_store_reachable = false;
-    };
-
     void receive(std::string_view datagram);
+    void apply_observations(const state::peer_digest& digest, state::time_point now);
     void send_digests(state::time_point now);
-    void add_address(const std::string& address_and_port);
+    void describe(state::peer_digest& digest, state::time_point now);
     boost::asio::awaitable<void> exchange_digests();
     boost::asio::awaitable<void> sync_hosts_table();
-    boost::asio::awaitable<void> fetch_missing_tables();
-    boost::asio::awaitable<bool> fetch_table(state::member_address from, std::string path,
-                                             state::table_mirror& mirror, bool is_operators_table);
+    boost::asio::awaitable<bool> read_hosts_table();
+    boost::asio::awaitable<void> copy_tables();
+    boost::asio::awaitable<bool> copy_table(coordination::shared_table table,
+                                            state::table_mirror& mirror,
+                                            state::time_point& fetched_at);
+    boost::asio::awaitable<bool> fetch_table(state::member_address from,
+                                             coordination::shared_table table,
+                                             state::table_mirror& mirror);
     boost::asio::awaitable<void> answer_table(transport::http_request request,
                                               transport::response_writer& writer);
     void update_host_count(state::time_point now);
+    [[nodiscard]] state::table_mirror& mirror_of(coordination::shared_table table);
 
     transport::io_threads& m_threads;
     platform::store_client& m_store;
@@ -60,13 +57,14 @@
     const std::uint64_t m_incarnation;
     std::function<state::time_point()> m_now;
     transport::endpoint_pool m_pool;
+    coordination::host_directory& m_directory;
+    coordination::digest_exchange m_exchange;
     std::unique_ptr<transport::http_server> m_server;
     std::unique_ptr<transport::datagram_endpoint> m_endpoint;
     std::size_t m_listed_hosts = 0; // control context only
-    std::uint64_t m_round = 0;      // control context only
-
-    std::mutex m_mutex;
-    std::map<std::string, known_host> m_peers; // by "address:port"; guarded by m_mutex
+    // The table of hosts was read, or the store cannot be reached; control context only.
+    bool m_knows_hosts = false;
+    std::uint64_t m_round = 0; // control context only
 };
 
 } // namespace savoryrelay::edge
--- a/src/edge/shared_state.h
+++ b/src/edge/shared_state.h
@@ -1,7 +1,7 @@
 // The shared state of an entry host. Each member does its own locking.
 #pragma once
 
-#include "savoryrelay/coordination/serving/exchange_intervals.h"
+#include "savoryrelay/coordination/exchange/host_directory.h"
 #include "savoryrelay/coordination/serving/fleet_table.h"
 #include "savoryrelay/coordination/serving/load_tracker.h"
 #include "savoryrelay/coordination/serving/prediction_correction.h"
@@ -21,17 +21,15 @@
 
 /// The state that the parts of an entry host share.
 struct shared_state {
-    shared_state(coordination::repeat_limit repeat_limit, state::milliseconds limit)
-        : repeats(repeat_limit), leave_limit(limit) {}
-
-    /// Returns the intervals of the exchange for the current number of hosts.
-    [[nodiscard]] coordination::exchange_intervals intervals() const {
-        return coordination::exchange_intervals_for(host_count, leave_limit);
-    }
+    shared_state(const state::host_entry& host, coordination::repeat_limit repeat_limit,
+                 state::milliseconds limit)
+        : own_host(host), hosts(host), repeats(repeat_limit), leave_limit(limit) {}
 
+    const state::host_entry own_host;
     state::metrics metrics;
-    state::table_mirror operators; ///< the operators' table
-    state::table_mirror runners;   ///< the runners' entries
+    coordination::host_directory hosts; ///< the other entry hosts
+    state::table_mirror operators;      ///< the operators' table
+    state::table_mirror runners;        ///< the runners' entries
     state::snapshot_cell<state::serving_configuration> configuration{
         state::serving_configuration{}};
     state::snapshot_cell<std::set<state::availability_zone_id>> zones_out_of_service{
@@ -45,6 +43,8 @@
     const state::milliseconds leave_limit;
     std::atomic<bool> is_stopping{false};
     std::atomic<bool> is_store_reachable{false};
+    /// This host follows the tables of the store for the hosts of its zone.
+    std::atomic<bool> is_store_reader{false};
     /// Number of entry hosts, this one included, among which the limits of the whole fleet
     /// are divided.
     std::atomic<std::size_t> host_count{1};
--- a/src/edge/store_part.cpp
+++ b/src/edge/store_part.cpp
@@ -4,6 +4,7 @@
 #include "platform/configuration_codec.h"
 #include "platform/runner_codec.h"
 #include "platform/wire_names.h"
+#include "savoryrelay/state/digest/digest.h"
 #include "savoryrelay/transport/process/log.h"
 #include "savoryrelay/transport/process/pause.h"
 
@@ -22,40 +23,76 @@
 
 namespace {
 
-// Time that one call to the runners' feed waits for a change. A call that returns without
-// a change shows that the connection works.
+// Time that one call to a feed waits for a change. A call that returns without a change
+// shows that the connection works.
+constexpr milliseconds operators_feed_wait{2'000};
 constexpr milliseconds runners_feed_wait{2'000};
+// The pause lets one read return several changes.
+constexpr milliseconds runners_feed_pause{450};
 constexpr milliseconds retry_pause{250};
 // Entries that lapsed during an outage return within about two seconds of its end, as the
 // platform specifies.
-constexpr milliseconds return_grace{2'200};
+constexpr milliseconds return_grace_after_outage{2'200};
 // Entries do not lapse during an outage shorter than this.
 constexpr milliseconds min_outage{1'000};
+// A host whose copies come from its hub reads the store for itself when they are older
+// than this, plus a part of `max_age_spread` by its name.
+constexpr milliseconds max_copy_age{3'000};
+constexpr milliseconds max_age_spread{2'000};
+// Time until a host that has just started reads the store for itself, if no hub passes
+// it the tables.
+constexpr milliseconds first_read_delay{500};
+// A host that is no hub pauses for this long after a failed call, because its hub tells
+// it when the store is back.
+constexpr milliseconds member_retry_pause{2'000};
+constexpr milliseconds follow_check_interval{200};
 
 } // namespace
 
 store_part::store_part(transport::io_threads& threads, platform::store_client& store,
                        shared_state& shared, std::function<state::time_point()> now)
-    : m_threads(threads), m_store(store), m_shared(shared), m_now(std::move(now)) {}
+    : m_threads(threads), m_store(store), m_shared(shared), m_now(std::move(now)),
+      m_max_age(max_copy_age + milliseconds(static_cast<std::int64_t>(
+                                   state::stable_hash(shared.own_host.name) %
+                                   static_cast<std::uint64_t>(max_age_spread.count())))) {
+    m_current_at = m_now() - max_copy_age + first_read_delay;
+}
 
 void store_part::start() {
     asio::co_spawn(m_threads.context(0),
-                   follow(
-                       std::string(platform::wire::operators_table), m_shared.operators,
-                       [this] {
-                           return feed_times{m_shared.intervals().operators_feed_wait, {}};
-                       },
-                       &store_part::apply_operators),
+                   follow(std::string(platform::wire::operators_table), m_shared.operators,
+                          {operators_feed_wait, {}}, &store_part::apply_operators),
+                   asio::detached);
+    asio::co_spawn(m_threads.context(0),
+                   follow(std::string(platform::wire::runners_table), m_shared.runners,
+                          {runners_feed_wait, runners_feed_pause}, &store_part::apply_runners),
                    asio::detached);
-    asio::co_spawn(
-        m_threads.context(0),
-        follow(
-            std::string(platform::wire::runners_table), m_shared.runners,
-            [this] {
-                return feed_times{runners_feed_wait, m_shared.intervals().runners_feed_pause};
-            },
-            &store_part::apply_runners),
-        asio::detached);
+}
+
+bool store_part::follows_store() const {
+    return m_shared.is_store_reader || age(m_now()) > m_max_age;
+}
+
+void store_part::note_current(state::time_point at) {
+    if (at > m_current_at.load()) {
+        m_current_at = at;
+    }
+}
+
+void store_part::note_return_grace(milliseconds left, state::time_point now) {
+    if (left.count() > 0 && now + left > m_grace_end.load()) {
+        m_grace_end = now + left;
+    }
+}
+
+milliseconds store_part::age(state::time_point now) const {
+    return std::max(milliseconds(0),
+                    std::chrono::duration_cast<milliseconds>(now - m_current_at.load()));
+}
+
+milliseconds store_part::return_grace(state::time_point now) const {
+    return std::max(milliseconds(0),
+                    std::chrono::duration_cast<milliseconds>(m_grace_end.load() - now));
 }
 
 void store_part::note_store_call(bool succeeded, const std::string& detail) {
@@ -68,10 +105,11 @@
         }
         return;
     }
+    m_current_at = now;
     if (m_failing_since) {
         const auto outage = now - *m_failing_since;
         if (outage >= min_outage) {
-            m_recovered_at = now;
+            note_return_grace(return_grace_after_outage, now);
         }
         log_info("store_regained",
                  {{"after_ms",
@@ -81,25 +119,33 @@
 }
 
 asio::awaitable<void> store_part::follow(std::string table, state::table_mirror& mirror,
-                                         std::function<feed_times()> times,
-                                         apply_rows_hook apply_rows) {
+                                         feed_times times, apply_rows_hook apply_rows) {
     bool must_read_all = true;
+    const auto pause_after_failure = [this] {
+        return m_shared.is_store_reader ? retry_pause : member_retry_pause;
+    };
     while (true) {
+        if (!follows_store()) {
+            // The copies from the hub have all changes up to the mirror's version.
+            must_read_all = mirror.synced_version() == 0;
+            co_await pause_for(follow_check_interval);
+            continue;
+        }
         if (must_read_all) {
             const auto image = co_await m_store.read_table(table);
             note_store_call(image.has_value(), image ? "" : image.error().message());
             if (!image) {
-                co_await pause_for(retry_pause);
+                co_await pause_for(pause_after_failure());
                 continue;
             }
             (this->*apply_rows)(mirror.apply_image(image.value()));
             must_read_all = false;
         }
-        const auto [wait, pause] = times();
-        const auto feed = co_await m_store.wait_for_changes(table, mirror.synced_version(), wait);
+        const auto feed =
+            co_await m_store.wait_for_changes(table, mirror.synced_version(), times.wait);
         note_store_call(feed.has_value(), feed ? "" : feed.error().message());
         if (!feed) {
-            co_await pause_for(retry_pause);
+            co_await pause_for(pause_after_failure());
             continue;
         }
         if (feed.value().history_expired) {
@@ -108,8 +154,8 @@
             continue;
         }
         (this->*apply_rows)(mirror.apply_changes(feed.value().changes, feed.value().version));
-        if (pause.count() > 0) {
-            co_await pause_for(pause);
+        if (times.pause.count() > 0) {
+            co_await pause_for(times.pause);
         }
     }
 }
@@ -150,7 +196,7 @@
 
 void store_part::apply_runners(const std::vector<state::mirrored_row>& changed) {
     const auto now = m_now();
-    const auto grace_end = m_recovered_at + return_grace;
+    const auto grace_end = m_grace_end.load();
     for (const auto& row : changed) {
         const state::endpoint_id id(row.key);
         if (row.is_removed) {
--- a/src/edge/store_part.h
+++ b/src/edge/store_part.h
@@ -6,6 +6,7 @@
 #include "platform/store_client.h"
 #include "savoryrelay/transport/process/io_threads.h"
 
+#include <atomic>
 #include <functional>
 #include <optional>
 #include <string>
@@ -13,8 +14,9 @@
 
 namespace savoryrelay::edge {
 
-/// Follows the operators' table and the runners' entries. Its coroutines run
-/// on the control context.
+/// Follows the operators' table and the runners' entries. One host of each zone reads them
+/// from the store; the other hosts do so only while the copies that they get from their hub
+/// are outdated. Its coroutines run on the control context.
 class store_part {
 public:
     store_part(transport::io_threads& threads, platform::store_client& store, shared_state& shared,
@@ -27,6 +29,17 @@
     void apply_operators(const std::vector<state::mirrored_row>& changed);
     void apply_runners(const std::vector<state::mirrored_row>& changed);
 
+    /// Returns whether this host reads the tables from the store.
+    [[nodiscard]] bool follows_store() const;
+    /// Records that the copies were current at `at`, according to a peer.
+    void note_current(state::time_point at);
+    /// Records that a peer expects entries to return for another `left`.
+    void note_return_grace(state::milliseconds left, state::time_point now);
+    /// Returns the time since the copies were known to be current.
+    [[nodiscard]] state::milliseconds age(state::time_point now) const;
+    /// Returns the time left in which lapsed entries may return.
+    [[nodiscard]] state::milliseconds return_grace(state::time_point now) const;
+
 private:
     struct feed_times {
         state::milliseconds wait{};  ///< duration of a call without a change
@@ -35,8 +48,7 @@
     using apply_rows_hook = void (store_part::*)(const std::vector<state::mirrored_row>&);
 
     boost::asio::awaitable<void> follow(std::string table, state::table_mirror& mirror,
-                                        std::function<feed_times()> times,
-                                        apply_rows_hook apply_rows);
+                                        feed_times times, apply_rows_hook apply_rows);
     void note_store_call(bool succeeded, const std::string& detail);
 
     transport::io_threads& m_threads;
@@ -44,7 +56,12 @@
     shared_state& m_shared;
     std::function<state::time_point()> m_now;
     std::optional<state::time_point> m_failing_since; // control context only
-    state::time_point m_recovered_at{};               // control context only
+    /// Longest age of the copies of a host that does not follow the store. Differs between
+    /// hosts, so that they do not all turn to the store at once.
+    const state::milliseconds m_max_age;
+    // Written by the control context and by the thread that receives digests.
+    std::atomic<state::time_point> m_current_at{state::time_point{}};
+    std::atomic<state::time_point> m_grace_end{state::time_point{}};
 };
 
 } // namespace savoryrelay::edge
--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -1,6 +1,9 @@
 // Filters the endpoints that can take a call, then chooses among them by load.
 #include "savoryrelay/coordination/serving/endpoint_selector.h"
 
+#include "savoryrelay/coordination/serving/cold_limit.h"
+#include "savoryrelay/state/digest/digest.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -9,7 +12,9 @@
 
 // Assumed round trip to another zone; zones are some milliseconds apart.
 constexpr double zone_round_trip_ms = 8;
-constexpr std::chrono::seconds cold_window{1};
+// The limit of a cold endpoint counts the calls that arrive within a second. The window is
+// longer, because calls may be under way for different times.
+constexpr std::chrono::milliseconds cold_window{1'250};
 
 } // namespace
 
@@ -31,12 +36,14 @@
             runners.push_back(&runner);
         }
     }
+    bool is_cold_limit_reached = false;
     while (!runners.empty()) {
         auto selected = service.engine
                             ? select_group(service, *model, call, runners, time_left, now)
                             : select_least_loaded(runners, now);
         if (const auto* endpoint = std::get_if<selected_endpoint>(&selected)) {
             if (!admit_cold_call(service, endpoint->runner, now)) {
+                is_cold_limit_reached = true;
                 std::erase_if(runners, [&](const auto* each) {
                     return each->record.id == endpoint->runner.record.id;
                 });
@@ -45,7 +52,7 @@
         }
         return selected;
     }
-    return selection_failure::none_in_service;
+    return is_cold_limit_reached ? selection_failure::all_full : selection_failure::none_in_service;
 }
 
 std::variant<selected_endpoint, selection_failure>
@@ -55,19 +62,12 @@
                                 state::milliseconds time_left, state::time_point now) const {
     const auto loads = m_loads.all(now);
     const auto& engine = *service.engine;
-    std::vector<group_candidate> candidates;
-    for (const auto* head : heads) {
-        group_candidate candidate;
-        candidate.head = head->record.id;
-        candidate.time_factor = head->time_factor;
-        candidate.zone_round_trip_ms =
-            head->record.availability_zone == m_own_zone ? 0 : zone_round_trip_ms;
-        if (const auto load = loads.find(head->record.id); load != loads.end()) {
-            candidate.load = load->second;
-        }
-        candidates.push_back(std::move(candidate));
+    auto sampled = sample_heads(heads, m_own_host.name, m_own_host.availability_zone,
+                                m_hooks.host_count(), m_hooks.random);
+    auto choice = choose(engine, model, call, sampled, loads);
+    if (!choice && sampled.size() < heads.size()) {
+        choice = choose(engine, model, call, heads, loads);
     }
-    const auto choice = m_hooks.choose(engine, model, candidates, call);
     if (!choice) {
         return selection_failure::all_full;
     }
@@ -82,6 +82,26 @@
     return selected_endpoint{**head, predicted, choice->prediction.first_event_ms};
 }
 
+std::optional<group_choice> endpoint_selector::choose(
+    const state::engine_rule& engine, const state::model_rule& model,
+    const state::serving_call& call, const std::vector<const runner_view*>& heads,
+    const std::unordered_map<state::endpoint_id, state::endpoint_load>& loads) const {
+    std::vector<group_candidate> candidates;
+    candidates.reserve(heads.size());
+    for (const auto* head : heads) {
+        group_candidate candidate;
+        candidate.head = head->record.id;
+        candidate.time_factor = head->time_factor;
+        candidate.zone_round_trip_ms =
+            head->record.availability_zone == m_own_host.availability_zone ? 0 : zone_round_trip_ms;
+        if (const auto load = loads.find(head->record.id); load != loads.end()) {
+            candidate.load = load->second;
+        }
+        candidates.push_back(std::move(candidate));
+    }
+    return m_hooks.choose(engine, model, candidates, call);
+}
+
 std::variant<selected_endpoint, selection_failure>
 endpoint_selector::select_least_loaded(const std::vector<const runner_view*>& runners,
                                        state::time_point now) const {
@@ -97,8 +117,10 @@
         // The zone decides only among endpoints whose calls per slot differ by less than
         // this.
         constexpr double other_zone_cost = 0.1;
-        const double cost = (in_flight + 1) / slots +
-                            (runner->record.availability_zone == m_own_zone ? 0 : other_zone_cost);
+        const double cost =
+            (in_flight + 1) / slots +
+            (runner->record.availability_zone == m_own_host.availability_zone ? 0
+                                                                              : other_zone_cost);
         if (in_flight >= slots * 2) {
             some_full = true;
             continue;
@@ -119,9 +141,12 @@
     if (service.cold_calls_per_s <= 0 || now >= runner.cold_until) {
         return true;
     }
-    const auto share = service.cold_calls_per_s /
-                       static_cast<double>(std::max<std::size_t>(1, m_hooks.host_count()));
-    const auto call_limit = std::max<std::size_t>(1, static_cast<std::size_t>(share));
+    const auto hosts = m_hooks.host_hashes();
+    if (!is_host_list_complete(hosts.size(), m_hooks.host_count())) {
+        return false;
+    }
+    const auto call_limit = cold_call_share(hosts, state::stable_hash(runner.record.id.value()),
+                                            service.cold_calls_per_s);
     return m_cold_calls.update(runner.record.id, [&](std::vector<state::time_point>& calls) {
         std::erase_if(calls, [&](state::time_point at) { return now - at >= cold_window; });
         if (calls.size() >= call_limit) {
--- a/src/savoryrelay/coordination/serving/endpoint_selector.h
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -3,6 +3,7 @@
 
 #include "savoryrelay/coordination/serving/fleet_table.h"
 #include "savoryrelay/coordination/serving/group_choice.h"
+#include "savoryrelay/coordination/serving/group_sample.h"
 #include "savoryrelay/coordination/serving/load_tracker.h"
 #include "savoryrelay/coordination/serving/prediction_correction.h"
 
@@ -47,9 +48,12 @@
 struct selector_hooks {
     std::function<std::shared_ptr<const std::set<state::availability_zone_id>>()>
         zones_out_of_service;
-    /// Returns the number of hosts that share the call limit of a cold endpoint,
-    /// this one included.
+    /// Returns the number of hosts, this one included.
     std::function<std::size_t()> host_count;
+    /// Returns the hashes of the names of the hosts that share the call limit of a cold
+    /// endpoint; the first is that of this host.
+    std::function<std::vector<std::uint64_t>()> host_hashes;
+    random_hook random;
     choose_group_hook choose = choose_group;
 };
 
@@ -57,9 +61,9 @@
 class endpoint_selector {
 public:
     endpoint_selector(const fleet_table& fleet, const load_tracker& loads,
-                      const prediction_correction& correction, state::availability_zone_id own_zone,
+                      const prediction_correction& correction, state::host_entry own_host,
                       selector_hooks hooks)
-        : m_fleet(fleet), m_loads(loads), m_correction(correction), m_own_zone(std::move(own_zone)),
+        : m_fleet(fleet), m_loads(loads), m_correction(correction), m_own_host(std::move(own_host)),
           m_hooks(std::move(hooks)) {}
 
     /// Selects an endpoint of `service` that is not among `excluded`.
@@ -76,6 +80,11 @@
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
     select_least_loaded(const std::vector<const runner_view*>& runners,
                         state::time_point now) const;
+    /// Compares the predictions of `heads`. Returns nothing if all their batches are full.
+    [[nodiscard]] std::optional<group_choice>
+    choose(const state::engine_rule& engine, const state::model_rule& model,
+           const state::serving_call& call, const std::vector<const runner_view*>& heads,
+           const std::unordered_map<state::endpoint_id, state::endpoint_load>& loads) const;
     /// Counts a call to a cold endpoint against this host's share of the endpoint's
     /// call limit. Returns false when the share of the last second is used up.
     bool admit_cold_call(const state::service_rule& service, const runner_view& runner,
@@ -84,7 +93,7 @@
     const fleet_table& m_fleet;
     const load_tracker& m_loads;
     const prediction_correction& m_correction;
-    const state::availability_zone_id m_own_zone;
+    const state::host_entry m_own_host;
     const selector_hooks m_hooks;
     state::sharded_map<state::endpoint_id, std::vector<state::time_point>> m_cold_calls;
 };
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -34,6 +34,15 @@
     }
 }
 
+// Returns whether the observation repeats what is known of a runner that answers.
+bool is_known(const runner_view& runner, const state::runner_observation& observation) {
+    const auto& record = runner.record;
+    const auto membership = record.membership.value_or(state::group_membership{});
+    return !runner.silent_since && record.started_ms == observation.started_ms &&
+           record.sequence == observation.sequence && record.model == observation.model &&
+           membership == observation.membership && runner.time_factor == observation.time_factor;
+}
+
 } // namespace
 
 void fleet_table::apply_entry(const state::runner_record& entry, state::time_point now) {
@@ -63,6 +72,7 @@
         }
         update_last_model(runner);
     });
+    m_is_changed = true;
 }
 
 void fleet_table::apply_removal(const state::endpoint_id& id, state::time_point from) {
@@ -72,6 +82,7 @@
             runner.unlisted_from = from;
         }
     });
+    m_is_changed = true;
 }
 
 bool fleet_table::apply_report(const state::endpoint_id& id, const state::runner_report& report,
@@ -108,6 +119,7 @@
         runner.is_order_in_progress = report.is_order_in_progress;
         update_last_model(runner);
     });
+    m_is_changed = true;
     return is_same_incarnation;
 }
 
@@ -122,6 +134,7 @@
         }
         if (observation.is_silent) {
             if (!runner.silent_since) {
+                m_is_changed = true;
                 runner.silent_since = now;
             }
             return;
@@ -129,8 +142,12 @@
         if (observation.sequence < runner.record.sequence) {
             return;
         }
-        runner.silent_since.reset();
         runner.reported_at = now;
+        if (is_known(runner, observation)) {
+            return;
+        }
+        m_is_changed = true;
+        runner.silent_since.reset();
         runner.record.sequence = observation.sequence;
         runner.record.model = observation.model;
         runner.time_factor = observation.time_factor;
@@ -162,6 +179,7 @@
         runner.answered_at = now;
         runner.silent_since.reset();
     });
+    m_is_changed = true;
 }
 
 void fleet_table::note_silence(const state::endpoint_id& id, std::uint64_t started_ms,
@@ -171,6 +189,7 @@
             runner.silent_since = now;
         }
     });
+    m_is_changed = true;
 }
 
 void fleet_table::note_answer(const state::endpoint_id& id, state::time_point now) {
@@ -189,17 +208,20 @@
             std::clamp(2 * runner.refusal_backoff, min_refusal_backoff, max_refusal_backoff);
         runner.avoided_until = now + runner.refusal_backoff;
     });
+    m_is_changed = true;
 }
 
 void fleet_table::note_peer_confirmation(const state::endpoint_id& id, state::time_point until) {
     m_runners.update_existing(id,
                               [&](runner_view& runner) { runner.peer_confirmed_until = until; });
+    m_is_changed = true;
 }
 
 void fleet_table::avoid(const state::endpoint_id& id, state::time_point until) {
     m_runners.update_existing(id, [&](runner_view& runner) {
         runner.avoided_until = std::max(runner.avoided_until, until);
     });
+    m_is_changed = true;
 }
 
 std::optional<runner_view> fleet_table::find(const state::endpoint_id& id) const {
@@ -207,18 +229,24 @@
 }
 
 void fleet_table::refresh(state::time_point now) {
-    m_runners.erase_if([&](const auto&, const runner_view& runner) {
+    const auto removed = m_runners.erase_if([&](const auto&, const runner_view& runner) {
         const auto answered = runner.answered_at.value_or(state::time_point{});
         return !runner.has_entry && runner.unlisted_from &&
                now - *runner.unlisted_from > forget_after && now - answered > forget_after;
     });
+    const bool is_changed = m_is_changed.exchange(false) || removed > 0;
     fleet_snapshot all;
     m_runners.update_each([&](const auto&, runner_view& runner) {
         if (runner.record.is_head()) {
             runner.last_head_at = now;
         }
-        all.push_back(runner);
+        if (is_changed) {
+            all.push_back(runner);
+        }
     });
+    if (!is_changed) {
+        return;
+    }
     std::sort(all.begin(), all.end(),
               [](const auto& left, const auto& right) { return left.record.id < right.record.id; });
     m_snapshot.replace_if(std::move(all), [](const auto&, const auto&) { return true; });
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -7,6 +7,7 @@
 #include "savoryrelay/state/serving/peer_digest.h"
 #include "savoryrelay/state/serving/runner_record.h"
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -52,7 +53,7 @@
     /// controller also reports a former head to the other hosts, because the runner's
     /// entry may still name it as a head for some seconds.
     [[nodiscard]] bool was_recently_head(state::time_point now) const {
-        return last_head_at && now - *last_head_at < former_head_retention;
+        return record.is_head() || (last_head_at && now - *last_head_at < former_head_retention);
     }
     /// Returns whether the runner may receive calls at `now`. Does not check its
     /// group or zone.
@@ -116,8 +117,8 @@
 
     [[nodiscard]] std::optional<runner_view> find(const state::endpoint_id& id) const;
 
-    /// Rebuilds the snapshot, updates when each head was last seen as one, and
-    /// removes runners after `forget_after`.
+    /// Updates when each head was last seen as one, removes runners after `forget_after`,
+    /// and rebuilds the snapshot if the runners have changed.
     void refresh(state::time_point now);
     /// Returns all runners as of the last refresh, ordered by their ids.
     [[nodiscard]] std::shared_ptr<const fleet_snapshot> snapshot() const {
@@ -127,6 +128,7 @@
 private:
     state::sharded_map<state::endpoint_id, runner_view> m_runners;
     state::snapshot_cell<fleet_snapshot> m_snapshot;
+    std::atomic<bool> m_is_changed{false}; // since the snapshot was built
 };
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/serving/group_formation.cpp
+++ b/src/savoryrelay/coordination/serving/group_formation.cpp
@@ -340,6 +340,13 @@
         forming.members.push_back(runner->record.id);
         forming.start_times[runner->record.id] = runner->record.started_ms;
     }
+    // The head takes the calls, and a cold one takes few.
+    const auto is_warm = [&](const auto* runner) { return runner->cold_until <= current.now; };
+    const auto warm = std::find_if(members.begin(), members.end(), is_warm);
+    if (warm != members.end()) {
+        std::iter_swap(forming.members.begin(),
+                       forming.members.begin() + std::distance(members.begin(), warm));
+    }
     for (const auto* runner : members) {
         const auto orders_before = current.orders.size();
         add_order(current, *runner, runner_order_kind::join, forming.group, forming.epoch);
--- a/src/savoryrelay/coordination/serving/load_tracker.h
+++ b/src/savoryrelay/coordination/serving/load_tracker.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "savoryrelay/state/core/sharded_map.h"
+#include "savoryrelay/state/core/snapshot_cell.h"
 #include "savoryrelay/state/core/time.h"
 #include "savoryrelay/state/serving/peer_digest.h"
 
@@ -27,24 +28,34 @@
     void end_call(const state::endpoint_id& endpoint, double prompt_tokens, bool was_writing);
 
     /// Replaces the loads from one part of a peer's digest. `source` names the host and
-    /// the part.
-    void apply_peer(const std::string& source, std::vector<state::endpoint_load_entry> loads,
-                    state::time_point now);
+    /// the part. Loads of the scope `fleet` include those that this host reported last,
+    /// which are taken off; they replace the loads of all other sources, and the other
+    /// way round, because a host counts each call once.
+    void apply_peer(const std::string& source, state::digest_scope scope,
+                    std::vector<state::endpoint_load_entry> loads, state::time_point now);
 
     /// Returns this host's own loads.
     [[nodiscard]] std::vector<state::endpoint_load_entry> own() const;
+    /// Returns the loads for a digest of `scope`, and remembers those of the scope `member`
+    /// as reported.
+    [[nodiscard]] std::vector<state::endpoint_load_entry> report(state::digest_scope scope,
+                                                                 state::time_point now);
     /// Returns the loads of all hosts, by endpoint.
     [[nodiscard]] std::unordered_map<state::endpoint_id, state::endpoint_load>
     all(state::time_point now) const;
 
 private:
     struct peer_loads {
+        state::digest_scope scope = state::digest_scope::member;
         std::vector<state::endpoint_load_entry> loads;
         state::time_point at{};
     };
+    using loads_by_endpoint = std::unordered_map<state::endpoint_id, state::endpoint_load>;
+    [[nodiscard]] loads_by_endpoint sum(state::time_point now, bool members_only) const;
 
     state::sharded_map<state::endpoint_id, state::endpoint_load> m_own;
     state::sharded_map<std::string, peer_loads> m_peers;
+    state::snapshot_cell<loads_by_endpoint> m_reported{loads_by_endpoint{}}; // to this host's hub
 };
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/serving/work_meter.cpp
+++ b/src/savoryrelay/coordination/serving/work_meter.cpp
@@ -25,10 +25,15 @@
     value.at = now;
 }
 
-void work_meter::apply_peer(const std::string& peer, std::vector<state::model_work> work,
-                            state::time_point now) {
+void work_meter::apply_peer(const std::string& peer, state::digest_scope scope,
+                            std::vector<state::model_work> work, state::time_point now) {
+    using state::digest_scope;
     const std::scoped_lock lock(m_mutex);
-    m_peers[peer] = {std::move(work), now};
+    std::erase_if(m_peers, [&](const auto& entry) {
+        return (entry.second.scope == digest_scope::fleet) != (scope == digest_scope::fleet) ||
+               now - entry.second.at > peer_work_age;
+    });
+    m_peers[peer] = {scope, std::move(work), now};
 }
 
 std::vector<state::model_work> work_meter::own(state::time_point now) const {
@@ -42,14 +47,27 @@
     return work;
 }
 
-std::map<std::string, double> work_meter::all(state::time_point now) const {
+std::vector<state::model_work> work_meter::report(state::digest_scope scope,
+                                                  state::time_point now) const {
+    if (scope == state::digest_scope::member) {
+        return own(now);
+    }
+    std::vector<state::model_work> work;
+    for (const auto& [model, groups] : sum(now, scope == state::digest_scope::hub)) {
+        work.push_back({model, groups});
+    }
+    return work;
+}
+
+std::map<std::string, double> work_meter::sum(state::time_point now, bool members_only) const {
     std::map<std::string, double> work;
     for (const auto& entry : own(now)) {
         work[entry.model] += entry.groups;
     }
     const std::scoped_lock lock(m_mutex);
     for (const auto& [peer, reported] : m_peers) {
-        if (now - reported.at > peer_work_age) {
+        if (now - reported.at > peer_work_age ||
+            (members_only && reported.scope != state::digest_scope::member)) {
             continue;
         }
         for (const auto& entry : reported.work) {
@@ -59,4 +77,8 @@
     return work;
 }
 
+std::map<std::string, double> work_meter::all(state::time_point now) const {
+    return sum(now, false);
+}
+
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/serving/work_meter.h
+++ b/src/savoryrelay/coordination/serving/work_meter.h
@@ -21,12 +21,16 @@
 
     /// Records a call that keeps a group of `model` busy for `work_ms`.
     void note(const std::string& model, double work_ms, state::time_point now);
-    /// Replaces the work of the host `peer`.
-    void apply_peer(const std::string& peer, std::vector<state::model_work> work,
-                    state::time_point now);
+    /// Replaces the work in the digests of the host `peer`. Work of the scope `fleet`
+    /// replaces that of all other hosts, and the other way round.
+    void apply_peer(const std::string& peer, state::digest_scope scope,
+                    std::vector<state::model_work> work, state::time_point now);
 
     /// Returns this host's own work, in groups kept busy.
     [[nodiscard]] std::vector<state::model_work> own(state::time_point now) const;
+    /// Returns the work for a digest of `scope`.
+    [[nodiscard]] std::vector<state::model_work> report(state::digest_scope scope,
+                                                        state::time_point now) const;
     /// Returns the work of all hosts by model; empty before the first call.
     [[nodiscard]] std::map<std::string, double> all(state::time_point now) const;
 
@@ -36,10 +40,12 @@
         state::time_point at{};
     };
     struct peer_work {
+        state::digest_scope scope = state::digest_scope::member;
         std::vector<state::model_work> work;
         state::time_point at{};
     };
     static double decayed(const average& value, state::time_point now);
+    [[nodiscard]] std::map<std::string, double> sum(state::time_point now, bool members_only) const;
 
     mutable std::mutex m_mutex;
     std::map<std::string, average> m_own;     // guarded by m_mutex
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -4,6 +4,9 @@
 #include "savoryrelay/protocol/peer/bounded_archive.h"
 
 #include <algorithm>
+#include <charconv>
+#include <limits>
+#include <sstream>
 
 namespace savoryrelay::protocol {
 namespace {
@@ -13,19 +16,20 @@
 constexpr std::size_t max_text_bytes = 200; // the store's limit for keys and names
 constexpr std::size_t max_rows = 20'000;
 constexpr std::size_t max_value_bytes = 8 * 1024 * 1024;
+constexpr std::uint32_t max_counter = std::numeric_limits<std::uint16_t>::max();
 
 void write_load(bounded_writer& out, const state::endpoint_load_entry& entry) {
     out.text(entry.endpoint.value(), max_text_bytes);
-    out.number(entry.load.writing);
-    out.number(entry.load.waiting);
+    out.number(static_cast<std::uint16_t>(std::min(entry.load.writing, max_counter)));
+    out.number(static_cast<std::uint16_t>(std::min(entry.load.waiting, max_counter)));
     out.number(static_cast<float>(entry.load.waiting_prompt_tokens));
 }
 
 state::endpoint_load_entry read_load(bounded_reader& in) {
     state::endpoint_load_entry entry;
     entry.endpoint = state::endpoint_id(in.text(max_text_bytes));
-    entry.load.writing = in.number<std::uint32_t>();
-    entry.load.waiting = in.number<std::uint32_t>();
+    entry.load.writing = in.number<std::uint16_t>();
+    entry.load.waiting = in.number<std::uint16_t>();
     entry.load.waiting_prompt_tokens = in.number<float>();
     return entry;
 }
@@ -58,29 +62,58 @@
     return observation;
 }
 
+void write_host(bounded_writer& out, const state::host_entry& host) {
+    out.text(host.name, max_text_bytes);
+    out.text(host.address.ip, max_text_bytes);
+    out.number(host.address.port);
+    out.text(host.availability_zone.value(), max_text_bytes);
+    out.number(static_cast<float>(host.processor_share));
+}
+
+state::host_entry read_host(bounded_reader& in) {
+    state::host_entry host;
+    host.name = in.text(max_text_bytes);
+    host.address.ip = in.text(max_text_bytes);
+    host.address.port = in.number<std::uint16_t>();
+    host.availability_zone = state::availability_zone_id(in.text(max_text_bytes));
+    host.processor_share = in.number<float>();
+    return host;
+}
+
+// Times travel as milliseconds; longer ones mean the same as the longest.
+void write_time(bounded_writer& out, state::milliseconds time) {
+    const auto longest = static_cast<std::int64_t>(max_counter);
+    out.number(static_cast<std::uint16_t>(std::clamp<std::int64_t>(time.count(), 0, longest)));
+}
+
+state::milliseconds read_time(bounded_reader& in) {
+    return state::milliseconds(in.number<std::uint16_t>());
+}
+
 template <typename Entry>
-std::vector<Entry> entries_of_part(const std::vector<Entry>& all, std::size_t part) {
-    const auto begin = std::min(all.size(), part * max_digest_entries);
-    const auto end = std::min(all.size(), begin + max_digest_entries);
+std::vector<Entry> entries_of_part(const std::vector<Entry>& all, std::size_t part,
+                                   std::size_t limit = max_digest_entries) {
+    const auto begin = std::min(all.size(), part * limit);
+    const auto end = std::min(all.size(), begin + limit);
     return {all.begin() + static_cast<std::ptrdiff_t>(begin),
             all.begin() + static_cast<std::ptrdiff_t>(end)};
 }
 
-std::size_t part_count(std::size_t entries) {
-    return (entries + max_digest_entries - 1) / max_digest_entries;
+std::size_t part_count(std::size_t entries, std::size_t limit = max_digest_entries) {
+    return (entries + limit - 1) / limit;
 }
 
 } // namespace
 
 std::vector<state::peer_digest> split_digest(const state::peer_digest& digest) {
-    const auto parts =
-        std::max({std::size_t{1}, part_count(digest.loads.size()), part_count(digest.peers.size()),
-                  part_count(digest.work.size()), part_count(digest.runners_to_confirm.size())});
+    const auto parts = std::max({std::size_t{1}, part_count(digest.loads.size(), max_digest_loads),
+                                 part_count(digest.peers.size()), part_count(digest.work.size()),
+                                 part_count(digest.runners_to_confirm.size())});
     std::vector<state::peer_digest> all;
     for (std::size_t i = 0; i < parts; ++i) {
         auto part = digest;
         part.part = static_cast<std::uint8_t>(i);
-        part.loads = entries_of_part(digest.loads, i);
+        part.loads = entries_of_part(digest.loads, i, max_digest_loads);
         part.peers = entries_of_part(digest.peers, i);
         part.work = entries_of_part(digest.work, i);
         part.runners_to_confirm = entries_of_part(digest.runners_to_confirm, i);
@@ -102,21 +135,22 @@
 
 std::string encode_digest(const state::peer_digest& digest) {
     bounded_writer out;
-    out.text(digest.host, max_text_bytes);
+    write_host(out, digest.host);
     out.number(digest.incarnation);
     out.number(digest.part);
-    out.text(digest.address, max_text_bytes);
-    out.number(digest.port);
-    out.text(digest.availability_zone.value(), max_text_bytes);
+    out.enum_value(digest.scope);
     out.number(digest.operators_version);
     out.number(digest.runners_version);
-    out.number(static_cast<std::uint8_t>(digest.is_store_reachable));
+    write_time(out, digest.tables_age);
+    write_time(out, digest.return_grace);
     out.number(static_cast<std::uint8_t>(digest.is_controller));
+    write_time(out, digest.controller_age);
+    out.number(digest.host_count);
     out.count(digest.peers.size(), max_digest_entries);
     for (const auto& peer : digest.peers) {
-        out.text(peer, max_text_bytes);
+        write_host(out, peer);
     }
-    out.count(digest.loads.size(), max_digest_entries);
+    out.count(digest.loads.size(), max_digest_loads);
     for (const auto& entry : digest.loads) {
         write_load(out, entry);
     }
@@ -140,20 +174,21 @@
     try {
         bounded_reader in(bytes);
         state::peer_digest digest;
-        digest.host = in.text(max_text_bytes);
+        digest.host = read_host(in);
         digest.incarnation = in.number<std::uint64_t>();
         digest.part = in.number<std::uint8_t>();
-        digest.address = in.text(max_text_bytes);
-        digest.port = in.number<std::uint16_t>();
-        digest.availability_zone = state::availability_zone_id(in.text(max_text_bytes));
+        digest.scope = in.enum_value<state::digest_scope>();
         digest.operators_version = in.number<std::uint64_t>();
         digest.runners_version = in.number<std::uint64_t>();
-        digest.is_store_reachable = in.number<std::uint8_t>() != 0;
+        digest.tables_age = read_time(in);
+        digest.return_grace = read_time(in);
         digest.is_controller = in.number<std::uint8_t>() != 0;
+        digest.controller_age = read_time(in);
+        digest.host_count = in.number<std::uint32_t>();
         for (auto remaining = in.count(max_digest_entries); remaining > 0; --remaining) {
-            digest.peers.push_back(in.text(max_text_bytes));
+            digest.peers.push_back(read_host(in));
         }
-        for (auto remaining = in.count(max_digest_entries); remaining > 0; --remaining) {
+        for (auto remaining = in.count(max_digest_loads); remaining > 0; --remaining) {
             digest.loads.push_back(read_load(in));
         }
         for (auto remaining = in.count(max_digest_entries); remaining > 0; --remaining) {
@@ -173,13 +208,43 @@
     }
 }
 
+std::string encode_host_row(const state::host_entry& host) {
+    std::ostringstream text;
+    text << host.address.ip << ':' << host.address.port << ' ' << host.availability_zone.value()
+         << ' ' << host.processor_share;
+    return text.str();
+}
+
+state::result<state::host_entry> decode_host_row(const std::string& name, const std::string& text) {
+    std::istringstream in(text);
+    std::string address;
+    std::string zone;
+    state::host_entry host;
+    in >> address >> zone >> host.processor_share;
+    const auto colon = address.rfind(':');
+    if (in.fail() || colon == std::string::npos) {
+        return state::fail(failure_kind::message_damaged, "row of host '" + name + "'");
+    }
+    const auto* end = address.data() + address.size();
+    const auto port = std::from_chars(address.data() + colon + 1, end, host.address.port);
+    if (port.ec != std::errc{} || port.ptr != end || host.address.port == 0) {
+        return state::fail(failure_kind::message_damaged, "port of host '" + name + "'");
+    }
+    host.name = name;
+    host.address.ip = address.substr(0, colon);
+    host.availability_zone = state::availability_zone_id(zone);
+    return host;
+}
+
 std::string encode_table(const state::table_image& image) {
     bounded_writer out;
     out.number(image.version);
+    out.number(image.after);
     out.count<std::uint32_t>(image.rows.size(), max_rows);
     for (const auto& row : image.rows) {
         out.text(row.key, max_text_bytes);
         out.number(row.version);
+        out.number(static_cast<std::uint8_t>(row.is_removed));
         out.text<std::uint32_t>(row.value, max_value_bytes);
     }
     return out.take();
@@ -190,10 +255,12 @@
         bounded_reader in(bytes);
         state::table_image image;
         image.version = in.number<std::uint64_t>();
+        image.after = in.number<std::uint64_t>();
         for (auto remaining = in.count<std::uint32_t>(max_rows); remaining > 0; --remaining) {
             state::mirrored_row row;
             row.key = in.text(max_text_bytes);
             row.version = in.number<std::uint64_t>();
+            row.is_removed = in.number<std::uint8_t>() != 0;
             row.value = in.text<std::uint32_t>(max_value_bytes);
             image.rows.push_back(std::move(row));
         }
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.h
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.h
@@ -12,19 +12,27 @@
 
 namespace savoryrelay::protocol {
 
-/// The most entries that each list of a digest may have, so that the digest fits into a
-/// datagram.
+/// The most loads and the most entries of each other list that a digest may have, so that
+/// it fits into a datagram.
+inline constexpr std::size_t max_digest_loads = 32;
 inline constexpr std::size_t max_digest_entries = 12;
 
-/// Splits `digest` into digests whose lists have at most `max_digest_entries` entries.
+/// Splits `digest` into digests whose lists keep these limits.
 [[nodiscard]] std::vector<state::peer_digest> split_digest(const state::peer_digest& digest);
 
-/// Encodes a digest whose lists have at most `max_digest_entries` entries.
+/// Encodes a digest whose lists keep these limits.
 [[nodiscard]] std::string encode_digest(const state::peer_digest& digest);
 /// Decodes a digest. Fails with `message_damaged` when `bytes` is malformed.
 [[nodiscard]] state::result<state::peer_digest> decode_digest(std::string_view bytes);
 
-/// Encodes the rows and the version of a table.
+/// Encodes the row of a host in the table of hosts.
+[[nodiscard]] std::string encode_host_row(const state::host_entry& host);
+/// Decodes the row of the host `name`. Fails with `message_damaged` when `text` is
+/// malformed.
+[[nodiscard]] state::result<state::host_entry> decode_host_row(const std::string& name,
+                                                               const std::string& text);
+
+/// Encodes the rows and the versions of a table or of its changes.
 [[nodiscard]] std::string encode_table(const state::table_image& image);
 /// Decodes a table. Fails with `message_damaged` when `bytes` is malformed.
 [[nodiscard]] state::result<state::table_image> decode_table(std::string_view bytes);
--- a/src/savoryrelay/state/digest/digest.cpp
+++ b/src/savoryrelay/state/digest/digest.cpp
@@ -41,4 +41,12 @@
     return value;
 }
 
+std::uint64_t rendezvous_weight(std::uint64_t holder, std::uint64_t key) {
+    // The finalizer of SplitMix64.
+    std::uint64_t weight = holder + 0x9e3779b97f4a7c15ULL * key;
+    weight = (weight ^ (weight >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    weight = (weight ^ (weight >> 27U)) * 0x94d049bb133111ebULL;
+    return weight ^ (weight >> 31U);
+}
+
 } // namespace savoryrelay::state
--- a/src/savoryrelay/state/digest/digest.h
+++ b/src/savoryrelay/state/digest/digest.h
@@ -25,4 +25,9 @@
 /// number. Unlike std::hash, the result is the same on each host.
 [[nodiscard]] std::uint64_t stable_hash(std::string_view content);
 
+/// Returns the weight of a holder for a key in rendezvous hashing, from their hashes. The
+/// holders with the highest weights own the key, so that a change of the holders moves few
+/// keys and all hosts with the same list choose alike.
+[[nodiscard]] std::uint64_t rendezvous_weight(std::uint64_t holder, std::uint64_t key);
+
 } // namespace savoryrelay::state
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -1,8 +1,11 @@
 // The digest that entry hosts send to each other several times a second.
 #pragma once
 
+#include "savoryrelay/state/core/enum_names.h"
+#include "savoryrelay/state/member/member.h"
 #include "savoryrelay/state/serving/runner_record.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -21,6 +24,13 @@
         waiting_prompt_tokens += other.waiting_prompt_tokens;
         return *this;
     }
+    /// Takes `other` off, down to 0: the two may have been counted at different times.
+    endpoint_load& operator-=(const endpoint_load& other) {
+        writing -= std::min(writing, other.writing);
+        waiting -= std::min(waiting, other.waiting);
+        waiting_prompt_tokens = std::max(0.0, waiting_prompt_tokens - other.waiting_prompt_tokens);
+        return *this;
+    }
 };
 
 /// The load that one host has put on an endpoint.
@@ -44,6 +54,36 @@
     std::string model;           ///< of the runner's group, or of its last group when it has none
     group_membership membership; ///< an empty group name means none
     double time_factor = 1;      ///< slowdown factor; above 1 when the runner is slow
+
+    friend bool operator==(const runner_observation&, const runner_observation&) = default;
+};
+
+/// The hosts whose calls the loads and the work of a digest include.
+enum class digest_scope {
+    member,       ///< the sender alone; sent to the hub that it reports to
+    hub,          ///< the sender and the members that report to it; sent to the other hubs
+    fleet,        ///< all hosts; sent by a hub to its members
+    probe,        ///< none; asks a silent host for an introduction
+    introduction, ///< none; makes the sender known to a host that it exchanges no loads with
+};
+
+template <>
+struct enum_table<digest_scope> {
+    static constexpr std::array rows{
+        enum_name<digest_scope>{digest_scope::member, "member"},
+        enum_name<digest_scope>{digest_scope::hub, "hub"},
+        enum_name<digest_scope>{digest_scope::fleet, "fleet"},
+        enum_name<digest_scope>{digest_scope::probe, "probe"},
+        enum_name<digest_scope>{digest_scope::introduction, "introduction"},
+    };
+};
+
+/// An entry host as the others know it before it sends a digest.
+struct host_entry {
+    std::string name;
+    member_address address;
+    availability_zone_id availability_zone; ///< empty until known
+    double processor_share = 0;             ///< processor cores that the host may use
 };
 
 /// The digest of one host.
@@ -51,23 +91,27 @@
     /// Value of `part` in a datagram that carries only observations.
     static constexpr std::uint8_t observations_only = 255;
 
-    std::string host;              ///< name of the sender
+    host_entry host;               ///< the sender
     std::uint64_t incarnation = 0; ///< of the sender's process; increases with each start
     std::uint8_t part = 0;         ///< index of this datagram when the lists are split over several
-    std::string address;           ///< IP address at which peers reach the sender
-    std::uint16_t port = 0;
-    availability_zone_id availability_zone;
+    digest_scope scope = digest_scope::member;
     std::uint64_t operators_version = 0; ///< highest version of a row of the operators' table
     std::uint64_t runners_version = 0;   ///< highest version of a row of the runners' table
-    bool is_store_reachable = false;
+    /// Time since the sender's copies of the tables were known to be current, by its own
+    /// calls to the store or through other hosts.
+    milliseconds tables_age{0};
+    /// Time left in which entries that lapsed during an outage of the store may return.
+    milliseconds return_grace{0};
     bool is_controller = false;     ///< the sender holds the lease on the groups
-    std::vector<std::string> peers; ///< "address:port" of the hosts that the sender knows
+    milliseconds controller_age{0}; ///< time since the sender heard the controller
+    std::uint32_t host_count = 1;   ///< entry hosts that the sender knows of
+    std::vector<host_entry> peers;  ///< some of the hosts that the sender knows
     std::vector<endpoint_load_entry> loads;
     std::vector<model_work> work;
-    /// The controller sends all heads and silent runners. Other hosts send runners
+    /// The controller sends heads and silent runners. Other hosts send runners
     /// that did not answer them, and those in `runners_to_confirm` that did.
     std::vector<runner_observation> observations;
-    /// Sent by the controller: runners that did not answer it. The other hosts request
+    /// Sent by the controller: runners that did not answer it. The other hubs request
     /// reports from them too.
     std::vector<endpoint_id> runners_to_confirm;
 };
--- a/src/savoryrelay/state/serving/table_mirror.cpp
+++ b/src/savoryrelay/state/serving/table_mirror.cpp
@@ -31,6 +31,10 @@
 }
 
 std::vector<mirrored_row> table_mirror::apply_image(const table_image& image) {
+    if (image.after > 0) {
+        return image.after <= synced_version() ? apply_changes(image.rows, image.version)
+                                               : std::vector<mirrored_row>{};
+    }
     const std::scoped_lock lock(m_mutex);
     std::vector<mirrored_row> changed;
     std::set<std::string> present;
@@ -44,6 +48,7 @@
         }
     }
     m_synced_version = std::max(m_synced_version, image.version);
+    m_removals_known_from = std::max(m_removals_known_from, image.version);
     return changed;
 }
 
@@ -69,4 +74,22 @@
     return copy;
 }
 
+table_image table_mirror::changes_since(std::uint64_t after) const {
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (after > 0 && after >= m_removals_known_from) {
+            table_image changes;
+            changes.version = m_synced_version;
+            changes.after = after;
+            for (const auto& [key, row] : m_rows) {
+                if (row.version > after) {
+                    changes.rows.push_back(row);
+                }
+            }
+            return changes;
+        }
+    }
+    return image();
+}
+
 } // namespace savoryrelay::state
--- a/src/savoryrelay/state/serving/table_mirror.h
+++ b/src/savoryrelay/state/serving/table_mirror.h
@@ -22,6 +22,9 @@
 struct table_image {
     std::vector<mirrored_row> rows;
     std::uint64_t version = 0; ///< all changes up to this version are included
+    /// 0 for a full copy. Otherwise `rows` holds the rows that were written or removed
+    /// after this version.
+    std::uint64_t after = 0;
 };
 
 /// Holds the newest known version of each row. Thread-safe. Invariant: a row never
@@ -31,8 +34,9 @@
     /// Applies the feed's changes up to `version`. Returns the rows that changed.
     std::vector<mirrored_row> apply_changes(const std::vector<mirrored_row>& changes,
                                             std::uint64_t version);
-    /// Applies a full read. Removes the rows that are missing from it, except those
-    /// that are newer than the read. Returns the rows that changed.
+    /// Applies a full read, which removes the rows that are missing from it, except those
+    /// that are newer than the read. An image of changes is applied only if no change is
+    /// missing between it and this copy. Returns the rows that changed.
     std::vector<mirrored_row> apply_image(const table_image& image);
 
     /// Returns the version up to which all changes are known; 0 before the first read.
@@ -41,6 +45,9 @@
     [[nodiscard]] std::uint64_t newest_row_version() const;
     /// Returns a copy of the rows that are not removed.
     [[nodiscard]] table_image image() const;
+    /// Returns the rows that were written or removed after version `after`, or a full copy
+    /// if this mirror does not know all removals since then.
+    [[nodiscard]] table_image changes_since(std::uint64_t after) const;
 
 private:
     /// Stores the row if it is newer than the held one, and adds it to `changed` if
@@ -50,7 +57,9 @@
     mutable std::mutex m_mutex;
     std::map<std::string, mirrored_row> m_rows; // guarded by m_mutex
     std::uint64_t m_synced_version = 0;         // guarded by m_mutex
-    std::uint64_t m_newest_row_version = 0;     // guarded by m_mutex
+    /// All removals after this version are known. A full read shows only which rows remain.
+    std::uint64_t m_removals_known_from = 0; // guarded by m_mutex
+    std::uint64_t m_newest_row_version = 0;  // guarded by m_mutex
 };
 
 } // namespace savoryrelay::state
--- /dev/null
+++ b/tests/coordination/exchange/exchange_test.cpp
@@ -0,0 +1,233 @@
+// Tests the exchange between entry hosts: the choice of hubs, counted loads, copied tables,
+// lost hubs, faulty datagrams, and how the messages grow with the number of hosts.
+#include "support/exchange_simulation.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace savoryrelay;
+using namespace savoryrelay::coordination;
+using namespace std::chrono_literals;
+using tests::exchange_simulation;
+
+namespace {
+
+const state::endpoint_id endpoint("i-1");
+
+// The calls in flight at the endpoint, as one host counts them.
+std::uint32_t counted(const exchange_simulation::host& host, state::time_point now) {
+    const auto loads = host.loads->all(now);
+    const auto found = loads.find(endpoint);
+    return found == loads.end() ? 0 : found->second.waiting;
+}
+
+// The versions of the rows that are not removed.
+std::map<std::string, std::uint64_t> rows_of(const state::table_mirror& mirror) {
+    std::map<std::string, std::uint64_t> versions;
+    for (const auto& row : mirror.image().rows) {
+        versions[row.key] = row.version;
+    }
+    return versions;
+}
+
+std::size_t hosts_up(const exchange_simulation& simulation) {
+    return static_cast<std::size_t>(
+        std::count_if(simulation.hosts.begin(), simulation.hosts.end(),
+                      [](const auto& each) { return each.is_up && !each.is_cut_off; }));
+}
+
+// Each host has one call at the endpoint.
+void begin_calls(exchange_simulation& simulation) {
+    for (auto& host : simulation.hosts) {
+        host.loads->begin_call(endpoint, 100);
+    }
+}
+
+} // namespace
+
+TEST_CASE("exchange: each host counts each call of the fleet once") {
+    for (const std::size_t hosts_per_zone : {3U, 6U, 7U, 20U, 60U}) {
+        exchange_simulation simulation(1, {}, 3, hosts_per_zone);
+        begin_calls(simulation);
+        simulation.advance(20);
+        for (const auto& host : simulation.hosts) {
+            INFO(host.entry.name << " of " << simulation.hosts.size());
+            CHECK(counted(host, simulation.now) == simulation.hosts.size());
+        }
+    }
+}
+
+TEST_CASE("exchange: one host of each zone reads the store, and strong hosts come first") {
+    exchange_simulation simulation(1, {}, 5, 59);
+    simulation.advance(5);
+    CHECK(simulation.store_readers() == 5);
+    for (const auto& host : simulation.hosts) {
+        if (host.exchange->is_store_reader()) {
+            CHECK(host.entry.processor_share == 0.5);
+        }
+    }
+}
+
+TEST_CASE("exchange: a member's messages do not grow with the number of hosts") {
+    std::vector<std::uint64_t> datagrams;
+    std::vector<std::uint64_t> entries;
+    for (const std::size_t hosts_per_zone : {20U, 60U}) {
+        exchange_simulation simulation(1, {}, 5, hosts_per_zone);
+        begin_calls(simulation);
+        simulation.advance(20);
+        std::uint64_t most_datagrams = 0;
+        std::uint64_t most_entries = 0;
+        std::uint64_t members = 0;
+        for (const auto& host : simulation.hosts) {
+            if (host.entry.processor_share < 0.5) {
+                ++members;
+                most_datagrams = std::max(most_datagrams, host.sent_datagrams);
+                most_entries = std::max(most_entries, host.sent_bytes_entries);
+            }
+        }
+        REQUIRE(members > 0);
+        datagrams.push_back(most_datagrams);
+        entries.push_back(most_entries);
+    }
+    CHECK(datagrams[0] == datagrams[1]);
+    CHECK(entries[1] <= entries[0] + digest_exchange::peers_per_digest);
+    CHECK(datagrams[1] <= 2);
+}
+
+TEST_CASE("exchange: members report to another hub after the hubs of their zone have ended") {
+    exchange_simulation simulation(1, {}, 3, 30);
+    begin_calls(simulation);
+    simulation.advance(20);
+    // All strong hosts of the first zone end, its hubs among them.
+    for (auto& host : simulation.hosts) {
+        const bool is_first_zone =
+            host.entry.availability_zone == simulation.hosts.front().entry.availability_zone;
+        host.is_up = !(is_first_zone && host.entry.processor_share == 0.5);
+    }
+    // Two hubs are found silent one after the other, then loads expire and spread again.
+    simulation.advance(30);
+    CHECK(simulation.store_readers() == 3);
+    for (const auto& host : simulation.hosts) {
+        if (host.is_up) {
+            CHECK(counted(host, simulation.now) == hosts_up(simulation));
+        }
+    }
+    // Hubs that return take their members back.
+    for (auto& host : simulation.hosts) {
+        if (!host.is_up) {
+            simulation.restart(host);
+            host.loads->begin_call(endpoint, 100);
+        }
+    }
+    simulation.advance(40);
+    for (const auto& host : simulation.hosts) {
+        CHECK(counted(host, simulation.now) == simulation.hosts.size());
+        CHECK((host.entry.processor_share == 0.5 || !host.exchange->is_store_reader()));
+    }
+}
+
+TEST_CASE("exchange: a row reaches all hosts within a second, also when all readers end with it") {
+    exchange_simulation simulation(1, {}, 5, 40);
+    simulation.store.apply_changes({{"config", "v1", 5, false}}, 5);
+    simulation.advance(10);
+    for (const auto& host : simulation.hosts) {
+        REQUIRE(host.rows->newest_row_version() == 5);
+    }
+    simulation.store.apply_changes({{"config", "v2", 9, false}}, 9);
+    simulation.advance(10);
+    for (const auto& host : simulation.hosts) {
+        CHECK(host.rows->newest_row_version() == 9);
+    }
+    simulation.store.apply_changes({{"config", "v3", 12, false}}, 12);
+    for (auto& host : simulation.hosts) {
+        host.is_up = !host.exchange->is_store_reader();
+    }
+    // The time until the silence shows, and the second for the row.
+    simulation.advance(16);
+    for (const auto& host : simulation.hosts) {
+        if (host.is_up) {
+            CHECK(host.rows->newest_row_version() == 12);
+        }
+    }
+}
+
+TEST_CASE("exchange: faulty datagrams, restarts and cut-off hosts leave no lasting damage") {
+    CHECK(rc::check("faulty exchange", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        exchange_simulation simulation(seed, {0.1, 0.1, 0.1}, 3,
+                                       *rc::gen::inRange<std::size_t>(3, 16));
+        std::mt19937_64 random(seed);
+        std::uint64_t version = 0;
+        for (int i = 0; i < 60; ++i) {
+            auto& host = simulation.hosts[random() % simulation.hosts.size()];
+            switch (random() % 6) {
+            case 0:
+                simulation.restart(host);
+                break;
+            case 1:
+                host.is_cut_off = !host.is_cut_off;
+                break;
+            case 2:
+                host.is_up = false;
+                break;
+            case 3:
+                ++version;
+                simulation.store.apply_changes(
+                    {{"row-" + std::to_string(version % 3), "v", version, random() % 4 == 0}},
+                    version);
+                break;
+            default:
+                break;
+            }
+            simulation.advance();
+        }
+        RC_ASSERT(simulation.went_back == 0U);
+        for (auto& host : simulation.hosts) {
+            host.is_cut_off = false;
+            if (!host.is_up) {
+                simulation.restart(host);
+            }
+        }
+        // Silent hubs are probed each second, and a tenth of the datagrams is lost.
+        simulation.advance(60);
+        const auto expected = rows_of(simulation.store);
+        for (const auto& host : simulation.hosts) {
+            RC_ASSERT(rows_of(*host.rows) == expected);
+        }
+    }));
+}
+
+TEST_CASE("exchange: a digest of an ended process is ignored until its successor is silent") {
+    const state::host_entry own{"a", {"10.0.0.1", 1}, state::availability_zone_id("z"), 1};
+    const state::time_point now{1h};
+    host_directory hosts(own);
+    state::peer_digest digest;
+    digest.host = {"b", {"10.0.0.2", 1}, state::availability_zone_id("z"), 1};
+    digest.incarnation = 7;
+    CHECK(hosts.apply(digest, now));
+    digest.incarnation = 6;
+    CHECK_FALSE(hosts.apply(digest, now + 10ms));
+    // The time of day of the host was set back before it started again.
+    CHECK(hosts.apply(digest, now + host_directory::role_duration));
+    digest.host = own;
+    CHECK_FALSE(hosts.apply(digest, now));
+}
+
+TEST_CASE("exchange: changed observations are repeated, the others are refreshed") {
+    observation_schedule schedule;
+    state::time_point now{1h};
+    std::vector<state::runner_observation> all(3);
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        all[i].id = state::endpoint_id("i-" + std::to_string(i));
+    }
+    CHECK(schedule.take_due(all, now).size() == 3);
+    now += observation_schedule::repeated_for;
+    CHECK(schedule.take_due(all, now).empty());
+    all[1].is_silent = true;
+    CHECK(schedule.take_due(all, now).size() == 1);
+    CHECK(schedule.take_due(all, now + 100ms).size() == 1);
+    now += observation_schedule::refresh_interval + 100ms;
+    CHECK(schedule.take_due(all, now).size() == 3);
+    schedule.reset();
+    CHECK(schedule.take_due(all, now).size() == 3);
+}
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -119,7 +119,7 @@
     tracker.begin_call(id, 100);
     tracker.begin_call(id, 50);
     tracker.note_first_event(id, 50);
-    tracker.apply_peer("h2", {{id, {3, 1, 400}}}, start);
+    tracker.apply_peer("h2", state::digest_scope::hub, {{id, {3, 1, 400}}}, start);
     const auto load = tracker.all(start + 100ms).at(id);
     CHECK(load.writing == 4);
     CHECK(load.waiting == 2);
@@ -138,7 +138,7 @@
         now += 20ms;
         meter.note("m", 10, now); // keeps half a group busy
     }
-    meter.apply_peer("h2", {{"m", 1.5}}, now);
+    meter.apply_peer("h2", state::digest_scope::hub, {{"m", 1.5}}, now);
     CHECK(meter.all(now).at("m") == Approx(2.0).epsilon(0.05));
     CHECK(meter.all(now + work_meter::peer_work_age + 1ms).at("m") < 0.5);
 }
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -14,10 +14,12 @@
 
 state::peer_digest make_digest(std::size_t entries) {
     state::peer_digest digest;
-    digest.host = "edge-a-1";
+    digest.host = {"edge-a-1", {"10.1.0.40", 7340}, state::availability_zone_id("zone-a"), 0.5};
+    digest.scope = state::digest_scope::hub;
+    digest.tables_age = state::milliseconds(150);
+    digest.controller_age = std::chrono::minutes(10);
+    digest.host_count = 295;
     digest.incarnation = 7;
-    digest.address = "10.1.0.40";
-    digest.port = 7340;
     digest.is_controller = true;
     for (std::size_t i = 0; i < entries; ++i) {
         const auto id = state::endpoint_id("i-" + std::to_string(1'000'000 + i));
@@ -44,7 +46,13 @@
             CHECK(text.size() <= state::max_datagram_bytes);
             const auto read = state::collect([&] { return decode_digest(text); });
             REQUIRE(read);
-            CHECK(read.value().host == "edge-a-1");
+            CHECK(read.value().host.name == "edge-a-1");
+            CHECK(read.value().host.address == state::member_address{"10.1.0.40", 7340});
+            CHECK(read.value().host.availability_zone.value() == "zone-a");
+            CHECK(read.value().scope == state::digest_scope::hub);
+            CHECK(read.value().tables_age == state::milliseconds(150));
+            CHECK(read.value().controller_age > std::chrono::minutes(1));
+            CHECK(read.value().host_count == 295);
             CHECK(read.value().is_controller);
             loads += read.value().loads.size();
             observations += read.value().observations.size();
@@ -70,13 +78,33 @@
 }
 
 TEST_CASE("a table is decoded as it was encoded") {
-    const state::table_image image{{{"config", std::string("a\0b", 3), 9, false}}, 12};
+    const state::table_image image{
+        {{"config", std::string("a\0b", 3), 9, false}, {"gone", "", 11, true}}, 12, 8};
     const auto read = state::collect([&] { return decode_table(encode_table(image)); });
     REQUIRE(read);
     CHECK(read.value().version == 12);
+    CHECK(read.value().after == 8);
+    CHECK(read.value().rows.back().is_removed);
     CHECK(read.value().rows.front().value == image.rows.front().value);
 }
 
+TEST_CASE("the row of a host is decoded as it was encoded, and a damaged one is refused") {
+    const state::host_entry host{
+        "edge-a-1", {"10.1.0.40", 7340}, state::availability_zone_id("zone-a"), 0.12};
+    const auto row = encode_host_row(host);
+    const auto read = state::collect([&] { return decode_host_row("edge-a-1", row); });
+    REQUIRE(read);
+    CHECK(read.value().address == host.address);
+    CHECK(read.value().availability_zone == host.availability_zone);
+    CHECK(read.value().processor_share == Approx(0.12));
+    for (const std::string damaged :
+         {"", "10.1.0.40", "10.1.0.40:7340", "10.1.0.40:x zone-a 1", "10.1.0.40:0 zone-a 1",
+          "10.1.0.40:73400 zone-a 1", "10.1.0.40:7340 zone-a much"}) {
+        INFO(damaged);
+        CHECK_FALSE(state::collect([&] { return decode_host_row("edge-a-1", damaged); }));
+    }
+}
+
 TEST_CASE("an error in an entry host's settings names the invalid field") {
     const std::string good = "host: edge-a-1\navailability_zone: a\ncallers: 10.1.0.4:8080\n"
                              "readiness: 10.1.0.4:8081\nmetrics: 10.1.0.4:8082\n"
--- a/tests/state/table_mirror_test.cpp
+++ b/tests/state/table_mirror_test.cpp
@@ -89,3 +89,32 @@
         }
     }));
 }
+
+TEST_CASE("changes since a version contain removals, or are a full copy if some are unknown") {
+    table_mirror source;
+    source.apply_image({{{"a", "1", 3, false}, {"b", "1", 4, false}}, 5});
+    source.apply_changes({{"a", "", 8, true}, {"c", "1", 9, false}}, 10);
+
+    const auto changes = source.changes_since(5);
+    CHECK(changes.after == 5);
+    CHECK(changes.version == 10);
+    REQUIRE(changes.rows.size() == 2);
+    CHECK(changes.rows.front().is_removed);
+
+    // A row that was removed before the full read leaves no trace in the mirror.
+    const auto all = source.changes_since(4);
+    CHECK(all.after == 0);
+    CHECK(all.rows.size() == 2);
+
+    table_mirror copy;
+    copy.apply_image({{{"a", "1", 3, false}, {"gone", "1", 2, false}}, 4});
+    copy.apply_image(all);
+    CHECK(copy.image().rows.size() == 2);
+    CHECK(copy.synced_version() == 10);
+
+    // Changes that do not continue the copy are not applied.
+    table_mirror behind;
+    behind.apply_image({{{"a", "1", 3, false}}, 4});
+    CHECK(behind.apply_image(changes).empty());
+    CHECK(behind.synced_version() == 4);
+}
--- /dev/null
+++ b/tests/support/exchange_simulation.h
@@ -0,0 +1,213 @@
+// Simulates the exchange between entry hosts in rounds: digests may be lost, doubled and
+// late, hosts end, restart and are cut off, and tables are copied from peers.
+#pragma once
+
+#include "savoryrelay/coordination/exchange/digest_exchange.h"
+#include "savoryrelay/coordination/serving/load_tracker.h"
+#include "savoryrelay/state/serving/table_mirror.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace savoryrelay::tests {
+
+/// Probabilities of the faults of one datagram.
+struct datagram_faults {
+    double lost = 0;
+    double doubled = 0;
+    double late = 0; ///< arrives up to three rounds later
+};
+
+class exchange_simulation {
+public:
+    static constexpr state::milliseconds round{100};
+
+    struct host {
+        state::host_entry entry;
+        std::uint64_t incarnation = 1;
+        bool is_up = true;
+        bool is_cut_off = false;
+        std::unique_ptr<coordination::host_directory> directory;
+        std::unique_ptr<coordination::load_tracker> loads;
+        std::unique_ptr<coordination::digest_exchange> exchange;
+        std::unique_ptr<state::table_mirror> rows;
+        std::uint64_t sent_bytes_entries = 0; // entries of all lists sent in the last round
+        std::uint64_t sent_datagrams = 0;     // in the last round
+    };
+
+    exchange_simulation(std::uint64_t seed, datagram_faults faults, std::size_t zones,
+                        std::size_t hosts_per_zone)
+        : m_random(seed), m_faults(faults) {
+        for (std::size_t zone = 0; zone < zones; ++zone) {
+            for (std::size_t i = 0; i < hosts_per_zone; ++i) {
+                host value;
+                value.entry.name = "edge-" + std::to_string(zone) + "-" + std::to_string(i);
+                value.entry.address = {"10." + std::to_string(zone) + ".0." + std::to_string(i),
+                                       7340};
+                value.entry.availability_zone =
+                    state::availability_zone_id("zone-" + std::to_string(zone));
+                value.entry.processor_share = i < 3 ? 0.5 : 0.12;
+                hosts.push_back(std::move(value));
+            }
+        }
+        for (auto& each : hosts) {
+            m_by_address[coordination::to_text(each.entry.address)] = &each;
+            start(each);
+        }
+    }
+
+    /// Starts a host's process with the table of hosts and nothing else.
+    void start(host& each) {
+        each.directory = std::make_unique<coordination::host_directory>(each.entry);
+        each.loads = std::make_unique<coordination::load_tracker>();
+        each.rows = std::make_unique<state::table_mirror>();
+        each.is_up = true;
+        each.exchange = std::make_unique<coordination::digest_exchange>(
+            *each.directory,
+            coordination::digest_sources{
+                .describe =
+                    [&each](state::peer_digest& digest, state::time_point) {
+                        digest.host = each.entry;
+                        digest.incarnation = each.incarnation;
+                        digest.operators_version = each.rows->newest_row_version();
+                    },
+                .loads = [&each](state::digest_scope scope,
+                                 state::time_point at) { return each.loads->report(scope, at); },
+                .work = [](state::digest_scope,
+                           state::time_point) { return std::vector<state::model_work>{}; },
+                .observations =
+                    [](state::time_point) { return std::vector<state::runner_observation>{}; },
+                .runners_to_confirm = [] { return std::vector<state::endpoint_id>{}; }});
+        for (const auto& other : hosts) {
+            each.directory->add(other.entry);
+        }
+    }
+
+    void restart(host& each) {
+        ++each.incarnation;
+        start(each);
+    }
+
+    /// Plays one round: hosts that read the store see `store`, the others copy from peers.
+    void advance() {
+        now += round;
+        deliver_late();
+        for (auto& each : hosts) {
+            each.sent_datagrams = 0;
+            each.sent_bytes_entries = 0;
+            if (each.is_up) {
+                send_round(each);
+            }
+        }
+        for (auto& each : hosts) {
+            if (each.is_up) {
+                copy_rows(each);
+            }
+        }
+    }
+    void advance(int rounds) {
+        for (int i = 0; i < rounds; ++i) {
+            advance();
+        }
+    }
+
+    [[nodiscard]] std::size_t store_readers() const {
+        std::size_t count = 0;
+        for (const auto& each : hosts) {
+            count += each.is_up && each.exchange->is_store_reader() ? 1 : 0;
+        }
+        return count;
+    }
+
+    state::time_point now{std::chrono::hours(1)};
+    std::vector<host> hosts;
+    state::table_mirror store;   ///< the operators' table as the store holds it
+    std::uint64_t went_back = 0; ///< times that a host's copy lost a version
+
+private:
+    struct late_digest {
+        state::time_point at{};
+        std::string receiver;
+        state::peer_digest digest;
+    };
+
+    [[nodiscard]] bool happens(double chance) {
+        return std::uniform_real_distribution<>(0, 1)(m_random) < chance;
+    }
+
+    void send_round(host& from) {
+        for (const auto& [digest, receivers] : from.exchange->next_round(now)) {
+            for (const auto& receiver : receivers) {
+                ++from.sent_datagrams;
+                from.sent_bytes_entries += digest.loads.size() + digest.peers.size();
+                if (happens(m_faults.lost)) {
+                    continue;
+                }
+                const auto key = coordination::to_text(receiver);
+                if (happens(m_faults.late)) {
+                    const auto delay = round * std::uniform_int_distribution<>(1, 3)(m_random);
+                    m_late.push_back({now + delay, key, digest});
+                } else {
+                    deliver(key, digest);
+                }
+                if (happens(m_faults.doubled)) {
+                    deliver(key, digest);
+                }
+            }
+        }
+    }
+
+    void deliver_late() {
+        std::vector<late_digest> remaining;
+        for (auto& each : std::exchange(m_late, {})) {
+            if (each.at <= now) {
+                deliver(each.receiver, each.digest);
+            } else {
+                remaining.push_back(std::move(each));
+            }
+        }
+        m_late.insert(m_late.end(), remaining.begin(), remaining.end());
+    }
+
+    void deliver(const std::string& key, const state::peer_digest& digest) {
+        const auto found = m_by_address.find(key);
+        const auto* sender = m_by_address.at(coordination::to_text(digest.host.address));
+        if (found == m_by_address.end() || !found->second->is_up || found->second->is_cut_off ||
+            sender->is_cut_off) {
+            return;
+        }
+        auto& receiver = *found->second;
+        const auto received = receiver.exchange->receive(digest, now);
+        if (received.is_load_source) {
+            receiver.loads->apply_peer(digest.host.name + "/0", digest.scope, digest.loads, now);
+        }
+    }
+
+    void copy_rows(host& each) {
+        const auto before = each.rows->newest_row_version();
+        if (each.is_cut_off) {
+            return;
+        }
+        if (each.exchange->is_store_reader()) {
+            each.rows->apply_image(store.changes_since(each.rows->synced_version()));
+        }
+        const auto source = each.directory->best_source(coordination::shared_table::operators, now);
+        if (source && source->version > each.rows->synced_version()) {
+            const auto* peer = m_by_address.at(coordination::to_text(source->address));
+            if (peer->is_up && !peer->is_cut_off) {
+                each.rows->apply_image(peer->rows->changes_since(each.rows->synced_version()));
+            }
+        }
+        went_back += each.rows->newest_row_version() < before ? 1 : 0;
+    }
+
+    std::mt19937_64 m_random;
+    datagram_faults m_faults;
+    std::map<std::string, host*> m_by_address;
+    std::vector<late_digest> m_late;
+};
+
+} // namespace savoryrelay::tests
