End streams without progress and answers without end at their limits

Cause: each read had a limit of its own, and a read after the deadline got one more millisecond; an endpoint that sent a byte now and then, or the same event again and again, kept a stream open, and an endless body was read for as long as its bytes came. Change: the pause between events is measured between new events that were relayed, and no read starts after the deadline. Test: two process tests with an endpoint that never stops (head, body, trickle, repeated event); the stream test failed before with 2.0 s of the caller's 2.0 s for both kinds, and passes. Endless heads and bodies were already refused in time, by the limits of their sizes.

--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -40,9 +40,13 @@
     attempt_result end;
     std::vector<char> buffer(read_buffer_bytes);
     while (true) {
-        const auto [failed, size] = co_await call.connection->read_some(
-            asio::buffer(buffer),
-            std::max(milliseconds(1), time_until(call.deadline, m_dependencies.now())));
+        // An answer without end delivers bytes at any time, so no read may start late.
+        const auto left = time_until(call.deadline, m_dependencies.now());
+        if (left <= milliseconds(0)) {
+            end.reason = "answer is not whole at the deadline";
+            co_return end;
+        }
+        const auto [failed, size] = co_await call.connection->read_some(asio::buffer(buffer), left);
         if (failed || end.body.size() + size > max_whole_answer_bytes) {
             end.reason = "answer is not whole: " + failed.message();
             end.endpoint_ended = failed == asio::error::connection_reset;
@@ -158,10 +162,17 @@
     // replace this one.
     call.events.resume();
     std::vector<char> buffer(read_buffer_bytes);
+    // Only a new event is progress: bytes that complete none don't keep the stream open.
+    auto progress_at = m_dependencies.now();
     while (true) {
-        const auto limit = is_writing ? gap_limit : first_limit;
-        const auto [failed, size] =
-            co_await call.connection->read_some(asio::buffer(buffer), bounded_by_deadline(limit));
+        const auto now = m_dependencies.now();
+        const auto progress_end = progress_at + (is_writing ? gap_limit : first_limit);
+        const auto left = time_until(std::min(progress_end, call.deadline), now);
+        if (left <= milliseconds(0)) {
+            end.reason = is_writing ? "stream made no progress" : "no event";
+            co_return end;
+        }
+        const auto [failed, size] = co_await call.connection->read_some(asio::buffer(buffer), left);
         if (failed) {
             co_return failed_with(is_writing ? "stream broke off" : "no event", failed);
         }
@@ -208,6 +219,8 @@
             call.caller_is_gone = true;
             co_return end;
         }
+        // A caller that reads slowly has held up the stream until now.
+        progress_at = m_dependencies.now();
     }
     if (!call.writer.started()) {
         call.status = status;
--- a/tests/process/edge_fixture.h
+++ b/tests/process/edge_fixture.h
@@ -119,6 +119,9 @@
   "timeout_ms":3000,"latency_target_ms":200,"max_attempts":1,"service":"orders"},
  {"name":"look","host":"a.example","path_prefix":"/look/","kind":"idempotent",
   "timeout_ms":3000,"latency_target_ms":200,"max_attempts":2,"service":"orders"},
+ {"name":"feed","host":"a.example","path_prefix":"/feed/","kind":"streaming",
+  "timeout_ms":3000,"latency_target_ms":200,"gap_target_ms":200,"max_attempts":1,
+  "service":"orders"},
  {"name":"v)" + number +
                       R"(","host":"a.example","path_prefix":"/v)" + number +
                       R"(/","kind":"idempotent","service":"orders"}],
--- /dev/null
+++ b/tests/process/endless_answer_test.cpp
@@ -0,0 +1,165 @@
+// Tests answers of a faulty endpoint that never end: heads and bodies without end, and
+// streams that make no progress. The caller gets a truthful end in time, and the connection
+// to the endpoint is closed.
+#include "edge_fixture.h"
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+using namespace savoryrelay::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+using test_clock = std::chrono::steady_clock;
+
+// An endpoint whose answer depends on the last part of the path. Writes until the relay
+// closes the connection.
+class faulty_endpoint {
+public:
+    faulty_endpoint() {
+        m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        REQUIRE(::bind(m_listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
+        REQUIRE(::listen(m_listener, 16) == 0);
+        REQUIRE(::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+        port = std::to_string(ntohs(address.sin_port));
+        m_thread = std::thread([this] { serve(); });
+    }
+    faulty_endpoint(const faulty_endpoint&) = delete;
+    faulty_endpoint& operator=(const faulty_endpoint&) = delete;
+    ~faulty_endpoint() {
+        m_is_stopping = true;
+        ::shutdown(m_listener, SHUT_RDWR);
+        m_thread.join();
+        ::close(m_listener);
+    }
+
+    std::string port;
+    std::atomic<int> closed_by_relay{0};
+
+private:
+    void serve() {
+        while (!m_is_stopping) {
+            const int connection = ::accept(m_listener, nullptr, nullptr);
+            if (connection >= 0) {
+                answer(connection);
+                ::close(connection);
+            }
+        }
+    }
+
+    static bool send_text(int connection, const std::string& text) {
+        return ::send(connection, text.data(), text.size(), MSG_NOSIGNAL) ==
+               static_cast<ssize_t>(text.size());
+    }
+
+    void answer(int connection) {
+        std::string request;
+        char byte = 0;
+        while (request.find("\r\n\r\n") == std::string::npos) {
+            if (::recv(connection, &byte, 1, 0) != 1) {
+                return;
+            }
+            request += byte;
+        }
+        const auto has = [&](const std::string& text) {
+            return request.find(text) != std::string::npos;
+        };
+        const auto id_at = request.find("Attempt-Id: ") + 12;
+        const auto id = request.substr(id_at, request.find("\r\n", id_at) - id_at);
+        const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: s\r\n";
+        const std::string stream_head = head + "Content-Type: text/event-stream\r\n\r\n";
+        std::string first = head;
+        std::string filler = "X-Filler: 0123456789\r\n";
+        auto pause = 0ms;
+        if (has("/body ")) {
+            first = head + "\r\n";
+            filler = std::string(64 * 1024, 'x');
+        } else if (has("/trickle ")) {
+            first = stream_head + "id: 0\ndata: x\n\n";
+            filler = ":";
+            pause = 100ms;
+        } else if (has("/repeats ")) {
+            first = stream_head;
+            filler = "id: 0\ndata: x\n\n";
+            pause = 1ms;
+        } else if (has("/slow-body ")) {
+            first = head + "\r\n";
+            filler = "x";
+            pause = 20ms;
+        }
+        bool is_open = send_text(connection, first);
+        while (is_open && !m_is_stopping) {
+            std::this_thread::sleep_for(pause);
+            is_open = send_text(connection, filler);
+        }
+        closed_by_relay += is_open ? 0 : 1;
+    }
+
+    int m_listener = -1;
+    std::atomic<bool> m_is_stopping{false};
+    std::thread m_thread;
+};
+
+struct faulty_fixture : edge_fixture {
+    faulty_fixture() {
+        write_entry("p1", "orders", faulty.port, "");
+        hosts[0]->wait_until_ready();
+    }
+
+    /// Sends a call until the faulty endpoint has got it, and returns the time that the
+    /// answer took.
+    test_clock::duration call(const std::string& path, test_answer& answer) {
+        const auto closed_before = faulty.closed_by_relay.load();
+        while (true) {
+            const auto started = test_clock::now();
+            auto headers = edge_fixture::headers("e" + std::to_string(m_calls++));
+            headers[3].second = "2000";
+            answer = fetch(hosts[0]->callers, http::verb::get, path, "", headers);
+            const auto took = test_clock::now() - started;
+            // 503: the host does not know the endpoint yet, or avoids it.
+            if (answer.status != 503) {
+                // The endpoint notices the close with one of its next writes.
+                const auto limit = test_clock::now() + 1s;
+                while (faulty.closed_by_relay == closed_before && test_clock::now() < limit) {
+                    std::this_thread::sleep_for(5ms);
+                }
+                CHECK(faulty.closed_by_relay > closed_before);
+                return took;
+            }
+        }
+    }
+
+    faulty_endpoint faulty;
+
+private:
+    int m_calls = 0;
+};
+
+} // namespace
+
+TEST_CASE("edge: an answer whose head or body has no end is refused in time") {
+    faulty_fixture fixture;
+    test_answer answer;
+    for (const std::string path : {"/look/head", "/look/body", "/look/slow-body"}) {
+        INFO(path);
+        CHECK(fixture.call(path, answer) < 2'500ms);
+        CHECK((answer.status == 502 || answer.status == 504));
+    }
+}
+
+TEST_CASE("edge: a stream that makes no progress ends before its deadline") {
+    faulty_fixture fixture;
+    test_answer answer;
+    // One event, then a byte now and then that completes no event.
+    CHECK(fixture.call("/feed/trickle", answer) < 1'500ms);
+    CHECK_FALSE(answer.is_complete);
+    // The same event again and again.
+    CHECK(fixture.call("/feed/repeats", answer) < 1'500ms);
+    CHECK_FALSE(answer.is_complete);
+}
