A store reader without contact copies tables from peers

Change: a reader that has had no answer for a second copies from the other zones' readers, as a host does whose calls fail.

--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -227,7 +227,7 @@
         co_await pause_for(copy_interval);
         const bool has_operators =
             co_await copy_table(shared_table::operators, m_shared.operators, operators_fetched_at);
-        if (m_tables.follows_store() && m_shared.is_store_reachable) {
+        if (m_tables.is_in_contact(m_now())) {
             continue;
         }
         const bool has_runners =
--- a/src/edge/store_part.cpp
+++ b/src/edge/store_part.cpp
@@ -46,6 +46,9 @@
 // it when the store is back.
 constexpr milliseconds member_retry_pause{2'000};
 constexpr milliseconds follow_check_interval{200};
+// A host that follows the store copies from peers after this time without an answer: a
+// call that hangs fails only at its time-out.
+constexpr milliseconds contact_duration{1'000};
 
 } // namespace
 
@@ -73,6 +76,11 @@
     return m_shared.is_store_reader || age(m_now()) > m_max_age;
 }
 
+bool store_part::is_in_contact(state::time_point now) const {
+    return follows_store() && m_shared.is_store_reachable &&
+           now - m_contact_at.load() < contact_duration;
+}
+
 void store_part::note_current(state::time_point at) {
     if (at > m_current_at.load()) {
         m_current_at = at;
@@ -105,6 +113,7 @@
         }
         return;
     }
+    m_contact_at = now;
     m_current_at = now;
     if (m_failing_since) {
         const auto outage = now - *m_failing_since;
--- a/src/edge/store_part.h
+++ b/src/edge/store_part.h
@@ -31,6 +31,9 @@
 
     /// Returns whether this host reads the tables from the store.
     [[nodiscard]] bool follows_store() const;
+    /// Returns whether this host needs no copies from peers: it follows the store, which
+    /// has answered recently.
+    [[nodiscard]] bool is_in_contact(state::time_point now) const;
     /// Records that the copies were current at `at`, according to a peer.
     void note_current(state::time_point at);
     /// Records that a peer expects entries to return for another `left`.
@@ -61,6 +64,7 @@
     const state::milliseconds m_max_age;
     // Written by the control context and by the thread that receives digests.
     std::atomic<state::time_point> m_current_at{state::time_point{}};
+    std::atomic<state::time_point> m_contact_at{state::time_point{}}; // last answer of the store
     std::atomic<state::time_point> m_grace_end{state::time_point{}};
 };
 
