Bound the reads of entries by the leave limit, and unknown fleets' share of limits

Cause: bounds.leave_ms had no effect any more; and a host that had just started without the store divided the fleet's burst of repeats among the few hosts that it knew. Change: entries are read and copied each 450 ms or each quarter of the leave limit, if that is shorter (no change at 2 s and more); until a host has read the table of hosts or hears a hub, it takes a 1,000th of the burst.

--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -42,11 +42,12 @@
 constexpr milliseconds second_hosts_read_delay{2'500};
 constexpr milliseconds hosts_read_interval{5'000};
 constexpr milliseconds hosts_retry_interval{500};
-// Interval of the check for a peer whose tables are newer, and interval at which the
-// runners' table is copied.
+// Interval of the check for a peer whose tables are newer.
 constexpr milliseconds copy_interval{150};
-constexpr milliseconds runners_copy_interval{450};
 constexpr milliseconds fetch_timeout{600};
+// A host that knows of no others takes the share of the fleet's limits that it would have
+// among this many.
+constexpr std::size_t unknown_fleet_hosts = 1'000;
 
 } // namespace
 
@@ -103,7 +104,8 @@
 void peer_part::update_host_count(state::time_point now) {
     const auto count = std::max(m_directory.host_count(now), m_listed_hosts);
     m_shared.host_count = count;
-    m_shared.repeats.set_hosts(count);
+    const bool is_fleet_known = m_has_read_hosts || m_directory.hears_hub(now);
+    m_shared.repeats.set_hosts(is_fleet_known ? count : std::max(count, unknown_fleet_hosts));
 }
 
 void peer_part::describe(peer_digest& digest, state::time_point now) {
@@ -185,6 +187,7 @@
     }
     m_listed_hosts = hosts.value().rows.size();
     m_knows_hosts = true;
+    m_has_read_hosts = true;
     for (const auto& row : hosts.value().rows) {
         const auto host =
             state::collect([&] { return protocol::decode_host_row(row.key, row.value); });
@@ -250,7 +253,7 @@
     if (source->version <= mirror.synced_version()) {
         co_return true;
     }
-    if (table == shared_table::runners && now - fetched_at < runners_copy_interval) {
+    if (table == shared_table::runners && now - fetched_at < m_shared.entry_interval()) {
         co_return true; // the copy is no older than the interval
     }
     fetched_at = now;
--- a/src/edge/peer_part.h
+++ b/src/edge/peer_part.h
@@ -64,7 +64,8 @@
     std::size_t m_listed_hosts = 0; // control context only
     // The table of hosts was read, or the store cannot be reached; control context only.
     bool m_knows_hosts = false;
-    std::uint64_t m_round = 0; // control context only
+    bool m_has_read_hosts = false; // control context only
+    std::uint64_t m_round = 0;     // control context only
 };
 
 } // namespace savoryrelay::edge
--- a/src/edge/shared_state.h
+++ b/src/edge/shared_state.h
@@ -25,6 +25,16 @@
                  state::milliseconds limit)
         : own_host(host), hosts(host), repeats(repeat_limit), leave_limit(limit) {}
 
+    /// Returns the interval at which the runners' entries are read from the store, and
+    /// copied from a peer. An entry passes both before a host learns that a runner leaves;
+    /// the rest of the limit covers the calls already sent. The interval lets one read
+    /// return several changes.
+    [[nodiscard]] state::milliseconds entry_interval() const {
+        constexpr state::milliseconds longest{450};
+        constexpr int parts_of_limit = 4;
+        return std::min(longest, leave_limit / parts_of_limit);
+    }
+
     const state::host_entry own_host;
     state::metrics metrics;
     coordination::host_directory hosts; ///< the other entry hosts
--- a/src/edge/store_part.cpp
+++ b/src/edge/store_part.cpp
@@ -27,8 +27,6 @@
 // shows that the connection works.
 constexpr milliseconds operators_feed_wait{2'000};
 constexpr milliseconds runners_feed_wait{2'000};
-// The pause lets one read return several changes.
-constexpr milliseconds runners_feed_pause{450};
 constexpr milliseconds retry_pause{250};
 // Entries that lapsed during an outage return within about two seconds of its end, as the
 // platform specifies.
@@ -68,7 +66,8 @@
                    asio::detached);
     asio::co_spawn(m_threads.context(0),
                    follow(std::string(platform::wire::runners_table), m_shared.runners,
-                          {runners_feed_wait, runners_feed_pause}, &store_part::apply_runners),
+                          {runners_feed_wait, m_shared.entry_interval()},
+                          &store_part::apply_runners),
                    asio::detached);
 }
 
