Log connections that close without a whole answer

The server now logs an answer that ended early or was never begun while the caller was still there, and a connection that is closed with bytes that were not read. No decision changes.

--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -2,6 +2,7 @@
 #include "savoryrelay/transport/http/http_server.h"
 
 #include "savoryrelay/transport/http/progress_watchdog.h"
+#include "savoryrelay/transport/process/log.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -57,6 +58,11 @@
                 break;
             }
         }
+        if (has_unread_bytes()) {
+            log_warning("connection_closed_unread",
+                        {{"idle_timeout_ms", std::to_string(m_limits.idle_timeout.count())},
+                         {"stopping", m_server.m_stopping.load() ? "yes" : "no"}});
+        }
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         // A pending wait of detect_caller_gone would keep the socket open.
         m_stream.socket().cancel(ignored);
@@ -73,6 +79,13 @@
     }
 
 private:
+    /// Returns whether the peer has sent bytes that were not read, perhaps a request.
+    [[nodiscard]] bool has_unread_bytes() {
+        char byte = 0;
+        return m_buffer.size() > 0 || ::recv(m_stream.socket().native_handle(), &byte, sizeof(byte),
+                                             MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
+
     /// Waits for the first byte of a request. Returns false if the wait timed out, the
     /// peer closed the connection, or the server stops.
     asio::awaitable<bool> wait_for_request() {
@@ -119,6 +132,10 @@
         detect_caller_gone();
         co_await m_server.m_handler(std::move(request), writer);
         m_writer = nullptr;
+        if (!writer.complete() && !writer.is_caller_gone()) {
+            log_warning("request_without_answer",
+                        {{"reason", writer.started() ? "answer_cut" : "no_answer"}});
+        }
         m_server.request_ended();
         co_return writer.keep_alive();
     }
--- a/src/savoryrelay/transport/http/response_writer.cpp
+++ b/src/savoryrelay/transport/http/response_writer.cpp
@@ -33,8 +33,10 @@
     m_started = true;
     const auto header =
         header_text(status, fields, "Content-Length: " + std::to_string(body.size()) + "\r\n");
-    co_return co_await m_send_buffers(
+    const auto failed = co_await m_send_buffers(
         {asio::buffer(header), asio::buffer(body), asio::const_buffer{}});
+    m_complete = !failed;
+    co_return failed;
 }
 
 asio::awaitable<error_code> response_writer::start(unsigned status, http_fields fields) {
@@ -64,8 +66,10 @@
 asio::awaitable<error_code> response_writer::finish() {
     assert(m_started);
     static constexpr std::string_view last_chunk = "0\r\n\r\n";
-    co_return co_await m_send_buffers(
+    const auto failed = co_await m_send_buffers(
         {asio::buffer(last_chunk), asio::const_buffer{}, asio::const_buffer{}});
+    m_complete = !failed;
+    co_return failed;
 }
 
 } // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/http/response_writer.h
+++ b/src/savoryrelay/transport/http/response_writer.h
@@ -40,6 +40,7 @@
     void on_caller_gone(std::function<void()> gone) { m_caller_gone = std::move(gone); }
     /// Called by the connection when it detects that the caller has closed it.
     void notify_caller_gone() {
+        m_is_caller_gone = true;
         if (auto gone = std::exchange(m_caller_gone, nullptr)) {
             gone();
         }
@@ -51,6 +52,10 @@
 
     /// Returns true once `send` or `start` has been called.
     [[nodiscard]] bool started() const { return m_started; }
+    /// Returns true once the whole answer was handed to the connection.
+    [[nodiscard]] bool complete() const { return m_complete; }
+    /// Returns true if the caller has closed the connection.
+    [[nodiscard]] bool is_caller_gone() const { return m_is_caller_gone; }
     /// Returns true while the connection may carry another request.
     [[nodiscard]] bool keep_alive() const { return m_keep_alive; }
 
@@ -61,6 +66,8 @@
     send_buffers_hook m_send_buffers;
     bool m_keep_alive;
     bool m_started = false;
+    bool m_complete = false; // implies m_started
+    bool m_is_caller_gone = false;
     std::function<void()> m_caller_gone;
 };
 
