Answer requests that arrive while the server stops

At a stop the server closed connections that were idle for it, although a request had already arrived: the caller saw its connection reset without an answer. A stop also ended the process while a request was still being read, because only requests that had arrived completely were counted, and it dropped a connection that had just been accepted.

A connection whose wait ends now serves a request that has arrived, an accepted connection is served, and a stop waits until the connections are closed, within the limit that the host has for its stop. The two new tests failed before and pass: a request that arrived before the stop got no answer, and a stop did not wait for a request of which half had arrived.

--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -55,10 +55,7 @@
         const auto self = shared_from_this();
         error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
-        while (!m_server.m_stopping.load()) {
-            if (!co_await wait_for_request() || !co_await serve_request()) {
-                break;
-            }
+        while (co_await wait_for_request() && co_await serve_request()) {
         }
         if (has_unread_bytes()) {
             log_warning(
@@ -95,6 +92,9 @@
         if (m_buffer.size() > 0) {
             co_return true;
         }
+        if (m_server.m_stopping.load()) {
+            co_return has_unread_bytes();
+        }
         const auto idle_since = std::chrono::steady_clock::now();
         const auto time_left = [&] {
             return std::chrono::ceil<state::milliseconds>(
@@ -111,11 +111,19 @@
         } while (failed == asio::error::operation_aborted && !m_server.m_stopping.load() &&
                  time_left() > state::milliseconds(0));
         m_idle = false;
-        co_return !failed;
+        // A request may have arrived just before the wait was ended.
+        co_return !failed || has_unread_bytes();
     }
 
     /// Reads and answers one request. Returns false if the connection must be closed.
     asio::awaitable<bool> serve_request() {
+        m_server.m_open_requests.fetch_add(1);
+        const bool may_continue = co_await read_and_answer();
+        m_server.m_open_requests.fetch_sub(1);
+        co_return may_continue;
+    }
+
+    asio::awaitable<bool> read_and_answer() {
         m_limits = m_server.limits();
         http::request_parser<http::string_body> parser;
         parser.header_limit(m_limits.header_bytes);
@@ -128,8 +136,6 @@
             co_return false;
         }
 
-        // Answer the request. A shutdown waits until the count of open requests is 0.
-        m_server.m_open_requests.fetch_add(1);
         auto request = parser.release();
         response_writer writer(
             [this](std::array<asio::const_buffer, 3> buffers) -> asio::awaitable<error_code> {
@@ -149,7 +155,6 @@
             log_warning("request_without_answer",
                         {{"reason", writer.started() ? "answer_cut" : "no_answer"}});
         }
-        m_server.request_ended();
         co_return writer.keep_alive();
     }
 
@@ -255,7 +260,7 @@
     while (!m_stopping.load()) {
         auto& context = m_threads.next();
         auto [failed, socket] = co_await m_acceptor.async_accept(context, use_tuple);
-        if (failed == asio::error::operation_aborted || m_stopping.load()) {
+        if (failed == asio::error::operation_aborted) {
             co_return;
         }
         if (failed) {
@@ -291,20 +296,21 @@
 }
 
 void http_server::wait_until_idle() {
-    std::unique_lock lock(m_idle_mutex);
-    m_became_idle.wait(lock, [this] { return m_open_requests.load() == 0; });
+    std::unique_lock lock(m_connections_mutex);
+    m_became_idle.wait(lock, [this] { return m_connections.empty(); });
 }
 
-void http_server::request_ended() {
-    if (m_open_requests.fetch_sub(1) == 1) {
-        const std::scoped_lock lock(m_idle_mutex);
-        m_became_idle.notify_all();
-    }
+std::size_t http_server::open_connections() const {
+    const std::scoped_lock lock(m_connections_mutex);
+    return m_connections.size();
 }
 
 void http_server::remove_connection(std::uint64_t id) {
     const std::scoped_lock lock(m_connections_mutex);
     m_connections.erase(id);
+    if (m_connections.empty()) {
+        m_became_idle.notify_all();
+    }
 }
 
 } // namespace savoryrelay::transport
--- a/tests/transport/idle_connection_test.cpp
+++ b/tests/transport/idle_connection_test.cpp
@@ -3,12 +3,14 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <future>
 #include <thread>
 
 using namespace savoryrelay;
@@ -29,6 +31,7 @@
         request.set(http::field::host, "h");
         http::write(m_socket, request);
     }
+    void send_text(const std::string& text) { asio::write(m_socket, asio::buffer(text)); }
     /// Returns the status of the next answer, or 0 if the connection ends first.
     unsigned receive() {
         http::response<http::string_body> response;
@@ -43,7 +46,8 @@
     boost::beast::flat_buffer m_buffer;
 };
 
-// A server with one thread, whose idle limit can be changed.
+// A server with one thread, whose idle limit can be changed. A call of `block` keeps the
+// thread busy until `unblock`.
 struct idle_fixture {
     std::atomic<int> idle_timeout_ms{10'000};
     transport::io_threads threads{1};
@@ -56,6 +60,7 @@
             auto fields = transport::content_type_field("text/plain");
             co_await writer.send(200, std::move(fields), "ok");
         }};
+    std::promise<void> release;
 
     idle_fixture() {
         server.set_limits_hook([this] {
@@ -68,6 +73,15 @@
         server.stop_accepting();
         threads.stop();
     }
+    void block() {
+        std::promise<void> blocked;
+        asio::post(threads.context(0), [this, &blocked] {
+            blocked.set_value();
+            release.get_future().wait();
+        });
+        blocked.get_future().wait();
+    }
+    void unblock() { release.set_value(); }
 };
 
 } // namespace
@@ -93,3 +107,35 @@
     REQUIRE(kept.receive() == 200);
     CHECK(kept.receive() == 0);
 }
+
+TEST_CASE("a request that arrives while the server stops is answered", "[transport][idle]") {
+    idle_fixture fixture;
+    caller kept(fixture.server.port());
+    kept.send();
+    REQUIRE(kept.receive() == 200);
+
+    // The request has arrived when the idle connections are closed.
+    fixture.block();
+    kept.send();
+    std::this_thread::sleep_for(50ms);
+    fixture.server.stop_accepting();
+    fixture.unblock();
+    CHECK(kept.receive() == 200);
+}
+
+TEST_CASE("a stop waits for a request that has begun to arrive", "[transport][idle]") {
+    idle_fixture fixture;
+    caller kept(fixture.server.port());
+    kept.send();
+    REQUIRE(kept.receive() == 200);
+    kept.send_text("GET / HTTP/1.1\r\nHost: h\r\n");
+    while (fixture.server.open_requests() == 0) {
+        std::this_thread::sleep_for(1ms);
+    }
+    fixture.server.stop_accepting();
+    auto stopped = std::async(std::launch::async, [&] { fixture.server.wait_until_idle(); });
+    CHECK(stopped.wait_for(100ms) == std::future_status::timeout);
+    kept.send_text("\r\n");
+    CHECK(kept.receive() == 200);
+    stopped.get();
+}
