Leave a silent stream only for another endpoint

A stream whose runner was silent for longer than the route's pause limit, or a first event that was overdue, ended the attempt also when no other attempt could follow: the route's attempts were used up, the budget for repeats was empty, or no other group could take the call. The caller's answer was cut, or it got 502, while the runner was still at work.

A call now leaves a silent endpoint only after it has selected another one and reserved the attempt, or when the endpoint is known to be gone: it answers no reports, has started again, or is no head any more. Bytes that complete no event still end a stream at the limit, as endless_answer_test checks.

--- a/src/savoryrelay/coordination/serving/call_progress.h
+++ b/src/savoryrelay/coordination/serving/call_progress.h
@@ -73,8 +73,12 @@
     void note(attempt_outcome outcome, bool endpoint_ended);
 
     /// Returns whether the next attempt may be sent now. If it is not the first one,
-    /// this also takes one repeat from the budget.
-    [[nodiscard]] bool may_attempt() const;
+    /// this also takes one repeat from the budget, unless one is reserved.
+    [[nodiscard]] bool may_attempt();
+
+    /// Returns whether another attempt may follow if the current one is lost, and takes the
+    /// repeat for it from the budget. A call stays with a silent endpoint otherwise.
+    [[nodiscard]] bool reserve_attempt();
 
     /// Returns `not_run` if no endpoint has run the call, and `unknown` if one may have.
     [[nodiscard]] state::execution_outcome execution() const;
@@ -83,11 +87,15 @@
     [[nodiscard]] std::uint32_t attempts() const { return m_attempts; }
 
 private:
+    /// Returns whether the route allows an attempt after `runs` that may have run the call.
+    [[nodiscard]] bool allows_repeat(std::uint32_t runs) const;
+
     const state::route_rule& m_route;
     take_repeat_hook m_take_repeat;
     std::uint32_t m_attempts = 0;
     std::uint32_t m_refusals = 0;
     std::uint32_t m_runs = 0; // attempts that may have run, on endpoints that have not ended
+    bool m_has_reserved = false; // a repeat was taken for the next attempt
     bool m_may_have_run = false;
     bool m_has_ended = false; // the answer was delivered, or the caller is gone
 };
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -26,13 +26,15 @@
 // the caller, so that the call can be repeated if the answer breaks off.
 constexpr std::size_t max_whole_answer_bytes = 16 * 1024 * 1024;
 // Time limits of streams. If an endpoint exceeds one, the call goes to another
-// group. The limit of the first event is `first_event_margin` plus the larger of
+// group if one can take it. The limit of the first event is `first_event_margin` plus the larger of
 // twice the predicted time and the route's target. The limit of the pause between
 // two events is `event_gap_factor` times the route's target, but at least
 // `min_event_gap_limit`.
 constexpr milliseconds first_event_margin{400};
 constexpr milliseconds min_event_gap_limit{400};
 constexpr double event_gap_factor = 2;
+// Interval of the check whether a call leaves an endpoint that has exceeded its limit.
+constexpr milliseconds silence_check_interval{200};
 
 } // namespace
 
@@ -130,9 +132,14 @@
         min_event_gap_limit,
         std::chrono::duration_cast<milliseconds>(call.route->event_gap_target * event_gap_factor));
 
-    if (const auto failed =
-            co_await call.connection->read_header(bounded_by_deadline(first_limit))) {
-        co_return failed_with("no answer", failed);
+    error_code no_header = co_await call.connection->read_header(bounded_by_deadline(first_limit));
+    while (no_header == asio::error::operation_aborted &&
+           !leaves_silent_endpoint(call, chosen.runner.record)) {
+        no_header =
+            co_await call.connection->read_header(bounded_by_deadline(silence_check_interval));
+    }
+    if (no_header) {
+        co_return failed_with("no answer", no_header);
     }
     const auto status = call.connection->status();
     const auto fields = call.connection->fields();
@@ -162,17 +169,17 @@
     // replace this one.
     call.events.resume();
     std::vector<char> buffer(read_buffer_bytes);
-    // Only a new event is progress: bytes that complete none don't keep the stream open.
+    // Only a new event is progress.
     auto progress_at = m_dependencies.now();
+    auto check_at = progress_at + first_limit;
     while (true) {
-        const auto now = m_dependencies.now();
-        const auto progress_end = progress_at + (is_writing ? gap_limit : first_limit);
-        const auto left = time_until(std::min(progress_end, call.deadline), now);
-        if (left <= milliseconds(0)) {
-            end.reason = is_writing ? "stream made no progress" : "no event";
-            co_return end;
-        }
+        const auto left = bounded_by_deadline(time_until(check_at, m_dependencies.now()));
         const auto [failed, size] = co_await call.connection->read_some(asio::buffer(buffer), left);
+        if (failed == asio::error::operation_aborted &&
+            !leaves_silent_endpoint(call, chosen.runner.record)) {
+            check_at = m_dependencies.now() + silence_check_interval;
+            continue;
+        }
         if (failed) {
             co_return failed_with(is_writing ? "stream broke off" : "no event", failed);
         }
@@ -192,6 +199,13 @@
         }
         const auto ready = call.events.take();
         if (ready.empty()) {
+            // Unlike silence, bytes that complete no event come from a faulty endpoint.
+            const auto now = m_dependencies.now();
+            if (now - progress_at >= (is_writing ? gap_limit : first_limit) ||
+                now >= call.deadline) {
+                end.reason = is_writing ? "stream made no progress" : "no event";
+                co_return end;
+            }
             continue;
         }
         if (!is_writing) {
@@ -221,6 +235,7 @@
         }
         // A caller that reads slowly has held up the stream until now.
         progress_at = m_dependencies.now();
+        check_at = progress_at + gap_limit;
     }
     if (!call.writer.started()) {
         call.status = status;
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -39,6 +39,9 @@
     bool has_relayed_events = false;         // true after an event was sent to the caller
     std::optional<std::uint64_t> last_event; // number of the last event sent to the caller
     std::set<state::endpoint_id> tried;
+    coordination::call_progress* progress = nullptr; // set while attempts run
+    /// Selected before the current attempt was given up.
+    std::optional<coordination::selected_endpoint> next_endpoint;
     std::uint32_t attempts = 0;
     coordination::call_outcome outcome = coordination::call_outcome::delivered;
     // Reported in the log line and the metrics when the call ends.
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 #include <vector>
 
 namespace savoryrelay::transport {
@@ -151,6 +152,7 @@
     coordination::call_progress progress(*call.route, [&] {
         return m_dependencies.repeats.take(call.service->name, m_dependencies.now());
     });
+    call.progress = &progress;
     std::optional<attempt_result> failure;
     std::string reason;
     while (progress.may_attempt()) {
@@ -239,6 +241,9 @@
 
 asio::awaitable<std::variant<selected_endpoint, coordination::selection_failure>>
 serving_front::wait_for_endpoint(call_state& call) {
+    if (auto prepared = std::exchange(call.next_endpoint, std::nullopt)) {
+        co_return std::move(*prepared);
+    }
     const auto started_at = m_dependencies.now();
     const auto max_wait =
         std::min(max_queue_time, std::chrono::duration_cast<milliseconds>(
@@ -255,6 +260,29 @@
     }
 }
 
+bool serving_front::leaves_silent_endpoint(call_state& call, const state::runner_record& endpoint) {
+    const auto now = m_dependencies.now();
+    if (call.caller_is_gone || now >= call.deadline || prepare_next_attempt(call)) {
+        return true;
+    }
+    m_dependencies.report_suspect(endpoint.id);
+    const auto known = m_dependencies.fleet.find(endpoint.id);
+    return !known || known->silent_since || known->record.started_ms != endpoint.started_ms ||
+           (call.service->engine && !known->record.is_head());
+}
+
+bool serving_front::prepare_next_attempt(call_state& call) {
+    const auto now = m_dependencies.now();
+    auto selected = m_dependencies.selector.select(*call.service, call.decoded, call.tried,
+                                                   time_until(call.deadline, now), now);
+    auto* endpoint = std::get_if<selected_endpoint>(&selected);
+    if (endpoint == nullptr || !call.progress->reserve_attempt()) {
+        return false;
+    }
+    call.next_endpoint = std::move(*endpoint);
+    return true;
+}
+
 asio::awaitable<serving_front::attempt_result>
 serving_front::try_endpoint(call_state& call, const selected_endpoint& chosen) {
     auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -60,6 +60,13 @@
     boost::asio::awaitable<
         std::variant<coordination::selected_endpoint, coordination::selection_failure>>
     wait_for_endpoint(call_state& call);
+    /// Decides whether a call leaves an endpoint that has been silent for too long: when
+    /// another endpoint takes the call over, when the endpoint no longer serves, or when the
+    /// call is over.
+    bool leaves_silent_endpoint(call_state& call, const state::runner_record& endpoint);
+    /// Selects the endpoint of another attempt and reserves the attempt. Returns false if
+    /// none may follow.
+    bool prepare_next_attempt(call_state& call);
     /// Connects to the endpoint, sends the request and relays the answer.
     boost::asio::awaitable<attempt_result>
     try_endpoint(call_state& call, const coordination::selected_endpoint& chosen);
--- a/tests/coordination/serving/call_progress_test.cpp
+++ b/tests/coordination/serving/call_progress_test.cpp
@@ -57,6 +57,25 @@
     CHECK_FALSE(progress.may_attempt());
 }
 
+TEST_CASE("an attempt is reserved only if it may follow, and takes one repeat") {
+    int repeats = 1;
+    const auto take = [&] { return repeats-- > 0; };
+    const auto resumable = route_of(call_kind::streaming, true, 2);
+    call_progress progress(resumable, take);
+    REQUIRE(progress.may_attempt());
+    CHECK(progress.reserve_attempt());
+    CHECK(progress.reserve_attempt());
+    CHECK(repeats == 0);
+    progress.note(attempt_outcome::lost, false);
+    CHECK(progress.may_attempt());
+    CHECK_FALSE(progress.reserve_attempt()); // the route allows two endpoints
+
+    call_progress without_budget(resumable, take);
+    CHECK_FALSE(without_budget.reserve_attempt());
+    call_progress once(route_of(call_kind::streaming, false, 2), [] { return true; });
+    CHECK_FALSE(once.reserve_attempt());
+}
+
 TEST_CASE(
     "a call that may run once never runs twice and is reported as not run only if it did not run") {
     CHECK(rc::check("at most one run, correct report", [] {
--- a/tests/process/edge_test.cpp
+++ b/tests/process/edge_test.cpp
@@ -94,6 +94,23 @@
     CHECK(ids_of(rest.body) == "34567");
 }
 
+TEST_CASE("edge: a stream that pauses is not cut while no other group can take it over") {
+    edge_fixture fixture;
+    fixture.ask_until_served();
+    for (auto& runner : fixture.models) {
+        runner->control(R"({"token_ms":700})");
+    }
+    test_exchange paused(fixture.hosts[0]->callers, http::verb::post, "/ask/1", "prompt",
+                         edge_fixture::headers("p1", true));
+    REQUIRE(paused.read_until("id: 1"));
+    for (auto& runner : fixture.models) {
+        runner->control(R"({"token_ms":5})");
+    }
+    const auto answer = paused.finish();
+    CHECK(answer.is_complete);
+    CHECK(ids_of(answer.body) == complete_stream_ids());
+}
+
 TEST_CASE("edge: a new configuration takes effect, and an older one does not replace it") {
     edge_fixture fixture;
     const auto& port = fixture.hosts[0]->callers;
