Log the prompt parts of calls whose endpoint closes the connection

The log did not tell which calls share the part that crashes runners, so the hypotheses about the crashing part could not be told apart. The adapter now reads the parts of a prompt that calls may share, and the host logs and counts each call whose endpoint closed the connection before it answered. No decision changes.

--- a/src/savoryrelay/state/serving/serving_call.h
+++ b/src/savoryrelay/state/serving/serving_call.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace savoryrelay::state {
 
@@ -22,6 +23,8 @@
     double prompt_tokens = 0;
     double max_answer_tokens = 0;      ///< the caller's limit; 0: none
     double expected_answer_tokens = 0; ///< the caller's estimate; 0: none
+    /// The parts of the prompt that other calls may share, in their order.
+    std::vector<std::string> shared_prompt_parts;
 };
 
 /// Data from the status line and header fields of an endpoint's answer.
--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -51,6 +51,12 @@
 
 } // namespace
 
+bool is_closed_by_peer(const error_code& failed) {
+    return failed == asio::error::connection_reset || failed == asio::error::broken_pipe ||
+           failed == asio::error::eof || failed == http::error::end_of_stream ||
+           failed == http::error::partial_message;
+}
+
 asio::awaitable<error_code> endpoint_connection::connect(const std::string& address,
                                                          std::uint16_t port,
                                                          state::milliseconds timeout) {
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -25,6 +25,9 @@
 
 namespace savoryrelay::transport {
 
+/// Returns whether an operation failed because the peer closed or reset the connection.
+[[nodiscard]] bool is_closed_by_peer(const boost::system::error_code& failed);
+
 /// A connection that carries one exchange at a time. Not thread-safe.
 class endpoint_connection {
 public:
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -52,6 +52,7 @@
         if (failed || end.body.size() + size > max_whole_answer_bytes) {
             end.reason = "answer is not whole: " + failed.message();
             end.endpoint_ended = failed == asio::error::connection_reset;
+            end.closed_by_endpoint = is_closed_by_peer(failed);
             co_return end;
         }
         if (size == 0) {
@@ -73,6 +74,7 @@
             attempt_result end;
             end.reason = "no answer: " + failed.message();
             end.endpoint_ended = failed == asio::error::connection_reset;
+            end.closed_by_endpoint = is_closed_by_peer(failed);
             co_return end;
         }
         const auto status = call.connection->status();
@@ -117,6 +119,7 @@
     const auto failed_with = [&](std::string reason, const error_code& failed) {
         end.reason = std::move(reason) + ": " + failed.message();
         end.endpoint_ended = failed == asio::error::connection_reset;
+        end.closed_by_endpoint = is_closed_by_peer(failed);
         return end;
     };
     const auto bounded_by_deadline = [&](milliseconds span) {
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -330,6 +330,7 @@
     if (const auto failed = co_await call.connection->send(request, send_timeout)) {
         end.reason = "send: " + failed.message();
         end.endpoint_ended = failed == asio::error::connection_reset;
+        end.closed_by_endpoint = is_closed_by_peer(failed);
     } else if (call.route->kind == state::call_kind::streaming) {
         end = co_await relay_stream(call, chosen, is_writing);
     } else {
@@ -341,6 +342,9 @@
     }
     if (end.outcome == attempt_outcome::lost && !call.caller_is_gone) {
         avoid();
+        if (end.closed_by_endpoint && !is_writing) {
+            report_close(call, runner);
+        }
     }
     if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
         end.outcome == attempt_outcome::not_run) {
@@ -370,6 +374,22 @@
     }
 }
 
+void serving_front::report_close(const call_state& call,
+                                 const state::runner_record& endpoint) const {
+    m_dependencies.metrics
+        .counter_of("savoryrelay_calls_closed_by_endpoint_total",
+                    {{"endpoint", call.service->name}})
+        .add();
+    std::string parts;
+    for (const auto& part : call.decoded.shared_prompt_parts) {
+        parts += (parts.empty() ? "" : ",") + part;
+    }
+    log_info("closed_by_endpoint", {{"id", call.decoded.id.value()},
+                                    {"endpoint", endpoint.id.value()},
+                                    {"started_ms", std::to_string(endpoint.started_ms)},
+                                    {"prompt_parts", parts}});
+}
+
 void serving_front::report_end(const call_state& call) const {
     const auto now = m_dependencies.now();
     const std::string kind(call.route == nullptr ? "none" : state::to_name(call.route->kind));
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -148,6 +148,19 @@
     CHECK(transport::header_of(make_endpoint_request(make_request(), values), "Tenant").empty());
 }
 
+TEST_CASE("the parts of a prompt are read in order, without the last one") {
+    const auto parts_of = [](const std::string& value) {
+        transport::http_request request{boost::beast::http::verb::post, "/ask/1", 11};
+        request.set("Prompt-Prefix", value);
+        return decode_call(request).shared_prompt_parts;
+    };
+    CHECK(parts_of("5c1e07a2:800,91bd3f06:410,e4402b7d:250") ==
+          std::vector<std::string>{"5c1e07a2", "91bd3f06"});
+    CHECK(parts_of("e4402b7d:250").empty());
+    CHECK(parts_of("").empty());
+    CHECK(parts_of("a,b").size() == 1);
+}
+
 TEST_CASE("the status and header fields of an answer tell whether the request was executed") {
     transport::http_fields fields;
     fields.push_back({"Attempt-Id", "id1"});
