Reproduce prompt parts that crash runners with real processes

Cause: a prompt part, or a request, may crash each runner that begins to write an answer on it. No test played that, and savoryrelay_edge has no quarantine.

Change: the runner stand-in crashes on a part of Prompt-Prefix other than the last (`crash_on_part`) or on a body (`crash_on_body`) when its first event is due: it resets its TCP connections and ends the process; the test starts it again on its port with a new start time. `reset_connections` resets all connections and the process goes on. Four process tests with three hosts and 8 or 13 runners use them.

--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -1,6 +1,8 @@
 // Implements the orders, reports and answers of the runner stand-in.
 #include "runner_standin.h"
 
+#include "process_crash.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -19,6 +21,20 @@
 constexpr unsigned status_precondition_failed = 412;
 constexpr unsigned status_misdirected_request = 421;
 
+// Returns whether `part` is in a list of ID:TOKENS entries, other than as the last one.
+bool has_shared_part(std::string_view prefix, std::string_view part) {
+    auto comma = prefix.find(',');
+    while (comma != std::string_view::npos) {
+        const auto entry = prefix.substr(0, comma);
+        if (entry.substr(0, entry.find(':')) == part) {
+            return true;
+        }
+        prefix.remove_prefix(comma + 1);
+        comma = prefix.find(',');
+    }
+    return false;
+}
+
 } // namespace
 
 runner_standin::runner_standin(control_switches& switches, std::string id, std::uint64_t started_ms)
@@ -100,6 +116,14 @@
     return status_ok;
 }
 
+bool runner_standin::crashes_on(const transport::http_request& request) const {
+    const auto part = m_switches.crash_on_part.load();
+    const auto body = m_switches.crash_on_body.load();
+    return (!part->empty() &&
+            has_shared_part(transport::header_of(request, "Prompt-Prefix"), *part)) ||
+           (!body->empty() && request.body() == *body);
+}
+
 asio::awaitable<void> runner_standin::stream(const transport::http_request& request,
                                              transport::response_writer& writer) {
     auto fields = transport::content_type_field("text/event-stream");
@@ -112,6 +136,9 @@
     for (int event = last_event.empty() ? 0 : std::stoi(last_event) + 1; event < max_events;
          ++event) {
         co_await pause_for(state::milliseconds(m_switches.token_ms));
+        if (crashes_on(request)) {
+            crash_process();
+        }
         if (const auto limit = m_switches.break_after_tokens.load();
             limit > 0 && event >= static_cast<int>(limit)) {
             m_switches.break_after_tokens = 0;
@@ -161,6 +188,9 @@
         co_await stream(request, writer);
         co_return;
     }
+    if (crashes_on(request)) {
+        crash_process();
+    }
     if (m_switches.lose_replies > 0) {
         --m_switches.lose_replies;
         writer.abandon();
--- a/src/standin/runner_standin.h
+++ b/src/standin/runner_standin.h
@@ -20,7 +20,8 @@
 
     /// Serves GET /report, POST /order and GET /runs (number of calls that began to
     /// run), and handles any other request as a call. A call with a model gets a
-    /// stream of `max_events` events; a call without a model gets a short body.
+    /// stream of `max_events` events; a call without a model gets a short body. A call that
+    /// the switches name crashes the process when its first event or its body is due.
     boost::asio::awaitable<void> handle(transport::http_request request,
                                         transport::response_writer& writer);
 
@@ -29,6 +30,7 @@
 
     [[nodiscard]] std::string report();
     [[nodiscard]] unsigned apply_order(const std::string& body);
+    [[nodiscard]] bool crashes_on(const transport::http_request& request) const;
     boost::asio::awaitable<void> stream(const transport::http_request& request,
                                         transport::response_writer& writer);
 
--- a/src/standin/standin_control.cpp
+++ b/src/standin/standin_control.cpp
@@ -19,6 +19,12 @@
         return setter(
             [&target](const json::value& value) { target = value.to_number<std::uint32_t>(); });
     };
+    const auto text_value = [](state::snapshot_cell<std::string>& target) {
+        return setter([&target](const json::value& value) {
+            target.replace_if(std::string(value.as_string()),
+                              [](const auto&, const auto&) { return true; });
+        });
+    };
     const std::map<std::string, setter, std::less<>> setters{
         {"down", flag(switches.down)},
         {"refuse", flag(switches.refuse)},
@@ -28,6 +34,9 @@
         {"break_after_tokens", number(switches.break_after_tokens)},
         {"token_ms", number(switches.token_ms)},
         {"cross_answers", flag(switches.cross_answers)},
+        {"reset_connections", flag(switches.reset_connections)},
+        {"crash_on_part", text_value(switches.crash_on_part)},
+        {"crash_on_body", text_value(switches.crash_on_body)},
         {"die", [](const json::value&) { std::_Exit(EXIT_FAILURE); }},
     };
     try {
--- a/src/standin/standin_control.h
+++ b/src/standin/standin_control.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "savoryrelay/state/core/failure.h"
+#include "savoryrelay/state/core/snapshot_cell.h"
 
 #include <atomic>
 #include <cstdint>
@@ -20,6 +21,13 @@
         0}; ///< tokens after which the next stream breaks, once; 0: no break
     std::atomic<std::uint32_t> token_ms{5}; ///< time between the tokens of a stream
     std::atomic<bool> cross_answers{false}; ///< answers have the id of another request
+    std::atomic<bool> reset_connections{
+        false}; ///< resets all connections, once, after the answer to the control message
+    state::snapshot_cell<std::string> crash_on_part{
+        std::string{}}; ///< part of a prompt, other than the last, that crashes the runner; empty:
+                        ///< none
+    state::snapshot_cell<std::string> crash_on_body{
+        std::string{}}; ///< body of a call that crashes the runner; empty: none
 };
 
 /// Applies the JSON of POST /control: an object of switch names and values. The
--- a/src/standin/standin_server.cpp
+++ b/src/standin/standin_server.cpp
@@ -1,6 +1,8 @@
 // Implements the control path and the faults that every role supports.
 #include "standin_server.h"
 
+#include "process_crash.h"
+
 namespace savoryrelay::standin {
 
 namespace asio = boost::asio;
@@ -18,6 +20,9 @@
     const auto applied = state::collect([&] { return apply_control(request.body(), switches); });
     co_await send_json(writer, applied ? status_ok : status_bad_request,
                        applied ? "{}" : "{\"error\":\"unknown switch or value\"}");
+    if (switches.reset_connections.exchange(false)) {
+        reset_connections();
+    }
 }
 
 } // namespace
--- /dev/null
+++ b/tests/process/crashing_prompt_test.cpp
@@ -0,0 +1,318 @@
+// Tests requests that crash the endpoints that run them: the hosts refuse these requests
+// after few crashes, and no others.
+#include "edge_fixture.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <thread>
+
+using namespace savoryrelay::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+using test_clock = std::chrono::steady_clock;
+
+constexpr std::size_t host_count = 3;
+constexpr std::size_t model_count = 8;
+// Time after a crash within which every host that is in touch has to know of it.
+constexpr auto contact_time = 3s;
+// Time for which a crashed runner is down.
+constexpr auto restart_delay = 1s;
+constexpr auto poll_interval = 10ms;
+// Calls that may reach runners once all hosts have to know of the crashes.
+constexpr int max_late_runs = 3;
+constexpr int late_calls = 30;
+
+const std::string common_part = "c0ffee";
+const std::string crashing_part = "dead01";
+
+bool is_quarantined(const test_answer& answer) {
+    return answer.status == 503 && answer.body.find("request_quarantined") != std::string::npos;
+}
+
+// Hosts and model runners that crash on some calls and are started again.
+struct crash_fixture : edge_fixture {
+    explicit crash_fixture(std::string runner_switches, std::size_t models_wanted = model_count)
+        : edge_fixture(host_count, models_wanted), switches(std::move(runner_switches)),
+          m_down_since(models_wanted) {
+        for (const auto& model : models) {
+            model->control(switches);
+        }
+        for (std::size_t host = 0; host < host_count; ++host) {
+            hosts[host]->wait_until_ready();
+            wait_until_served(host);
+        }
+    }
+
+    /// Sends a model call whose prompt has the common part, `middle_part` and a part of its
+    /// own. No two calls have the same id, body or last part. Thread-safe.
+    test_answer ask_with_part(std::size_t host, const std::string& middle_part) {
+        const auto number = std::to_string(m_next_call++);
+        auto call_headers = headers("a" + number, true);
+        call_headers.emplace_back("Prompt-Prefix",
+                                  common_part + ":40," + middle_part + ":40,f" + number + ":20");
+        return fetch(hosts[host]->callers, http::verb::post, "/ask/1", "prompt " + number,
+                     call_headers);
+    }
+
+    /// Sends a model call without a list of prompt parts.
+    test_answer ask_with_body(std::size_t host, const std::string& body) {
+        return fetch(hosts[host]->callers, http::verb::post, "/ask/1", body,
+                     headers("a" + std::to_string(m_next_call++), true));
+    }
+
+    /// Sends sound calls through `host` until one is served.
+    void wait_until_served(std::size_t host) {
+        const auto limit = test_clock::now() + 10s;
+        while (ask_with_part(host, "0a").status != 200) {
+            REQUIRE(test_clock::now() < limit);
+            supervise();
+        }
+    }
+
+    /// Counts the runners that have crashed and starts them again when `restart_delay` is over.
+    void supervise() {
+        const auto now = test_clock::now();
+        for (std::size_t i = 0; i < models.size(); ++i) {
+            auto& down_since = m_down_since[i];
+            if (!down_since && models[i]->process.has_ended()) {
+                down_since = now;
+                crash_times.push_back(now);
+            } else if (down_since && now - *down_since >= restart_delay) {
+                restart_model(i, switches);
+                down_since.reset();
+            }
+        }
+    }
+
+    void supervise_until(test_clock::time_point end) {
+        while (test_clock::now() < end) {
+            supervise();
+            std::this_thread::sleep_for(poll_interval);
+        }
+    }
+
+    /// Waits until each runner has either answered or ended, and counts the crashes.
+    std::size_t count_crashes() {
+        for (std::size_t i = 0; i < models.size(); ++i) {
+            if (!m_down_since[i] && !answers(*models[i])) {
+                models[i]->process.wait();
+            }
+        }
+        supervise();
+        return crash_times.size();
+    }
+
+    const std::string switches;
+    std::vector<test_clock::time_point> crash_times;
+
+private:
+    static bool answers(const standin_process& runner) {
+        try {
+            return fetch(runner.port, http::verb::get, "/report").status == 200;
+        } catch (const boost::system::system_error&) {
+            return false; // the connection was refused
+        }
+    }
+
+    std::vector<std::optional<test_clock::time_point>> m_down_since; // set while a runner is down
+    std::atomic<int> m_next_call{0};
+};
+
+using send_hook = std::function<test_answer(std::size_t host)>;
+
+// Sends crashing calls through all hosts but the last one until `crash_count` runners have
+// crashed, and then, after the contact time, through all hosts. The last host has no crash
+// of its own.
+void check_refused_after(crash_fixture& fixture, std::size_t crash_count, const send_hook& send) {
+    constexpr int max_refusals = 20;
+    int refusals = 0;
+    const auto limit = test_clock::now() + 8s;
+    for (std::size_t i = 0; fixture.crash_times.size() < crash_count && refusals < max_refusals &&
+                            test_clock::now() < limit;
+         ++i) {
+        refusals += is_quarantined(send(i % (host_count - 1))) ? 1 : 0;
+        fixture.supervise();
+    }
+    REQUIRE(!fixture.crash_times.empty());
+    fixture.supervise_until(fixture.crash_times.back() + contact_time);
+    for (std::size_t host = 0; host < host_count; ++host) {
+        fixture.wait_until_served(host);
+    }
+
+    const auto crashes_before = fixture.count_crashes();
+    std::array<int, host_count> quarantined{};
+    for (std::size_t i = 0; i < late_calls; ++i) {
+        const auto answer = send(i % host_count);
+        if (is_quarantined(answer)) {
+            ++quarantined[i % host_count];
+            CHECK_FALSE(answer.retry_after.empty());
+        }
+        fixture.supervise_until(test_clock::now() + 50ms);
+    }
+    const auto late_crashes = fixture.count_crashes() - crashes_before;
+    CAPTURE(crashes_before, late_crashes, quarantined);
+    CHECK(late_crashes <= max_late_runs);
+    CHECK(quarantined[0] + quarantined[1] + quarantined[2] >= late_calls - max_late_runs);
+}
+
+// Callers that send sound calls through all hosts, each with a middle part that it shares
+// with other calls.
+class sound_callers {
+public:
+    explicit sound_callers(crash_fixture& fixture) {
+        constexpr std::size_t callers_per_host = 2;
+        for (std::size_t i = 0; i < host_count * callers_per_host; ++i) {
+            m_threads.emplace_back([this, &fixture, i](const std::stop_token& stop) {
+                constexpr std::size_t middle_parts = 16;
+                for (std::size_t call = i; !stop.stop_requested(); ++call) {
+                    const auto answer = fixture.ask_with_part(
+                        i % host_count, "b" + std::to_string(call % middle_parts));
+                    ++m_sent;
+                    m_begun += answer.status == 200 ? 1 : 0;
+                    m_quarantined += is_quarantined(answer) ? 1 : 0;
+                }
+            });
+        }
+    }
+
+    /// Returns the share of the calls during `span` that began at their first attempt.
+    double begun_share(crash_fixture& fixture, test_clock::duration span) {
+        m_sent = 0;
+        m_begun = 0;
+        fixture.supervise_until(test_clock::now() + span);
+        const int sent = m_sent;
+        return sent == 0 ? 0.0 : static_cast<double>(m_begun) / sent;
+    }
+
+    [[nodiscard]] int quarantined() const { return m_quarantined; }
+
+private:
+    std::atomic<int> m_sent{0};
+    std::atomic<int> m_begun{0};
+    std::atomic<int> m_quarantined{0};
+    std::vector<std::jthread> m_threads; // destroyed first, because they use the counts
+};
+
+} // namespace
+
+TEST_CASE("edge: a prompt part that crashes endpoints is refused by every host after few crashes") {
+    crash_fixture fixture(R"({"crash_on_part":"dead01"})");
+    constexpr std::size_t crash_count = 5;
+    check_refused_after(fixture, crash_count, [&](std::size_t host) {
+        return fixture.ask_with_part(host, crashing_part);
+    });
+}
+
+TEST_CASE("edge: a request that crashes the endpoints that run it is refused by every host") {
+    crash_fixture fixture(R"({"crash_on_body":"poison"})");
+    constexpr std::size_t crash_count = 3;
+    check_refused_after(fixture, crash_count,
+                        [&](std::size_t host) { return fixture.ask_with_body(host, "poison"); });
+}
+
+TEST_CASE("edge: calls that share a caller and parts with a crashing prompt are served") {
+    constexpr std::size_t crash_count = 5;
+    crash_fixture fixture(R"({"crash_on_part":"dead01","token_ms":20})");
+    sound_callers callers(fixture);
+    const double share_before = callers.begun_share(fixture, 1'500ms);
+    REQUIRE(share_before > 0);
+
+    const std::jthread crashing_caller([&](const std::stop_token& stop) {
+        for (std::size_t host = 0; !stop.stop_requested(); host = (host + 1) % host_count) {
+            fixture.ask_with_part(host, crashing_part);
+            std::this_thread::sleep_for(100ms);
+        }
+    });
+    // The bound counts from the fifth crash, or from the last one if there are fewer.
+    auto bound = test_clock::now() + 2 * contact_time;
+    while (test_clock::now() < bound) {
+        fixture.supervise_until(test_clock::now() + poll_interval);
+        if (!fixture.crash_times.empty()) {
+            const auto counted = std::min(fixture.crash_times.size(), crash_count);
+            bound = fixture.crash_times[counted - 1] + 2 * contact_time;
+        }
+    }
+    const double share_after = callers.begun_share(fixture, 2s);
+    CAPTURE(fixture.crash_times.size(), share_before, share_after);
+    CHECK_FALSE(fixture.crash_times.empty());
+    CHECK(share_after >= share_before / 2);
+    CHECK(callers.quarantined() == 0);
+}
+
+TEST_CASE("edge: connections reset all at once don't quarantine") {
+    // Six groups and a spare.
+    constexpr std::size_t many_models = 13;
+    constexpr std::size_t group_count = 6;
+    crash_fixture fixture("{}", many_models);
+    const auto count_of = [&](const std::string& target, const std::string& text) {
+        return static_cast<std::size_t>(
+            std::count_if(fixture.models.begin(), fixture.models.end(), [&](const auto& model) {
+                return fetch(model->port, http::verb::get, target).body.find(text) !=
+                       std::string::npos;
+            }));
+    };
+    const auto limit = test_clock::now() + 10s;
+    while (count_of("/report", R"("state":"open")") < group_count) {
+        REQUIRE(test_clock::now() < limit);
+    }
+
+    // Calls wait for their first event at the groups when all runners reset their connections.
+    for (const auto& model : fixture.models) {
+        model->control(R"({"token_ms":400})");
+    }
+    const auto runs = [&] {
+        int sum = 0;
+        for (const auto& model : fixture.models) {
+            sum += std::stoi(fixture.runs(*model));
+        }
+        return sum;
+    };
+    constexpr std::size_t open_calls = 24;
+    const int runs_before = runs();
+    std::atomic<int> quarantined{0};
+    std::vector<std::jthread> callers;
+    for (std::size_t i = 0; i < open_calls; ++i) {
+        callers.emplace_back([&, i] {
+            quarantined +=
+                is_quarantined(fixture.ask_with_part(i % host_count, crashing_part)) ? 1 : 0;
+        });
+    }
+    while (runs() - runs_before < static_cast<int>(open_calls) && test_clock::now() < limit) {
+    }
+    const int open_runs = runs() - runs_before;
+    for (const auto& model : fixture.models) {
+        model->control(R"({"reset_connections":true,"token_ms":5})");
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    CHECK(open_runs == static_cast<int>(open_calls));
+    int lost = 0;
+    for (const auto& host : fixture.hosts) {
+        const auto metrics = fetch(host->metrics, http::verb::get, "/metrics").body;
+        const std::string name =
+            R"(savoryrelay_attempts_failed_total{endpoint="model",outcome="lost"} )";
+        const auto at = metrics.find(name);
+        lost += at == std::string::npos ? 0 : std::stoi(metrics.substr(at + name.size()));
+    }
+    CHECK(lost >= static_cast<int>(open_calls));
+
+    // Hosts that exchange what they saw have done so within the contact time.
+    int served = 0;
+    int sent = 0;
+    for (const auto end = test_clock::now() + contact_time; test_clock::now() < end; ++sent) {
+        const auto answer =
+            fixture.ask_with_part(static_cast<std::size_t>(sent) % host_count, crashing_part);
+        served += answer.status == 200 ? 1 : 0;
+        quarantined += is_quarantined(answer) ? 1 : 0;
+    }
+    CAPTURE(open_runs, sent, served);
+    CHECK(quarantined == 0);
+    CHECK(served * 2 >= sent);
+}
--- a/tests/process/edge_fixture.h
+++ b/tests/process/edge_fixture.h
@@ -43,7 +43,7 @@
     }
 };
 
-/// A store, three model runners in one domain, a runner without an engine and entry hosts.
+/// A store, model runners in one domain, a runner without an engine and entry hosts.
 struct edge_fixture {
     test_folder folder;
     standin_process store{{"store"}};
@@ -52,8 +52,8 @@
     std::vector<std::unique_ptr<edge_process>> hosts;
     std::string peer_port = free_port(); ///< the same on all hosts
 
-    explicit edge_fixture(std::size_t host_count = 1) {
-        for (int i = 0; i < 3; ++i) {
+    explicit edge_fixture(std::size_t host_count = 1, std::size_t model_count = 3) {
+        for (std::size_t i = 0; i < model_count; ++i) {
             const auto id = "m" + std::to_string(i);
             models.push_back(std::make_unique<standin_process>(
                 std::vector<std::string>{"runner", "--id=" + id, "--token-ms=5"}));
@@ -93,6 +93,18 @@
         host.process->read_until("event=started");
     }
 
+    /// Starts an ended model runner again on its port, with the switches in `control`. Its
+    /// entry gets the start time of the new process.
+    void restart_model(std::size_t index, const std::string& control) {
+        const auto id = "m" + std::to_string(index);
+        const auto port = models[index]->port;
+        const auto born = ++m_last_born;
+        models[index] = std::make_unique<standin_process>(std::vector<std::string>{
+            "runner", "--id=" + id, "--port=" + port, "--born=" + std::to_string(born)});
+        models[index]->control(control);
+        write_entry(id, "model", port, "d0", "ready", born);
+    }
+
     void write_row(const std::string& table, const std::string& key,
                    const std::string& json) const {
         REQUIRE(fetch(store.port, http::verb::post, "/operator",
@@ -101,11 +113,12 @@
     }
 
     void write_entry(const std::string& id, const std::string& service, const std::string& port,
-                     const std::string& domain, const std::string& state = "ready") const {
+                     const std::string& domain, const std::string& state = "ready",
+                     std::uint64_t born = 1) const {
         write_row("servers", id,
                   R"({"service":")" + service + R"(","address":"127.0.0.1:)" + port +
                       R"(","zone":"zone-a","slots":8,"state":")" + state + R"(","domain":")" +
-                      domain + R"(","born":1,"sequence":1})");
+                      domain + R"(","born":)" + std::to_string(born) + R"(,"sequence":1})");
     }
 
     void write_configuration(int version, const std::string& key = "k1") const {
@@ -162,6 +175,9 @@
     [[nodiscard]] std::string runs(const standin_process& runner) const {
         return fetch(runner.port, http::verb::get, "/runs").body;
     }
+
+private:
+    std::uint64_t m_last_born = 1; // start time of the newest model runner
 };
 
 } // namespace savoryrelay::tests
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -67,6 +67,15 @@
         return *m_status;
     }
 
+    /// Returns whether the process has ended, without waiting for it.
+    bool has_ended() {
+        int status = 0;
+        if (!m_status && ::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+            m_status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        }
+        return m_status.has_value();
+    }
+
     /// Reads output until a line contains `text`, and returns that line.
     std::string read_until(std::string_view text) {
         std::string line;
--- a/tests/support/test_http_client.h
+++ b/tests/support/test_http_client.h
@@ -25,6 +25,7 @@
     std::string outcome;      ///< value of the header Savoryrelay-Outcome
     bool is_complete = false; ///< true if the end of the body arrived
     std::string error;        ///< why the exchange ended early; empty on success
+    std::string retry_after;  ///< value of the header Retry-After
 };
 
 using test_headers = std::vector<std::pair<std::string, std::string>>;
@@ -73,7 +74,8 @@
                       message.body(),
                       std::string(message["Savoryrelay-Outcome"]),
                       m_parser.is_done(),
-                      {}};
+                      {},
+                      std::string(message[http::field::retry_after])};
         }
         answer.error = m_error ? m_error.message() : std::string{};
         return answer;
