Datagrams of observations do not replace their sender's loads

Cause: split_digest gave a digest of observations alone an empty part 0 as well. Its receivers took that for the sender's report: hubs replaced the first 32 loads and the work of the sender with nothing until its next digest 100 ms later, and members took a controller for a hub and introduced themselves to it. Change: such a digest is split into parts of observations only.

--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -106,9 +106,13 @@
 } // namespace
 
 std::vector<state::peer_digest> split_digest(const state::peer_digest& digest) {
-    const auto parts = std::max({std::size_t{1}, part_count(digest.loads.size(), max_digest_loads),
-                                 part_count(digest.peers.size()), part_count(digest.work.size()),
-                                 part_count(digest.runners_to_confirm.size())});
+    // An empty part 0 would replace the loads and the work of the sender's ordinary digest.
+    const auto parts =
+        digest.part == state::peer_digest::observations_only
+            ? 0
+            : std::max({std::size_t{1}, part_count(digest.loads.size(), max_digest_loads),
+                        part_count(digest.peers.size()), part_count(digest.work.size()),
+                        part_count(digest.runners_to_confirm.size())});
     std::vector<state::peer_digest> all;
     for (std::size_t i = 0; i < parts; ++i) {
         auto part = digest;
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -64,6 +64,19 @@
     }
 }
 
+TEST_CASE("datagrams of observations do not replace the loads that their sender reported") {
+    for (const std::size_t entries : {1U, 13U}) {
+        auto digest = make_digest(0);
+        digest.part = state::peer_digest::observations_only;
+        digest.observations = make_digest(entries).observations;
+        const auto parts = split_digest(digest);
+        CHECK(parts.size() == (entries + max_digest_entries - 1) / max_digest_entries);
+        for (const auto& part : parts) {
+            CHECK(part.part == state::peer_digest::observations_only);
+        }
+    }
+}
+
 TEST_CASE("decoding a damaged digest or table does not crash") {
     CHECK(rc::check("damaged digests and tables", [] {
         auto text = encode_digest(split_digest(make_digest(3)).front());
