Entry hosts exchange crash notices

Cause: what a host learns of calls that crash endpoints stayed on that host. Change: peer_digest has a list of crash notices. crash_notice_schedule repeats each that a host made or learned for 1.2 s, at most 256 at a time, with its age counted on. digest_exchange sends them in each round to the hubs, and to the members of a hub, in datagrams of their own: beside full lists they would not fit into 1,200 bytes. Such a datagram changes neither loads nor the role of its sender. The hook of the program returns none yet.

--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -66,7 +66,9 @@
            .work = [this](digest_scope scope,
                           state::time_point at) { return m_shared.work.report(scope, at); },
            .observations = [this](state::time_point at) { return m_groups.observations(at); },
-           .runners_to_confirm = [this] { return m_groups.runners_to_confirm(); }}) {}
+           .runners_to_confirm = [this] { return m_groups.runners_to_confirm(); },
+           .crash_notices = [](state::time_point) { return std::vector<state::crash_notice>{}; }}) {
+}
 
 void peer_part::start() {
     for (const auto& seed : m_settings.seeds) {
--- a/src/savoryrelay/coordination/exchange/digest_exchange.cpp
+++ b/src/savoryrelay/coordination/exchange/digest_exchange.cpp
@@ -39,6 +39,16 @@
     }
     outgoing.push_back({std::move(introduction), receivers.strangers});
 
+    // Members get notices in each round, so that a lost datagram delays them by one round.
+    auto noticed = own;
+    noticed.part = peer_digest::notices_only;
+    noticed.crash_notices = m_sources.crash_notices(now);
+    if (!noticed.crash_notices.empty()) {
+        auto notified = receivers.hubs;
+        notified.insert(notified.end(), receivers.members.begin(), receivers.members.end());
+        outgoing.push_back({std::move(noticed), std::move(notified)});
+    }
+
     auto observed = own;
     observed.part = peer_digest::observations_only;
     own.peers = m_hosts.sample(m_round, peers_per_digest);
@@ -88,10 +98,13 @@
     if (digest.is_controller) {
         m_controller = digest.host.address;
     }
-    if (digest.part != peer_digest::observations_only) {
+    if (!digest.is_excerpt()) {
         result.is_load_source = counts_loads(digest);
         return result;
     }
+    if (digest.part == peer_digest::notices_only) {
+        return result;
+    }
     if (m_receivers.is_hub && digest.is_controller) {
         result.forward_to = m_receivers.members;
         std::erase(result.forward_to, digest.host.address);
--- a/src/savoryrelay/coordination/exchange/host_directory.cpp
+++ b/src/savoryrelay/coordination/exchange/host_directory.cpp
@@ -65,7 +65,7 @@
     known.incarnation = digest.incarnation;
     known.heard_at = now;
     known.awaited_since.reset();
-    if (digest.part == state::peer_digest::observations_only) {
+    if (digest.is_excerpt()) {
         return true;
     }
     switch (digest.scope) {
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -90,6 +90,26 @@
     return state::milliseconds(in.number<std::uint16_t>());
 }
 
+// The age has a field of 32 bits, because a quarantine lasts longer than the longest time of
+// `write_time`.
+void write_notice(bounded_writer& out, const state::crash_notice& notice) {
+    constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
+    out.enum_value(notice.kind);
+    out.number(notice.fingerprint);
+    out.number(notice.crash);
+    out.number(
+        static_cast<std::uint32_t>(std::clamp<std::int64_t>(notice.age.count(), 0, longest)));
+}
+
+state::crash_notice read_notice(bounded_reader& in) {
+    state::crash_notice notice;
+    notice.kind = in.enum_value<state::crash_notice_kind>();
+    notice.fingerprint = in.number<state::request_fingerprint>();
+    notice.crash = in.number<std::uint64_t>();
+    notice.age = state::milliseconds(in.number<std::uint32_t>());
+    return notice;
+}
+
 template <typename Entry>
 std::vector<Entry> entries_of_part(const std::vector<Entry>& all, std::size_t part,
                                    std::size_t limit = max_digest_entries) {
@@ -103,37 +123,48 @@
     return (entries + limit - 1) / limit;
 }
 
+// Returns a digest like `digest` with empty lists.
+state::peer_digest without_lists(const state::peer_digest& digest, std::uint8_t part) {
+    auto header = digest;
+    header.part = part;
+    header.peers.clear();
+    header.loads.clear();
+    header.work.clear();
+    header.observations.clear();
+    header.runners_to_confirm.clear();
+    header.crash_notices.clear();
+    return header;
+}
+
 } // namespace
 
 std::vector<state::peer_digest> split_digest(const state::peer_digest& digest) {
     // An empty part 0 would replace the loads and the work of the sender's ordinary digest.
     const auto parts =
-        digest.part == state::peer_digest::observations_only
+        digest.is_excerpt()
             ? 0
             : std::max({std::size_t{1}, part_count(digest.loads.size(), max_digest_loads),
                         part_count(digest.peers.size()), part_count(digest.work.size()),
                         part_count(digest.runners_to_confirm.size())});
     std::vector<state::peer_digest> all;
     for (std::size_t i = 0; i < parts; ++i) {
-        auto part = digest;
-        part.part = static_cast<std::uint8_t>(i);
+        auto part = without_lists(digest, static_cast<std::uint8_t>(i));
         part.loads = entries_of_part(digest.loads, i, max_digest_loads);
         part.peers = entries_of_part(digest.peers, i);
         part.work = entries_of_part(digest.work, i);
         part.runners_to_confirm = entries_of_part(digest.runners_to_confirm, i);
-        part.observations.clear();
         all.push_back(std::move(part));
     }
     for (std::size_t i = 0; i < part_count(digest.observations.size()); ++i) {
-        auto part = digest;
-        part.part = state::peer_digest::observations_only;
-        part.loads.clear();
-        part.peers.clear();
-        part.work.clear();
-        part.runners_to_confirm.clear();
+        auto part = without_lists(digest, state::peer_digest::observations_only);
         part.observations = entries_of_part(digest.observations, i);
         all.push_back(std::move(part));
     }
+    for (std::size_t i = 0; i < part_count(digest.crash_notices.size(), max_digest_notices); ++i) {
+        auto part = without_lists(digest, state::peer_digest::notices_only);
+        part.crash_notices = entries_of_part(digest.crash_notices, i, max_digest_notices);
+        all.push_back(std::move(part));
+    }
     return all;
 }
 
@@ -171,6 +202,10 @@
     for (const auto& id : digest.runners_to_confirm) {
         out.text(id.value(), max_text_bytes);
     }
+    out.count(digest.crash_notices.size(), max_digest_notices);
+    for (const auto& notice : digest.crash_notices) {
+        write_notice(out, notice);
+    }
     return out.take();
 }
 
@@ -205,6 +240,9 @@
         for (auto remaining = in.count(max_digest_entries); remaining > 0; --remaining) {
             digest.runners_to_confirm.emplace_back(in.text(max_text_bytes));
         }
+        for (auto remaining = in.count(max_digest_notices); remaining > 0; --remaining) {
+            digest.crash_notices.push_back(read_notice(in));
+        }
         in.finish();
         return digest;
     } catch (const cereal::Exception& error) {
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -3,6 +3,7 @@
 
 #include "savoryrelay/state/core/enum_names.h"
 #include "savoryrelay/state/member/member.h"
+#include "savoryrelay/state/serving/crash_notice.h"
 #include "savoryrelay/state/serving/runner_record.h"
 
 #include <algorithm>
@@ -90,6 +91,8 @@
 struct peer_digest {
     /// Value of `part` in a datagram that carries only observations.
     static constexpr std::uint8_t observations_only = 255;
+    /// Value of `part` in a datagram that carries only crash notices.
+    static constexpr std::uint8_t notices_only = 254;
 
     host_entry host;               ///< the sender
     std::uint64_t incarnation = 0; ///< of the sender's process; increases with each start
@@ -114,6 +117,15 @@
     /// Sent by the controller: runners that did not answer it. The other hubs request
     /// reports from them too.
     std::vector<endpoint_id> runners_to_confirm;
+    /// Notices that the sender made or received lately. Receivers pass on those that are
+    /// new to them.
+    std::vector<crash_notice> crash_notices;
+
+    /// Returns whether the lists that the datagram does not carry are left out, rather than
+    /// empty.
+    [[nodiscard]] bool is_excerpt() const {
+        return part == observations_only || part == notices_only;
+    }
 };
 
 } // namespace savoryrelay::state
--- a/tests/coordination/exchange/exchange_test.cpp
+++ b/tests/coordination/exchange/exchange_test.cpp
@@ -5,6 +5,9 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <array>
+
 using namespace savoryrelay;
 using namespace savoryrelay::coordination;
 using namespace std::chrono_literals;
@@ -43,6 +46,50 @@
     }
 }
 
+// The rounds in a second.
+constexpr int second = 1s / exchange_simulation::round;
+// The rounds by which a late datagram of an ended host may delay the notice of its silence.
+constexpr int latest_datagram = 3;
+
+// Each host that is up makes a notice of its own. Returns the rounds until all of them know
+// all notices, or `limit` + 1.
+int rounds_until_notices_known(exchange_simulation& simulation, int limit) {
+    std::uint64_t made = 0;
+    for (auto& host : simulation.hosts) {
+        if (host.is_up) {
+            simulation.note(host, {state::crash_notice_kind::crashed, ++made, 1, 5ms});
+        }
+    }
+    int rounds = 0;
+    bool is_known = false;
+    while (!is_known && rounds <= limit) {
+        simulation.advance();
+        ++rounds;
+        is_known =
+            std::all_of(simulation.hosts.begin(), simulation.hosts.end(), [&](const auto& host) {
+                return !host.is_up || host.known_notices.size() == made;
+            });
+    }
+    return is_known ? rounds : limit + 1;
+}
+
+// Ends the host that reads the store for the first zone: the first hub there in a large
+// fleet, and any host in a small one.
+void end_hub(exchange_simulation& simulation) {
+    const auto hub =
+        std::find_if(simulation.hosts.begin(), simulation.hosts.end(),
+                     [](const auto& host) { return host.exchange->is_store_reader(); });
+    REQUIRE(hub != simulation.hosts.end());
+    hub->is_up = false;
+}
+
+struct fleet_size {
+    std::size_t zones;
+    std::size_t hosts_per_zone;
+};
+constexpr std::array fleet_sizes{fleet_size{2, 4}, fleet_size{3, 40}};
+constexpr std::uint64_t seeds = 10;
+
 } // namespace
 
 TEST_CASE("exchange: each host counts each call of the fleet once") {
@@ -197,6 +244,81 @@
     }));
 }
 
+TEST_CASE("exchange: a crash notice of any host reaches all within a second over bad networks") {
+    for (const auto& size : fleet_sizes) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            INFO(size.zones << " zones, " << size.hosts_per_zone << " hosts, seed " << seed);
+            exchange_simulation simulation(seed, {0.05, 0.05, 0.05}, size.zones,
+                                           size.hosts_per_zone);
+            simulation.advance(second);
+            CHECK(rounds_until_notices_known(simulation, second) <= second);
+        }
+    }
+}
+
+TEST_CASE("exchange: a crash notice reaches all hosts when a hub ends at that moment") {
+    for (const auto& size : fleet_sizes) {
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            for (const double late : {0.0, 0.05}) {
+                INFO(size.zones << " zones, " << size.hosts_per_zone << " hosts, seed " << seed
+                                << ", late " << late);
+                exchange_simulation simulation(seed, {0.05, 0.05, late}, size.zones,
+                                               size.hosts_per_zone);
+                simulation.advance(second);
+                end_hub(simulation);
+                const auto limit = late > 0 ? second + latest_datagram : second;
+                CHECK(rounds_until_notices_known(simulation, limit) <= limit);
+            }
+        }
+    }
+}
+
+TEST_CASE("exchange: a host that learns no new crash notices stops sending them") {
+    for (const auto& size : fleet_sizes) {
+        exchange_simulation simulation(1, {0.05, 0.05, 0.05}, size.zones, size.hosts_per_zone);
+        simulation.advance(second);
+        CHECK(rounds_until_notices_known(simulation, second) <= second);
+        simulation.advance(
+            static_cast<int>(crash_notice_schedule::repeated_for / exchange_simulation::round));
+        for (const auto& host : simulation.hosts) {
+            CHECK(host.most_notices == 0);
+        }
+    }
+}
+
+TEST_CASE("exchange: the crash notices of a digest are bounded") {
+    exchange_simulation simulation(1, {}, 3, 40);
+    simulation.advance(second);
+    for (std::uint64_t i = 0; i < 2 * crash_notice_schedule::max_notices; ++i) {
+        simulation.note(simulation.hosts.front(), {state::crash_notice_kind::answered, i, 0, 0ms});
+    }
+    simulation.advance();
+    CHECK(simulation.hosts.front().most_notices == crash_notice_schedule::max_notices);
+    for (int i = 0; i < second; ++i) {
+        simulation.advance();
+        for (const auto& host : simulation.hosts) {
+            CHECK(host.most_notices <= crash_notice_schedule::max_notices);
+        }
+    }
+}
+
+TEST_CASE("exchange: a datagram of crash notices leaves the sender's loads and role as they are") {
+    const state::host_entry own{"a", {"10.0.0.1", 1}, state::availability_zone_id("z"), 1};
+    const state::time_point now{1h};
+    host_directory hosts(own);
+    digest_exchange exchange(hosts, {});
+    state::peer_digest digest;
+    digest.host = {"b", {"10.0.0.2", 1}, state::availability_zone_id("z"), 1};
+    digest.scope = state::digest_scope::hub;
+    digest.part = state::peer_digest::notices_only;
+    digest.crash_notices.resize(1);
+    const auto received = exchange.receive(digest, now);
+    CHECK(received.is_accepted);
+    CHECK_FALSE(received.is_load_source);
+    CHECK(received.forward_to.empty());
+    CHECK_FALSE(hosts.hears_hub(now));
+}
+
 TEST_CASE("exchange: a digest of an ended process is ignored until its successor is silent") {
     const state::host_entry own{"a", {"10.0.0.1", 1}, state::availability_zone_id("z"), 1};
     const state::time_point now{1h};
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -5,10 +5,16 @@
 #include "savoryrelay/state/member/member.h"
 
 #include <catch2/catch.hpp>
+#include <cereal/cereal.hpp>
 #include <rapidcheck.h>
 
+#include <limits>
+#include <string_view>
+#include <vector>
+
 using namespace savoryrelay;
 using namespace savoryrelay::protocol;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -30,21 +36,28 @@
         observation.membership = {"g12-34", 12, 0, state::membership_state::open};
         digest.observations.push_back(observation);
         digest.runners_to_confirm.push_back(id);
+        digest.crash_notices.push_back({state::crash_notice_kind::quarantined, ~std::uint64_t{i}, i,
+                                        std::chrono::minutes(15)});
     }
     return digest;
 }
 
+auto read_digest(std::string_view bytes) {
+    return state::collect([&] { return decode_digest(bytes); });
+}
+
 } // namespace
 
 TEST_CASE("a digest of any size is split into datagrams without losing entries") {
-    for (const std::size_t entries : {0U, 1U, 12U, 13U, 40U}) {
+    for (const std::size_t entries : {0U, 1U, 12U, 13U, 40U, 41U, 256U}) {
+        std::vector<state::crash_notice> notices;
         std::size_t loads = 0;
         std::size_t observations = 0;
         std::size_t runners_to_confirm = 0;
         for (const auto& part : split_digest(make_digest(entries))) {
             const auto text = encode_digest(part);
             CHECK(text.size() <= state::max_datagram_bytes);
-            const auto read = state::collect([&] { return decode_digest(text); });
+            const auto read = read_digest(text);
             REQUIRE(read);
             CHECK(read.value().host.name == "edge-a-1");
             CHECK(read.value().host.address == state::member_address{"10.1.0.40", 7340});
@@ -57,10 +70,13 @@
             loads += read.value().loads.size();
             observations += read.value().observations.size();
             runners_to_confirm += read.value().runners_to_confirm.size();
+            notices.insert(notices.end(), read.value().crash_notices.begin(),
+                           read.value().crash_notices.end());
         }
         CHECK(loads == entries);
         CHECK(observations == entries);
         CHECK(runners_to_confirm == entries);
+        CHECK(notices == make_digest(entries).crash_notices);
     }
 }
 
@@ -77,15 +93,67 @@
     }
 }
 
+TEST_CASE("datagrams of crash notices do not replace the loads that their sender reported") {
+    for (const std::size_t entries : {1U, 41U}) {
+        auto digest = make_digest(0);
+        digest.part = state::peer_digest::notices_only;
+        digest.crash_notices = make_digest(entries).crash_notices;
+        const auto parts = split_digest(digest);
+        CHECK(parts.size() == (entries + max_digest_notices - 1) / max_digest_notices);
+        for (const auto& part : parts) {
+            CHECK(part.part == state::peer_digest::notices_only);
+        }
+    }
+}
+
+TEST_CASE("a crash notice is decoded as it was encoded, with its age within the limits") {
+    struct age_case {
+        state::milliseconds sent;
+        state::milliseconds read;
+    };
+    constexpr state::milliseconds longest{std::numeric_limits<std::uint32_t>::max()};
+    for (const auto& age : {age_case{0ms, 0ms}, age_case{-1ms, 0ms}, age_case{15min, 15min},
+                            age_case{longest + 1ms, longest}}) {
+        for (const auto& row : state::enum_table<state::crash_notice_kind>::rows) {
+            state::peer_digest digest;
+            digest.part = state::peer_digest::notices_only;
+            digest.crash_notices = {{row.value, 0x0123456789abcdef, 42, age.sent}};
+            const auto text = encode_digest(digest);
+            const auto read = read_digest(text);
+            REQUIRE(read);
+            const state::crash_notice expected{row.value, 0x0123456789abcdef, 42, age.read};
+            CHECK(read.value().crash_notices == std::vector{expected});
+        }
+    }
+}
+
+TEST_CASE("a digest whose crash notices are malformed is refused") {
+    state::peer_digest digest;
+    digest.crash_notices.resize(1);
+    const auto good = encode_digest(digest);
+    REQUIRE(read_digest(good));
+    // The notice is the end of the datagram: its count, kind, fingerprint, crash and age.
+    constexpr std::size_t notice_bytes = 1 + 8 + 8 + 4;
+    auto unknown_kind = good;
+    unknown_kind[good.size() - notice_bytes] = 3;
+    CHECK_FALSE(read_digest(unknown_kind));
+    auto too_many = good;
+    too_many[good.size() - notice_bytes - 1] = max_digest_notices + 1;
+    CHECK_FALSE(read_digest(too_many));
+    CHECK_FALSE(read_digest(good.substr(0, good.size() - 1)));
+    digest.crash_notices.resize(max_digest_notices + 1);
+    CHECK_THROWS_AS(encode_digest(digest), cereal::Exception);
+}
+
 TEST_CASE("decoding a damaged digest or table does not crash") {
     CHECK(rc::check("damaged digests and tables", [] {
         auto text = encode_digest(split_digest(make_digest(3)).front());
         const auto position = *rc::gen::inRange<std::size_t>(0, text.size());
         text[position] = *rc::gen::arbitrary<char>();
         text.resize(*rc::gen::inRange<std::size_t>(0, text.size() + 1));
-        static_cast<void>(state::collect([&] { return decode_digest(text); }));
+        static_cast<void>(read_digest(text));
         const auto bytes = *rc::gen::arbitrary<std::string>();
-        static_cast<void>(state::collect([&] { return decode_digest(bytes); }));
+        static_cast<void>(read_digest(bytes));
         static_cast<void>(state::collect([&] { return decode_table(bytes); }));
     }));
 }
--- a/tests/support/exchange_simulation.h
+++ b/tests/support/exchange_simulation.h
@@ -2,14 +2,19 @@
 // late, hosts end, restart and are cut off, and tables are copied from peers.
 #pragma once
 
+#include "savoryrelay/coordination/exchange/crash_notice_schedule.h"
 #include "savoryrelay/coordination/exchange/digest_exchange.h"
 #include "savoryrelay/coordination/serving/load_tracker.h"
 #include "savoryrelay/state/serving/table_mirror.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace savoryrelay::tests {
@@ -34,8 +39,13 @@
         std::unique_ptr<coordination::load_tracker> loads;
         std::unique_ptr<coordination::digest_exchange> exchange;
         std::unique_ptr<state::table_mirror> rows;
+        std::unique_ptr<coordination::crash_notice_schedule> notices;
+        /// Kind, fingerprint and crash of the notices that the host made or received.
+        std::set<std::tuple<state::crash_notice_kind, state::request_fingerprint, std::uint64_t>>
+            known_notices;
         std::uint64_t sent_bytes_entries = 0; // entries of all lists sent in the last round
         std::uint64_t sent_datagrams = 0;     // in the last round
+        std::size_t most_notices = 0;         // in one digest of the last round
     };
 
     exchange_simulation(std::uint64_t seed, datagram_faults faults, std::size_t zones,
@@ -64,6 +74,8 @@
         each.directory = std::make_unique<coordination::host_directory>(each.entry);
         each.loads = std::make_unique<coordination::load_tracker>();
         each.rows = std::make_unique<state::table_mirror>();
+        each.notices = std::make_unique<coordination::crash_notice_schedule>();
+        each.known_notices.clear();
         each.is_up = true;
         each.exchange = std::make_unique<coordination::digest_exchange>(
             *each.directory,
@@ -80,7 +92,8 @@
                            state::time_point) { return std::vector<state::model_work>{}; },
                 .observations =
                     [](state::time_point) { return std::vector<state::runner_observation>{}; },
-                .runners_to_confirm = [] { return std::vector<state::endpoint_id>{}; }});
+                .runners_to_confirm = [] { return std::vector<state::endpoint_id>{}; },
+                .crash_notices = [&each](state::time_point at) { return each.notices->due(at); }});
         for (const auto& other : hosts) {
             each.directory->add(other.entry);
         }
@@ -91,6 +104,13 @@
         start(each);
     }
 
+    /// Records a notice that a host made or received, and passes on a new one.
+    void note(host& each, const state::crash_notice& notice) {
+        if (each.known_notices.emplace(notice.kind, notice.fingerprint, notice.crash).second) {
+            each.notices->add(notice, now);
+        }
+    }
+
     /// Plays one round: hosts that read the store see `store`, the others copy from peers.
     void advance() {
         now += round;
@@ -98,6 +118,7 @@
         for (auto& each : hosts) {
             each.sent_datagrams = 0;
             each.sent_bytes_entries = 0;
+            each.most_notices = 0;
             if (each.is_up) {
                 send_round(each);
             }
@@ -140,6 +161,7 @@
 
     void send_round(host& from) {
         for (const auto& [digest, receivers] : from.exchange->next_round(now)) {
+            from.most_notices = std::max(from.most_notices, digest.crash_notices.size());
             for (const auto& receiver : receivers) {
                 ++from.sent_datagrams;
                 from.sent_bytes_entries += digest.loads.size() + digest.peers.size();
@@ -181,6 +203,11 @@
         }
         auto& receiver = *found->second;
         const auto received = receiver.exchange->receive(digest, now);
+        if (received.is_accepted) {
+            for (const auto& notice : digest.crash_notices) {
+                note(receiver, notice);
+            }
+        }
         if (received.is_load_source) {
             receiver.loads->apply_peer(digest.host.name + "/0", digest.scope, digest.loads, now);
         }
