Quarantine prompt parts and calls that crash endpoints

Entry hosts counted no crashes at all, sent such a call to a second runner at once, and learned nothing from each other.

Each call now has fingerprints: of the parts of its prompt that others may share, and of its customer, path and content. A host counts the endpoints that close a connection before they answer against the fingerprints of the call (crash_watch on crash_suspects), tells the other hosts, and after three crashes all hosts refuse calls with the fingerprint.

--- a/src/ctl/explain_command.cpp
+++ b/src/ctl/explain_command.cpp
@@ -48,6 +48,10 @@
                ") and could not be resumed on another endpoint; see the lines of that endpoint's "
                "group";
     }
+    if (reason == "request_quarantined") {
+        return "refused, because calls with the same prompt part or content have crashed "
+               "endpoints; the closed_by_endpoint lines with its fingerprints name them";
+    }
     if (status == "503") {
         return "refused, the request has not run (" + reason +
                "): all_full means that every group of its model had a full batch, "
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -57,6 +57,15 @@
     };
 }
 
+coordination::crash_hooks make_crash_hooks() {
+    auto hooks = coordination::default_crash_hooks();
+    hooks.on_quarantined = [](coordination::request_fingerprint fingerprint) {
+        transport::log_warning("quarantined",
+                               {{"fingerprint", coordination::to_text(fingerprint)}});
+    };
+    return hooks;
+}
+
 } // namespace
 
 edge_host::edge_host(protocol::edge_settings settings)
@@ -66,7 +75,7 @@
                 m_settings.availability_zone,
                 m_settings.processor_share},
                {m_settings.repeat_ratio, m_settings.repeat_burst, m_settings.repeat_window},
-               m_settings.leave_limit),
+               m_settings.leave_limit, make_crash_hooks()),
       m_threads(1 + m_settings.call_threads),
       m_store(m_threads, {m_settings.store.address, m_settings.store.port}),
       m_tables(m_threads, m_store, m_shared, read_clock),
@@ -79,7 +88,7 @@
                   .host_hashes = [this] { return m_shared.hosts.name_hashes(); },
                   .random = make_random(m_incarnation)}),
       m_front({m_shared.fleet, m_shared.loads, m_selector, m_shared.correction, m_shared.repeats,
-               m_shared.metrics, platform::make_serving_codec(),
+               m_shared.crashes, m_shared.metrics, platform::make_serving_codec(),
                [this] { return m_shared.configuration.load(); },
                [this](const std::string& model, double work_ms) {
                    m_shared.work.note(model, work_ms, read_clock());
--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -67,8 +67,8 @@
                           state::time_point at) { return m_shared.work.report(scope, at); },
            .observations = [this](state::time_point at) { return m_groups.observations(at); },
            .runners_to_confirm = [this] { return m_groups.runners_to_confirm(); },
-           .crash_notices = [](state::time_point) { return std::vector<state::crash_notice>{}; }}) {
-}
+           .crash_notices =
+               [this](state::time_point at) { return m_shared.crashes.due_notices(at); }}) {}
 
 void peer_part::start() {
     for (const auto& seed : m_settings.seeds) {
@@ -159,6 +159,9 @@
         m_tables.note_return_grace(digest.return_grace, now);
     }
     apply_observations(digest, now);
+    for (const auto& notice : digest.crash_notices) {
+        m_shared.crashes.apply(notice, now);
+    }
     if (digest.is_controller) {
         m_groups.poll_runners_to_confirm(digest.runners_to_confirm);
     }
--- a/src/edge/shared_state.h
+++ b/src/edge/shared_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "savoryrelay/coordination/exchange/host_directory.h"
+#include "savoryrelay/coordination/retry/crash_watch.h"
 #include "savoryrelay/coordination/serving/fleet_table.h"
 #include "savoryrelay/coordination/serving/load_tracker.h"
 #include "savoryrelay/coordination/serving/prediction_correction.h"
@@ -22,8 +23,10 @@
 /// The state that the parts of an entry host share.
 struct shared_state {
     shared_state(const state::host_entry& host, coordination::repeat_limit repeat_limit,
-                 state::milliseconds limit)
-        : own_host(host), hosts(host), repeats(repeat_limit), leave_limit(limit) {}
+                 state::milliseconds limit, coordination::crash_hooks crash_hooks)
+        : own_host(host), hosts(host), repeats(repeat_limit),
+          crashes(coordination::entry_host_crash_settings(), std::move(crash_hooks)),
+          leave_limit(limit) {}
 
     /// Returns the interval at which the runners' entries are read from the store, and
     /// copied from a peer. An entry passes both before a host learns that a runner leaves;
@@ -49,6 +52,7 @@
     coordination::work_meter work;
     coordination::prediction_correction correction;
     coordination::repeat_window repeats;
+    coordination::crash_watch crashes;
     /// Time from a runner's notice to leave until no call may reach it.
     const state::milliseconds leave_limit;
     std::atomic<bool> is_stopping{false};
--- a/src/savoryrelay/coordination/retry/crash_suspects.cpp
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -4,10 +4,18 @@
 #include "savoryrelay/state/digest/digest.h"
 
 #include <algorithm>
+#include <chrono>
+#include <set>
 #include <string>
 #include <utility>
 
 namespace savoryrelay::coordination {
+namespace {
+
+// Further crashes of a fingerprint only extend the time that its crashes span.
+constexpr std::size_t max_known_crashes = 16;
+
+} // namespace
 
 request_fingerprint fingerprint_of(const state::customer_id& customer, std::string_view body) {
     std::string content = customer.value();
@@ -18,6 +26,12 @@
 
 crash_hooks default_crash_hooks() {
     return {[](const crash_settings& settings, const crash_evidence& seen) {
+        if (seen.span < settings.min_span) {
+            return false;
+        }
+        if (seen.was_answered) {
+            return seen.crashes >= settings.max_crashes_after_answer;
+        }
         return (seen.crashes >= settings.crashes_if_sole_suspect && seen.other_suspects == 0) ||
                seen.crashes >= settings.max_crashes;
     }};
@@ -27,43 +41,156 @@
     : m_settings(settings), m_hooks(std::move(hooks)) {}
 
 void crash_suspects::record_crash(const endpoint_crash& crash, state::time_point now) {
-    const auto crash_digest =
-        state::stable_hash(crash.endpoint.value() + '#' + std::to_string(crash.generation));
-    auto fingerprints = crash.in_flight;
+    record_crash(
+        state::stable_hash(crash.endpoint.value() + '#' + std::to_string(crash.generation)),
+        crash.in_flight, now);
+    m_reserved.erase(crash.endpoint);
+}
+
+std::vector<request_fingerprint>
+crash_suspects::record_crash(std::uint64_t crash, std::vector<request_fingerprint> fingerprints,
+                             state::time_point at) {
     std::sort(fingerprints.begin(), fingerprints.end());
     fingerprints.erase(std::unique(fingerprints.begin(), fingerprints.end()), fingerprints.end());
+    std::erase_if(fingerprints, [&](request_fingerprint fingerprint) {
+        return valid_answer(fingerprint, at).has_value();
+    });
 
     // Counts the requests that were suspects before this crash.
     const auto was_suspect = [&](request_fingerprint fingerprint) {
         const auto row = m_suspects.find(fingerprint);
         return row && std::any_of(row->crashes.begin(), row->crashes.end(),
-                                  [&](std::uint64_t known) { return known != crash_digest; });
+                                  [&](std::uint64_t known) { return known != crash; });
     };
     const auto earlier_suspects = static_cast<std::size_t>(
         std::count_if(fingerprints.begin(), fingerprints.end(), was_suspect));
     const bool has_capacity = m_suspects.size() < m_settings.max_suspects;
 
+    std::vector<request_fingerprint> changed;
     for (const auto fingerprint : fingerprints) {
         if (!has_capacity && !is_suspect(fingerprint)) {
             continue;
         }
-        const std::size_t other_suspects = earlier_suspects - (was_suspect(fingerprint) ? 1 : 0);
-        const auto crashes = m_suspects.update(fingerprint, [&](suspect_row& row) {
-            const bool is_known = std::find(row.crashes.begin(), row.crashes.end(), crash_digest) !=
-                                  row.crashes.end();
-            if (!is_known && row.crashes.size() < m_settings.max_crashes) {
-                row.crashes.push_back(crash_digest);
+        crash_evidence evidence;
+        evidence.other_suspects = earlier_suspects - (was_suspect(fingerprint) ? 1 : 0);
+        const auto known = m_suspects.update(fingerprint, [&](suspect_row& row) {
+            const bool is_known =
+                std::find(row.crashes.begin(), row.crashes.end(), crash) != row.crashes.end();
+            if (row.crashes.empty()) {
+                row.first_crash = at;
+            }
+            if (!is_known) {
+                row.last_crash = std::max(row.last_crash, at);
             }
-            row.last_crash = now;
-            return row.crashes.size();
+            if (!is_known && row.crashes.size() < max_known_crashes) {
+                row.crashes.push_back(crash);
+                changed.push_back(fingerprint);
+            }
+            return row;
         });
+        evidence.crashes = unexplained_crashes(fingerprint, known);
+        evidence.span =
+            std::chrono::duration_cast<state::milliseconds>(known.last_crash - known.first_crash);
+        evidence.was_answered = m_answered.find(fingerprint).has_value();
         // The hook runs outside the shard's lock.
-        if (m_hooks.is_quarantined(m_settings, {crashes, other_suspects})) {
-            m_suspects.update_existing(fingerprint,
-                                       [](suspect_row& row) { row.is_quarantined = true; });
+        if (m_hooks.is_quarantined(m_settings, evidence)) {
+            set_quarantined(fingerprint);
+            release_explained();
         }
     }
-    m_reserved.erase(crash.endpoint);
+    return changed;
+}
+
+std::size_t crash_suspects::unexplained_crashes(request_fingerprint fingerprint,
+                                                const suspect_row& suspect) const {
+    if (suspect.crashes.size() < m_settings.crashes_if_sole_suspect) {
+        return suspect.crashes.size(); // too few in any case
+    }
+    std::set<std::uint64_t> explained;
+    m_suspects.for_each([&](request_fingerprint other, const suspect_row& row) {
+        if (other != fingerprint && row.is_quarantined &&
+            row.crashes.size() > suspect.crashes.size()) {
+            explained.insert(row.crashes.begin(), row.crashes.end());
+        }
+    });
+    return static_cast<std::size_t>(
+        std::count_if(suspect.crashes.begin(), suspect.crashes.end(),
+                      [&](std::uint64_t crash) { return !explained.contains(crash); }));
+}
+
+void crash_suspects::release_explained() {
+    for (const auto& [fingerprint, last_crash] : quarantined()) {
+        const auto row = m_suspects.find(fingerprint);
+        if (row && !row->crashes.empty() && unexplained_crashes(fingerprint, *row) == 0) {
+            m_suspects.update_existing(
+                fingerprint, [](suspect_row& changed) { changed.is_quarantined = false; });
+        }
+    }
+}
+
+bool crash_suspects::set_quarantined(request_fingerprint fingerprint) {
+    bool is_new = false;
+    m_suspects.update_existing(
+        fingerprint, [&](suspect_row& row) { is_new = !std::exchange(row.is_quarantined, true); });
+    if (is_new && m_hooks.on_quarantined) {
+        m_hooks.on_quarantined(fingerprint);
+    }
+    return is_new;
+}
+
+bool crash_suspects::record_answer(request_fingerprint fingerprint, state::time_point at) {
+    if (m_settings.answer_validity.count() > 0) {
+        m_answered.update(fingerprint, [&](state::time_point& last) { last = std::max(last, at); });
+    }
+    return m_suspects
+        .extract_if(fingerprint,
+                    [&](const suspect_row& row) {
+                        return at + m_settings.answer_validity >= row.last_crash;
+                    })
+        .has_value();
+}
+
+std::optional<state::time_point> crash_suspects::valid_answer(request_fingerprint fingerprint,
+                                                              state::time_point crashed_at) const {
+    const auto answered = m_answered.find(fingerprint);
+    if (!answered || *answered + m_settings.answer_validity < crashed_at) {
+        return std::nullopt;
+    }
+    return answered;
+}
+
+bool crash_suspects::quarantine(request_fingerprint fingerprint, state::time_point last_crash) {
+    if (valid_answer(fingerprint, last_crash) ||
+        (m_suspects.size() >= m_settings.max_suspects && !is_suspect(fingerprint))) {
+        return false;
+    }
+    const auto known = m_suspects.find(fingerprint);
+    if (known && !known->crashes.empty() && unexplained_crashes(fingerprint, *known) == 0) {
+        return false;
+    }
+    m_suspects.update(fingerprint, [&](suspect_row& row) {
+        row.last_crash = std::max(row.last_crash, last_crash);
+    });
+    return set_quarantined(fingerprint);
+}
+
+std::optional<state::time_point>
+crash_suspects::quarantined_until(request_fingerprint fingerprint) const {
+    const auto row = m_suspects.find(fingerprint);
+    if (!row || !row->is_quarantined) {
+        return std::nullopt;
+    }
+    return row->last_crash + m_settings.retention;
+}
+
+std::vector<std::pair<request_fingerprint, state::time_point>> crash_suspects::quarantined() const {
+    std::vector<std::pair<request_fingerprint, state::time_point>> all;
+    m_suspects.for_each([&](request_fingerprint fingerprint, const suspect_row& row) {
+        if (row.is_quarantined) {
+            all.emplace_back(fingerprint, row.last_crash);
+        }
+    });
+    return all;
 }
 
 state::result<void> crash_suspects::check(request_fingerprint fingerprint) const {
@@ -91,6 +218,10 @@
     m_suspects.erase_if([&](request_fingerprint, const suspect_row& row) {
         return now - row.last_crash > m_settings.retention;
     });
+    const bool is_full = m_answered.size() > m_settings.max_suspects;
+    m_answered.erase_if([&](request_fingerprint, state::time_point at) {
+        return now - at > (is_full ? m_settings.answer_validity : m_settings.retention);
+    });
 }
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/retry/crash_suspects.h
+++ b/src/savoryrelay/coordination/retry/crash_suspects.h
@@ -1,23 +1,25 @@
 // Keeps the fingerprints of the requests that were running at an endpoint when it
-// crashed, and quarantines a request that crashes endpoints.
+// crashed, and quarantines those that crash endpoints.
 #pragma once
 
 #include "savoryrelay/state/core/failure.h"
 #include "savoryrelay/state/core/identifier.h"
 #include "savoryrelay/state/core/sharded_map.h"
 #include "savoryrelay/state/core/time.h"
+#include "savoryrelay/state/serving/crash_notice.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace savoryrelay::coordination {
 
-/// Digest of customer and request body. It is the same on each host.
-using request_fingerprint = std::uint64_t;
+using state::request_fingerprint;
 
-/// Returns the fingerprint of a request.
+/// Returns the fingerprint of a request's customer and body.
 [[nodiscard]] request_fingerprint fingerprint_of(const state::customer_id& customer,
                                                  std::string_view body);
 
@@ -30,27 +32,41 @@
 
 /// The evidence against one fingerprint after a crash.
 struct crash_evidence {
-    std::size_t crashes = 0;        ///< distinct crashes, including the current one
+    /// Distinct crashes, including the current one, without those that a quarantined
+    /// fingerprint with more crashes explains.
+    std::size_t crashes = 0;
     std::size_t other_suspects = 0; ///< other requests of this crash that were suspects before it
+    state::milliseconds span{0};    ///< from the first crash to the current one
+    bool was_answered = false;      ///< answered within the retention, before the first crash
 };
 
-/// Settings of the quarantine of requests. A request is quarantined after
-/// `crashes_if_sole_suspect` crashes when it was the only suspect at the last one,
-/// and after `max_crashes` in any case.
+/// Settings of the quarantine. A fingerprint is quarantined after
+/// `crashes_if_sole_suspect` crashes when it was the only suspect at the last one, and
+/// after `max_crashes` in any case. One that was answered before needs
+/// `max_crashes_after_answer`, because calls with other parts may have caused the crashes.
 struct crash_settings {
-    std::size_t crashes_if_sole_suspect = 2;    ///< if alone at the last crash
-    std::size_t max_crashes = 3;                ///< for any request
-    std::size_t max_suspects = 10'000;          ///< fingerprints kept, an estimated 150 bytes each
-    state::milliseconds retention{15 * 60'000}; ///< how long a suspect is kept after its last crash
+    std::size_t crashes_if_sole_suspect = 2;  ///< if alone at the last crash
+    std::size_t max_crashes = 3;              ///< for any fingerprint without an answer
+    std::size_t max_crashes_after_answer = 3; ///< for a fingerprint that was answered before
+    std::size_t max_suspects = 10'000;        ///< fingerprints kept, an estimated 150 bytes each
+    /// How long a suspect is kept after its last crash, and an answer.
+    state::milliseconds retention{15 * 60'000};
+    /// The crashes of a quarantined fingerprint are spread over at least this time. A network
+    /// fault that breaks many connections at once looks like many crashes.
+    state::milliseconds min_span{0};
+    /// A fingerprint that was answered within this time before a crash is no suspect.
+    state::milliseconds answer_validity{0};
 };
 
-/// Hooks for the parts of the rule that tests replace.
+/// The rule, which tests replace, and a hook that learns of its decisions.
 struct crash_hooks {
     std::function<bool(const crash_settings&, const crash_evidence&)> is_quarantined;
+    /// Called without a lock when a fingerprint becomes quarantined; may be empty.
+    std::function<void(request_fingerprint)> on_quarantined = nullptr;
 };
 
-/// Returns the rule that the design page describes: a request is quarantined by
-/// either of the two crash counts of `crash_settings`.
+/// Returns the rule that the design page describes: a fingerprint is quarantined by
+/// either of the two crash counts of `crash_settings`, if the crashes span long enough.
 [[nodiscard]] crash_hooks default_crash_hooks();
 
 /// The suspects that one member knows, including those of crashes that its peers
@@ -62,6 +78,27 @@
     /// Records a crash that this member or a peer saw. A crash that is reported
     /// several times counts once for each fingerprint.
     void record_crash(const endpoint_crash& crash, state::time_point now);
+    /// Records the crash with digest `crash` at `at`. Returns the fingerprints for which it
+    /// is new evidence.
+    std::vector<request_fingerprint> record_crash(std::uint64_t crash,
+                                                  std::vector<request_fingerprint> fingerprints,
+                                                  state::time_point at);
+    /// Records that an endpoint began to answer a request with the fingerprint at `at`, which
+    /// shows that the fingerprint crashes no endpoint. Returns whether it was a suspect.
+    bool record_answer(request_fingerprint fingerprint, state::time_point at);
+    /// Returns the time of the fingerprint's last answer if it shows that the fingerprint did
+    /// not cause a crash at `crashed_at`.
+    [[nodiscard]] std::optional<state::time_point> valid_answer(request_fingerprint fingerprint,
+                                                                state::time_point crashed_at) const;
+    /// Quarantines a fingerprint because a peer does. Returns whether this is new.
+    bool quarantine(request_fingerprint fingerprint, state::time_point last_crash);
+
+    /// Returns when the quarantine of the fingerprint ends, or nothing when there is none.
+    [[nodiscard]] std::optional<state::time_point>
+    quarantined_until(request_fingerprint fingerprint) const;
+    /// Returns the quarantined fingerprints and the times of their last crashes.
+    [[nodiscard]] std::vector<std::pair<request_fingerprint, state::time_point>>
+    quarantined() const;
 
     /// Fails with `request_quarantined` when the fingerprint is quarantined.
     [[nodiscard]] state::result<void> check(request_fingerprint fingerprint) const;
@@ -75,20 +112,32 @@
     /// Ends the reservation when `suspect` holds it.
     void release(const state::endpoint_id& endpoint, request_fingerprint suspect);
 
-    /// Removes suspects whose last crash is longer ago than the retention.
+    /// Removes suspects and answers that are older than the retention. Beyond `max_suspects`
+    /// answers, removes those that are no longer valid.
     void sweep(state::time_point now);
     [[nodiscard]] std::size_t size() const { return m_suspects.size(); }
 
 private:
     struct suspect_row {
-        std::vector<std::uint64_t> crashes; ///< digests of the crashes, at most max_crashes
+        std::vector<std::uint64_t> crashes; ///< digests of the crashes, at most max_known_crashes
         bool is_quarantined = false;
+        state::time_point first_crash;
         state::time_point last_crash;
     };
 
+    /// Returns the number of crashes of `suspect` at which no quarantined fingerprint with
+    /// more crashes was running.
+    [[nodiscard]] std::size_t unexplained_crashes(request_fingerprint fingerprint,
+                                                  const suspect_row& suspect) const;
+    /// Sets the quarantine of a known suspect and calls the hook if it is new.
+    bool set_quarantined(request_fingerprint fingerprint);
+    /// Ends the quarantine of the fingerprints whose crashes are all explained by others.
+    void release_explained();
+
     crash_settings m_settings;
     crash_hooks m_hooks;
     state::sharded_map<request_fingerprint, suspect_row> m_suspects;
+    state::sharded_map<request_fingerprint, state::time_point> m_answered; // last answer
     state::sharded_map<state::endpoint_id, request_fingerprint> m_reserved;
 };
 
--- /dev/null
+++ b/src/savoryrelay/coordination/retry/crash_watch.cpp
@@ -0,0 +1,138 @@
+// Connects the suspects of a host with the notices that it exchanges.
+#include "savoryrelay/coordination/retry/crash_watch.h"
+
+#include "savoryrelay/state/digest/digest.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <string>
+
+namespace savoryrelay::coordination {
+
+using state::crash_notice;
+using state::crash_notice_kind;
+using state::milliseconds;
+
+namespace {
+
+milliseconds age_of(state::time_point at, state::time_point now) {
+    return std::chrono::duration_cast<milliseconds>(now - at);
+}
+
+} // namespace
+
+std::string to_text(request_fingerprint fingerprint) {
+    std::array<std::uint8_t, sizeof(fingerprint)> bytes{};
+    for (auto byte = bytes.rbegin(); byte != bytes.rend(); ++byte) {
+        *byte = static_cast<std::uint8_t>(fingerprint);
+        fingerprint >>= 8U;
+    }
+    return state::to_hex(bytes.data(), bytes.size());
+}
+
+crash_settings entry_host_crash_settings() {
+    crash_settings settings;
+    settings.crashes_if_sole_suspect = settings.max_crashes;
+    settings.max_crashes_after_answer = 6;
+    settings.min_span = milliseconds(300);
+    settings.answer_validity = milliseconds(10'000);
+    return settings;
+}
+
+std::vector<request_fingerprint> fingerprints_of(const state::serving_call& call,
+                                                 const std::string& customer,
+                                                 std::string_view body) {
+    std::vector<request_fingerprint> all;
+    for (const auto& part : call.shared_prompt_parts) {
+        all.push_back(state::stable_hash("part " + part));
+    }
+    std::string content = "call " + customer;
+    content.push_back('\0');
+    content += call.host + call.path;
+    content.push_back('\0');
+    content.append(body);
+    all.push_back(state::stable_hash(content));
+    return all;
+}
+
+void crash_watch::record_crash(const state::endpoint_id& endpoint, std::uint64_t started_ms,
+                               const std::vector<request_fingerprint>& fingerprints,
+                               state::time_point now) {
+    // An incarnation of an endpoint crashes once, however many of its connections end.
+    const auto crash = state::stable_hash(endpoint.value() + '#' + std::to_string(started_ms));
+    record_evidence(crash, fingerprints, now, now);
+}
+
+void crash_watch::record_evidence(std::uint64_t crash,
+                                  const std::vector<request_fingerprint>& fingerprints,
+                                  state::time_point at, state::time_point now) {
+    for (const auto fingerprint : m_suspects.record_crash(crash, fingerprints, at)) {
+        m_notices.add({crash_notice_kind::crashed, fingerprint, crash, age_of(at, now)}, now);
+    }
+}
+
+void crash_watch::record_answer(const std::vector<request_fingerprint>& fingerprints,
+                                state::time_point now) {
+    for (const auto fingerprint : fingerprints) {
+        if (m_suspects.record_answer(fingerprint, now)) {
+            m_notices.add({crash_notice_kind::answered, fingerprint, 0, milliseconds(0)}, now);
+        }
+    }
+}
+
+void crash_watch::apply(const crash_notice& notice, state::time_point now) {
+    if (notice.age > m_retention) {
+        return;
+    }
+    const auto at = now - notice.age;
+    if (notice.kind == crash_notice_kind::answered) {
+        if (m_suspects.record_answer(notice.fingerprint, at)) {
+            m_notices.add(notice, now);
+        }
+        return;
+    }
+    // The peer does not know of an answer that this host has seen.
+    if (const auto answered_at = m_suspects.valid_answer(notice.fingerprint, at)) {
+        m_notices.add(
+            {crash_notice_kind::answered, notice.fingerprint, 0, age_of(*answered_at, now)}, now);
+    } else if (notice.kind == crash_notice_kind::crashed) {
+        record_evidence(notice.crash, {notice.fingerprint}, at, now);
+    } else if (m_suspects.quarantine(notice.fingerprint, at)) {
+        m_notices.add(notice, now);
+    }
+}
+
+std::optional<milliseconds>
+crash_watch::time_quarantined(const std::vector<request_fingerprint>& fingerprints,
+                              state::time_point now) const {
+    std::optional<milliseconds> longest;
+    for (const auto fingerprint : fingerprints) {
+        if (const auto until = m_suspects.quarantined_until(fingerprint); until && *until > now) {
+            longest = std::max(longest.value_or(milliseconds(0)), age_of(now, *until));
+        }
+    }
+    return longest;
+}
+
+std::vector<crash_notice> crash_watch::due_notices(state::time_point now) {
+    bool refreshes = false;
+    {
+        const std::scoped_lock lock(m_mutex);
+        refreshes = now - m_refreshed_at >= refresh_interval;
+        if (refreshes) {
+            m_refreshed_at = now;
+        }
+    }
+    auto due = m_notices.due(now);
+    if (refreshes) {
+        m_suspects.sweep(now);
+        for (const auto& [fingerprint, last_crash] : m_suspects.quarantined()) {
+            due.push_back(
+                {crash_notice_kind::quarantined, fingerprint, 0, age_of(last_crash, now)});
+        }
+    }
+    return due;
+}
+
+} // namespace savoryrelay::coordination
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -218,6 +218,7 @@
                 static_cast<double>(time_until(m_dependencies.now(), sent_at).count()));
             m_dependencies.loads.note_first_event(chosen.runner.record.id,
                                                   call.decoded.prompt_tokens);
+            m_dependencies.crashes.record_answer(call.fingerprints, m_dependencies.now());
         }
         if (!call.writer.started()) {
             call.status = status;
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace savoryrelay::transport {
 
@@ -31,6 +32,7 @@
     const state::route_rule* route = nullptr;
     const state::service_rule* service = nullptr;
     std::string customer;
+    std::vector<coordination::request_fingerprint> fingerprints;
     state::time_point arrived{};
     state::time_point deadline{};
     bool caller_is_gone = false;
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -120,6 +120,8 @@
         co_return;
     }
     call.service = &found->second;
+    call.fingerprints =
+        coordination::fingerprints_of(call.decoded, call.customer, call.request.body());
 
     auto time_limit = call.decoded.deadline.value_or(default_deadline);
     if (call.route->timeout.count() > 0) {
@@ -155,6 +157,7 @@
     call.progress = &progress;
     std::optional<attempt_result> failure;
     std::string reason;
+    auto retry_after = retry_after_refusal;
     while (progress.may_attempt()) {
         const auto now = m_dependencies.now();
         if (call.caller_is_gone) {
@@ -167,6 +170,12 @@
             reason = "deadline";
             break;
         }
+        if (const auto time_left =
+                m_dependencies.crashes.time_quarantined(call.fingerprints, now)) {
+            reason = state::properties_of(state::failure_kind::request_quarantined).name;
+            retry_after = *time_left;
+            break;
+        }
         const auto selected = co_await wait_for_endpoint(call);
         if (call.caller_is_gone) {
             continue;
@@ -232,7 +241,7 @@
         co_return;
     }
     if (progress.execution() == state::execution_outcome::not_run) {
-        co_await refuse(call, status_unavailable, reason, retry_after_refusal);
+        co_await refuse(call, status_unavailable, reason, retry_after);
         co_return;
     }
     const bool is_late = time_until(call.deadline, m_dependencies.now()) < deadline_accuracy;
@@ -346,6 +355,9 @@
             report_close(call, runner);
         }
     }
+    if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed) {
+        m_dependencies.crashes.record_answer(call.fingerprints, m_dependencies.now());
+    }
     if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
         end.outcome == attempt_outcome::not_run) {
         if (call.connection->reusable()) {
@@ -374,8 +386,9 @@
     }
 }
 
-void serving_front::report_close(const call_state& call,
-                                 const state::runner_record& endpoint) const {
+void serving_front::report_close(const call_state& call, const state::runner_record& endpoint) {
+    m_dependencies.crashes.record_crash(endpoint.id, endpoint.started_ms, call.fingerprints,
+                                        m_dependencies.now());
     m_dependencies.metrics
         .counter_of("savoryrelay_calls_closed_by_endpoint_total",
                     {{"endpoint", call.service->name}})
@@ -384,10 +397,15 @@
     for (const auto& part : call.decoded.shared_prompt_parts) {
         parts += (parts.empty() ? "" : ",") + part;
     }
+    std::string fingerprints;
+    for (const auto fingerprint : call.fingerprints) {
+        fingerprints += (fingerprints.empty() ? "" : ",") + coordination::to_text(fingerprint);
+    }
     log_info("closed_by_endpoint", {{"id", call.decoded.id.value()},
                                     {"endpoint", endpoint.id.value()},
                                     {"started_ms", std::to_string(endpoint.started_ms)},
-                                    {"prompt_parts", parts}});
+                                    {"prompt_parts", parts},
+                                    {"fingerprints", fingerprints}});
 }
 
 void serving_front::report_end(const call_state& call) const {
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -2,6 +2,7 @@
 // the customer, sends the call to an endpoint and relays its answer.
 #pragma once
 
+#include "savoryrelay/coordination/retry/crash_watch.h"
 #include "savoryrelay/coordination/serving/call_progress.h"
 #include "savoryrelay/coordination/serving/endpoint_selector.h"
 #include "savoryrelay/coordination/serving/fleet_table.h"
@@ -29,6 +30,7 @@
     coordination::endpoint_selector& selector;
     coordination::prediction_correction& correction;
     coordination::repeat_window& repeats;
+    coordination::crash_watch& crashes;
     state::metrics& metrics;
     serving_codec codec;
     std::function<std::shared_ptr<const state::serving_configuration>()> configuration;
@@ -80,8 +82,9 @@
     boost::asio::awaitable<attempt_result> read_whole_answer(call_state& call);
     boost::asio::awaitable<void> refuse(call_state& call, unsigned status, std::string reason,
                                         state::milliseconds retry_after);
-    /// Counts and logs that the endpoint closed the connection before it answered the call.
-    void report_close(const call_state& call, const state::runner_record& endpoint) const;
+    /// Records, counts and logs that the endpoint closed the connection before it answered
+    /// the call.
+    void report_close(const call_state& call, const state::runner_record& endpoint);
     /// Counts and logs a call that has ended.
     void report_end(const call_state& call) const;
 
--- /dev/null
+++ b/tests/coordination/crash_watch_test.cpp
@@ -0,0 +1,199 @@
+// Tests the quarantine of prompt parts and calls that crash endpoints, across hosts.
+#include "support/crash_simulation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace savoryrelay;
+using namespace savoryrelay::coordination;
+using namespace std::chrono_literals;
+using tests::crash_simulation;
+using tests::crash_simulation_settings;
+
+namespace {
+
+constexpr std::uint64_t seeds = 50;
+// The users' target: after five crashes and three seconds, at most three calls with the part
+// reach endpoints.
+constexpr std::size_t counted_crashes = 5;
+constexpr std::size_t max_late_calls = 3;
+constexpr int notice_rounds = 30;
+constexpr int day_rounds = 220;
+
+crash_settings test_settings() {
+    return entry_host_crash_settings();
+}
+
+// Returns how many crashing calls reach endpoints after the time for notice.
+std::size_t late_calls(crash_simulation& simulation) {
+    int round = 0;
+    while (round < day_rounds && simulation.crashes < counted_crashes) {
+        simulation.play(1);
+        ++round;
+    }
+    simulation.play(notice_rounds);
+    const auto before = simulation.crashing_calls_sent;
+    simulation.play(std::max(0, day_rounds - round - notice_rounds));
+    return simulation.crashing_calls_sent - before;
+}
+
+} // namespace
+
+TEST_CASE("crash watch: a prompt part that crashes endpoints is refused by all hosts") {
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        INFO("seed " << seed);
+        crash_simulation simulation(seed, {});
+        CHECK(late_calls(simulation) <= max_late_calls);
+        CHECK(simulation.crashing_calls_refused > 0);
+        CHECK(simulation.sound_calls_refused == 0);
+    }
+
+    // Naive variants: no quarantine, and hosts that share nothing.
+    crash_simulation_settings never;
+    never.hooks.is_quarantined = [](const auto&, const auto&) { return false; };
+    crash_simulation without_quarantine(1, never);
+    CHECK(late_calls(without_quarantine) > max_late_calls);
+    crash_simulation_settings alone;
+    alone.shares_notices = false;
+    crash_simulation without_notices(1, alone);
+    CHECK(late_calls(without_notices) > max_late_calls);
+}
+
+TEST_CASE("crash watch: a quarantine at the first crash refuses sound calls") {
+    crash_simulation_settings hasty;
+    hasty.hooks.is_quarantined = [](const auto&, const auto&) { return true; };
+    crash_simulation simulation(1, hasty);
+    simulation.play(day_rounds);
+    CHECK(simulation.sound_calls_refused > 0);
+}
+
+TEST_CASE("crash watch: connections that break all at once quarantine nothing") {
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        INFO("seed " << seed);
+        crash_simulation_settings settings;
+        settings.crashing_calls_per_round = 0;
+        crash_simulation simulation(seed, settings);
+        // The first calls of all hosts wait, so no part has been answered yet.
+        simulation.play(1);
+        simulation.break_connections();
+        simulation.play(day_rounds);
+        CHECK(simulation.sound_calls_refused == 0);
+    }
+}
+
+TEST_CASE("crash watch: a host that starts later refuses the parts that others refuse") {
+    crash_simulation simulation(1, {});
+    simulation.play(day_rounds);
+    const auto call = crash_simulation::call_with("crashing part");
+    REQUIRE(simulation.is_refused(0, call, "new body"));
+    simulation.start_host(0);
+    CHECK_FALSE(simulation.is_refused(0, call, "new body"));
+    simulation.play(15);
+    CHECK(simulation.is_refused(0, call, "new body"));
+}
+
+TEST_CASE("crash watch: a call that crashes endpoints is refused, others of its customer are not") {
+    const state::time_point start{1h};
+    crash_watch watch(test_settings(), default_crash_hooks());
+    const auto call = crash_simulation::call_with("part");
+    const auto crashing = fingerprints_of(call, "customer", "crashing body");
+    const auto sound = fingerprints_of(call, "customer", "sound body");
+    auto now = start;
+    for (std::uint64_t crash = 0; crash < test_settings().max_crashes; ++crash) {
+        CHECK_FALSE(watch.time_quarantined(crashing, now));
+        watch.record_answer(sound, now);
+        watch.record_crash(state::endpoint_id("e"), crash, crashing, now);
+        // The same crash on another connection.
+        watch.record_crash(state::endpoint_id("e"), crash, crashing, now);
+        now += 1s;
+    }
+    const auto left = watch.time_quarantined(crashing, now);
+    REQUIRE(left);
+    CHECK(*left == test_settings().retention - 1s);
+    CHECK_FALSE(watch.time_quarantined(sound, now));
+    CHECK_FALSE(watch.time_quarantined(crashing, now + test_settings().retention));
+}
+
+TEST_CASE("crash watch: a part that only ran beside a crashing part is not quarantined") {
+    const state::time_point start{1h};
+    crash_watch watch(test_settings(), default_crash_hooks());
+    const std::vector<request_fingerprint> crashing{1};
+    const std::vector<request_fingerprint> beside{2};
+    auto now = start;
+    const auto crash = [&](std::uint64_t number, const std::vector<request_fingerprint>& each) {
+        now += 200ms;
+        watch.record_crash(state::endpoint_id("e"), number, each, now);
+    };
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        crash(number, crashing);
+    }
+    for (std::uint64_t number = 2; number <= 4; ++number) {
+        crash(number, beside);
+    }
+    CHECK(watch.time_quarantined(crashing, now));
+    CHECK_FALSE(watch.time_quarantined(beside, now));
+
+    // With its own crashes it is quarantined, and released once the other explains them.
+    for (std::uint64_t number = 11; number <= 13; ++number) {
+        crash(number, beside);
+    }
+    CHECK(watch.time_quarantined(beside, now));
+    for (std::uint64_t number = 11; number <= 13; ++number) {
+        crash(number, crashing);
+    }
+    CHECK_FALSE(watch.time_quarantined(beside, now));
+}
+
+TEST_CASE("crash watch: a part of all prompts is not quarantined by calls that crash in a row") {
+    const state::time_point start{1h};
+    crash_watch watch(test_settings(), default_crash_hooks());
+    const std::vector<request_fingerprint> common{1};
+    watch.record_answer(common, start);
+    auto now = start + 1min;
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        now += 1s;
+        watch.record_crash(state::endpoint_id("e"), number, {1, 2}, now);
+    }
+    CHECK(watch.time_quarantined({2}, now));
+    CHECK_FALSE(watch.time_quarantined(common, now));
+
+    // A part that begins to crash endpoints after answers is quarantined too.
+    for (std::uint64_t number = 4; number <= test_settings().max_crashes_after_answer; ++number) {
+        now += 1s;
+        watch.record_crash(state::endpoint_id("e"), number, common, now);
+    }
+    CHECK(watch.time_quarantined(common, now));
+}
+
+TEST_CASE("crash watch: an answer ends the quarantine on all hosts") {
+    const state::time_point start{1h};
+    crash_watch first(test_settings(), default_crash_hooks());
+    crash_watch second(test_settings(), default_crash_hooks());
+    const auto fingerprints =
+        fingerprints_of(crash_simulation::call_with("part"), "customer", "body");
+    const auto exchange = [&](state::time_point now) {
+        for (const auto& notice : first.due_notices(now)) {
+            second.apply(notice, now);
+        }
+        for (const auto& notice : second.due_notices(now)) {
+            first.apply(notice, now);
+        }
+    };
+    for (std::uint64_t crash = 0; crash < test_settings().max_crashes; ++crash) {
+        first.record_crash(state::endpoint_id("e"), crash, fingerprints,
+                           start + crash * test_settings().min_span);
+    }
+    auto now = start + 1s;
+    exchange(now);
+    REQUIRE(second.time_quarantined(fingerprints, now));
+
+    // A stream that was sent before the quarantine begins to arrive.
+    second.record_answer(fingerprints, now);
+    CHECK_FALSE(second.time_quarantined(fingerprints, now));
+    now += 100ms;
+    exchange(now);
+    CHECK_FALSE(first.time_quarantined(fingerprints, now));
+    now += 2s;
+    exchange(now);
+    CHECK_FALSE(first.time_quarantined(fingerprints, now));
+    CHECK_FALSE(second.time_quarantined(fingerprints, now));
+}
