Refuse a request with an oversized trailer instead of ending the process

What callers saw: one request with a chunked body and a trailer field above 64 KiB ended the process, and all requests that it had read were lost. With max_header_bytes above 64 KiB a header field of that size did the same.

Cause: Boost.Beast throws std::length_error for a field above 64 KiB. The parser's header limit bounds the header, but neither trailers nor chunk extensions, and the read buffer had no limit. The exception leaves the read's completion handler and so io_context::run.

Change: the connection's buffer holds at most 64 KiB - 1, and the header limit is at most that. A field that does not fit is a read error, which is answered with 400 or 413. A chunk line without end no longer grows the buffer either.

Before, both tests ended with: terminate called after throwing an instance of 'boost::wrapexcept<std::length_error>', what(): field value too large. After, they pass, and the server serves the next connection.

--- a/src/savoryrelay/transport/http/http_message.h
+++ b/src/savoryrelay/transport/http/http_message.h
@@ -5,6 +5,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -12,6 +13,10 @@
 
 namespace savoryrelay::transport {
 
+/// The most bytes that a connection holds unparsed. Boost.Beast throws for a field above
+/// 64 KiB, and its header limit does not cover trailers and chunk extensions.
+inline constexpr std::uint32_t max_buffered_bytes = 64 * 1024 - 1;
+
 /// A request with its complete body.
 using http_request = boost::beast::http::request<boost::beast::http::string_body>;
 
--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -16,6 +16,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <tuple>
@@ -126,7 +127,7 @@
     asio::awaitable<bool> read_and_answer() {
         m_limits = m_server.limits();
         http::request_parser<http::string_body> parser;
-        parser.header_limit(m_limits.header_bytes);
+        parser.header_limit(std::min(m_limits.header_bytes, max_buffered_bytes));
         parser.body_limit(m_limits.body_bytes);
         m_stream.expires_after(m_limits.request_timeout);
         const auto [failed, size] =
@@ -233,7 +234,7 @@
     std::uint64_t m_id;
     beast::tcp_stream m_stream;
     progress_watchdog m_watchdog; // cancels an idle wait or a write at its time limit
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{max_buffered_bytes};
     response_writer* m_writer = nullptr; // writer of the current request, or null
     bool m_caller_wait_pending = false;  // a wait of detect_caller_gone is pending
     bool m_idle = false;                 // true while waiting for the first byte of a request
--- /dev/null
+++ b/tests/transport/http_server_test.cpp
@@ -0,0 +1,111 @@
+// Tests the HTTP server with handlers that fail and requests at its limits.
+#include "savoryrelay/transport/http/http_server.h"
+
+#include "support/test_http_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <stdexcept>
+#include <string>
+
+using namespace savoryrelay;
+using namespace savoryrelay::tests;
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// A server whose handler throws before the answer, within it or after it.
+struct failing_server {
+    transport::io_threads threads{1};
+    transport::http_server server{
+        threads,
+        "127.0.0.1",
+        0,
+        {},
+        [](transport::http_request request, transport::response_writer& writer) {
+            return handle(std::move(request), writer);
+        }};
+    std::string port = std::to_string(server.port());
+
+    failing_server() = default;
+    failing_server(const failing_server&) = delete;
+    failing_server& operator=(const failing_server&) = delete;
+    ~failing_server() {
+        server.stop_accepting();
+        threads.stop();
+    }
+
+    static asio::awaitable<void> handle(transport::http_request request,
+                                        transport::response_writer& writer) {
+        const std::string target(request.target());
+        bool is_gone = false;
+        writer.on_caller_gone([&is_gone] { is_gone = true; });
+        auto fields = transport::content_type_field("text/plain");
+        if (target == "/throws") {
+            throw std::bad_alloc();
+        }
+        if (target == "/throws_unknown") {
+            throw 7; // NOLINT(hicpp-exception-baseclass)
+        }
+        if (target == "/throws_in_stream") {
+            co_await writer.start(200, std::move(fields));
+            co_await writer.write("part");
+            throw std::runtime_error("the handler failed");
+        }
+        co_await writer.send(200, std::move(fields), "whole");
+        if (target == "/throws_after_answer") {
+            throw std::runtime_error("the handler failed");
+        }
+        writer.on_caller_gone(nullptr);
+    }
+
+    /// Sends `bytes` and returns what the server sends until it closes the connection.
+    [[nodiscard]] std::string exchange_raw(const std::string& bytes) const {
+        using asio::ip::tcp;
+        asio::io_context context;
+        tcp::socket socket(context);
+        socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), server.port()));
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(bytes), error);
+        socket.shutdown(tcp::socket::shutdown_send, error);
+        std::string received;
+        asio::read(socket, asio::dynamic_buffer(received), error);
+        return received;
+    }
+
+    [[nodiscard]] test_answer get(const std::string& target) const {
+        return fetch(port, http::verb::get, target);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request with a trailer field above 64 KiB is refused and does not end the process") {
+    const failing_server fixture;
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(100 * 1024, 'x');
+    CHECK_THAT(fixture.exchange_raw(head + "0\r\nX-Long: " + filler + "\r\n\r\n"),
+               Catch::StartsWith("HTTP/1.1 400"));
+    CHECK_THAT(fixture.exchange_raw(head + "1;" + filler + "\r\nx\r\n0\r\n\r\n"),
+               Catch::StartsWith("HTTP/1.1 400"));
+    CHECK(fixture.get("/").body == "whole");
+}
+
+TEST_CASE("a header field above 64 KiB is refused whatever the configured limit is") {
+    failing_server fixture;
+    fixture.server.set_limits_hook([] {
+        transport::http_limits limits;
+        limits.header_bytes = 1024 * 1024;
+        return limits;
+    });
+    const std::string filler(100 * 1024, 'x');
+    CHECK_THAT(fixture.exchange_raw("GET / HTTP/1.1\r\nX-Long: " + filler + "\r\n\r\n"),
+               Catch::StartsWith("HTTP/1.1 413"));
+    CHECK(fixture.get("/").body == "whole");
+}
