Treat an endpoint's oversized trailer as a broken answer

What callers saw: one answer of an endpoint with a chunked body and a trailer field above 64 KiB ended the process that relayed it, and all its requests were lost.

Cause: as for requests: Boost.Beast throws std::length_error for such a field, and its header limit does not cover trailers or chunk extensions. The read buffer of endpoint_connection had no limit.

Change: the buffer holds at most 64 KiB - 1 bytes, so the read fails, and the attempt ends like one whose answer broke off.

Before, the test ended with: terminate called after throwing an instance of 'boost::wrapexcept<std::length_error>', what(): field value too large. After, it passes.

--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -87,7 +87,7 @@
     boost::beast::tcp_stream m_stream;
     state::time_point m_idle_since{};
     progress_watchdog m_watchdog; // cancels the pending operation when its time limit expires
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{max_buffered_bytes};
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
 };
 
--- /dev/null
+++ b/tests/transport/endpoint_connection_test.cpp
@@ -0,0 +1,92 @@
+// Tests the client side of an exchange with answers that break the limits of HTTP fields.
+#include "savoryrelay/transport/http/endpoint_connection.h"
+#include "savoryrelay/transport/process/io_threads.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <thread>
+
+using namespace savoryrelay;
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr state::milliseconds step_timeout{5'000};
+
+/// Accepts one connection, reads the head of a request and answers with fixed bytes.
+class raw_endpoint {
+public:
+    explicit raw_endpoint(std::string answer) : m_answer(std::move(answer)) {
+        m_thread = std::thread([this] { serve(); });
+    }
+    raw_endpoint(const raw_endpoint&) = delete;
+    raw_endpoint& operator=(const raw_endpoint&) = delete;
+    ~raw_endpoint() { m_thread.join(); }
+
+    [[nodiscard]] std::uint16_t port() const { return m_port; }
+
+private:
+    void serve() {
+        tcp::socket socket(m_context);
+        error_code ended;
+        m_acceptor.accept(socket, ended);
+        std::string request;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", ended);
+        asio::write(socket, asio::buffer(m_answer), ended);
+    }
+
+    std::string m_answer;
+    asio::io_context m_context;
+    tcp::acceptor m_acceptor{m_context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+    std::uint16_t m_port = m_acceptor.local_endpoint().port();
+    std::thread m_thread;
+};
+
+/// Requests the whole answer of the endpoint at `port`. Returns the error that ended it.
+asio::awaitable<error_code> read_answer(asio::io_context& context, std::uint16_t port) {
+    transport::endpoint_connection connection(context);
+    if (const auto failed = co_await connection.connect("127.0.0.1", port, step_timeout)) {
+        co_return failed;
+    }
+    const transport::http_request request{boost::beast::http::verb::get, "/", 11};
+    if (const auto failed = co_await connection.send(request, step_timeout)) {
+        co_return failed;
+    }
+    if (const auto failed = co_await connection.read_header(step_timeout)) {
+        co_return failed;
+    }
+    std::string buffer(1024, '\0');
+    while (true) {
+        const auto [failed, size] =
+            co_await connection.read_some(asio::buffer(buffer), step_timeout);
+        if (failed || size == 0) {
+            co_return failed;
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("an answer with a trailer field above 64 KiB is an error and does not end the process") {
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(100 * 1024, 'x');
+    transport::io_threads threads{1};
+    for (const auto& body :
+         {"0\r\nX-Long: " + filler + "\r\n\r\n", "1;" + filler + "\r\nx\r\n0\r\n\r\n"}) {
+        const raw_endpoint endpoint(head + body);
+        const auto failed =
+            asio::co_spawn(threads.context(0), read_answer(threads.context(0), endpoint.port()),
+                           asio::use_future)
+                .get();
+        CHECK(failed);
+    }
+}
