End only its own request when a handler throws

What callers saw: a request whose handler threw got no answer, and its connection stayed open without one until the caller gave up. A graceful stop waited for the request to its limit.

Cause: the exception left the connection's coroutine, and asio::detached drops it. The count of open requests was not decreased, and m_writer still pointed to the destroyed writer when the pending wait for the caller's end completed.

Change: the server catches what the handler throws, logs request_failed with the detail, answers 500 with the outcome unknown if no answer has begun, else cuts the answer, and closes the connection. The count of open requests is decreased by a destructor. The hook for the caller's end is reset, because it refers to the frame of the handler.

Before, the three tests hung until they were ended (SIGTERM after 60 s): the first request got no answer. After, they pass.

--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -19,6 +19,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <exception>
 #include <tuple>
 #include <utility>
 
@@ -37,6 +38,20 @@
 constexpr std::size_t discard_buffer_bytes = 16 * 1024;
 constexpr std::size_t max_discarded_bytes = 64 * 1024 * 1024;
 
+constexpr std::string_view handler_error_text =
+    R"({"error":{"kind":"internal","message":"internal: the server failed while it handled the request; the request may have run"}})";
+
+/// Returns the text of `error`, which is not null.
+std::string describe(const std::exception_ptr& error) {
+    try {
+        std::rethrow_exception(error);
+    } catch (const std::exception& known) {
+        return known.what();
+    } catch (...) {
+        return "an exception of an unknown type";
+    }
+}
+
 std::string_view read_error_text(unsigned status) {
     return status == 413
                ? R"({"error":{"kind":"request_too_large","message":"request_too_large: the request exceeds the size limit; send a smaller request"}})"
@@ -118,10 +133,8 @@
 
     /// Reads and answers one request. Returns false if the connection must be closed.
     asio::awaitable<bool> serve_request() {
-        m_server.m_open_requests.fetch_add(1);
-        const bool may_continue = co_await read_and_answer();
-        m_server.m_open_requests.fetch_sub(1);
-        co_return may_continue;
+        const open_request counted(m_server);
+        co_return co_await read_and_answer();
     }
 
     asio::awaitable<bool> read_and_answer() {
@@ -150,8 +163,13 @@
         m_stream.expires_never();
         m_writer = &writer;
         detect_caller_gone();
-        co_await m_server.m_handler(std::move(request), writer);
+        const auto error = co_await run_handler(std::move(request), writer);
         m_writer = nullptr;
+        // The hook refers to the frame of the handler.
+        writer.on_caller_gone(nullptr);
+        if (error) {
+            co_await answer_handler_error(error, writer);
+        }
         if (!writer.complete() && !writer.is_caller_gone()) {
             log_warning("request_without_answer",
                         {{"reason", writer.started() ? "answer_cut" : "no_answer"}});
@@ -159,6 +177,43 @@
         co_return writer.keep_alive();
     }
 
+    /// Counts a request as open while it exists.
+    class open_request {
+    public:
+        explicit open_request(http_server& server) : m_server(server) {
+            m_server.m_open_requests.fetch_add(1);
+        }
+        ~open_request() { m_server.m_open_requests.fetch_sub(1); }
+        open_request(const open_request&) = delete;
+        open_request& operator=(const open_request&) = delete;
+
+    private:
+        http_server& m_server;
+    };
+
+    /// Runs the handler. Returns the exception that it threw, or null.
+    asio::awaitable<std::exception_ptr> run_handler(http_request request, response_writer& writer) {
+        try {
+            co_await m_server.m_handler(std::move(request), writer);
+        } catch (...) {
+            co_return std::current_exception();
+        }
+        co_return nullptr;
+    }
+
+    /// Refuses the request if its answer has not begun, and makes the connection close.
+    asio::awaitable<void> answer_handler_error(std::exception_ptr error, response_writer& writer) {
+        log_warning("request_failed", {{"detail", describe(error)}});
+        writer.abandon();
+        if (writer.started()) {
+            co_return;
+        }
+        constexpr unsigned status_server_error = 500;
+        auto fields = content_type_field("application/json");
+        fields.push_back({"Savoryrelay-Outcome", "unknown"});
+        co_await writer.send(status_server_error, std::move(fields), handler_error_text);
+    }
+
     /// Detects that the caller closes the connection while its request is answered.
     /// At most one wait is pending. If the caller keeps the connection open, the wait
     /// continues after the answer and ends when the next request arrives.
--- a/src/savoryrelay/transport/http/http_server.h
+++ b/src/savoryrelay/transport/http/http_server.h
@@ -31,7 +31,8 @@
     state::milliseconds write_timeout{15'000};   ///< for one write to complete
 };
 
-/// Answers one request with the writer. Must not throw.
+/// Answers one request with the writer. If it throws, the server answers 500, or cuts an
+/// answer that has begun, and closes the connection.
 using request_handler = std::function<boost::asio::awaitable<void>(http_request, response_writer&)>;
 
 /// Accepts connections and passes each request to the handler. Requests of one
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -86,6 +86,42 @@
 
 } // namespace
 
+TEST_CASE("a handler that throws before its answer ends its request alone, with 500") {
+    failing_server fixture;
+    for (const auto* target : {"/throws", "/throws_unknown"}) {
+        const auto answer = fixture.get(target);
+        CHECK(answer.status == 500);
+        CHECK(answer.is_complete);
+        CHECK(answer.body.find(R"("kind":"internal")") != std::string::npos);
+        CHECK(answer.outcome == "unknown");
+        CHECK(fixture.get("/").body == "whole");
+    }
+    fixture.server.stop_accepting();
+    fixture.server.wait_until_idle();
+    CHECK(fixture.server.open_requests() == 0);
+}
+
+TEST_CASE("a handler that throws within a stream leaves the answer incomplete") {
+    failing_server fixture;
+    const auto answer = fixture.get("/throws_in_stream");
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "part");
+    CHECK_FALSE(answer.is_complete);
+    CHECK(fixture.get("/").body == "whole");
+    fixture.server.stop_accepting();
+    fixture.server.wait_until_idle();
+    CHECK(fixture.server.open_requests() == 0);
+}
+
+TEST_CASE("a handler that throws after its answer ends its connection alone") {
+    failing_server fixture;
+    CHECK(fixture.get("/throws_after_answer").body == "whole");
+    CHECK(fixture.get("/").body == "whole");
+    fixture.server.stop_accepting();
+    fixture.server.wait_until_idle();
+    CHECK(fixture.server.open_requests() == 0);
+}
+
 TEST_CASE("a request with a trailer field above 64 KiB is refused and does not end the process") {
     const failing_server fixture;
     const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
