Balance the load count of an endpoint when an attempt throws

An exception between begin_call and end_call would have left the call counted as load of its endpoint for as long as the host runs, now that the server goes on after a handler's exception. The destructor of counted_call ends the count.

No test of its own: the serving front has no unit test with a faulty codec.

--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -61,6 +61,27 @@
 
 constexpr double ms_per_s = 1'000;
 
+/// Counts a call as load of its endpoint from the construction to the destruction.
+class counted_call {
+public:
+    /// `is_writing` is read at the destruction.
+    counted_call(coordination::load_tracker& loads, const state::endpoint_id& endpoint,
+                 double prompt_tokens, const bool& is_writing)
+        : m_loads(loads), m_endpoint(endpoint), m_prompt_tokens(prompt_tokens),
+          m_is_writing(is_writing) {
+        m_loads.begin_call(m_endpoint, m_prompt_tokens);
+    }
+    ~counted_call() { m_loads.end_call(m_endpoint, m_prompt_tokens, m_is_writing); }
+    counted_call(const counted_call&) = delete;
+    counted_call& operator=(const counted_call&) = delete;
+
+private:
+    coordination::load_tracker& m_loads;
+    const state::endpoint_id& m_endpoint;
+    double m_prompt_tokens;
+    const bool& m_is_writing;
+};
+
 } // namespace
 
 serving_front::serving_front(serving_dependencies dependencies)
@@ -334,8 +355,10 @@
     }
     const auto request = m_dependencies.codec.make_endpoint_request(call.request, added_values);
     const double prompt = call.decoded.prompt_tokens;
-    m_dependencies.loads.begin_call(runner.id, prompt);
     bool is_writing = false;
+    // Counts the call while it exists, also if an exception ends the attempt.
+    std::optional<counted_call> counted;
+    counted.emplace(m_dependencies.loads, runner.id, prompt, is_writing);
     if (const auto failed = co_await call.connection->send(request, send_timeout)) {
         end.reason = "send: " + failed.message();
         end.endpoint_ended = failed == asio::error::connection_reset;
@@ -345,7 +368,7 @@
     } else {
         end = co_await relay_answer(call, chosen);
     }
-    m_dependencies.loads.end_call(runner.id, prompt, is_writing);
+    counted.reset();
     if (end.outcome == attempt_outcome::not_run && call.service->engine) {
         m_dependencies.fleet.note_refusal(runner.id, m_dependencies.now());
     }
