--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -99,6 +99,41 @@
     }
 }
 
+TEST_CASE("an entry or report whose names exceed the store's limit is refused") {
+    const auto entry_is_read = [](const std::string& id, const std::string& model,
+                                  const std::string& group) {
+        const auto text =
+            R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","state":"ready","models":[")" +
+            model + R"("],"group":{"name":")" + group + R"(","state":"open"}})";
+        return state::collect([&] { return decode_runner_entry(state::endpoint_id(id), text); })
+            .has_value();
+    };
+    const auto report_is_read = [](const std::string& model, const std::string& group) {
+        const auto text =
+            R"({"models":[")" + model + R"("],"group":{"name":")" + group + R"(","state":"open"}})";
+        return state::collect([&] { return decode_report(text); }).has_value();
+    };
+    const std::string longest(200, 'n');
+    const std::string too_long(201, 'n');
+    CHECK(entry_is_read(longest, longest, longest));
+    CHECK_FALSE(entry_is_read(too_long, "m", "g"));
+    CHECK_FALSE(entry_is_read("i", too_long, "g"));
+    CHECK_FALSE(entry_is_read("i", "m", too_long));
+    CHECK(report_is_read(longest, longest));
+    CHECK_FALSE(report_is_read(too_long, "g"));
+    CHECK_FALSE(report_is_read("m", too_long));
+}
+
+TEST_CASE("a configuration whose model has a name above the store's limit is refused") {
+    const auto is_read = [](const std::string& model) {
+        const auto text = R"({"version":1,"services":[{"name":"s","engine":{"models":[{"name":")" +
+                          model + R"("}]}}]})";
+        return state::collect([&] { return decode_configuration(text); }).has_value();
+    };
+    CHECK(is_read(std::string(200, 'n')));
+    CHECK_FALSE(is_read(std::string(201, 'n')));
+}
+
 TEST_CASE("decoding a damaged entry, report or configuration does not crash") {
     CHECK(rc::check("damaged text does not crash the decoders", [] {
         const auto damage = [](std::string text) {
--- a/tests/process/edge_test.cpp
+++ b/tests/process/edge_test.cpp
@@ -51,6 +51,21 @@
     CHECK(fetch(port, http::verb::get, "/none/1", "", edge_fixture::headers("b3")).status == 404);
 }
 
+TEST_CASE("edge: the entry of a runner with an overlong group name does not end a host") {
+    edge_fixture fixture(2);
+    // Nothing listens at the runner's address, so the lease holder reports it as silent.
+    fixture.write_row(
+        "servers", "m9",
+        R"({"service":"model","address":"127.0.0.1:)" + free_port() +
+            R"(","zone":"zone-a","slots":8,"state":"ready","born":1,"group":{"name":")" +
+            std::string(250, 'g') + R"(","epoch":1,"rank":0,"state":"open"}})");
+    CHECK(fixture.ask_until_served(0).is_complete);
+    CHECK(fixture.ask_until_served(1).is_complete);
+    for (const auto& host : fixture.hosts) {
+        host->process->read_until("event=runner_entry_unreadable");
+    }
+}
+
 TEST_CASE("edge: a booking whose answer is lost runs once and is answered with 502 or 504") {
     edge_fixture fixture;
     const auto& port = fixture.hosts[0]->callers;
