Refuse the row of a host whose name or zone exceeds the store's limit

What callers saw: one row in the table of hosts with a zone above 200 bytes stopped the digests of every host that read it, so no group formed, and model calls were refused.

Cause: decode_host_row took a zone of any length, and the host is named in digests, whose encoding throws for such a text and ends exchange_digests.

Change: decode_host_row refuses names, addresses and zones above the limit.

Before, the unit test read such rows, and the test with processes was ended after 60 s because no group served. After, both pass.

--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -2,6 +2,7 @@
 #include "savoryrelay/protocol/serving/peer_digest_codec.h"
 
 #include "savoryrelay/protocol/peer/bounded_archive.h"
+#include "savoryrelay/state/core/name_limit.h"
 
 #include <algorithm>
 #include <charconv>
@@ -13,7 +14,7 @@
 
 using state::failure_kind;
 
-constexpr std::size_t max_text_bytes = 200; // the store's limit for keys and names
+constexpr std::size_t max_text_bytes = state::max_name_bytes;
 constexpr std::size_t max_rows = 20'000;
 constexpr std::size_t max_value_bytes = 8 * 1024 * 1024;
 constexpr std::uint32_t max_counter = std::numeric_limits<std::uint16_t>::max();
@@ -264,7 +265,8 @@
     state::host_entry host;
     in >> address >> zone >> host.processor_share;
     const auto colon = address.rfind(':');
-    if (in.fail() || colon == std::string::npos) {
+    if (in.fail() || colon == std::string::npos || name.size() > max_text_bytes ||
+        address.size() > max_text_bytes || zone.size() > max_text_bytes) {
         return state::fail(failure_kind::message_damaged, "row of host '" + name + "'");
     }
     const auto* end = address.data() + address.size();
--- a/tests/process/edge_test.cpp
+++ b/tests/process/edge_test.cpp
@@ -66,6 +66,17 @@
     }
 }
 
+TEST_CASE("edge: the row of a host with an overlong zone does not end another host") {
+    edge_fixture fixture(0);
+    fixture.write_row("savoryrelay_hosts", "far",
+                      '"' + std::string("127.0.0.9:9 ") + std::string(250, 'z') + " 1" + '"');
+    for (const auto* name : {"edge-0", "edge-1"}) {
+        fixture.add_host(name);
+    }
+    CHECK(fixture.ask_until_served(0).is_complete);
+    CHECK(fixture.ask_until_served(1).is_complete);
+}
+
 TEST_CASE("edge: a booking whose answer is lost runs once and is answered with 502 or 504") {
     edge_fixture fixture;
     const auto& port = fixture.hosts[0]->callers;
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -186,6 +186,18 @@
     }
 }
 
+TEST_CASE("the row of a host whose names exceed the store's limit is refused") {
+    const auto is_read = [](const std::string& name, const std::string& zone) {
+        return state::collect(
+                   [&] { return decode_host_row(name, "10.1.0.40:7340 " + zone + " 1"); })
+            .has_value();
+    };
+    const std::string longest(200, 'n');
+    CHECK(is_read(longest, longest));
+    CHECK_FALSE(is_read(longest + "n", "zone-a"));
+    CHECK_FALSE(is_read("edge-a-1", longest + "n"));
+}
+
 TEST_CASE("an error in an entry host's settings names the invalid field") {
     const std::string good = "host: edge-a-1\navailability_zone: a\ncallers: 10.1.0.4:8080\n"
                              "readiness: 10.1.0.4:8081\nmetrics: 10.1.0.4:8082\n"
