Guard calls whose method HTTP's list does not know

Such a call was suspected of ending the process, since Boost.Beast throws for verb::unknown in header::method(verb). The test client accepts any token as a method.

--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -152,6 +152,16 @@
     }));
 }
 
+TEST_CASE("a request with a method outside HTTP's list is forwarded with its method unchanged") {
+    auto request = make_request();
+    request.method_string("BREW");
+    const auto forwarded = make_endpoint_request(request, {});
+    CHECK(forwarded.method_string() == "BREW");
+    CHECK(forwarded.target() == "/x/1?q=2");
+    CHECK(forwarded.body() == "body");
+    CHECK(transport::header_of(forwarded, "Content-Length") == "4");
+}
+
 TEST_CASE(
     "a forwarded request keeps all fields except hop-by-hop fields and those the system sets") {
     const auto call = decode_call(make_request());
--- a/tests/process/edge_test.cpp
+++ b/tests/process/edge_test.cpp
@@ -51,6 +51,19 @@
     CHECK(fetch(port, http::verb::get, "/none/1", "", edge_fixture::headers("b3")).status == 404);
 }
 
+TEST_CASE("edge: a call with an unknown method is served and does not end the host") {
+    edge_fixture fixture;
+    const auto& port = fixture.hosts[0]->callers;
+    fixture.hosts[0]->wait_until_ready();
+    while (fetch(port, http::verb::get, "/look/1", "", edge_fixture::headers("l")).status != 200) {
+    }
+    const auto answer =
+        test_exchange(port, "BREW", "/look/1", "pot", edge_fixture::headers("m")).finish();
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "ran by p1 for workshop");
+    CHECK(fetch(port, http::verb::get, "/look/1", "", edge_fixture::headers("n")).status == 200);
+}
+
 TEST_CASE("edge: the entry of a runner with an overlong group name does not end a host") {
     edge_fixture fixture(2);
     // Nothing listens at the runner's address, so the lease holder reports it as silent.
--- a/tests/process/relay_test.cpp
+++ b/tests/process/relay_test.cpp
@@ -61,6 +61,17 @@
     CHECK(answer.body.find("\"t0") == std::string::npos);
 }
 
+// Guards against a request with a method outside HTTP's list that ends the daemon.
+TEST_CASE("a request with an unknown method is answered and the daemon still serves", "[process]") {
+    const relay_fixture relay;
+    CHECK(test_exchange(relay.port, "BREW", "/v1/chat/completions", "", {}).finish().status == 404);
+    const auto answer = test_exchange(relay.port, "BREW", "/v1/services/orders/pot", "x",
+                                      {{"Idempotency-Key", "brew-1"}})
+                            .finish();
+    CHECK(answer.status == 200);
+    CHECK(relay.stream(5).body == expected_stream(5));
+}
+
 // Guards against "not-run" for a request that an engine may have seen.
 TEST_CASE("a refusal reports not-run only if nothing was sent", "[process]") {
     relay_fixture relay;
--- a/tests/support/test_http_client.h
+++ b/tests/support/test_http_client.h
@@ -35,11 +35,18 @@
 public:
     test_exchange(const std::string& port, http::verb method, const std::string& target,
                   const std::string& body, const test_headers& headers)
+        : test_exchange(port, std::string(http::to_string(method)), target, body, headers) {}
+
+    /// `method` may be any token, also one that Boost.Beast does not know.
+    test_exchange(const std::string& port, const std::string& method, const std::string& target,
+                  const std::string& body, const test_headers& headers)
         : m_socket(m_context) {
         using boost::asio::ip::tcp;
         m_socket.connect(tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
                                        static_cast<std::uint16_t>(std::stoi(port))));
-        http::request<http::string_body> request{method, target, 11};
+        http::request<http::string_body> request;
+        request.method_string(method);
+        request.target(target);
         request.set(http::field::host, "127.0.0.1");
         request.set(http::field::authorization, "Bearer demo-token");
         for (const auto& [name, value] : headers) {
