Leave out a digest that cannot be encoded

A further field above its limit would again have ended all digests of a host without a line in the log.

Cause: encode_digest threw cereal::Exception into exchange_digests, a coroutine whose exception asio::detached drops.

Change: encode_digest returns a result, as encode_datagram does. A digest that fails is left out and counted in savoryrelay_peer_digests_not_encoded_total, and the first is logged as digest_not_encoded. The others are sent.

Before, the unit test failed with: unexpected exception with message: a field exceeds its size limit. After, it passes.

--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -14,6 +14,7 @@
 
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace savoryrelay::edge {
 
@@ -126,14 +127,25 @@
     m_shared.is_store_reader = m_exchange.is_store_reader() && m_knows_hosts;
     for (const auto& [digest, receivers] : outgoing) {
         for (const auto& part : protocol::split_digest(digest)) {
-            const auto datagram = protocol::encode_digest(part);
+            const auto datagram = state::collect([&] { return protocol::encode_digest(part); });
+            if (!datagram) {
+                note_unencoded_digest(datagram.error());
+                continue;
+            }
             for (const auto& receiver : receivers) {
-                m_endpoint->send(receiver, datagram);
+                m_endpoint->send(receiver, datagram.value());
             }
         }
     }
 }
 
+void peer_part::note_unencoded_digest(const state::failure& failure) {
+    m_shared.metrics.counter_of("savoryrelay_peer_digests_not_encoded_total").add();
+    if (!std::exchange(m_has_unencoded_digest, true)) {
+        transport::log_warning("digest_not_encoded", {{"detail", failure.message()}});
+    }
+}
+
 void peer_part::receive(std::string_view datagram) {
     const auto decoded = state::collect([&] { return protocol::decode_digest(datagram); });
     if (!decoded) {
--- a/src/edge/peer_part.h
+++ b/src/edge/peer_part.h
@@ -32,6 +32,8 @@
     void receive(std::string_view datagram);
     void apply_observations(const state::peer_digest& digest, state::time_point now);
     void send_digests(state::time_point now);
+    /// Counts a digest that is left out, and logs the first.
+    void note_unencoded_digest(const state::failure& failure);
     void describe(state::peer_digest& digest, state::time_point now);
     boost::asio::awaitable<void> exchange_digests();
     boost::asio::awaitable<void> sync_hosts_table();
@@ -63,6 +65,7 @@
     std::unique_ptr<transport::datagram_endpoint> m_endpoint;
     std::size_t m_listed_hosts = 0; // control context only
     // The table of hosts was read, or the store cannot be reached; control context only.
+    bool m_has_unencoded_digest = false; // control context only
     bool m_knows_hosts = false;
     bool m_has_read_hosts = false; // control context only
     std::uint64_t m_round = 0;     // control context only
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -111,6 +111,45 @@
     return notice;
 }
 
+void write_digest(bounded_writer& out, const state::peer_digest& digest) {
+    write_host(out, digest.host);
+    out.number(digest.incarnation);
+    out.number(digest.part);
+    out.enum_value(digest.scope);
+    out.number(digest.operators_version);
+    out.number(digest.runners_version);
+    write_time(out, digest.tables_age);
+    write_time(out, digest.return_grace);
+    out.number(static_cast<std::uint8_t>(digest.is_controller));
+    write_time(out, digest.controller_age);
+    out.number(digest.host_count);
+    out.count(digest.peers.size(), max_digest_entries);
+    for (const auto& peer : digest.peers) {
+        write_host(out, peer);
+    }
+    out.count(digest.loads.size(), max_digest_loads);
+    for (const auto& entry : digest.loads) {
+        write_load(out, entry);
+    }
+    out.count(digest.work.size(), max_digest_entries);
+    for (const auto& entry : digest.work) {
+        out.text(entry.model, max_text_bytes);
+        out.number(static_cast<float>(entry.groups));
+    }
+    out.count(digest.observations.size(), max_digest_entries);
+    for (const auto& observation : digest.observations) {
+        write_observation(out, observation);
+    }
+    out.count(digest.runners_to_confirm.size(), max_digest_entries);
+    for (const auto& id : digest.runners_to_confirm) {
+        out.text(id.value(), max_text_bytes);
+    }
+    out.count(digest.crash_notices.size(), max_digest_notices);
+    for (const auto& notice : digest.crash_notices) {
+        write_notice(out, notice);
+    }
+}
+
 template <typename Entry>
 std::vector<Entry> entries_of_part(const std::vector<Entry>& all, std::size_t part,
                                    std::size_t limit = max_digest_entries) {
@@ -169,45 +208,14 @@
     return all;
 }
 
-std::string encode_digest(const state::peer_digest& digest) {
-    bounded_writer out;
-    write_host(out, digest.host);
-    out.number(digest.incarnation);
-    out.number(digest.part);
-    out.enum_value(digest.scope);
-    out.number(digest.operators_version);
-    out.number(digest.runners_version);
-    write_time(out, digest.tables_age);
-    write_time(out, digest.return_grace);
-    out.number(static_cast<std::uint8_t>(digest.is_controller));
-    write_time(out, digest.controller_age);
-    out.number(digest.host_count);
-    out.count(digest.peers.size(), max_digest_entries);
-    for (const auto& peer : digest.peers) {
-        write_host(out, peer);
-    }
-    out.count(digest.loads.size(), max_digest_loads);
-    for (const auto& entry : digest.loads) {
-        write_load(out, entry);
-    }
-    out.count(digest.work.size(), max_digest_entries);
-    for (const auto& entry : digest.work) {
-        out.text(entry.model, max_text_bytes);
-        out.number(static_cast<float>(entry.groups));
-    }
-    out.count(digest.observations.size(), max_digest_entries);
-    for (const auto& observation : digest.observations) {
-        write_observation(out, observation);
-    }
-    out.count(digest.runners_to_confirm.size(), max_digest_entries);
-    for (const auto& id : digest.runners_to_confirm) {
-        out.text(id.value(), max_text_bytes);
-    }
-    out.count(digest.crash_notices.size(), max_digest_notices);
-    for (const auto& notice : digest.crash_notices) {
-        write_notice(out, notice);
+state::result<std::string> encode_digest(const state::peer_digest& digest) {
+    try {
+        bounded_writer out;
+        write_digest(out, digest);
+        return out.take();
+    } catch (const cereal::Exception& error) {
+        return state::fail(failure_kind::request_too_large, error.what());
     }
-    return out.take();
 }
 
 state::result<state::peer_digest> decode_digest(std::string_view bytes) {
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.h
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.h
@@ -21,8 +21,9 @@
 /// Splits `digest` into digests whose lists keep these limits.
 [[nodiscard]] std::vector<state::peer_digest> split_digest(const state::peer_digest& digest);
 
-/// Encodes a digest whose lists keep these limits.
-[[nodiscard]] std::string encode_digest(const state::peer_digest& digest);
+/// Encodes a digest whose lists keep these limits. Fails with `request_too_large` when a
+/// list or a text exceeds its limit.
+[[nodiscard]] state::result<std::string> encode_digest(const state::peer_digest& digest);
 /// Decodes a digest. Fails with `message_damaged` when `bytes` is malformed.
 [[nodiscard]] state::result<state::peer_digest> decode_digest(std::string_view bytes);
 
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -46,6 +46,10 @@
     return state::collect([&] { return decode_digest(bytes); });
 }
 
+std::string encode(const state::peer_digest& digest) {
+    return state::collect([&] { return encode_digest(digest); }).value();
+}
+
 } // namespace
 
 TEST_CASE("a digest of any size is split into datagrams without losing entries") {
@@ -55,7 +59,7 @@
         std::size_t observations = 0;
         std::size_t runners_to_confirm = 0;
         for (const auto& part : split_digest(make_digest(entries))) {
-            const auto text = encode_digest(part);
+            const auto text = encode(part);
             CHECK(text.size() <= state::max_datagram_bytes);
             const auto read = read_digest(text);
             REQUIRE(read);
@@ -118,7 +122,7 @@
             state::peer_digest digest;
             digest.part = state::peer_digest::notices_only;
             digest.crash_notices = {{row.value, 0x0123456789abcdef, 42, age.sent}};
-            const auto text = encode_digest(digest);
+            const auto text = encode(digest);
             const auto read = read_digest(text);
             REQUIRE(read);
             const state::crash_notice expected{row.value, 0x0123456789abcdef, 42, age.read};
@@ -130,7 +134,7 @@
 TEST_CASE("a digest whose crash notices are malformed is refused") {
     state::peer_digest digest;
     digest.crash_notices.resize(1);
-    const auto good = encode_digest(digest);
+    const auto good = encode(digest);
     REQUIRE(read_digest(good));
     // The notice is the end of the datagram: its count, kind, fingerprint, crash and age.
     constexpr std::size_t notice_bytes = 1 + 8 + 8 + 4;
@@ -142,12 +146,18 @@
     CHECK_FALSE(read_digest(too_many));
     CHECK_FALSE(read_digest(good.substr(0, good.size() - 1)));
     digest.crash_notices.resize(max_digest_notices + 1);
-    CHECK_THROWS_AS(encode_digest(digest), cereal::Exception);
+    CHECK_FALSE(state::collect([&] { return encode_digest(digest); }));
+}
+
+TEST_CASE("a digest with a field above its limit is a failure and no exception") {
+    auto digest = make_digest(1);
+    digest.observations.front().model = std::string(201, 'm');
+    CHECK_FALSE(state::collect([&] { return encode_digest(digest); }));
 }
 
 TEST_CASE("decoding a damaged digest or table does not crash") {
     CHECK(rc::check("damaged digests and tables", [] {
-        auto text = encode_digest(split_digest(make_digest(3)).front());
+        auto text = encode(split_digest(make_digest(3)).front());
         const auto position = *rc::gen::inRange<std::size_t>(0, text.size());
         text[position] = *rc::gen::arbitrary<char>();
         text.resize(*rc::gen::inRange<std::size_t>(0, text.size() + 1));
