--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -134,6 +134,28 @@
     CHECK_FALSE(is_read(std::string(201, 'n')));
 }
 
+TEST_CASE("a number outside the range of durations is refused") {
+    const auto is_read = [](const std::string& number) {
+        const auto limits = R"({"version":1,"limits":{"idle_timeout_ms":)" + number + "}}";
+        const auto service =
+            R"({"version":1,"services":[{"name":"s","cold_start_s":)" + number + "}]}";
+        const auto report = R"({"cold_remaining_ms":)" + number + "}";
+        const auto reads_configuration = [](const std::string& text) {
+            return state::collect([&] { return decode_configuration(text); }).has_value();
+        };
+        const bool first = reads_configuration(limits);
+        CHECK(reads_configuration(service) == first);
+        CHECK(state::collect([&] { return decode_report(report); }).has_value() == first);
+        return first;
+    };
+    CHECK(is_read("15000"));
+    CHECK(is_read("0"));
+    CHECK_FALSE(is_read("1e18"));
+    CHECK_FALSE(is_read("1e300"));
+    CHECK_FALSE(is_read("-1e300"));
+    CHECK_FALSE(is_read("1e999"));
+}
+
 TEST_CASE("decoding a damaged entry, report or configuration does not crash") {
     CHECK(rc::check("damaged text does not crash the decoders", [] {
         const auto damage = [](std::string text) {
