--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -156,6 +156,14 @@
     CHECK_FALSE(is_read("1e999"));
 }
 
+TEST_CASE("a caller's deadline outside the range of times is limited") {
+    auto request = make_request();
+    request.set("Deadline-Ms", "9223372036854775807");
+    CHECK(*decode_call(request).deadline == state::max_duration);
+    request.set("Deadline-Ms", "-9223372036854775807");
+    CHECK(*decode_call(request).deadline == 0ms);
+}
+
 TEST_CASE("decoding a damaged entry, report or configuration does not crash") {
     CHECK(rc::check("damaged text does not crash the decoders", [] {
         const auto damage = [](std::string text) {
