Count open requests without destructors

The count of open requests was decreased by a destructor in the frame of the connection's coroutine. Frames of requests that are still open when the host exits are destroyed with the sockets' threads, after the server: the destructor then wrote to freed memory. Found by reading; no run has shown it.

--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -133,8 +133,17 @@
 
     /// Reads and answers one request. Returns false if the connection must be closed.
     asio::awaitable<bool> serve_request() {
-        const open_request counted(m_server);
-        co_return co_await read_and_answer();
+        // No destructor counts the request, because the frames of open requests are destroyed
+        // after the server.
+        m_server.m_open_requests.fetch_add(1);
+        bool may_continue = false;
+        try {
+            may_continue = co_await read_and_answer();
+        } catch (const std::exception& error) {
+            log_warning("connection_failed", {{"detail", error.what()}});
+        }
+        m_server.m_open_requests.fetch_sub(1);
+        co_return may_continue;
     }
 
     asio::awaitable<bool> read_and_answer() {
@@ -177,20 +186,6 @@
         co_return writer.keep_alive();
     }
 
-    /// Counts a request as open while it exists.
-    class open_request {
-    public:
-        explicit open_request(http_server& server) : m_server(server) {
-            m_server.m_open_requests.fetch_add(1);
-        }
-        ~open_request() { m_server.m_open_requests.fetch_sub(1); }
-        open_request(const open_request&) = delete;
-        open_request& operator=(const open_request&) = delete;
-
-    private:
-        http_server& m_server;
-    };
-
     /// Runs the handler. Returns the exception that it threw, or null.
     asio::awaitable<std::exception_ptr> run_handler(http_request request, response_writer& writer) {
         try {
--- a/src/savoryrelay/transport/http/response_writer.cpp
+++ b/src/savoryrelay/transport/http/response_writer.cpp
@@ -33,8 +33,8 @@
     m_started = true;
     const auto header =
         header_text(status, fields, "Content-Length: " + std::to_string(body.size()) + "\r\n");
-    const auto failed = co_await m_send_buffers(
-        {asio::buffer(header), asio::buffer(body), asio::const_buffer{}});
+    const auto failed =
+        co_await m_send_buffers({asio::buffer(header), asio::buffer(body), asio::const_buffer{}});
     m_complete = !failed;
     co_return failed;
 }
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -5,7 +5,6 @@
 #include "savoryrelay/state/member/member.h"
 
 #include <catch2/catch.hpp>
-#include <cereal/cereal.hpp>
 #include <rapidcheck.h>
 
 #include <limits>
