--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -16,8 +16,10 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <exception>
 #include <tuple>
 #include <utility>
 
@@ -36,6 +38,20 @@
 constexpr std::size_t discard_buffer_bytes = 16 * 1024;
 constexpr std::size_t max_discarded_bytes = 64 * 1024 * 1024;
 
+constexpr std::string_view handler_error_text =
+    R"({"error":{"kind":"internal","message":"internal: the server failed while it handled the request; the request may have run"}})";
+
+/// Returns the text of `error`, which is not null.
+std::string describe(const std::exception_ptr& error) {
+    try {
+        std::rethrow_exception(error);
+    } catch (const std::exception& known) {
+        return known.what();
+    } catch (...) {
+        return "an exception of an unknown type";
+    }
+}
+
 std::string_view read_error_text(unsigned status) {
     return status == 413
                ? R"({"error":{"kind":"request_too_large","message":"request_too_large: the request exceeds the size limit; send a smaller request"}})"
@@ -117,8 +133,15 @@
 
     /// Reads and answers one request. Returns false if the connection must be closed.
     asio::awaitable<bool> serve_request() {
+        // No destructor counts the request, because the frames of open requests are destroyed
+        // after the server.
         m_server.m_open_requests.fetch_add(1);
-        const bool may_continue = co_await read_and_answer();
+        bool may_continue = false;
+        try {
+            may_continue = co_await read_and_answer();
+        } catch (const std::exception& error) {
+            log_warning("connection_failed", {{"detail", error.what()}});
+        }
         m_server.m_open_requests.fetch_sub(1);
         co_return may_continue;
     }
@@ -126,7 +149,7 @@
     asio::awaitable<bool> read_and_answer() {
         m_limits = m_server.limits();
         http::request_parser<http::string_body> parser;
-        parser.header_limit(m_limits.header_bytes);
+        parser.header_limit(std::min(m_limits.header_bytes, max_buffered_bytes));
         parser.body_limit(m_limits.body_bytes);
         m_stream.expires_after(m_limits.request_timeout);
         const auto [failed, size] =
@@ -149,8 +172,13 @@
         m_stream.expires_never();
         m_writer = &writer;
         detect_caller_gone();
-        co_await m_server.m_handler(std::move(request), writer);
+        const auto error = co_await run_handler(std::move(request), writer);
         m_writer = nullptr;
+        // The hook refers to the frame of the handler.
+        writer.on_caller_gone(nullptr);
+        if (error) {
+            co_await answer_handler_error(error, writer);
+        }
         if (!writer.complete() && !writer.is_caller_gone()) {
             log_warning("request_without_answer",
                         {{"reason", writer.started() ? "answer_cut" : "no_answer"}});
@@ -158,6 +186,29 @@
         co_return writer.keep_alive();
     }
 
+    /// Runs the handler. Returns the exception that it threw, or null.
+    asio::awaitable<std::exception_ptr> run_handler(http_request request, response_writer& writer) {
+        try {
+            co_await m_server.m_handler(std::move(request), writer);
+        } catch (...) {
+            co_return std::current_exception();
+        }
+        co_return nullptr;
+    }
+
+    /// Refuses the request if its answer has not begun, and makes the connection close.
+    asio::awaitable<void> answer_handler_error(std::exception_ptr error, response_writer& writer) {
+        log_warning("request_failed", {{"detail", describe(error)}});
+        writer.abandon();
+        if (writer.started()) {
+            co_return;
+        }
+        constexpr unsigned status_server_error = 500;
+        auto fields = content_type_field("application/json");
+        fields.push_back({"Savoryrelay-Outcome", "unknown"});
+        co_await writer.send(status_server_error, std::move(fields), handler_error_text);
+    }
+
     /// Detects that the caller closes the connection while its request is answered.
     /// At most one wait is pending. If the caller keeps the connection open, the wait
     /// continues after the answer and ends when the next request arrives.
@@ -233,7 +284,7 @@
     std::uint64_t m_id;
     beast::tcp_stream m_stream;
     progress_watchdog m_watchdog; // cancels an idle wait or a write at its time limit
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{max_buffered_bytes};
     response_writer* m_writer = nullptr; // writer of the current request, or null
     bool m_caller_wait_pending = false;  // a wait of detect_caller_gone is pending
     bool m_idle = false;                 // true while waiting for the first byte of a request
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -99,6 +99,71 @@
     }
 }
 
+TEST_CASE("an entry or report whose names exceed the store's limit is refused") {
+    const auto entry_is_read = [](const std::string& id, const std::string& model,
+                                  const std::string& group) {
+        const auto text =
+            R"({"service":"s1","address":"10.1.0.9:8080","zone":"a","state":"ready","models":[")" +
+            model + R"("],"group":{"name":")" + group + R"(","state":"open"}})";
+        return state::collect([&] { return decode_runner_entry(state::endpoint_id(id), text); })
+            .has_value();
+    };
+    const auto report_is_read = [](const std::string& model, const std::string& group) {
+        const auto text =
+            R"({"models":[")" + model + R"("],"group":{"name":")" + group + R"(","state":"open"}})";
+        return state::collect([&] { return decode_report(text); }).has_value();
+    };
+    const std::string longest(200, 'n');
+    const std::string too_long(201, 'n');
+    CHECK(entry_is_read(longest, longest, longest));
+    CHECK_FALSE(entry_is_read(too_long, "m", "g"));
+    CHECK_FALSE(entry_is_read("i", too_long, "g"));
+    CHECK_FALSE(entry_is_read("i", "m", too_long));
+    CHECK(report_is_read(longest, longest));
+    CHECK_FALSE(report_is_read(too_long, "g"));
+    CHECK_FALSE(report_is_read("m", too_long));
+}
+
+TEST_CASE("a configuration whose model has a name above the store's limit is refused") {
+    const auto is_read = [](const std::string& model) {
+        const auto text = R"({"version":1,"services":[{"name":"s","engine":{"models":[{"name":")" +
+                          model + R"("}]}}]})";
+        return state::collect([&] { return decode_configuration(text); }).has_value();
+    };
+    CHECK(is_read(std::string(200, 'n')));
+    CHECK_FALSE(is_read(std::string(201, 'n')));
+}
+
+TEST_CASE("a number outside the range of durations is refused") {
+    const auto is_read = [](const std::string& number) {
+        const auto limits = R"({"version":1,"limits":{"idle_timeout_ms":)" + number + "}}";
+        const auto service =
+            R"({"version":1,"services":[{"name":"s","cold_start_s":)" + number + "}]}";
+        const auto report = R"({"cold_remaining_ms":)" + number + "}";
+        const auto reads_configuration = [](const std::string& text) {
+            return state::collect([&] { return decode_configuration(text); }).has_value();
+        };
+        const bool first = reads_configuration(limits);
+        CHECK(reads_configuration(service) == first);
+        CHECK(state::collect([&] { return decode_report(report); }).has_value() == first);
+        return first;
+    };
+    CHECK(is_read("15000"));
+    CHECK(is_read("0"));
+    CHECK_FALSE(is_read("1e18"));
+    CHECK_FALSE(is_read("1e300"));
+    CHECK_FALSE(is_read("-1e300"));
+    CHECK_FALSE(is_read("1e999"));
+}
+
+TEST_CASE("a caller's deadline outside the range of times is limited") {
+    auto request = make_request();
+    request.set("Deadline-Ms", "9223372036854775807");
+    CHECK(*decode_call(request).deadline == state::max_duration);
+    request.set("Deadline-Ms", "-9223372036854775807");
+    CHECK(*decode_call(request).deadline == 0ms);
+}
+
 TEST_CASE("decoding a damaged entry, report or configuration does not crash") {
     CHECK(rc::check("damaged text does not crash the decoders", [] {
         const auto damage = [](std::string text) {
@@ -117,6 +182,16 @@
     }));
 }
 
+TEST_CASE("a request with a method outside HTTP's list is forwarded with its method unchanged") {
+    auto request = make_request();
+    request.method_string("BREW");
+    const auto forwarded = make_endpoint_request(request, {});
+    CHECK(forwarded.method_string() == "BREW");
+    CHECK(forwarded.target() == "/x/1?q=2");
+    CHECK(forwarded.body() == "body");
+    CHECK(transport::header_of(forwarded, "Content-Length") == "4");
+}
+
 TEST_CASE(
     "a forwarded request keeps all fields except hop-by-hop fields and those the system sets") {
     const auto call = decode_call(make_request());
--- a/tests/process/edge_test.cpp
+++ b/tests/process/edge_test.cpp
@@ -51,6 +51,45 @@
     CHECK(fetch(port, http::verb::get, "/none/1", "", edge_fixture::headers("b3")).status == 404);
 }
 
+TEST_CASE("edge: a call with an unknown method is served and does not end the host") {
+    edge_fixture fixture;
+    const auto& port = fixture.hosts[0]->callers;
+    fixture.hosts[0]->wait_until_ready();
+    while (fetch(port, http::verb::get, "/look/1", "", edge_fixture::headers("l")).status != 200) {
+    }
+    const auto answer =
+        test_exchange(port, "BREW", "/look/1", "pot", edge_fixture::headers("m")).finish();
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "ran by p1 for workshop");
+    CHECK(fetch(port, http::verb::get, "/look/1", "", edge_fixture::headers("n")).status == 200);
+}
+
+TEST_CASE("edge: the entry of a runner with an overlong group name does not end a host") {
+    edge_fixture fixture(2);
+    // Nothing listens at the runner's address, so the lease holder reports it as silent.
+    fixture.write_row(
+        "servers", "m9",
+        R"({"service":"model","address":"127.0.0.1:)" + free_port() +
+            R"(","zone":"zone-a","slots":8,"state":"ready","born":1,"group":{"name":")" +
+            std::string(250, 'g') + R"(","epoch":1,"rank":0,"state":"open"}})");
+    CHECK(fixture.ask_until_served(0).is_complete);
+    CHECK(fixture.ask_until_served(1).is_complete);
+    for (const auto& host : fixture.hosts) {
+        host->process->read_until("event=runner_entry_unreadable");
+    }
+}
+
+TEST_CASE("edge: the row of a host with an overlong zone does not end another host") {
+    edge_fixture fixture(0);
+    fixture.write_row("savoryrelay_hosts", "far",
+                      '"' + std::string("127.0.0.9:9 ") + std::string(250, 'z') + " 1" + '"');
+    for (const auto* name : {"edge-0", "edge-1"}) {
+        fixture.add_host(name);
+    }
+    CHECK(fixture.ask_until_served(0).is_complete);
+    CHECK(fixture.ask_until_served(1).is_complete);
+}
+
 TEST_CASE("edge: a booking whose answer is lost runs once and is answered with 502 or 504") {
     edge_fixture fixture;
     const auto& port = fixture.hosts[0]->callers;
