--- a/src/savoryrelay/coordination/serving/call_progress.h
+++ b/src/savoryrelay/coordination/serving/call_progress.h
@@ -94,7 +94,7 @@
     take_repeat_hook m_take_repeat;
     std::uint32_t m_attempts = 0;
     std::uint32_t m_refusals = 0;
-    std::uint32_t m_runs = 0; // attempts that may have run, on endpoints that have not ended
+    std::uint32_t m_runs = 0;    // attempts that may have run, on endpoints that have not ended
     bool m_has_reserved = false; // a repeat was taken for the next attempt
     bool m_may_have_run = false;
     bool m_has_ended = false; // the answer was delivered, or the caller is gone
