--- a/tests/transport/idle_connection_test.cpp
+++ b/tests/transport/idle_connection_test.cpp
@@ -69,6 +69,8 @@
             return limits;
         });
     }
+    idle_fixture(const idle_fixture&) = delete;
+    idle_fixture& operator=(const idle_fixture&) = delete;
     ~idle_fixture() {
         server.stop_accepting();
         threads.stop();
