--- a/tests/process/endless_answer_test.cpp
+++ b/tests/process/endless_answer_test.cpp
@@ -1,6 +1,6 @@
-// Tests answers of a faulty endpoint that never end: heads and bodies without end, and
-// streams that make no progress. The caller gets a truthful end in time, and the connection
-// to the endpoint is closed.
+// Tests answers without a length: those of a faulty endpoint that never end (heads and
+// bodies without end, streams that make no progress), and those that end with the
+// connection. The caller gets a truthful end in time.
 #include "edge_fixture.h"
 
 #include <atomic>
@@ -88,6 +88,15 @@
             first = stream_head;
             filler = "id: 0\ndata: x\n\n";
             pause = 1ms;
+        } else if (has("/unframed ")) {
+            send_text(connection, stream_head + "id: 0\ndata: x\n\nid: 1\ndata: y\n\n");
+            return;
+        } else if (has("/torn ")) {
+            send_text(connection, stream_head + "id: 0\ndata: x\n\nid: 1\nda");
+            return;
+        } else if (has("/unframed-body ")) {
+            send_text(connection, head + "\r\nthe whole body");
+            return;
         } else if (has("/slow-body ")) {
             first = head + "\r\n";
             filler = "x";
@@ -163,3 +172,26 @@
     CHECK(fixture.call("/feed/repeats", answer) < 1'500ms);
     CHECK_FALSE(answer.is_complete);
 }
+
+TEST_CASE("edge: an answer that ends with its connection is complete, a torn event is not") {
+    faulty_fixture fixture;
+    int number = 0;
+    const auto ask = [&](const std::string& path) {
+        test_answer answer;
+        answer.status = 503;
+        while (answer.status == 503) { // the host does not know the endpoint yet, or avoids it
+            answer = fetch(fixture.hosts[0]->callers, http::verb::get, path, "",
+                           edge_fixture::headers("u" + std::to_string(number++)));
+        }
+        return answer;
+    };
+    const auto body = ask("/look/unframed-body");
+    CHECK(body.is_complete);
+    CHECK(body.body == "the whole body");
+    const auto stream = ask("/feed/unframed");
+    CHECK(stream.is_complete);
+    CHECK(stream.body == "id: 0\ndata: x\n\nid: 1\ndata: y\n\n");
+    const auto torn = ask("/feed/torn");
+    CHECK_FALSE(torn.is_complete);
+    CHECK(torn.body == "id: 0\ndata: x\n\n");
+}
