Advertise removals that a table image contains

An image has no rows for removals, so a host that read one advertised a version below that of the last removal, and a member that had not seen the removal did not copy from it. If all hosts that had followed the removal restarted, members kept the removed row until the next change.

The version of an image now counts.

--- a/src/savoryrelay/state/serving/table_mirror.cpp
+++ b/src/savoryrelay/state/serving/table_mirror.cpp
@@ -49,6 +49,8 @@
     }
     m_synced_version = std::max(m_synced_version, image.version);
     m_removals_known_from = std::max(m_removals_known_from, image.version);
+    // An image has no rows for removals, which other copies may lack.
+    m_newest_row_version = std::max(m_newest_row_version, image.version);
     return changed;
 }
 
