Streams that fail before their first event do not clear their parts

A status of 5xx at a stream counted as an answer, which ends the quarantine on all hosts. Callers that leave while the configuration is awaited or a connection is opened are noticed, and the endpoint is not avoided for it. By reading; no test.

--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -158,6 +158,7 @@
             call.connection->close();
         }
     });
+    call.caller_is_gone = writer.is_caller_gone(); // while the configuration was awaited
     co_await run_attempts(call);
     writer.on_caller_gone(nullptr);
     report_end(call);
@@ -334,7 +335,9 @@
             runner.address, runner.port,
             std::min(connect_timeout, time_until(call.deadline, sent_at)));
         if (failed) {
-            avoid();
+            if (!call.caller_is_gone) {
+                avoid();
+            }
             end.outcome = attempt_outcome::not_run;
             end.reason = "connect: " + failed.message();
             co_return end;
@@ -378,7 +381,9 @@
             report_close(call, runner);
         }
     }
-    if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed) {
+    // A stream that fails before its first event shows nothing.
+    if (call.route->kind != state::call_kind::streaming &&
+        (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed)) {
         m_dependencies.crashes.record_answer(call.fingerprints, m_dependencies.now());
     }
     if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
