Keep what hosts know of answers when they decide on quarantines

Hosts that had not seen an answer quarantined a shared part after three crashes and hosts that had seen one 11 s before followed; no call with the part could then be answered for 15 minutes. Hosts now tell each other of answers to suspected parts. Crashes that a part without answers explains do not count against one with answers. A quarantine learnt from a peer is not prolonged by the transfer times of notices. Limits of the tables drop single answers and single crashes first.

--- a/src/savoryrelay/coordination/retry/crash_suspects.cpp
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -106,13 +106,25 @@
     if (suspect.crashes.size() < m_settings.crashes_if_sole_suspect) {
         return suspect.crashes.size(); // too few in any case
     }
-    std::set<std::uint64_t> explained;
+    std::vector<std::pair<request_fingerprint, std::vector<std::uint64_t>>> others;
     m_suspects.for_each([&](request_fingerprint other, const suspect_row& row) {
-        if (other != fingerprint && row.is_quarantined &&
-            row.crashes.size() > suspect.crashes.size()) {
-            explained.insert(row.crashes.begin(), row.crashes.end());
+        if (other != fingerprint && row.is_quarantined) {
+            others.emplace_back(other, row.crashes);
         }
     });
+    const bool was_answered = last_answer(fingerprint).has_value();
+    const auto explains_all = [&](const std::vector<std::uint64_t>& crashes) {
+        return std::all_of(suspect.crashes.begin(), suspect.crashes.end(), [&](std::uint64_t each) {
+            return std::find(crashes.begin(), crashes.end(), each) != crashes.end();
+        });
+    };
+    std::set<std::uint64_t> explained;
+    for (const auto& [other, crashes] : others) {
+        if (crashes.size() > suspect.crashes.size() ||
+            (was_answered && !last_answer(other) && explains_all(crashes))) {
+            explained.insert(crashes.begin(), crashes.end());
+        }
+    }
     return static_cast<std::size_t>(
         std::count_if(suspect.crashes.begin(), suspect.crashes.end(),
                       [&](std::uint64_t crash) { return !explained.contains(crash); }));
@@ -139,20 +151,36 @@
 }
 
 bool crash_suspects::record_answer(request_fingerprint fingerprint, state::time_point at) {
+    bool is_first = false;
     if (m_settings.answer_validity.count() > 0) {
-        m_answered.update(fingerprint, [&](state::time_point& last) { last = std::max(last, at); });
+        is_first = m_answered.update(fingerprint, [&](answer_row& row) {
+            row.is_repeated = row.last != state::time_point{};
+            row.last = std::max(row.last, at);
+            return !row.is_repeated;
+        });
+    }
+    if (m_suspects.extract_if(fingerprint, [&](const suspect_row& row) {
+            return at + m_settings.answer_validity >= row.last_crash;
+        })) {
+        return true;
     }
-    return m_suspects
-        .extract_if(fingerprint,
-                    [&](const suspect_row& row) {
-                        return at + m_settings.answer_validity >= row.last_crash;
-                    })
-        .has_value();
+    // The crashes were counted as those of a fingerprint without an answer.
+    const bool is_suspect = m_suspects.update_existing(fingerprint, [&](suspect_row& row) {
+        row.is_quarantined =
+            row.is_quarantined && row.crashes.size() >= m_settings.max_crashes_after_answer;
+    });
+    return is_suspect && is_first;
+}
+
+std::optional<state::time_point>
+crash_suspects::last_answer(request_fingerprint fingerprint) const {
+    const auto answered = m_answered.find(fingerprint);
+    return answered ? std::optional(answered->last) : std::nullopt;
 }
 
 std::optional<state::time_point> crash_suspects::valid_answer(request_fingerprint fingerprint,
                                                               state::time_point crashed_at) const {
-    const auto answered = m_answered.find(fingerprint);
+    const auto answered = last_answer(fingerprint);
     if (!answered || *answered + m_settings.answer_validity < crashed_at) {
         return std::nullopt;
     }
@@ -165,6 +193,13 @@
         return false;
     }
     const auto known = m_suspects.find(fingerprint);
+    if (known && known->is_quarantined) {
+        return false; // the age in a notice lacks the time of its transfer
+    }
+    if (last_answer(fingerprint) &&
+        (!known || known->crashes.size() < m_settings.max_crashes_after_answer)) {
+        return false;
+    }
     if (known && !known->crashes.empty() && unexplained_crashes(fingerprint, *known) == 0) {
         return false;
     }
@@ -215,13 +250,23 @@
 }
 
 void crash_suspects::sweep(state::time_point now) {
+    const bool is_full =
+        m_settings.answer_validity.count() > 0 && m_suspects.size() >= m_settings.max_suspects;
     m_suspects.erase_if([&](request_fingerprint, const suspect_row& row) {
-        return now - row.last_crash > m_settings.retention;
-    });
-    const bool is_full = m_answered.size() > m_settings.max_suspects;
-    m_answered.erase_if([&](request_fingerprint, state::time_point at) {
-        return now - at > (is_full ? m_settings.answer_validity : m_settings.retention);
+        const bool is_weak = !row.is_quarantined && row.crashes.size() < 2;
+        return now - row.last_crash >
+               (is_full && is_weak ? m_settings.answer_validity : m_settings.retention);
     });
+    const auto remove_answers = [&](bool with_repeated) {
+        const bool has_too_many = m_answered.size() > m_settings.max_suspects;
+        m_answered.erase_if([&](request_fingerprint, const answer_row& row) {
+            return now - row.last > (has_too_many && (with_repeated || !row.is_repeated)
+                                         ? m_settings.answer_validity
+                                         : m_settings.retention);
+        });
+    };
+    remove_answers(false);
+    remove_answers(true);
 }
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/retry/crash_suspects.h
+++ b/src/savoryrelay/coordination/retry/crash_suspects.h
@@ -84,13 +84,18 @@
                                                   std::vector<request_fingerprint> fingerprints,
                                                   state::time_point at);
     /// Records that an endpoint began to answer a request with the fingerprint at `at`, which
-    /// shows that the fingerprint crashes no endpoint. Returns whether it was a suspect.
+    /// shows that the fingerprint crashes no endpoint. Returns whether it was a suspect for
+    /// which this is new.
     bool record_answer(request_fingerprint fingerprint, state::time_point at);
     /// Returns the time of the fingerprint's last answer if it shows that the fingerprint did
     /// not cause a crash at `crashed_at`.
     [[nodiscard]] std::optional<state::time_point> valid_answer(request_fingerprint fingerprint,
                                                                 state::time_point crashed_at) const;
-    /// Quarantines a fingerprint because a peer does. Returns whether this is new.
+    /// Returns the time of the fingerprint's last answer within the retention.
+    [[nodiscard]] std::optional<state::time_point>
+    last_answer(request_fingerprint fingerprint) const;
+    /// Quarantines a fingerprint because a peer does, which may not know of answers. Returns
+    /// whether this is new.
     bool quarantine(request_fingerprint fingerprint, state::time_point last_crash);
 
     /// Returns when the quarantine of the fingerprint ends, or nothing when there is none.
@@ -125,8 +130,14 @@
         state::time_point last_crash;
     };
 
-    /// Returns the number of crashes of `suspect` at which no quarantined fingerprint with
-    /// more crashes was running.
+    struct answer_row {
+        state::time_point last; ///< time of the last answer
+        bool is_repeated = false;
+    };
+
+    /// Returns the number of crashes of `suspect` at which no quarantined fingerprint that is
+    /// a better explanation was running: one with more crashes, or, if `suspect` was answered,
+    /// one without an answer that was running at all of its crashes.
     [[nodiscard]] std::size_t unexplained_crashes(request_fingerprint fingerprint,
                                                   const suspect_row& suspect) const;
     /// Sets the quarantine of a known suspect and calls the hook if it is new.
@@ -137,7 +148,7 @@
     crash_settings m_settings;
     crash_hooks m_hooks;
     state::sharded_map<request_fingerprint, suspect_row> m_suspects;
-    state::sharded_map<request_fingerprint, state::time_point> m_answered; // last answer
+    state::sharded_map<request_fingerprint, answer_row> m_answered;
     state::sharded_map<state::endpoint_id, request_fingerprint> m_reserved;
 };
 
--- a/src/savoryrelay/coordination/retry/crash_watch.cpp
+++ b/src/savoryrelay/coordination/retry/crash_watch.cpp
@@ -68,10 +68,19 @@
                                   const std::vector<request_fingerprint>& fingerprints,
                                   state::time_point at, state::time_point now) {
     for (const auto fingerprint : m_suspects.record_crash(crash, fingerprints, at)) {
+        // Peers that do not know of the answer would quarantine the fingerprint too early.
+        announce_answer(fingerprint, now);
         m_notices.add({crash_notice_kind::crashed, fingerprint, crash, age_of(at, now)}, now);
     }
 }
 
+void crash_watch::announce_answer(request_fingerprint fingerprint, state::time_point now) {
+    if (const auto answered_at = m_suspects.last_answer(fingerprint)) {
+        m_notices.add({crash_notice_kind::answered, fingerprint, 0, age_of(*answered_at, now)},
+                      now);
+    }
+}
+
 void crash_watch::record_answer(const std::vector<request_fingerprint>& fingerprints,
                                 state::time_point now) {
     for (const auto fingerprint : fingerprints) {
@@ -82,7 +91,9 @@
 }
 
 void crash_watch::apply(const crash_notice& notice, state::time_point now) {
-    if (notice.age > m_retention) {
+    const bool is_expiring =
+        notice.kind == crash_notice_kind::quarantined && notice.age + expiry_margin > m_retention;
+    if (notice.age > m_retention || is_expiring) {
         return;
     }
     const auto at = now - notice.age;
@@ -92,11 +103,12 @@
         }
         return;
     }
-    // The peer does not know of an answer that this host has seen.
-    if (const auto answered_at = m_suspects.valid_answer(notice.fingerprint, at)) {
-        m_notices.add(
-            {crash_notice_kind::answered, notice.fingerprint, 0, age_of(*answered_at, now)}, now);
-    } else if (notice.kind == crash_notice_kind::crashed) {
+    // The peer may not know of an answer that this host has seen.
+    announce_answer(notice.fingerprint, now);
+    if (m_suspects.valid_answer(notice.fingerprint, at)) {
+        return;
+    }
+    if (notice.kind == crash_notice_kind::crashed) {
         record_evidence(notice.crash, {notice.fingerprint}, at, now);
     } else if (m_suspects.quarantine(notice.fingerprint, at)) {
         m_notices.add(notice, now);
--- a/src/savoryrelay/coordination/retry/crash_watch.h
+++ b/src/savoryrelay/coordination/retry/crash_watch.h
@@ -37,6 +37,10 @@
     /// started or were out of contact.
     static constexpr state::milliseconds refresh_interval{1'000};
 
+    /// A peer's quarantine that ends within this time is not applied. The age in a notice
+    /// lacks the time of its transfer, so that hosts would prolong it for each other.
+    static constexpr state::milliseconds expiry_margin{30'000};
+
     crash_watch(crash_settings settings, crash_hooks hooks)
         : m_retention(settings.retention), m_suspects(settings, std::move(hooks)) {}
 
@@ -61,6 +65,8 @@
     [[nodiscard]] std::size_t quarantined_count() const { return m_suspects.quarantined().size(); }
 
 private:
+    /// Tells the peers of the last answer to the fingerprint, if this host knows one.
+    void announce_answer(request_fingerprint fingerprint, state::time_point now);
     /// Records the crash and passes on what is new.
     void record_evidence(std::uint64_t crash, const std::vector<request_fingerprint>& fingerprints,
                          state::time_point at, state::time_point now);
--- a/tests/coordination/crash_watch_test.cpp
+++ b/tests/coordination/crash_watch_test.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
+#include <vector>
+
 using namespace savoryrelay;
 using namespace savoryrelay::coordination;
 using namespace std::chrono_literals;
@@ -197,3 +200,132 @@
     CHECK_FALSE(first.time_quarantined(fingerprints, now));
     CHECK_FALSE(second.time_quarantined(fingerprints, now));
 }
+
+namespace {
+
+// Lets each host send its notices to all others.
+void exchange_notices(std::vector<std::unique_ptr<crash_watch>>& hosts, state::time_point now) {
+    for (auto& from : hosts) {
+        for (const auto& notice : from->due_notices(now)) {
+            for (auto& to : hosts) {
+                if (&to != &from) {
+                    to->apply(notice, now);
+                }
+            }
+        }
+    }
+}
+
+std::vector<std::unique_ptr<crash_watch>> make_hosts(std::size_t count) {
+    std::vector<std::unique_ptr<crash_watch>> hosts;
+    for (std::size_t i = 0; i < count; ++i) {
+        hosts.push_back(std::make_unique<crash_watch>(test_settings(), default_crash_hooks()));
+    }
+    return hosts;
+}
+
+} // namespace
+
+TEST_CASE("crash watch: hosts without answers do not quarantine a part that others answered") {
+    auto hosts = make_hosts(3);
+    const std::vector<request_fingerprint> common{1};
+    state::time_point now{1h};
+    hosts[0]->record_answer(common, now);
+    hosts[1]->record_answer(common, now);
+    now += test_settings().answer_validity + 1s;
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        hosts[0]->record_crash(state::endpoint_id("e"), number, {1, 2}, now);
+        now += 200ms;
+        exchange_notices(hosts, now);
+    }
+    for (int round = 0; round < 30; ++round) {
+        now += 100ms;
+        exchange_notices(hosts, now);
+    }
+    for (const auto& host : hosts) {
+        CHECK_FALSE(host->time_quarantined(common, now));
+        CHECK(host->time_quarantined({2}, now));
+    }
+}
+
+TEST_CASE("crash watch: crashes that a part without answers explains do not quarantine another") {
+    auto hosts = make_hosts(2);
+    const std::vector<request_fingerprint> common{1};
+    state::time_point now{1h};
+    hosts[0]->record_answer(common, now);
+    now += test_settings().answer_validity + 1s;
+    for (std::uint64_t number = 1; number <= 8; ++number) {
+        hosts[0]->record_crash(state::endpoint_id("e"), number, {1, 2}, now);
+        now += 200ms;
+        exchange_notices(hosts, now);
+    }
+    for (const auto& host : hosts) {
+        CHECK_FALSE(host->time_quarantined(common, now));
+        CHECK(host->time_quarantined({2}, now));
+    }
+}
+
+TEST_CASE("crash watch: notices that travel for long do not prolong a quarantine") {
+    auto hosts = make_hosts(2);
+    struct late_notice {
+        state::time_point arrives;
+        std::size_t to = 0;
+        state::crash_notice notice;
+    };
+    std::vector<late_notice> late;
+    state::time_point now{1h};
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        now += 200ms;
+        hosts[0]->record_crash(state::endpoint_id("e"), number, {2}, now);
+    }
+    const auto last_crash = now;
+    while (now < last_crash + test_settings().retention + 5s) {
+        now += 100ms;
+        std::erase_if(late, [&](const late_notice& each) {
+            if (each.arrives <= now) {
+                hosts[each.to]->apply(each.notice, now);
+            }
+            return each.arrives <= now;
+        });
+        for (std::size_t from = 0; from < hosts.size(); ++from) {
+            for (const auto& notice : hosts[from]->due_notices(now)) {
+                late.push_back({now + 1s, 1 - from, notice});
+            }
+        }
+    }
+    CHECK_FALSE(hosts[0]->time_quarantined({2}, now));
+    CHECK_FALSE(hosts[1]->time_quarantined({2}, now));
+}
+
+TEST_CASE("crash watch: many answered calls do not displace the answers of shared parts") {
+    crash_watch watch(test_settings(), default_crash_hooks());
+    state::time_point now{1h};
+    watch.record_answer({1}, now);
+    watch.record_answer({1}, now);
+    for (std::size_t i = 0; i <= test_settings().max_suspects; ++i) {
+        watch.record_answer({1'000 + i}, now);
+    }
+    now += test_settings().answer_validity + 1s;
+    CHECK(watch.due_notices(now).empty());
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        now += 200ms;
+        watch.record_crash(state::endpoint_id("e"), number, {1, 2}, now);
+    }
+    CHECK_FALSE(watch.time_quarantined({1}, now));
+    CHECK(watch.time_quarantined({2}, now));
+}
+
+TEST_CASE("crash watch: an outage with many open calls does not disable the quarantine") {
+    crash_watch watch(test_settings(), default_crash_hooks());
+    state::time_point now{1h};
+    for (std::size_t i = 0; i <= test_settings().max_suspects; ++i) {
+        watch.record_crash(state::endpoint_id("e"), 0, {1'000 + i}, now);
+    }
+    now += 1min;
+    static_cast<void>(watch.due_notices(now));
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        now += 200ms;
+        watch.record_crash(state::endpoint_id("e"), number, {2}, now);
+    }
+    CHECK(watch.time_quarantined({2}, now));
+}
