End connections whose answer is incomplete

A handler that ignored a failed write left its connection open, and the next answer followed a part of the last one: a caller could take it for the rest of an answer that was not its own. The server now keeps a connection only after a whole answer. Found in review; the new test failed before (two calls ran on the connection) and passes.

--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -183,7 +183,7 @@
             log_warning("request_without_answer",
                         {{"reason", writer.started() ? "answer_cut" : "no_answer"}});
         }
-        co_return writer.keep_alive();
+        co_return writer.complete() && writer.keep_alive();
     }
 
     /// Runs the handler. Returns the exception that it threw, or null.
--- a/tests/transport/idle_connection_test.cpp
+++ b/tests/transport/idle_connection_test.cpp
@@ -141,3 +141,28 @@
     CHECK(kept.receive() == 200);
     stopped.get();
 }
+
+TEST_CASE("a connection whose answer was cut carries no further answer", "[transport][idle]") {
+    transport::io_threads threads{1};
+    constexpr std::size_t body_bytes = 16 * 1024 * 1024; // more than the sockets buffer
+    std::atomic<int> calls{0};
+    transport::http_limits limits;
+    limits.write_timeout = 200ms;
+    transport::http_server server(
+        threads, "127.0.0.1", 0, limits,
+        [&](transport::http_request, transport::response_writer& writer) -> asio::awaitable<void> {
+            const std::string body(++calls == 1 ? body_bytes : 1, 'x');
+            co_await writer.send(200, transport::content_type_field("text/plain"), body);
+        });
+    {
+        caller slow(server.port());
+        slow.send();
+        std::this_thread::sleep_for(600ms);
+        slow.send();
+        std::this_thread::sleep_for(200ms);
+        CHECK(slow.receive() == 0);
+        CHECK(calls == 1);
+    }
+    server.stop_accepting();
+    threads.stop();
+}
