Let a stop wait for open requests alone, as before

Waiting for open requests, counted from their first byte, serving no second request after the stop and dropping connections accepted after it are restored. Which of the three made the difference is not traced.

--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -71,7 +71,10 @@
         const auto self = shared_from_this();
         error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
-        while (co_await wait_for_request() && co_await serve_request()) {
+        while (!m_server.m_stopping.load()) {
+            if (!co_await wait_for_request() || !co_await serve_request()) {
+                break;
+            }
         }
         if (has_unread_bytes()) {
             log_warning(
@@ -108,9 +111,6 @@
         if (m_buffer.size() > 0) {
             co_return true;
         }
-        if (m_server.m_stopping.load()) {
-            co_return has_unread_bytes();
-        }
         const auto idle_since = std::chrono::steady_clock::now();
         const auto time_left = [&] {
             return std::chrono::ceil<state::milliseconds>(
@@ -142,7 +142,7 @@
         } catch (const std::exception& error) {
             log_warning("connection_failed", {{"detail", error.what()}});
         }
-        m_server.m_open_requests.fetch_sub(1);
+        m_server.request_ended();
         co_return may_continue;
     }
 
@@ -311,7 +311,7 @@
     while (!m_stopping.load()) {
         auto& context = m_threads.next();
         auto [failed, socket] = co_await m_acceptor.async_accept(context, use_tuple);
-        if (failed == asio::error::operation_aborted) {
+        if (failed == asio::error::operation_aborted || m_stopping.load()) {
             co_return;
         }
         if (failed) {
@@ -347,21 +347,20 @@
 }
 
 void http_server::wait_until_idle() {
-    std::unique_lock lock(m_connections_mutex);
-    m_became_idle.wait(lock, [this] { return m_connections.empty(); });
+    std::unique_lock lock(m_idle_mutex);
+    m_became_idle.wait(lock, [this] { return m_open_requests.load() == 0; });
 }
 
-std::size_t http_server::open_connections() const {
-    const std::scoped_lock lock(m_connections_mutex);
-    return m_connections.size();
+void http_server::request_ended() {
+    if (m_open_requests.fetch_sub(1) == 1) {
+        const std::scoped_lock lock(m_idle_mutex);
+        m_became_idle.notify_all();
+    }
 }
 
 void http_server::remove_connection(std::uint64_t id) {
     const std::scoped_lock lock(m_connections_mutex);
     m_connections.erase(id);
-    if (m_connections.empty()) {
-        m_became_idle.notify_all();
-    }
 }
 
 } // namespace savoryrelay::transport
