Tidy what the read-through of the quarantine found

A member stood between a comment and the member it describes; the rule looked an answer up past its accessor; the doc of crash_evidence named one of two explanations; a test wrapper only renamed a function, and a lambda repeated exchange_notices.

--- a/src/edge/peer_part.h
+++ b/src/edge/peer_part.h
@@ -63,9 +63,9 @@
     coordination::digest_exchange m_exchange;
     std::unique_ptr<transport::http_server> m_server;
     std::unique_ptr<transport::datagram_endpoint> m_endpoint;
-    std::size_t m_listed_hosts = 0; // control context only
-    // The table of hosts was read, or the store cannot be reached; control context only.
+    std::size_t m_listed_hosts = 0;      // control context only
     bool m_has_unencoded_digest = false; // control context only
+    // The table of hosts was read, or the store cannot be reached; control context only.
     bool m_knows_hosts = false;
     bool m_has_read_hosts = false; // control context only
     std::uint64_t m_round = 0;     // control context only
--- a/src/savoryrelay/coordination/retry/crash_suspects.cpp
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -91,7 +91,7 @@
         evidence.crashes = unexplained_crashes(fingerprint, known);
         evidence.span =
             std::chrono::duration_cast<state::milliseconds>(known.last_crash - known.first_crash);
-        evidence.was_answered = m_answered.find(fingerprint).has_value();
+        evidence.was_answered = last_answer(fingerprint).has_value();
         // The hook runs outside the shard's lock.
         if (m_hooks.is_quarantined(m_settings, evidence)) {
             set_quarantined(fingerprint);
--- a/src/savoryrelay/coordination/retry/crash_suspects.h
+++ b/src/savoryrelay/coordination/retry/crash_suspects.h
@@ -33,7 +33,7 @@
 /// The evidence against one fingerprint after a crash.
 struct crash_evidence {
     /// Distinct crashes, including the current one, without those that a quarantined
-    /// fingerprint with more crashes explains.
+    /// fingerprint explains better.
     std::size_t crashes = 0;
     std::size_t other_suspects = 0; ///< other requests of this crash that were suspects before it
     state::milliseconds span{0};    ///< from the first crash to the current one
--- a/tests/coordination/crash_watch_test.cpp
+++ b/tests/coordination/crash_watch_test.cpp
@@ -22,10 +22,6 @@
 constexpr int notice_rounds = 30;
 constexpr int day_rounds = 220;
 
-crash_settings test_settings() {
-    return entry_host_crash_settings();
-}
-
 // Returns how many crashing calls reach endpoints after the time for notice.
 std::size_t late_calls(crash_simulation& simulation) {
     int round = 0;
@@ -39,6 +35,28 @@
     return simulation.crashing_calls_sent - before;
 }
 
+// Lets each host send its notices to all others.
+void exchange_notices(std::vector<std::unique_ptr<crash_watch>>& hosts, state::time_point now) {
+    for (auto& from : hosts) {
+        for (const auto& notice : from->due_notices(now)) {
+            for (auto& to : hosts) {
+                if (&to != &from) {
+                    to->apply(notice, now);
+                }
+            }
+        }
+    }
+}
+
+std::vector<std::unique_ptr<crash_watch>> make_hosts(std::size_t count) {
+    std::vector<std::unique_ptr<crash_watch>> hosts;
+    for (std::size_t i = 0; i < count; ++i) {
+        hosts.push_back(
+            std::make_unique<crash_watch>(entry_host_crash_settings(), default_crash_hooks()));
+    }
+    return hosts;
+}
+
 } // namespace
 
 TEST_CASE("crash watch: a prompt part that crashes endpoints is refused by all hosts") {
@@ -96,12 +114,12 @@
 
 TEST_CASE("crash watch: a call that crashes endpoints is refused, others of its customer are not") {
     const state::time_point start{1h};
-    crash_watch watch(test_settings(), default_crash_hooks());
+    crash_watch watch(entry_host_crash_settings(), default_crash_hooks());
     const auto call = crash_simulation::call_with("part");
     const auto crashing = fingerprints_of(call, "customer", "crashing body");
     const auto sound = fingerprints_of(call, "customer", "sound body");
     auto now = start;
-    for (std::uint64_t crash = 0; crash < test_settings().max_crashes; ++crash) {
+    for (std::uint64_t crash = 0; crash < entry_host_crash_settings().max_crashes; ++crash) {
         CHECK_FALSE(watch.time_quarantined(crashing, now));
         watch.record_answer(sound, now);
         watch.record_crash(state::endpoint_id("e"), crash, crashing, now);
@@ -111,14 +129,14 @@
     }
     const auto left = watch.time_quarantined(crashing, now);
     REQUIRE(left);
-    CHECK(*left == test_settings().retention - 1s);
+    CHECK(*left == entry_host_crash_settings().retention - 1s);
     CHECK_FALSE(watch.time_quarantined(sound, now));
-    CHECK_FALSE(watch.time_quarantined(crashing, now + test_settings().retention));
+    CHECK_FALSE(watch.time_quarantined(crashing, now + entry_host_crash_settings().retention));
 }
 
 TEST_CASE("crash watch: a part that only ran beside a crashing part is not quarantined") {
     const state::time_point start{1h};
-    crash_watch watch(test_settings(), default_crash_hooks());
+    crash_watch watch(entry_host_crash_settings(), default_crash_hooks());
     const std::vector<request_fingerprint> crashing{1};
     const std::vector<request_fingerprint> beside{2};
     auto now = start;
@@ -148,7 +166,7 @@
 
 TEST_CASE("crash watch: a part of all prompts is not quarantined by calls that crash in a row") {
     const state::time_point start{1h};
-    crash_watch watch(test_settings(), default_crash_hooks());
+    crash_watch watch(entry_host_crash_settings(), default_crash_hooks());
     const std::vector<request_fingerprint> common{1};
     watch.record_answer(common, start);
     auto now = start + 1min;
@@ -160,7 +178,8 @@
     CHECK_FALSE(watch.time_quarantined(common, now));
 
     // A part that begins to crash endpoints after answers is quarantined too.
-    for (std::uint64_t number = 4; number <= test_settings().max_crashes_after_answer; ++number) {
+    for (std::uint64_t number = 4; number <= entry_host_crash_settings().max_crashes_after_answer;
+         ++number) {
         now += 1s;
         watch.record_crash(state::endpoint_id("e"), number, common, now);
     }
@@ -169,70 +188,38 @@
 
 TEST_CASE("crash watch: an answer ends the quarantine on all hosts") {
     const state::time_point start{1h};
-    crash_watch first(test_settings(), default_crash_hooks());
-    crash_watch second(test_settings(), default_crash_hooks());
+    auto hosts = make_hosts(2);
+    auto& first = *hosts[0];
+    auto& second = *hosts[1];
     const auto fingerprints =
         fingerprints_of(crash_simulation::call_with("part"), "customer", "body");
-    const auto exchange = [&](state::time_point now) {
-        for (const auto& notice : first.due_notices(now)) {
-            second.apply(notice, now);
-        }
-        for (const auto& notice : second.due_notices(now)) {
-            first.apply(notice, now);
-        }
-    };
-    for (std::uint64_t crash = 0; crash < test_settings().max_crashes; ++crash) {
+    for (std::uint64_t crash = 0; crash < entry_host_crash_settings().max_crashes; ++crash) {
         first.record_crash(state::endpoint_id("e"), crash, fingerprints,
-                           start + crash * test_settings().min_span);
+                           start + crash * entry_host_crash_settings().min_span);
     }
     auto now = start + 1s;
-    exchange(now);
+    exchange_notices(hosts, now);
     REQUIRE(second.time_quarantined(fingerprints, now));
 
     // A stream that was sent before the quarantine begins to arrive.
     second.record_answer(fingerprints, now);
     CHECK_FALSE(second.time_quarantined(fingerprints, now));
     now += 100ms;
-    exchange(now);
+    exchange_notices(hosts, now);
     CHECK_FALSE(first.time_quarantined(fingerprints, now));
     now += 2s;
-    exchange(now);
+    exchange_notices(hosts, now);
     CHECK_FALSE(first.time_quarantined(fingerprints, now));
     CHECK_FALSE(second.time_quarantined(fingerprints, now));
 }
 
-namespace {
-
-// Lets each host send its notices to all others.
-void exchange_notices(std::vector<std::unique_ptr<crash_watch>>& hosts, state::time_point now) {
-    for (auto& from : hosts) {
-        for (const auto& notice : from->due_notices(now)) {
-            for (auto& to : hosts) {
-                if (&to != &from) {
-                    to->apply(notice, now);
-                }
-            }
-        }
-    }
-}
-
-std::vector<std::unique_ptr<crash_watch>> make_hosts(std::size_t count) {
-    std::vector<std::unique_ptr<crash_watch>> hosts;
-    for (std::size_t i = 0; i < count; ++i) {
-        hosts.push_back(std::make_unique<crash_watch>(test_settings(), default_crash_hooks()));
-    }
-    return hosts;
-}
-
-} // namespace
-
 TEST_CASE("crash watch: hosts without answers do not quarantine a part that others answered") {
     auto hosts = make_hosts(3);
     const std::vector<request_fingerprint> common{1};
     state::time_point now{1h};
     hosts[0]->record_answer(common, now);
     hosts[1]->record_answer(common, now);
-    now += test_settings().answer_validity + 1s;
+    now += entry_host_crash_settings().answer_validity + 1s;
     for (std::uint64_t number = 1; number <= 3; ++number) {
         hosts[0]->record_crash(state::endpoint_id("e"), number, {1, 2}, now);
         now += 200ms;
@@ -253,7 +240,7 @@
     const std::vector<request_fingerprint> common{1};
     state::time_point now{1h};
     hosts[0]->record_answer(common, now);
-    now += test_settings().answer_validity + 1s;
+    now += entry_host_crash_settings().answer_validity + 1s;
     for (std::uint64_t number = 1; number <= 8; ++number) {
         hosts[0]->record_crash(state::endpoint_id("e"), number, {1, 2}, now);
         now += 200ms;
@@ -279,7 +266,7 @@
         hosts[0]->record_crash(state::endpoint_id("e"), number, {2}, now);
     }
     const auto last_crash = now;
-    while (now < last_crash + test_settings().retention + 5s) {
+    while (now < last_crash + entry_host_crash_settings().retention + 5s) {
         now += 100ms;
         std::erase_if(late, [&](const late_notice& each) {
             if (each.arrives <= now) {
@@ -298,14 +285,14 @@
 }
 
 TEST_CASE("crash watch: many answered calls do not displace the answers of shared parts") {
-    crash_watch watch(test_settings(), default_crash_hooks());
+    crash_watch watch(entry_host_crash_settings(), default_crash_hooks());
     state::time_point now{1h};
     watch.record_answer({1}, now);
     watch.record_answer({1}, now);
-    for (std::size_t i = 0; i <= test_settings().max_suspects; ++i) {
+    for (std::size_t i = 0; i <= entry_host_crash_settings().max_suspects; ++i) {
         watch.record_answer({1'000 + i}, now);
     }
-    now += test_settings().answer_validity + 1s;
+    now += entry_host_crash_settings().answer_validity + 1s;
     CHECK(watch.due_notices(now).empty());
     for (std::uint64_t number = 1; number <= 3; ++number) {
         now += 200ms;
@@ -316,9 +303,9 @@
 }
 
 TEST_CASE("crash watch: an outage with many open calls does not disable the quarantine") {
-    crash_watch watch(test_settings(), default_crash_hooks());
+    crash_watch watch(entry_host_crash_settings(), default_crash_hooks());
     state::time_point now{1h};
-    for (std::size_t i = 0; i <= test_settings().max_suspects; ++i) {
+    for (std::size_t i = 0; i <= entry_host_crash_settings().max_suspects; ++i) {
         watch.record_crash(state::endpoint_id("e"), 0, {1'000 + i}, now);
     }
     now += 1min;
