Pause before the server accepts again after an error

What callers see: while a host has no free descriptor, the thread that accepts connections used a whole core for failing accepts, and the requests of that thread waited; hosts with 0.12 of a core had nothing left for others.

Cause: the loop called accept again at once after EMFILE. It now logs the first failure and tries again after 50 ms.

--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -3,6 +3,7 @@
 
 #include "savoryrelay/transport/http/progress_watchdog.h"
 #include "savoryrelay/transport/process/log.h"
+#include "savoryrelay/transport/process/pause.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -37,6 +38,8 @@
 
 constexpr std::size_t discard_buffer_bytes = 16 * 1024;
 constexpr std::size_t max_discarded_bytes = 64 * 1024 * 1024;
+// Time after which the server accepts again when it could not, for want of descriptors.
+constexpr state::milliseconds accept_retry_interval{50};
 
 constexpr std::string_view handler_error_text =
     R"({"error":{"kind":"internal","message":"internal: the server failed while it handled the request; the request may have run"}})";
@@ -308,6 +311,7 @@
 }
 
 asio::awaitable<void> http_server::accept_loop() {
+    bool is_failing = false;
     while (!m_stopping.load()) {
         auto& context = m_threads.next();
         auto [failed, socket] = co_await m_acceptor.async_accept(context, use_tuple);
@@ -315,8 +319,13 @@
             co_return;
         }
         if (failed) {
+            if (!std::exchange(is_failing, true)) {
+                log_warning("accept_failed", {{"detail", failed.message()}});
+            }
+            co_await pause_for(accept_retry_interval);
             continue;
         }
+        is_failing = false;
         std::shared_ptr<connection> accepted;
         {
             const std::scoped_lock lock(m_connections_mutex);
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -5,21 +5,49 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <ctime>
 #include <functional>
 #include <stdexcept>
 #include <string>
+#include <thread>
 
 using namespace savoryrelay;
+using namespace std::chrono_literals;
 using namespace savoryrelay::tests;
 
 namespace {
 
 namespace asio = boost::asio;
 
+/// Allows the process no further descriptor while it exists.
+class descriptor_limit_at_use {
+public:
+    descriptor_limit_at_use() {
+        REQUIRE(::getrlimit(RLIMIT_NOFILE, &m_before) == 0);
+        const int next_free = ::dup(STDIN_FILENO);
+        REQUIRE(next_free >= 0);
+        ::close(next_free);
+        rlimit lowered = m_before;
+        lowered.rlim_cur = static_cast<rlim_t>(next_free);
+        REQUIRE(::setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+    }
+    ~descriptor_limit_at_use() { ::setrlimit(RLIMIT_NOFILE, &m_before); }
+    descriptor_limit_at_use(const descriptor_limit_at_use&) = delete;
+    descriptor_limit_at_use& operator=(const descriptor_limit_at_use&) = delete;
+
+private:
+    rlimit m_before{};
+};
+
 /// A server whose handler throws before the answer, within it or after it.
 struct failing_server {
     transport::io_threads threads{1};
@@ -145,3 +173,21 @@
                Catch::StartsWith("HTTP/1.1 413"));
     CHECK(fixture.get("/").body == "whole");
 }
+
+TEST_CASE("a server without free descriptors does not spin and later accepts again") {
+    failing_server fixture;
+    asio::io_context context;
+    asio::ip::tcp::socket caller(context, asio::ip::tcp::v4());
+    {
+        const descriptor_limit_at_use limit;
+        caller.connect({asio::ip::make_address("127.0.0.1"), fixture.server.port()});
+        asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        const auto processor_time = std::clock();
+        std::this_thread::sleep_for(500ms);
+        CHECK(std::clock() - processor_time < CLOCKS_PER_SEC / 10);
+    }
+    std::string answer;
+    boost::system::error_code failed;
+    asio::read_until(caller, asio::dynamic_buffer(answer), "whole", failed);
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 200"));
+}
