Cut no stream because the controller finds its endpoint silent

What callers see: a stream that pauses longer than its route's limit, and for which no other attempt can follow, was cut, or answered 502, as soon as the controller had twice got no report from its endpoint within 200 ms. A controller that is itself short of processor time, for instance while it decodes a large configuration, finds sound endpoints silent.

Cause: the silence that the controller announces counted as proof that the endpoint had ended. Now the endpoint must also have lost its entry in the store, which it renews itself. A new start, or a head that has left its group, ends the stream as before.

The first of the new tests failed before (502 without an event) and passes; the second passed before and guards that a lost endpoint still ends the stream before its deadline.

--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -298,7 +298,9 @@
     }
     m_dependencies.report_suspect(endpoint.id);
     const auto known = m_dependencies.fleet.find(endpoint.id);
-    return !known || known->silent_since || known->record.started_ms != endpoint.started_ms ||
+    // The controller alone may find an endpoint silent because the controller is slow.
+    const bool is_lost = !known || (known->silent_since && !known->is_listed(now));
+    return is_lost || known->record.started_ms != endpoint.started_ms ||
            (call.service->engine && !known->record.is_head());
 }
 
--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -160,6 +160,11 @@
         co_await send_json(writer, status_misdirected_request, "{}");
         co_return;
     }
+    const bool is_control = request.target() == "/report" || request.target() == "/order";
+    if (is_control && m_switches.drop_reports_and_orders) {
+        writer.abandon();
+        co_return;
+    }
     if (request.target() == "/report") {
         co_await send_json(writer, status_ok, report());
         co_return;
--- a/src/standin/standin_control.cpp
+++ b/src/standin/standin_control.cpp
@@ -33,6 +33,7 @@
         {"lose_replies", number(switches.lose_replies)},
         {"break_after_tokens", number(switches.break_after_tokens)},
         {"token_ms", number(switches.token_ms)},
+        {"drop_reports_and_orders", flag(switches.drop_reports_and_orders)},
         {"cross_answers", flag(switches.cross_answers)},
         {"reset_connections", flag(switches.reset_connections)},
         {"crash_on_part", text_value(switches.crash_on_part)},
--- a/src/standin/standin_control.h
+++ b/src/standin/standin_control.h
@@ -20,6 +20,8 @@
     std::atomic<std::uint32_t> break_after_tokens{
         0}; ///< tokens after which the next stream breaks, once; 0: no break
     std::atomic<std::uint32_t> token_ms{5}; ///< time between the tokens of a stream
+    std::atomic<bool> drop_reports_and_orders{
+        false}; ///< closes the connections of requests for reports and of orders
     std::atomic<bool> cross_answers{false}; ///< answers have the id of another request
     std::atomic<bool> reset_connections{
         false}; ///< resets all connections, once, after the answer to the control message
--- a/tests/process/edge_test.cpp
+++ b/tests/process/edge_test.cpp
@@ -152,6 +152,40 @@
     CHECK(ids_of(answer.body) == complete_stream_ids());
 }
 
+TEST_CASE("edge: a stream is not cut because its runner answers no reports") {
+    edge_fixture fixture;
+    fixture.ask_until_served();
+    for (auto& runner : fixture.models) {
+        runner->control(R"({"token_ms":2500,"drop_reports_and_orders":true})");
+    }
+    test_exchange paused(fixture.hosts[0]->callers, http::verb::post, "/ask/1", "prompt",
+                         edge_fixture::headers("p1", true));
+    fixture.hosts[0]->process->read_until("event=runner_silent");
+    // Ends the pauses after the first event.
+    for (auto& runner : fixture.models) {
+        runner->control(R"({"token_ms":5})");
+    }
+    const auto answer = paused.finish();
+    CHECK(answer.is_complete);
+    CHECK(ids_of(answer.body) == complete_stream_ids());
+}
+
+TEST_CASE("edge: a stream ends when its runner answers no reports and has lost its entry") {
+    edge_fixture fixture;
+    fixture.ask_until_served();
+    for (auto& runner : fixture.models) {
+        runner->control(R"({"token_ms":20000,"drop_reports_and_orders":true})");
+    }
+    test_exchange stalled(fixture.hosts[0]->callers, http::verb::post, "/ask/1", "prompt",
+                          edge_fixture::headers("p1", true));
+    fixture.hosts[0]->process->read_until("event=runner_silent");
+    for (const auto* id : {"m0", "m1", "m2"}) {
+        fixture.write_row("servers", id, "null");
+    }
+    const auto answer = stalled.finish();
+    CHECK(answer.status == 502);
+}
+
 TEST_CASE("edge: a new configuration takes effect, and an older one does not replace it") {
     edge_fixture fixture;
     const auto& port = fixture.hosts[0]->callers;
