--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -116,6 +116,11 @@
     return status_ok;
 }
 
+std::uint64_t runner_standin::runs() {
+    const std::scoped_lock lock(m_mutex);
+    return m_runs;
+}
+
 bool runner_standin::crashes_on(const transport::http_request& request) const {
     const auto part = m_switches.crash_on_part.load();
     const auto body = m_switches.crash_on_body.load();
@@ -174,8 +179,7 @@
         co_return;
     }
     if (request.target() == "/runs") {
-        const std::scoped_lock lock(m_mutex);
-        co_await send_json(writer, status_ok, std::to_string(m_runs));
+        co_await send_json(writer, status_ok, std::to_string(runs()));
         co_return;
     }
     bool is_head = true;
--- a/src/standin/runner_standin.h
+++ b/src/standin/runner_standin.h
@@ -30,6 +30,7 @@
 
     [[nodiscard]] std::string report();
     [[nodiscard]] unsigned apply_order(const std::string& body);
+    [[nodiscard]] std::uint64_t runs();
     [[nodiscard]] bool crashes_on(const transport::http_request& request) const;
     boost::asio::awaitable<void> stream(const transport::http_request& request,
                                         transport::response_writer& writer);
