End only the task in which an unexpected error occurs

What callers would see: an exception in a socket handler, in a task of a worker or in the handling of one datagram ended the process, and with it each request that it had read.

Cause: the functions of the threads let exceptions out.

--- a/src/savoryrelay/transport/datagram/datagram_endpoint.cpp
+++ b/src/savoryrelay/transport/datagram/datagram_endpoint.cpp
@@ -2,10 +2,13 @@
 // time and then checks whether it has to stop.
 #include "savoryrelay/transport/datagram/datagram_endpoint.h"
 
+#include "savoryrelay/transport/process/log.h"
+
 #include <cxxtools/ioerror.h>
 #include <cxxtools/net/net.h>
 
 #include <array>
+#include <exception>
 
 namespace savoryrelay::transport {
 namespace {
@@ -73,7 +76,7 @@
         lock.unlock();
         const auto size = receive_once(buffer);
         if (size > 0 && size <= state::max_datagram_bytes) {
-            m_hooks.on_datagram(std::string_view(buffer.data(), size));
+            deliver(std::string_view(buffer.data(), size));
         }
         lock.lock();
         if (m_receive_failed) {
@@ -82,6 +85,14 @@
     }
 }
 
+void datagram_endpoint::deliver(std::string_view datagram) {
+    try {
+        m_hooks.on_datagram(datagram);
+    } catch (const std::exception& error) {
+        log_warning("datagram_failed", {{"detail", error.what()}});
+    }
+}
+
 std::size_t datagram_endpoint::receive_once(std::span<char> buffer) {
     m_receive_failed = false;
     try {
--- a/src/savoryrelay/transport/datagram/datagram_endpoint.h
+++ b/src/savoryrelay/transport/datagram/datagram_endpoint.h
@@ -17,7 +17,8 @@
 
 namespace savoryrelay::transport {
 
-/// Hooks that the endpoint calls on the receiving thread.
+/// Hooks that the endpoint calls on the receiving thread. One that throws is logged as
+/// `datagram_failed`.
 struct datagram_hooks {
     std::function<void(std::string_view datagram)> on_datagram;
 };
@@ -49,6 +50,7 @@
 private:
     void receive_loop();
     std::size_t receive_once(std::span<char> buffer);
+    void deliver(std::string_view datagram);
 
     const datagram_hooks m_hooks;
     cxxtools::net::UdpReceiver m_receiver;
--- a/src/savoryrelay/transport/process/io_threads.h
+++ b/src/savoryrelay/transport/process/io_threads.h
@@ -13,7 +13,8 @@
 
 namespace savoryrelay::transport {
 
-/// A fixed number of threads, each running one io_context.
+/// A fixed number of threads, each running one io_context. A handler that throws is logged
+/// as `handler_failed`, and its thread continues.
 class io_threads {
 public:
     /// Starts `count` threads, at least one.
--- a/src/savoryrelay/transport/process/worker_thread.cpp
+++ b/src/savoryrelay/transport/process/worker_thread.cpp
@@ -1,7 +1,10 @@
 // Implements the loop that runs the tasks.
 #include "savoryrelay/transport/process/worker_thread.h"
 
+#include "savoryrelay/transport/process/log.h"
+
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace savoryrelay::transport {
@@ -74,7 +77,11 @@
     std::unique_lock lock(m_mutex);
     while (auto task = next_task(lock)) {
         lock.unlock();
-        (*task)();
+        try {
+            (*task)();
+        } catch (const std::exception& error) {
+            log_warning("task_failed", {{"detail", error.what()}});
+        }
         lock.lock();
     }
 }
--- a/src/savoryrelay/transport/process/worker_thread.h
+++ b/src/savoryrelay/transport/process/worker_thread.h
@@ -13,7 +13,7 @@
 namespace savoryrelay::transport {
 
 /// Runs blocking tasks on a thread of its own. Waits on a condition variable while
-/// idle.
+/// idle. A task that throws is logged as `task_failed`; a repeated one runs again.
 class worker_thread {
 public:
     worker_thread();
