Run control loops again after an unexpected error

What callers would see: an exception in a host's control loop ended the loop for as long as the process lived. Without "groups", the lease was renewed but no group formed; without a feed, the configuration stayed as it was while the host said that it was ready; without "accept", no connection was accepted.

Cause: the loops were detached coroutines, whose exceptions are dropped. Found in review; no input that throws there is known, apart from a lack of memory.

--- a/src/daemon/routing_part.cpp
+++ b/src/daemon/routing_part.cpp
@@ -3,6 +3,7 @@
 #include "routing_part.h"
 
 #include "savoryrelay/transport/http/endpoint_connection.h"
+#include "savoryrelay/transport/process/control_loop.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -103,7 +104,7 @@
 }
 
 void routing_part::start() {
-    asio::co_spawn(m_threads.next(), run_ticks(), asio::detached);
+    transport::start_control_loop(m_threads.next(), "routing", [this] { return run_ticks(); });
 }
 
 void routing_part::apply_newer_configuration() {
--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -3,6 +3,7 @@
 
 #include "platform/runner_client.h"
 #include "savoryrelay/protocol/lease/lease_text.h"
+#include "savoryrelay/transport/process/control_loop.h"
 #include "savoryrelay/transport/process/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -82,7 +83,7 @@
 
 void group_part::start() {
     m_lease_worker.repeat(lease_tick, [this] { maintain_lease(); });
-    asio::co_spawn(m_threads.context(0), run_steps(), asio::detached);
+    transport::start_control_loop(m_threads.context(0), "groups", [this] { return run_steps(); });
 }
 
 void group_part::stop() {
--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -3,11 +3,10 @@
 
 #include "savoryrelay/protocol/serving/peer_digest_codec.h"
 #include "savoryrelay/transport/http/short_exchange.h"
+#include "savoryrelay/transport/process/control_loop.h"
 #include "savoryrelay/transport/process/log.h"
 #include "savoryrelay/transport/process/pause.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -84,9 +83,10 @@
     m_endpoint = std::make_unique<transport::datagram_endpoint>(
         state::member_address{local.address, local.port},
         transport::datagram_hooks{[this](std::string_view datagram) { receive(datagram); }});
-    asio::co_spawn(m_threads.context(0), exchange_digests(), asio::detached);
-    asio::co_spawn(m_threads.context(0), sync_hosts_table(), asio::detached);
-    asio::co_spawn(m_threads.context(0), copy_tables(), asio::detached);
+    auto& context = m_threads.context(0);
+    transport::start_control_loop(context, "digests", [this] { return exchange_digests(); });
+    transport::start_control_loop(context, "hosts_table", [this] { return sync_hosts_table(); });
+    transport::start_control_loop(context, "table_copies", [this] { return copy_tables(); });
 }
 
 void peer_part::stop() {
--- a/src/edge/store_part.cpp
+++ b/src/edge/store_part.cpp
@@ -5,11 +5,10 @@
 #include "platform/runner_codec.h"
 #include "platform/wire_names.h"
 #include "savoryrelay/state/digest/digest.h"
+#include "savoryrelay/transport/process/control_loop.h"
 #include "savoryrelay/transport/process/log.h"
 #include "savoryrelay/transport/process/pause.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -60,15 +59,15 @@
 }
 
 void store_part::start() {
-    asio::co_spawn(m_threads.context(0),
-                   follow(std::string(platform::wire::operators_table), m_shared.operators,
-                          {operators_feed_wait, {}}, &store_part::apply_operators),
-                   asio::detached);
-    asio::co_spawn(m_threads.context(0),
-                   follow(std::string(platform::wire::runners_table), m_shared.runners,
-                          {runners_feed_wait, m_shared.entry_interval()},
-                          &store_part::apply_runners),
-                   asio::detached);
+    auto& context = m_threads.context(0);
+    transport::start_control_loop(context, "operators_feed", [this] {
+        return follow(std::string(platform::wire::operators_table), m_shared.operators,
+                      {operators_feed_wait, {}}, &store_part::apply_operators);
+    });
+    transport::start_control_loop(context, "runners_feed", [this] {
+        return follow(std::string(platform::wire::runners_table), m_shared.runners,
+                      {runners_feed_wait, m_shared.entry_interval()}, &store_part::apply_runners);
+    });
 }
 
 bool store_part::follows_store() const {
--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -2,6 +2,7 @@
 #include "savoryrelay/transport/http/http_server.h"
 
 #include "savoryrelay/transport/http/progress_watchdog.h"
+#include "savoryrelay/transport/process/control_loop.h"
 #include "savoryrelay/transport/process/log.h"
 #include "savoryrelay/transport/process/pause.h"
 
@@ -303,7 +304,7 @@
     m_acceptor.bind(local);
     m_acceptor.listen(asio::socket_base::max_listen_connections);
     m_port = m_acceptor.local_endpoint().port();
-    asio::co_spawn(m_threads.context(0), accept_loop(), asio::detached);
+    start_control_loop(m_threads.context(0), "accept", [this] { return accept_loop(); });
 }
 
 http_server::~http_server() {
--- a/tests/transport/unexpected_error_test.cpp
+++ b/tests/transport/unexpected_error_test.cpp
@@ -1,5 +1,6 @@
 // Tests that an unexpected error ends the task in which it occurs, and nothing else.
 #include "savoryrelay/transport/datagram/datagram_endpoint.h"
+#include "savoryrelay/transport/process/control_loop.h"
 #include "savoryrelay/transport/process/io_threads.h"
 #include "savoryrelay/transport/process/worker_thread.h"
 
@@ -64,3 +65,19 @@
     CHECK(endpoint.send(receiver, "good"));
     CHECK(received.get_future().wait_for(time_limit) == std::future_status::ready);
 }
+
+TEST_CASE("a control loop that throws runs again", "[transport][error]") {
+    transport::io_threads threads{1};
+    std::promise<void> ran_again;
+    int runs = 0;
+    transport::start_control_loop(threads.context(0), "test", [&]() -> asio::awaitable<void> {
+        if (++runs < 3) {
+            fail();
+        }
+        ran_again.set_value();
+        co_return;
+    });
+    CHECK(ran_again.get_future().wait_for(time_limit) == std::future_status::ready);
+    threads.stop();
+    CHECK(runs == 3);
+}
