Quarantine the later of two prompt parts that are in the same calls

What callers saw: when the first calls of a route crashed their runners, the sound first part that they shared with other calls was quarantined together with the crashing part. Calls with it were refused until one that was already on its way was answered, or for 15 minutes.

Cause: nothing tells the parts of one call apart while none of them has been answered, as all have the same crashes.

Change: fingerprints carry the position of their part, also in crash notices. A quarantined later part explains the crashes of an earlier one, which is quarantined only if no single later part explains enough of them.

--- a/src/savoryrelay/coordination/retry/crash_suspects.cpp
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -41,24 +41,32 @@
     : m_settings(settings), m_hooks(std::move(hooks)) {}
 
 void crash_suspects::record_crash(const endpoint_crash& crash, state::time_point now) {
+    std::vector<call_fingerprint> fingerprints;
+    for (const auto fingerprint : crash.in_flight) {
+        fingerprints.push_back({fingerprint});
+    }
     record_crash(
         state::stable_hash(crash.endpoint.value() + '#' + std::to_string(crash.generation)),
-        crash.in_flight, now);
+        std::move(fingerprints), now);
     m_reserved.erase(crash.endpoint);
 }
 
-std::vector<request_fingerprint>
-crash_suspects::record_crash(std::uint64_t crash, std::vector<request_fingerprint> fingerprints,
+std::vector<call_fingerprint>
+crash_suspects::record_crash(std::uint64_t crash, std::vector<call_fingerprint> fingerprints,
                              state::time_point at) {
-    std::sort(fingerprints.begin(), fingerprints.end());
+    const auto order = [](const call_fingerprint& each) {
+        return std::pair(-int{each.position}, each.value);
+    };
+    std::sort(fingerprints.begin(), fingerprints.end(),
+              [&](const auto& a, const auto& b) { return order(a) < order(b); });
     fingerprints.erase(std::unique(fingerprints.begin(), fingerprints.end()), fingerprints.end());
-    std::erase_if(fingerprints, [&](request_fingerprint fingerprint) {
-        return valid_answer(fingerprint, at).has_value();
+    std::erase_if(fingerprints, [&](const call_fingerprint& fingerprint) {
+        return valid_answer(fingerprint.value, at).has_value();
     });
 
     // Counts the requests that were suspects before this crash.
-    const auto was_suspect = [&](request_fingerprint fingerprint) {
-        const auto row = m_suspects.find(fingerprint);
+    const auto was_suspect = [&](const call_fingerprint& fingerprint) {
+        const auto row = m_suspects.find(fingerprint.value);
         return row && std::any_of(row->crashes.begin(), row->crashes.end(),
                                   [&](std::uint64_t known) { return known != crash; });
     };
@@ -66,14 +74,15 @@
         std::count_if(fingerprints.begin(), fingerprints.end(), was_suspect));
     const bool has_capacity = m_suspects.size() < m_settings.max_suspects;
 
-    std::vector<request_fingerprint> changed;
-    for (const auto fingerprint : fingerprints) {
-        if (!has_capacity && !is_suspect(fingerprint)) {
+    std::vector<call_fingerprint> changed;
+    for (const auto& fingerprint : fingerprints) {
+        if (!has_capacity && !is_suspect(fingerprint.value)) {
             continue;
         }
         crash_evidence evidence;
         evidence.other_suspects = earlier_suspects - (was_suspect(fingerprint) ? 1 : 0);
-        const auto known = m_suspects.update(fingerprint, [&](suspect_row& row) {
+        const auto known = m_suspects.update(fingerprint.value, [&](suspect_row& row) {
+            row.position = std::max(row.position, fingerprint.position);
             const bool is_known =
                 std::find(row.crashes.begin(), row.crashes.end(), crash) != row.crashes.end();
             if (row.crashes.empty()) {
@@ -88,13 +97,13 @@
             }
             return row;
         });
-        evidence.crashes = unexplained_crashes(fingerprint, known);
+        evidence.crashes = unexplained_crashes(fingerprint.value, known);
         evidence.span =
             std::chrono::duration_cast<state::milliseconds>(known.last_crash - known.first_crash);
-        evidence.was_answered = last_answer(fingerprint).has_value();
+        evidence.was_answered = last_answer(fingerprint.value).has_value();
         // The hook runs outside the shard's lock.
         if (m_hooks.is_quarantined(m_settings, evidence)) {
-            set_quarantined(fingerprint);
+            set_quarantined(fingerprint.value);
             release_explained();
         }
     }
@@ -106,36 +115,48 @@
     if (suspect.crashes.size() < m_settings.crashes_if_sole_suspect) {
         return suspect.crashes.size(); // too few in any case
     }
-    std::vector<std::pair<request_fingerprint, std::vector<std::uint64_t>>> others;
+    std::vector<std::pair<request_fingerprint, suspect_row>> others;
     m_suspects.for_each([&](request_fingerprint other, const suspect_row& row) {
         if (other != fingerprint && row.is_quarantined) {
-            others.emplace_back(other, row.crashes);
+            others.emplace_back(other, row);
         }
     });
     const bool was_answered = last_answer(fingerprint).has_value();
+    const auto contains = [](const std::vector<std::uint64_t>& crashes, std::uint64_t crash) {
+        return std::find(crashes.begin(), crashes.end(), crash) != crashes.end();
+    };
     const auto explains_all = [&](const std::vector<std::uint64_t>& crashes) {
-        return std::all_of(suspect.crashes.begin(), suspect.crashes.end(), [&](std::uint64_t each) {
-            return std::find(crashes.begin(), crashes.end(), each) != crashes.end();
-        });
+        return std::all_of(suspect.crashes.begin(), suspect.crashes.end(),
+                           [&](std::uint64_t each) { return contains(crashes, each); });
     };
     std::set<std::uint64_t> explained;
-    for (const auto& [other, crashes] : others) {
-        if (crashes.size() > suspect.crashes.size() ||
-            (was_answered && !last_answer(other) && explains_all(crashes))) {
-            explained.insert(crashes.begin(), crashes.end());
+    for (const auto& [other, row] : others) {
+        if (row.crashes.size() > suspect.crashes.size() ||
+            (was_answered && !last_answer(other) && explains_all(row.crashes))) {
+            explained.insert(row.crashes.begin(), row.crashes.end());
+        }
+    }
+    const auto count_without = [&](const std::vector<std::uint64_t>& crashes) {
+        return static_cast<std::size_t>(
+            std::count_if(suspect.crashes.begin(), suspect.crashes.end(), [&](std::uint64_t each) {
+                return !explained.contains(each) && !contains(crashes, each);
+            }));
+    };
+    auto fewest = count_without({});
+    for (const auto& [other, row] : others) {
+        if (suspect.position > 0 && row.position > suspect.position) {
+            fewest = std::min(fewest, count_without(row.crashes));
         }
     }
-    return static_cast<std::size_t>(
-        std::count_if(suspect.crashes.begin(), suspect.crashes.end(),
-                      [&](std::uint64_t crash) { return !explained.contains(crash); }));
+    return fewest;
 }
 
 void crash_suspects::release_explained() {
     for (const auto& [fingerprint, last_crash] : quarantined()) {
-        const auto row = m_suspects.find(fingerprint);
-        if (row && !row->crashes.empty() && unexplained_crashes(fingerprint, *row) == 0) {
+        const auto row = m_suspects.find(fingerprint.value);
+        if (row && !row->crashes.empty() && unexplained_crashes(fingerprint.value, *row) == 0) {
             m_suspects.update_existing(
-                fingerprint, [](suspect_row& changed) { changed.is_quarantined = false; });
+                fingerprint.value, [](suspect_row& changed) { changed.is_quarantined = false; });
         }
     }
 }
@@ -187,26 +208,27 @@
     return answered;
 }
 
-bool crash_suspects::quarantine(request_fingerprint fingerprint, state::time_point last_crash) {
-    if (valid_answer(fingerprint, last_crash) ||
-        (m_suspects.size() >= m_settings.max_suspects && !is_suspect(fingerprint))) {
+bool crash_suspects::quarantine(call_fingerprint fingerprint, state::time_point last_crash) {
+    if (valid_answer(fingerprint.value, last_crash) ||
+        (m_suspects.size() >= m_settings.max_suspects && !is_suspect(fingerprint.value))) {
         return false;
     }
-    const auto known = m_suspects.find(fingerprint);
+    const auto known = m_suspects.find(fingerprint.value);
     if (known && known->is_quarantined) {
         return false; // the age in a notice lacks the time of its transfer
     }
-    if (last_answer(fingerprint) &&
+    if (last_answer(fingerprint.value) &&
         (!known || known->crashes.size() < m_settings.max_crashes_after_answer)) {
         return false;
     }
-    if (known && !known->crashes.empty() && unexplained_crashes(fingerprint, *known) == 0) {
+    if (known && !known->crashes.empty() && unexplained_crashes(fingerprint.value, *known) == 0) {
         return false;
     }
-    m_suspects.update(fingerprint, [&](suspect_row& row) {
+    m_suspects.update(fingerprint.value, [&](suspect_row& row) {
         row.last_crash = std::max(row.last_crash, last_crash);
+        row.position = std::max(row.position, fingerprint.position);
     });
-    return set_quarantined(fingerprint);
+    return set_quarantined(fingerprint.value);
 }
 
 std::optional<state::time_point>
@@ -218,11 +240,11 @@
     return row->last_crash + m_settings.retention;
 }
 
-std::vector<std::pair<request_fingerprint, state::time_point>> crash_suspects::quarantined() const {
-    std::vector<std::pair<request_fingerprint, state::time_point>> all;
+std::vector<std::pair<call_fingerprint, state::time_point>> crash_suspects::quarantined() const {
+    std::vector<std::pair<call_fingerprint, state::time_point>> all;
     m_suspects.for_each([&](request_fingerprint fingerprint, const suspect_row& row) {
         if (row.is_quarantined) {
-            all.emplace_back(fingerprint, row.last_crash);
+            all.emplace_back(call_fingerprint{fingerprint, row.position}, row.last_crash);
         }
     });
     return all;
--- a/src/savoryrelay/coordination/retry/crash_suspects.h
+++ b/src/savoryrelay/coordination/retry/crash_suspects.h
@@ -17,6 +17,7 @@
 
 namespace savoryrelay::coordination {
 
+using state::call_fingerprint;
 using state::request_fingerprint;
 
 /// Returns the fingerprint of a request's customer and body.
@@ -79,10 +80,10 @@
     /// several times counts once for each fingerprint.
     void record_crash(const endpoint_crash& crash, state::time_point now);
     /// Records the crash with digest `crash` at `at`. Returns the fingerprints for which it
-    /// is new evidence.
-    std::vector<request_fingerprint> record_crash(std::uint64_t crash,
-                                                  std::vector<request_fingerprint> fingerprints,
-                                                  state::time_point at);
+    /// is new evidence, later parts of prompts first.
+    std::vector<call_fingerprint> record_crash(std::uint64_t crash,
+                                               std::vector<call_fingerprint> fingerprints,
+                                               state::time_point at);
     /// Records that an endpoint began to answer a request with the fingerprint at `at`, which
     /// shows that the fingerprint crashes no endpoint. Returns whether it was a suspect for
     /// which this is new.
@@ -96,14 +97,13 @@
     last_answer(request_fingerprint fingerprint) const;
     /// Quarantines a fingerprint because a peer does, which may not know of answers. Returns
     /// whether this is new.
-    bool quarantine(request_fingerprint fingerprint, state::time_point last_crash);
+    bool quarantine(call_fingerprint fingerprint, state::time_point last_crash);
 
     /// Returns when the quarantine of the fingerprint ends, or nothing when there is none.
     [[nodiscard]] std::optional<state::time_point>
     quarantined_until(request_fingerprint fingerprint) const;
     /// Returns the quarantined fingerprints and the times of their last crashes.
-    [[nodiscard]] std::vector<std::pair<request_fingerprint, state::time_point>>
-    quarantined() const;
+    [[nodiscard]] std::vector<std::pair<call_fingerprint, state::time_point>> quarantined() const;
 
     /// Fails with `request_quarantined` when the fingerprint is quarantined.
     [[nodiscard]] state::result<void> check(request_fingerprint fingerprint) const;
@@ -125,6 +125,7 @@
 private:
     struct suspect_row {
         std::vector<std::uint64_t> crashes; ///< digests of the crashes, at most max_known_crashes
+        std::uint8_t position = 0;          ///< of the part, as in `call_fingerprint`
         bool is_quarantined = false;
         state::time_point first_crash;
         state::time_point last_crash;
@@ -136,8 +137,10 @@
     };
 
     /// Returns the number of crashes of `suspect` at which no quarantined fingerprint that is
-    /// a better explanation was running: one with more crashes, or, if `suspect` was answered,
-    /// one without an answer that was running at all of its crashes.
+    /// a better explanation was running: one with more crashes; if `suspect` was answered, one
+    /// without an answer that was running at all of its crashes; or a single later part of
+    /// prompts. That must be a single one, because other parts follow a part that crashes
+    /// endpoints, and each of them may be quarantined too.
     [[nodiscard]] std::size_t unexplained_crashes(request_fingerprint fingerprint,
                                                   const suspect_row& suspect) const;
     /// Sets the quarantine of a known suspect and calls the hook if it is new.
--- a/src/savoryrelay/coordination/retry/crash_watch.cpp
+++ b/src/savoryrelay/coordination/retry/crash_watch.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <limits>
 #include <string>
 
 namespace savoryrelay::coordination {
@@ -16,6 +17,18 @@
 
 namespace {
 
+// Returns fingerprints in the order of `fingerprints_of` with their positions.
+std::vector<call_fingerprint> with_positions(const std::vector<request_fingerprint>& fingerprints) {
+    constexpr std::size_t last_position = std::numeric_limits<std::uint8_t>::max();
+    std::vector<call_fingerprint> all;
+    for (std::size_t i = 0; i < fingerprints.size(); ++i) {
+        const bool is_part = i + 1 < fingerprints.size();
+        const auto position = is_part ? std::min(i + 1, last_position) : 0;
+        all.push_back({fingerprints[i], static_cast<std::uint8_t>(position)});
+    }
+    return all;
+}
+
 milliseconds age_of(state::time_point at, state::time_point now) {
     return std::chrono::duration_cast<milliseconds>(now - at);
 }
@@ -61,16 +74,16 @@
                                state::time_point now) {
     // An incarnation of an endpoint crashes once, however many of its connections end.
     const auto crash = state::stable_hash(endpoint.value() + '#' + std::to_string(started_ms));
-    record_evidence(crash, fingerprints, now, now);
+    record_evidence(crash, with_positions(fingerprints), now, now);
 }
 
-void crash_watch::record_evidence(std::uint64_t crash,
-                                  const std::vector<request_fingerprint>& fingerprints,
+void crash_watch::record_evidence(std::uint64_t crash, std::vector<call_fingerprint> fingerprints,
                                   state::time_point at, state::time_point now) {
-    for (const auto fingerprint : m_suspects.record_crash(crash, fingerprints, at)) {
+    for (const auto& each : m_suspects.record_crash(crash, std::move(fingerprints), at)) {
         // Peers that do not know of the answer would quarantine the fingerprint too early.
-        announce_answer(fingerprint, now);
-        m_notices.add({crash_notice_kind::crashed, fingerprint, crash, age_of(at, now)}, now);
+        announce_answer(each.value, now);
+        m_notices.add(
+            {crash_notice_kind::crashed, each.value, crash, age_of(at, now), each.position}, now);
     }
 }
 
@@ -109,8 +122,8 @@
         return;
     }
     if (notice.kind == crash_notice_kind::crashed) {
-        record_evidence(notice.crash, {notice.fingerprint}, at, now);
-    } else if (m_suspects.quarantine(notice.fingerprint, at)) {
+        record_evidence(notice.crash, {{notice.fingerprint, notice.position}}, at, now);
+    } else if (m_suspects.quarantine({notice.fingerprint, notice.position}, at)) {
         m_notices.add(notice, now);
     }
 }
@@ -140,8 +153,8 @@
     if (refreshes) {
         m_suspects.sweep(now);
         for (const auto& [fingerprint, last_crash] : m_suspects.quarantined()) {
-            due.push_back(
-                {crash_notice_kind::quarantined, fingerprint, 0, age_of(last_crash, now)});
+            due.push_back({crash_notice_kind::quarantined, fingerprint.value, 0,
+                           age_of(last_crash, now), fingerprint.position});
         }
     }
     return due;
--- a/src/savoryrelay/coordination/retry/crash_watch.h
+++ b/src/savoryrelay/coordination/retry/crash_watch.h
@@ -18,7 +18,7 @@
 namespace savoryrelay::coordination {
 
 /// Returns the fingerprints of a call: one of each part of its prompt that other calls may
-/// share, and one of its customer, path and content.
+/// share, in the order of the prompt, and last one of its customer, path and content.
 [[nodiscard]] std::vector<request_fingerprint> fingerprints_of(const state::serving_call& call,
                                                                const std::string& customer,
                                                                std::string_view body);
@@ -45,7 +45,7 @@
         : m_retention(settings.retention), m_suspects(settings, std::move(hooks)) {}
 
     /// Records that an endpoint ended its connection before it began to answer a call with
-    /// these fingerprints.
+    /// these fingerprints, which are in the order of `fingerprints_of`.
     void record_crash(const state::endpoint_id& endpoint, std::uint64_t started_ms,
                       const std::vector<request_fingerprint>& fingerprints, state::time_point now);
     /// Records that an endpoint began to answer a call with these fingerprints.
@@ -68,7 +68,7 @@
     /// Tells the peers of the last answer to the fingerprint, if this host knows one.
     void announce_answer(request_fingerprint fingerprint, state::time_point now);
     /// Records the crash and passes on what is new.
-    void record_evidence(std::uint64_t crash, const std::vector<request_fingerprint>& fingerprints,
+    void record_evidence(std::uint64_t crash, std::vector<call_fingerprint> fingerprints,
                          state::time_point at, state::time_point now);
 
     const state::milliseconds m_retention;
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -100,6 +100,7 @@
     out.number(notice.crash);
     out.number(
         static_cast<std::uint32_t>(std::clamp<std::int64_t>(notice.age.count(), 0, longest)));
+    out.number(notice.position);
 }
 
 state::crash_notice read_notice(bounded_reader& in) {
@@ -108,6 +109,7 @@
     notice.fingerprint = in.number<state::request_fingerprint>();
     notice.crash = in.number<std::uint64_t>();
     notice.age = state::milliseconds(in.number<std::uint32_t>());
+    notice.position = in.number<std::uint8_t>();
     return notice;
 }
 
--- a/src/savoryrelay/state/serving/crash_notice.h
+++ b/src/savoryrelay/state/serving/crash_notice.h
@@ -14,6 +14,16 @@
 /// customer and the content. It is the same on each host.
 using request_fingerprint = std::uint64_t;
 
+/// A fingerprint and what it stands for in a call.
+struct call_fingerprint {
+    request_fingerprint value = 0;
+    /// Position of the part in the prompt, from 1; 0 for a whole call. Of two parts that are
+    /// in the same calls, the later one is in fewer others.
+    std::uint8_t position = 0;
+
+    friend bool operator==(const call_fingerprint&, const call_fingerprint&) = default;
+};
+
 /// What was seen of a fingerprint.
 enum class crash_notice_kind {
     crashed,     ///< an endpoint crashed before it answered a call with the fingerprint
@@ -38,6 +48,8 @@
     std::uint64_t crash = 0;
     /// Time since the crash or the answer; since the last crash if `kind` is `quarantined`.
     milliseconds age{0};
+    /// Position of the part in the prompt, as in `call_fingerprint`; 0 if `kind` is `answered`.
+    std::uint8_t position = 0;
 
     friend bool operator==(const crash_notice&, const crash_notice&) = default;
 };
--- a/tests/coordination/crash_watch_test.cpp
+++ b/tests/coordination/crash_watch_test.cpp
@@ -186,6 +186,58 @@
     CHECK(watch.time_quarantined(common, now));
 }
 
+TEST_CASE("crash watch: a part that precedes the crashing part in all calls is not quarantined") {
+    // Nothing has been answered yet, and the first two parts are in the same calls.
+    auto hosts = make_hosts(3);
+    state::time_point now{1h};
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        hosts[number % 2]->record_crash(state::endpoint_id("e"), number, {1, 2, 100 + number}, now);
+        if (number == 2) {
+            // An endpoint crashes for another reason with a call that has only the first part.
+            hosts[0]->record_crash(state::endpoint_id("other"), number, {1, 200}, now);
+        }
+        now += 200ms;
+        exchange_notices(hosts, now);
+    }
+    for (const auto& host : hosts) {
+        CHECK(host->time_quarantined({2}, now));
+        CHECK_FALSE(host->time_quarantined({1}, now));
+    }
+}
+
+TEST_CASE("crash watch: a crashing part is found although others follow it") {
+    // Each of the parts that follow is in as many calls as a quarantine needs.
+    auto hosts = make_hosts(2);
+    state::time_point now{1h};
+    std::uint64_t number = 0;
+    for (std::uint64_t following = 2; following <= 3; ++following) {
+        for (std::size_t i = 0; i < entry_host_crash_settings().max_crashes; ++i) {
+            ++number;
+            hosts[number % 2]->record_crash(state::endpoint_id("e"), number,
+                                            {1, following, 100 + number}, now);
+            now += 200ms;
+            exchange_notices(hosts, now);
+        }
+    }
+    for (const auto& host : hosts) {
+        CHECK(host->time_quarantined({1}, now));
+    }
+}
+
+TEST_CASE("crash watch: calls that crash from the start do not stop calls with their first part") {
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        INFO("seed " << seed);
+        crash_simulation_settings settings;
+        settings.sound_calls_per_round = 1;
+        settings.first_sound_round = 30;
+        settings.crashing_calls_per_round = 0.6;
+        crash_simulation simulation(seed, settings);
+        CHECK(late_calls(simulation) <= max_late_calls);
+        CHECK(simulation.crashing_calls_refused > 0);
+        CHECK(simulation.sound_calls_refused == 0);
+    }
+}
+
 TEST_CASE("crash watch: an answer ends the quarantine on all hosts") {
     const state::time_point start{1h};
     auto hosts = make_hosts(2);
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -36,7 +36,7 @@
         digest.observations.push_back(observation);
         digest.runners_to_confirm.push_back(id);
         digest.crash_notices.push_back({state::crash_notice_kind::quarantined, ~std::uint64_t{i}, i,
-                                        std::chrono::minutes(15)});
+                                        std::chrono::minutes(15), static_cast<std::uint8_t>(i)});
     }
     return digest;
 }
@@ -135,8 +135,9 @@
     digest.crash_notices.resize(1);
     const auto good = encode(digest);
     REQUIRE(read_digest(good));
-    // The notice is the end of the datagram: its count, kind, fingerprint, crash and age.
-    constexpr std::size_t notice_bytes = 1 + 8 + 8 + 4;
+    // The notice is the end of the datagram: its count, kind, fingerprint, crash, age and
+    // position.
+    constexpr std::size_t notice_bytes = 1 + 8 + 8 + 4 + 1;
     auto unknown_kind = good;
     unknown_kind[good.size() - notice_bytes] = 3;
     CHECK_FALSE(read_digest(unknown_kind));
--- a/tests/support/crash_simulation.h
+++ b/tests/support/crash_simulation.h
@@ -16,6 +16,7 @@
     std::size_t hosts = 8;
     std::size_t endpoints = 12;
     std::size_t sound_calls_per_round = 10;
+    int first_sound_round = 0;
     double crashing_calls_per_round = 0.15;
     double lost_notices = 0.05;
     bool shares_notices = true;
@@ -119,7 +120,8 @@
                   is_crashing});
         };
         constexpr std::size_t parts = 60;
-        for (std::size_t i = 0; i < m_settings.sound_calls_per_round; ++i) {
+        const bool has_sound_calls = m_round++ >= m_settings.first_sound_round;
+        for (std::size_t i = 0; has_sound_calls && i < m_settings.sound_calls_per_round; ++i) {
             add("part " + std::to_string(below(parts)), false);
         }
         if (std::bernoulli_distribution(m_settings.crashing_calls_per_round)(m_random)) {
@@ -175,6 +177,7 @@
     std::vector<std::vector<waiting_call>> m_waiting; // by endpoint
     std::vector<std::unique_ptr<coordination::crash_watch>> m_hosts;
     std::uint64_t m_next_body = 0;
+    int m_round = 0;
 };
 
 } // namespace savoryrelay::tests
