Drop notices of whole calls first when there are too many

What callers would see: while endpoints end with many open calls, hosts do not tell each other of a crashing part, so that it crashes more runners.

Cause: each call that an endpoint cuts makes a notice of its own fingerprint, and beyond 256 notices the newest were dropped, also those of prompt parts and of answers. All hosts pass notices on, so the limit counts the calls of the fleet.

Change: at the limit, the newest notice of a whole call's crash gives way.

Measured: "peers learn of a crashing part while many other calls are cut" fails on the former code and passes now.

--- a/src/savoryrelay/coordination/exchange/crash_notice_schedule.cpp
+++ b/src/savoryrelay/coordination/exchange/crash_notice_schedule.cpp
@@ -2,8 +2,16 @@
 #include "savoryrelay/coordination/exchange/crash_notice_schedule.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace savoryrelay::coordination {
+namespace {
+
+bool is_crash_of_call(const state::crash_notice& notice) {
+    return notice.kind == state::crash_notice_kind::crashed && notice.position == 0;
+}
+
+} // namespace
 
 void crash_notice_schedule::add(const state::crash_notice& notice, state::time_point now) {
     const std::scoped_lock lock(m_mutex);
@@ -14,9 +22,20 @@
                    each.notice.fingerprint == notice.fingerprint &&
                    each.notice.crash == notice.crash;
         });
-    if (!is_known && m_notices.size() < max_notices) {
-        m_notices.push_back({notice, now});
+    if (is_known) {
+        return;
+    }
+    if (m_notices.size() >= max_notices) {
+        const auto dropped =
+            std::find_if(m_notices.rbegin(), m_notices.rend(), [](const scheduled_notice& each) {
+                return is_crash_of_call(each.notice);
+            });
+        if (is_crash_of_call(notice) || dropped == m_notices.rend()) {
+            return;
+        }
+        m_notices.erase(std::next(dropped).base());
     }
+    m_notices.push_back({notice, now});
 }
 
 std::vector<state::crash_notice> crash_notice_schedule::due(state::time_point now) {
--- a/src/savoryrelay/coordination/exchange/crash_notice_schedule.h
+++ b/src/savoryrelay/coordination/exchange/crash_notice_schedule.h
@@ -17,7 +17,9 @@
     /// A notice is sent in each round for this long. Members of a hub that has ended report
     /// to another one after `host_directory::silence`, and must still find the notice there.
     static constexpr state::milliseconds repeated_for{1'200};
-    /// The most notices that are sent at a time. Further ones are dropped.
+    /// The most notices that are sent at a time. Beyond that, crashes of whole calls are
+    /// dropped, then the newest notices: an endpoint that ends cuts many calls, each with a
+    /// fingerprint of its own.
     static constexpr std::size_t max_notices = 256;
 
     /// Sends `notice`, which this host made or learned and which has its age at `now`. An
--- a/tests/coordination/crash_watch_test.cpp
+++ b/tests/coordination/crash_watch_test.cpp
@@ -354,6 +354,21 @@
     CHECK(watch.time_quarantined({2}, now));
 }
 
+TEST_CASE("crash watch: peers learn of a crashing part while many other calls are cut") {
+    auto hosts = make_hosts(2);
+    state::time_point now{1h};
+    request_fingerprint next_call = 1'000;
+    for (std::uint64_t number = 1; number <= 3; ++number) {
+        for (std::size_t i = 0; i <= crash_notice_schedule::max_notices; ++i) {
+            hosts[0]->record_crash(state::endpoint_id("other"), number, {++next_call}, now);
+        }
+        hosts[0]->record_crash(state::endpoint_id("e"), number, {2, ++next_call}, now);
+        now += 400ms;
+        exchange_notices(hosts, now);
+    }
+    CHECK(hosts[1]->time_quarantined({2}, now));
+}
+
 TEST_CASE("crash watch: an outage with many open calls does not disable the quarantine") {
     crash_watch watch(entry_host_crash_settings(), default_crash_hooks());
     state::time_point now{1h};
--- a/tests/coordination/exchange/crash_notice_schedule_test.cpp
+++ b/tests/coordination/exchange/crash_notice_schedule_test.cpp
@@ -63,6 +63,25 @@
     CHECK(schedule.due(end).size() == 1);
 }
 
+TEST_CASE("crash notices: crashes of whole calls give way to other notices beyond the limit") {
+    crash_notice_schedule schedule;
+    const state::time_point now{1h};
+    constexpr auto limit = crash_notice_schedule::max_notices;
+    for (std::uint64_t i = 0; i < limit; ++i) {
+        schedule.add({crash_notice_kind::crashed, i, 9, 0ms}, now);
+    }
+    const crash_notice part{crash_notice_kind::crashed, 1'000, 9, 0ms, 1};
+    const crash_notice answer{crash_notice_kind::answered, 1'001, 0, 0ms};
+    schedule.add(part, now);
+    schedule.add(answer, now);
+    schedule.add({crash_notice_kind::crashed, 1'002, 9, 0ms}, now);
+    const auto due = schedule.due(now);
+    REQUIRE(due.size() == limit);
+    CHECK(due[limit - 3].fingerprint == limit - 3);
+    CHECK(due[limit - 2] == part);
+    CHECK(due[limit - 1] == answer);
+}
+
 TEST_CASE("crash notices: threads may add and read them at the same time") {
     crash_notice_schedule schedule;
     const state::time_point now{1h};
