Know more crashes of a part that crashes many endpoints

What callers would see: in a large fleet a part crashes more than 16 endpoints before all hosts refuse it. A sound part of calls that ran beside it at the later crashes was quarantined and not released.

Cause: 16 crashes were kept for a suspect, so that the quarantined part did not explain the later ones.

Change: 256 crashes are kept. Only suspects with that many crashes use the 2 KB that these take.

Measured: "a part that crashes many endpoints explains the later crashes too" fails on the former code and passes now.

--- a/src/savoryrelay/coordination/retry/crash_suspects.cpp
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Further crashes of a fingerprint only extend the time that its crashes span.
-constexpr std::size_t max_known_crashes = 16;
+constexpr std::size_t max_known_crashes = 256;
 
 } // namespace
 
--- a/tests/coordination/crash_watch_test.cpp
+++ b/tests/coordination/crash_watch_test.cpp
@@ -369,6 +369,21 @@
     CHECK(hosts[1]->time_quarantined({2}, now));
 }
 
+TEST_CASE("crash watch: a part that crashes many endpoints explains the later crashes too") {
+    crash_watch watch(entry_host_crash_settings(), default_crash_hooks());
+    state::time_point now{1h};
+    constexpr std::uint64_t crashes = 60;
+    for (std::uint64_t number = 1; number <= crashes; ++number) {
+        now += 100ms;
+        watch.record_crash(state::endpoint_id("e"), number, {1, 100 + number}, now);
+        if (number > crashes / 2) {
+            watch.record_crash(state::endpoint_id("e"), number, {2, 200 + number}, now);
+        }
+    }
+    CHECK(watch.time_quarantined({1}, now));
+    CHECK_FALSE(watch.time_quarantined({2}, now));
+}
+
 TEST_CASE("crash watch: an outage with many open calls does not disable the quarantine") {
     crash_watch watch(entry_host_crash_settings(), default_crash_hooks());
     state::time_point now{1h};
