Take a late rejection of another request for what it is

A caller whose request ran got 503, the promise that it has not run and never will, when the endpoint had rejected an earlier request on the same connection and sent that rejection a second time, in front of its next answer. With a second endpoint to try, the request would have run twice.

Cause: an answer that says "not run" was taken for the request's own whatever id it carried. Change: it counts only with the request's id or with none, and a connection on which a rejection came without an id is not kept, since a late copy of that one could not be told from the next answer.

Copies of answers (at once, on an idle connection, in front of the next answer) did no harm before.

--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -36,6 +36,12 @@
 // Interval of the check whether a call leaves an endpoint that has exceeded its limit.
 constexpr milliseconds silence_check_interval{200};
 
+// Answers to earlier requests may still arrive on a connection. Each answer carries the id
+// of its request, except that an endpoint may reject a request without its id.
+bool belongs_to(const state::answer_head& answer, const state::request_id& request) {
+    return answer.request_id == request.value() || (answer.is_not_run && answer.request_id.empty());
+}
+
 } // namespace
 
 asio::awaitable<serving_front::attempt_result> serving_front::read_whole_answer(call_state& call) {
@@ -65,8 +71,6 @@
 
 asio::awaitable<serving_front::attempt_result>
 serving_front::relay_answer(call_state& call, const selected_endpoint&) {
-    // Answers to earlier requests may still arrive on this connection. Each answer
-    // carries the id of its request.
     constexpr int max_mismatched_answers = 3;
     for (int i = 0; i <= max_mismatched_answers; ++i) {
         if (const auto failed = co_await call.connection->read_header(
@@ -84,12 +88,13 @@
         if (end.outcome != attempt_outcome::delivered) {
             co_return end;
         }
-        if (answer.request_id != call.decoded.id.value() && !answer.is_not_run) {
+        if (!belongs_to(answer, call.decoded.id)) {
             call.connection->expect_another_answer();
             continue;
         }
         end.status = status;
         end.fields = m_dependencies.codec.select_caller_fields(fields);
+        end.has_request_id = !answer.request_id.empty();
         if (answer.is_not_run) {
             end.outcome = attempt_outcome::not_run;
             end.reason = "refused with " + std::to_string(status);
@@ -152,12 +157,13 @@
         if (end.outcome != attempt_outcome::delivered) {
             co_return end;
         }
-        if (answer.request_id != call.decoded.id.value() && !answer.is_not_run) {
+        if (!belongs_to(answer, call.decoded.id)) {
             end.outcome = attempt_outcome::lost;
             end.reason = "an answer to another request";
             co_return end;
         }
         end.status = status;
+        end.has_request_id = !answer.request_id.empty();
         end.fields = m_dependencies.codec.select_caller_fields(fields);
         end.outcome = answer.is_not_run ? attempt_outcome::not_run : attempt_outcome::failed;
         end.reason = "status " + std::to_string(status);
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -59,6 +59,7 @@
     coordination::attempt_outcome outcome = coordination::attempt_outcome::lost;
     bool endpoint_ended = false;     // the connection was reset: the endpoint's process has ended
     bool closed_by_endpoint = false; // the connection ended before the answer was complete
+    bool has_request_id = true;      // false: the endpoint rejected the request without its id
     std::string reason;
     // A complete answer that reports a failure. The caller receives it if no later
     // attempt succeeds.
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -388,7 +388,8 @@
     }
     if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
         end.outcome == attempt_outcome::not_run) {
-        if (call.connection->reusable()) {
+        // A late copy of an answer without an id could not be told from the next answer.
+        if (end.has_request_id && call.connection->reusable()) {
             m_pool.keep(context, runner.address, runner.port, std::move(call.connection));
         }
     }
