Skip answers to other requests in front of a stream

The caller of a stream got 502 when a second copy of an earlier answer came on the connection in front of the stream, though the endpoint ran the request and its stream followed.

Cause: relay_stream gave up at an answer with another id; relay_answer read on. Change: both skip up to max_mismatched_answers whole answers with another id.

--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -35,6 +35,7 @@
 constexpr double event_gap_factor = 2;
 // Interval of the check whether a call leaves an endpoint that has exceeded its limit.
 constexpr milliseconds silence_check_interval{200};
+constexpr int max_mismatched_answers = 3;
 
 // Answers to earlier requests may still arrive on a connection. Each answer carries the id
 // of its request, except that an endpoint may reject a request without its id.
@@ -71,7 +72,6 @@
 
 asio::awaitable<serving_front::attempt_result>
 serving_front::relay_answer(call_state& call, const selected_endpoint&) {
-    constexpr int max_mismatched_answers = 3;
     for (int i = 0; i <= max_mismatched_answers; ++i) {
         if (const auto failed = co_await call.connection->read_header(
                 std::max(milliseconds(1), time_until(call.deadline, m_dependencies.now())))) {
@@ -140,28 +140,38 @@
         min_event_gap_limit,
         std::chrono::duration_cast<milliseconds>(call.route->event_gap_target * event_gap_factor));
 
-    error_code no_header = co_await call.connection->read_header(bounded_by_deadline(first_limit));
-    while (no_header == asio::error::operation_aborted &&
-           !leaves_silent_endpoint(call, chosen.runner.record)) {
-        no_header =
-            co_await call.connection->read_header(bounded_by_deadline(silence_check_interval));
-    }
-    if (no_header) {
-        co_return failed_with("no answer", no_header);
-    }
-    const auto status = call.connection->status();
-    const auto fields = call.connection->fields();
-    const auto answer = m_dependencies.codec.decode_answer(status, fields);
-    if (status != status_ok || answer.request_id != call.decoded.id.value()) {
-        end = co_await read_whole_answer(call);
-        if (end.outcome != attempt_outcome::delivered) {
-            co_return end;
+    unsigned status = 0;
+    http_fields fields;
+    for (int skipped = 0;; ++skipped) {
+        auto no_header = co_await call.connection->read_header(bounded_by_deadline(first_limit));
+        while (no_header == asio::error::operation_aborted &&
+               !leaves_silent_endpoint(call, chosen.runner.record)) {
+            no_header =
+                co_await call.connection->read_header(bounded_by_deadline(silence_check_interval));
         }
-        if (!belongs_to(answer, call.decoded.id)) {
-            end.outcome = attempt_outcome::lost;
-            end.reason = "an answer to another request";
+        if (no_header) {
+            co_return failed_with("no answer", no_header);
+        }
+        status = call.connection->status();
+        fields = call.connection->fields();
+        const auto answer = m_dependencies.codec.decode_answer(status, fields);
+        const bool is_own = belongs_to(answer, call.decoded.id);
+        if (is_own && status == status_ok && !answer.is_not_run) {
+            break;
+        }
+        auto whole = co_await read_whole_answer(call);
+        if (whole.outcome != attempt_outcome::delivered) {
+            co_return whole;
+        }
+        if (!is_own && skipped < max_mismatched_answers) {
+            call.connection->expect_another_answer();
+            continue;
+        }
+        if (!is_own) {
+            end.reason = "only answers to other requests";
             co_return end;
         }
+        end.body = std::move(whole.body);
         end.status = status;
         end.has_request_id = !answer.request_id.empty();
         end.fields = m_dependencies.codec.select_caller_fields(fields);
--- a/tests/process/late_answer_test.cpp
+++ b/tests/process/late_answer_test.cpp
@@ -191,7 +191,7 @@
     int m_reused = 0;
 };
 
-constexpr std::array<const char*, 2> paths{"/look/1", "/book/1"};
+constexpr std::array<const char*, 3> paths{"/look/1", "/book/1", "/feed/1"};
 
 struct call_result {
     std::string id;
@@ -342,3 +342,14 @@
         CHECK(fixture.is_served(fixture.call(path)));
     }
 }
+
+TEST_CASE("edge: a second copy of a failure is not the answer to the next request") {
+    late_fixture fixture;
+    for (const std::string path : paths) {
+        INFO(path);
+        const auto next = fixture.call_on_reused(
+            path, [](const auto&, const auto& id) { return plain_answer("500 Failed", id); },
+            own_answer, previous_and_own);
+        CHECK(fixture.is_served(next));
+    }
+}
