Refuse a head that ran on into that of another answer

A caller got status 200 with the body and the receipt of an answer whose status was 500. The endpoint had sent the beginning of a second copy of an earlier answer, up to the reason or into the value of a field, and the whole next answer followed it. Both parse as one head, with the status of the first and the id of the second.

Change: read_header fails where the reason or the value of a field contains a status line. The attempt is then lost and its connection closed.

tests/process/late_answer_test.cpp cuts a copy in the reason, in a field and in the body, on an idle connection and in front of the next answer, for a success and a failure.

--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -12,6 +12,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <limits>
@@ -37,6 +38,30 @@
 
 constexpr std::uint32_t max_answer_header_bytes = 16 * 1024;
 
+// Returns whether `text` contains the status line of an answer up to its status.
+bool contains_status_line(std::string_view text) {
+    constexpr std::string_view version = "HTTP/1.";
+    const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+    for (auto at = text.find(version); at != std::string_view::npos;
+         at = text.find(version, at + 1)) {
+        const auto rest = text.substr(at + version.size());
+        if (rest.size() >= 5 && is_digit(rest[0]) && rest[1] == ' ' && is_digit(rest[2]) &&
+            is_digit(rest[3]) && is_digit(rest[4])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+// Returns whether the head of one answer ran on into that of another, as happens when a
+// peer sends a part of an answer and then a whole one.
+bool is_spliced(const http::response_header<>& head) {
+    return contains_status_line({head.reason().data(), head.reason().size()}) ||
+           std::any_of(head.begin(), head.end(), [](const auto& field) {
+               return contains_status_line({field.value().data(), field.value().size()});
+           });
+}
+
 void set_socket_options(tcp::socket& socket) {
     const auto set = [&](int level, int name, int value) {
         ::setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
@@ -94,6 +119,9 @@
     const auto [failed, size] =
         co_await http::async_read_header(m_stream, m_buffer, *m_parser, use_tuple);
     m_watchdog.disarm();
+    if (!failed && is_spliced(m_parser->get())) {
+        co_return http::error::bad_value;
+    }
     co_return failed;
 }
 
--- a/tests/process/late_answer_test.cpp
+++ b/tests/process/late_answer_test.cpp
@@ -1,8 +1,10 @@
-// Tests answers that an endpoint sends twice or late on a connection that is in
+// Tests answers that an endpoint sends twice, late or in part on a connection that is in
 // use again. Each caller gets its own answer or a truthful failure.
 #include "edge_fixture.h"
 #include "support/kept_connection.h"
 
+#include <netinet/tcp.h>
+
 #include <array>
 #include <chrono>
 #include <functional>
@@ -102,6 +104,12 @@
         return m_runs[id];
     }
 
+    /// Returns the number of requests that came.
+    [[nodiscard]] int received() {
+        const std::scoped_lock lock(m_mutex);
+        return m_received;
+    }
+
     /// Returns the number of requests that came on a connection that had carried another.
     [[nodiscard]] int reused() {
         const std::scoped_lock lock(m_mutex);
@@ -128,6 +136,9 @@
     void accept_connections() {
         for (int connection = ::accept(m_listener, nullptr, nullptr); connection >= 0;
              connection = ::accept(m_listener, nullptr, nullptr)) {
+            // A part of an answer is sent at once.
+            const int enabled = 1;
+            ::setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
             const std::scoped_lock lock(m_mutex);
             m_last_answers[connection];
             m_threads.emplace_back([this, connection] { serve(connection); });
@@ -172,6 +183,7 @@
         const auto id = field(request, "Attempt-Id");
         const std::scoped_lock lock(m_mutex);
         auto& last = m_last_answers[connection];
+        ++m_received;
         m_reused += last.empty() ? 0 : 1;
         const auto own = m_answer(path, id);
         m_runs[id] += own.find("\r\nNot-Executed:") == std::string::npos ? 1 : 0;
@@ -188,6 +200,7 @@
     delivery_hook m_deliver = own_only;
     std::map<std::string, int> m_runs;
     std::map<int, std::string> m_last_answers; // of each open connection; empty: none yet
+    int m_received = 0;
     int m_reused = 0;
 };
 
@@ -203,41 +216,28 @@
         write_entry("p1", "orders", endpoint.port, "");
         hosts[0]->wait_until_ready();
         callers.emplace(hosts[0]->callers);
-        call_until_served("/look/1");
+        // Until the host has read the entry, the runner of the fixture answers.
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (endpoint.received() == 0) {
+            REQUIRE(std::chrono::steady_clock::now() < limit);
+            callers->fetch(http::verb::get, "/look/1", "", headers("first"));
+        }
     }
 
-    /// Sends one request and checks that what its caller sees is true.
+    /// Sends requests until one reaches the endpoint, which the host avoids for some time
+    /// after a failure.
     call_result call(const std::string& path) {
-        call_result result{"late-" + std::to_string(m_calls++), {}};
-        auto call_headers = headers(result.id);
-        call_headers[3].second = "1500";
-        result.answer = callers->fetch(path == "/look/1" ? http::verb::get : http::verb::post, path,
-                                       path == "/look/1" ? "" : "x", call_headers);
-        const auto& answer = result.answer;
-        const int runs = endpoint.runs(result.id);
-        CAPTURE(path, result.id, answer.status, answer.body, answer.error, runs);
-        CHECK(answer.status != 0);
-        if (answer.status < 300) {
-            CHECK(answer.status == 200);
-            CHECK(answer.request_id == result.id);
-            CHECK(answer.seal == "seal-" + result.id);
-            CHECK((!answer.is_complete || answer.body == own_body(path, result.id)));
-            CHECK(runs > 0);
-        }
-        if (answer.status == 503) {
-            CHECK(runs == 0);
-        }
-        if (!answer.seal.empty()) {
-            CHECK(answer.seal == "seal-" + result.id);
-        }
-        if (path != "/look/1") {
-            CHECK(runs <= 1);
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        const int received_before = endpoint.received();
+        auto result = call_once(path);
+        while (endpoint.received() == received_before) {
+            REQUIRE(std::chrono::steady_clock::now() < limit);
+            result = call_once(path);
         }
         return result;
     }
 
-    /// Sends requests until one is served: the host avoids an endpoint for some time after a
-    /// failure.
+    /// Sends requests until one is served.
     void call_until_served(const std::string& path) {
         const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
         while (!is_served(call(path))) {
@@ -279,6 +279,36 @@
     std::optional<kept_connection> callers; // one connection is served by one thread of the host
 
 private:
+    /// Sends one request and checks that what its caller sees is true.
+    call_result call_once(const std::string& path) {
+        call_result result{"late-" + std::to_string(m_calls++), {}};
+        auto call_headers = headers(result.id);
+        call_headers[3].second = "1500";
+        result.answer = callers->fetch(path == "/look/1" ? http::verb::get : http::verb::post, path,
+                                       path == "/look/1" ? "" : "x", call_headers);
+        const auto& answer = result.answer;
+        const int runs = endpoint.runs(result.id);
+        CAPTURE(path, result.id, answer.status, answer.body, answer.error, runs);
+        CHECK(answer.status != 0);
+        if (answer.status < 300) {
+            CHECK(answer.status == 200);
+            CHECK(answer.request_id == result.id);
+            CHECK(answer.seal == "seal-" + result.id);
+            CHECK((!answer.is_complete || answer.body == own_body(path, result.id)));
+            CHECK(runs > 0);
+        }
+        if (answer.status == 503) {
+            CHECK(runs == 0);
+        }
+        if (!answer.seal.empty()) {
+            CHECK(answer.seal == "seal-" + result.id);
+        }
+        if (path != "/look/1") {
+            CHECK(runs <= 1);
+        }
+        return result;
+    }
+
     int m_calls = 0;
 };
 
@@ -353,3 +383,31 @@
         CHECK(fixture.is_served(next));
     }
 }
+
+TEST_CASE("edge: a part of a second copy doesn't mix with the next answer") {
+    late_fixture fixture;
+    // The part ends in the reason, in the value of a field and in the body.
+    const std::array<std::function<std::string(const std::string&)>, 3> parts{
+        [](const std::string& copy) { return copy.substr(0, copy.find("OK\r\n") + 1); },
+        [](const std::string& copy) { return copy.substr(0, copy.find("text/") + 5); },
+        [](const std::string& copy) { return copy.substr(0, copy.find("\r\n\r\n") + 8); }};
+    const answer_hook failure = [](const std::string&, const std::string& id) {
+        return plain_answer("500 Failed", id);
+    };
+    for (const std::string path : paths) {
+        for (std::size_t part = 0; part < parts.size(); ++part) {
+            INFO(path << " part " << part);
+            const auto& cut = parts[part];
+            fixture.call_until_served(path);
+            fixture.endpoint.send_on_idle(cut);
+            CHECK(fixture.is_served(fixture.call(path)));
+            // A status of the part may hide that of the answer which follows it.
+            for (const bool fails : {false, true}) {
+                const auto next = fixture.call_on_reused(
+                    path, own_answer, fails ? answer_hook(failure) : answer_hook(own_answer),
+                    [&](const auto& previous, const auto& own) { return cut(previous) + own; });
+                CHECK((next.answer.status != 200 || !fails));
+            }
+        }
+    }
+}
