Count the span of crashes whatever the order of their notices is

What callers would see: a host that learned of crashes from notices in reverse order did not quarantine the part until a peer announced its quarantine, and sent more calls with it.

Cause: the first crash that a host heard of was taken for the earliest, so the crashes seemed to span no time.

--- a/src/savoryrelay/coordination/retry/crash_suspects.cpp
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -85,9 +85,8 @@
             row.position = std::max(row.position, fingerprint.position);
             const bool is_known =
                 std::find(row.crashes.begin(), row.crashes.end(), crash) != row.crashes.end();
-            if (row.crashes.empty()) {
-                row.first_crash = at;
-            }
+            // Notices may arrive in another order than the crashes.
+            row.first_crash = row.crashes.empty() ? at : std::min(row.first_crash, at);
             if (!is_known) {
                 row.last_crash = std::max(row.last_crash, at);
             }
--- a/tests/coordination/crash_watch_test.cpp
+++ b/tests/coordination/crash_watch_test.cpp
@@ -304,6 +304,15 @@
     }
 }
 
+TEST_CASE("crash watch: notices of crashes in reverse order quarantine too") {
+    const state::time_point now{1h};
+    crash_watch watch(entry_host_crash_settings(), default_crash_hooks());
+    for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+        watch.apply({state::crash_notice_kind::crashed, 7, crash, crash * 900ms, 1}, now);
+    }
+    CHECK(watch.time_quarantined({7}, now));
+}
+
 TEST_CASE("crash watch: notices that travel for long do not prolong a quarantine") {
     auto hosts = make_hosts(2);
     struct late_notice {
