Quarantine a part again at its first crash after a quarantine

What callers would see: when the quarantine of a part ended after 15 minutes and calls with it still came, it crashed three more endpoints before it was refused again, four times an hour, each with the calls of its group.

Cause: the suspect was forgotten with the end of its quarantine. It is now on probation for 24 hours, in which one crash suffices; an answer clears it as before. The new test: 3 in three quarantines.

--- a/src/savoryrelay/coordination/retry/crash_suspects.cpp
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -101,7 +101,8 @@
             std::chrono::duration_cast<state::milliseconds>(known.last_crash - known.first_crash);
         evidence.was_answered = last_answer(fingerprint.value).has_value();
         // The hook runs outside the shard's lock.
-        if (m_hooks.is_quarantined(m_settings, evidence)) {
+        const bool repeats = known.is_on_probation && evidence.crashes > 0;
+        if (repeats || m_hooks.is_quarantined(m_settings, evidence)) {
             set_quarantined(fingerprint.value);
             release_explained();
         }
@@ -162,8 +163,10 @@
 
 bool crash_suspects::set_quarantined(request_fingerprint fingerprint) {
     bool is_new = false;
-    m_suspects.update_existing(
-        fingerprint, [&](suspect_row& row) { is_new = !std::exchange(row.is_quarantined, true); });
+    m_suspects.update_existing(fingerprint, [&](suspect_row& row) {
+        row.is_on_probation = false;
+        is_new = !std::exchange(row.is_quarantined, true);
+    });
     if (is_new && m_hooks.on_quarantined) {
         m_hooks.on_quarantined(fingerprint);
     }
@@ -273,7 +276,18 @@
 void crash_suspects::sweep(state::time_point now) {
     const bool is_full =
         m_settings.answer_validity.count() > 0 && m_suspects.size() >= m_settings.max_suspects;
+    for (const auto& [fingerprint, last_crash] : quarantined()) {
+        if (now - last_crash > m_settings.retention) {
+            m_suspects.update_existing(fingerprint.value, [](suspect_row& row) {
+                row.is_quarantined = false;
+                row.is_on_probation = true;
+            });
+        }
+    }
     m_suspects.erase_if([&](request_fingerprint, const suspect_row& row) {
+        if (row.is_on_probation) {
+            return now - row.last_crash > m_settings.retention + m_settings.probation;
+        }
         const bool is_weak = !row.is_quarantined && row.crashes.size() < 2;
         return now - row.last_crash >
                (is_full && is_weak ? m_settings.answer_validity : m_settings.retention);
--- a/src/savoryrelay/coordination/retry/crash_suspects.h
+++ b/src/savoryrelay/coordination/retry/crash_suspects.h
@@ -52,6 +52,9 @@
     std::size_t max_suspects = 10'000;        ///< fingerprints kept, an estimated 150 bytes each
     /// How long a suspect is kept after its last crash, and an answer.
     state::milliseconds retention{15 * 60'000};
+    /// Time after the end of a quarantine in which one more crash quarantines the fingerprint
+    /// again.
+    state::milliseconds probation{0};
     /// The crashes of a quarantined fingerprint are spread over at least this time. A network
     /// fault that breaks many connections at once looks like many crashes.
     state::milliseconds min_span{0};
@@ -117,7 +120,8 @@
     /// Ends the reservation when `suspect` holds it.
     void release(const state::endpoint_id& endpoint, request_fingerprint suspect);
 
-    /// Removes suspects and answers that are older than the retention. Beyond `max_suspects`
+    /// Ends quarantines, and removes suspects and answers, that are older than the retention;
+    /// suspects on probation are kept until it ends. Beyond `max_suspects`
     /// answers, removes those that are no longer valid.
     void sweep(state::time_point now);
     [[nodiscard]] std::size_t size() const { return m_suspects.size(); }
@@ -127,6 +131,7 @@
         std::vector<std::uint64_t> crashes; ///< digests of the crashes, at most max_known_crashes
         std::uint8_t position = 0;          ///< of the part, as in `call_fingerprint`
         bool is_quarantined = false;
+        bool is_on_probation = false; ///< its last quarantine has ended
         state::time_point first_crash;
         state::time_point last_crash;
     };
--- a/src/savoryrelay/coordination/retry/crash_watch.cpp
+++ b/src/savoryrelay/coordination/retry/crash_watch.cpp
@@ -50,6 +50,7 @@
     settings.max_crashes_after_answer = 6;
     settings.min_span = milliseconds(300);
     settings.answer_validity = milliseconds(10'000);
+    settings.probation = std::chrono::hours(24);
     return settings;
 }
 
--- a/tests/coordination/crash_watch_test.cpp
+++ b/tests/coordination/crash_watch_test.cpp
@@ -313,6 +313,27 @@
     CHECK(watch.time_quarantined({7}, now));
 }
 
+TEST_CASE("crash watch: one crash after a quarantine refuses the part again") {
+    const auto settings = entry_host_crash_settings();
+    crash_watch watch(settings, default_crash_hooks());
+    state::time_point now{1h};
+    std::uint64_t crash = 0;
+    for (; crash < counted_crashes; ++crash) {
+        now += 200ms;
+        watch.record_crash(state::endpoint_id("e"), crash, {7}, now);
+    }
+    const auto end = now + 3 * settings.retention + 30s;
+    std::size_t late_crashes = 0;
+    for (now += 3s; now < end; now += 1s) {
+        static_cast<void>(watch.due_notices(now));
+        if (!watch.time_quarantined({7}, now)) {
+            watch.record_crash(state::endpoint_id("e"), ++crash, {7}, now);
+            ++late_crashes;
+        }
+    }
+    CHECK(late_crashes == 3); // one after each quarantine
+}
+
 TEST_CASE("crash watch: notices that travel for long do not prolong a quarantine") {
     auto hosts = make_hosts(2);
     struct late_notice {
