Tell peers how many crashes a quarantine is based on

Cause: the host could not tell whether the peer knew of the answer. The notice of a quarantine now has the number of crashes, in a field that was unused for it, and is applied to a part that was answered before if that number suffices for such a part.

--- a/src/savoryrelay/coordination/retry/crash_suspects.cpp
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -152,11 +152,12 @@
 }
 
 void crash_suspects::release_explained() {
-    for (const auto& [fingerprint, last_crash] : quarantined()) {
-        const auto row = m_suspects.find(fingerprint.value);
-        if (row && !row->crashes.empty() && unexplained_crashes(fingerprint.value, *row) == 0) {
+    for (const auto& each : quarantined()) {
+        const auto fingerprint = each.fingerprint.value;
+        const auto row = m_suspects.find(fingerprint);
+        if (row && !row->crashes.empty() && unexplained_crashes(fingerprint, *row) == 0) {
             m_suspects.update_existing(
-                fingerprint.value, [](suspect_row& changed) { changed.is_quarantined = false; });
+                fingerprint, [](suspect_row& changed) { changed.is_quarantined = false; });
         }
     }
 }
@@ -210,27 +211,29 @@
     return answered;
 }
 
-bool crash_suspects::quarantine(call_fingerprint fingerprint, state::time_point last_crash) {
-    if (valid_answer(fingerprint.value, last_crash) ||
-        (m_suspects.size() >= m_settings.max_suspects && !is_suspect(fingerprint.value))) {
+bool crash_suspects::quarantine(const quarantined_fingerprint& reported) {
+    const auto fingerprint = reported.fingerprint.value;
+    if (valid_answer(fingerprint, reported.last_crash) ||
+        (m_suspects.size() >= m_settings.max_suspects && !is_suspect(fingerprint))) {
         return false;
     }
-    const auto known = m_suspects.find(fingerprint.value);
+    const auto known = m_suspects.find(fingerprint);
     if (known && known->is_quarantined) {
         return false; // the age in a notice lacks the time of its transfer
     }
-    if (last_answer(fingerprint.value) &&
-        (!known || known->crashes.size() < m_settings.max_crashes_after_answer)) {
+    const auto crashes = std::max(known ? known->crashes.size() : 0, reported.crashes);
+    if (last_answer(fingerprint) && crashes < m_settings.max_crashes_after_answer) {
         return false;
     }
-    if (known && !known->crashes.empty() && unexplained_crashes(fingerprint.value, *known) == 0) {
+    if (known && !known->crashes.empty() && unexplained_crashes(fingerprint, *known) == 0) {
         return false;
     }
-    m_suspects.update(fingerprint.value, [&](suspect_row& row) {
-        row.last_crash = std::max(row.last_crash, last_crash);
-        row.position = std::max(row.position, fingerprint.position);
+    m_suspects.update(fingerprint, [&](suspect_row& row) {
+        row.last_crash = std::max(row.last_crash, reported.last_crash);
+        row.reported_crashes = std::max(row.reported_crashes, reported.crashes);
+        row.position = std::max(row.position, reported.fingerprint.position);
     });
-    return set_quarantined(fingerprint.value);
+    return set_quarantined(fingerprint);
 }
 
 std::optional<state::time_point>
@@ -242,11 +245,13 @@
     return row->last_crash + m_settings.retention;
 }
 
-std::vector<std::pair<call_fingerprint, state::time_point>> crash_suspects::quarantined() const {
-    std::vector<std::pair<call_fingerprint, state::time_point>> all;
+std::vector<quarantined_fingerprint> crash_suspects::quarantined() const {
+    std::vector<quarantined_fingerprint> all;
     m_suspects.for_each([&](request_fingerprint fingerprint, const suspect_row& row) {
         if (row.is_quarantined) {
-            all.emplace_back(call_fingerprint{fingerprint, row.position}, row.last_crash);
+            all.push_back({{fingerprint, row.position},
+                           row.last_crash,
+                           std::max(row.crashes.size(), row.reported_crashes)});
         }
     });
     return all;
@@ -276,9 +281,9 @@
 void crash_suspects::sweep(state::time_point now) {
     const bool is_full =
         m_settings.answer_validity.count() > 0 && m_suspects.size() >= m_settings.max_suspects;
-    for (const auto& [fingerprint, last_crash] : quarantined()) {
-        if (now - last_crash > m_settings.retention) {
-            m_suspects.update_existing(fingerprint.value, [](suspect_row& row) {
+    for (const auto& each : quarantined()) {
+        if (now - each.last_crash > m_settings.retention) {
+            m_suspects.update_existing(each.fingerprint.value, [](suspect_row& row) {
                 row.is_quarantined = false;
                 row.is_on_probation = true;
             });
--- a/src/savoryrelay/coordination/retry/crash_suspects.h
+++ b/src/savoryrelay/coordination/retry/crash_suspects.h
@@ -31,6 +31,13 @@
     std::vector<request_fingerprint> in_flight; ///< the reporting member's requests there
 };
 
+/// A fingerprint whose calls are refused.
+struct quarantined_fingerprint {
+    call_fingerprint fingerprint;
+    state::time_point last_crash;
+    std::size_t crashes = 0; ///< as this member or a peer counted them
+};
+
 /// The evidence against one fingerprint after a crash.
 struct crash_evidence {
     /// Distinct crashes, including the current one, without those that a quarantined
@@ -100,13 +107,13 @@
     last_answer(request_fingerprint fingerprint) const;
     /// Quarantines a fingerprint because a peer does, which may not know of answers. Returns
     /// whether this is new.
-    bool quarantine(call_fingerprint fingerprint, state::time_point last_crash);
+    bool quarantine(const quarantined_fingerprint& reported);
 
     /// Returns when the quarantine of the fingerprint ends, or nothing when there is none.
     [[nodiscard]] std::optional<state::time_point>
     quarantined_until(request_fingerprint fingerprint) const;
-    /// Returns the quarantined fingerprints and the times of their last crashes.
-    [[nodiscard]] std::vector<std::pair<call_fingerprint, state::time_point>> quarantined() const;
+    /// Returns the quarantined fingerprints.
+    [[nodiscard]] std::vector<quarantined_fingerprint> quarantined() const;
 
     /// Fails with `request_quarantined` when the fingerprint is quarantined.
     [[nodiscard]] state::result<void> check(request_fingerprint fingerprint) const;
@@ -129,6 +136,7 @@
 private:
     struct suspect_row {
         std::vector<std::uint64_t> crashes; ///< digests of the crashes, at most max_known_crashes
+        std::size_t reported_crashes = 0;   ///< the most that a peer counted
         std::uint8_t position = 0;          ///< of the part, as in `call_fingerprint`
         bool is_quarantined = false;
         bool is_on_probation = false; ///< its last quarantine has ended
--- a/src/savoryrelay/coordination/retry/crash_watch.cpp
+++ b/src/savoryrelay/coordination/retry/crash_watch.cpp
@@ -124,7 +124,7 @@
     }
     if (notice.kind == crash_notice_kind::crashed) {
         record_evidence(notice.crash, {{notice.fingerprint, notice.position}}, at, now);
-    } else if (m_suspects.quarantine({notice.fingerprint, notice.position}, at)) {
+    } else if (m_suspects.quarantine({{notice.fingerprint, notice.position}, at, notice.crash})) {
         m_notices.add(notice, now);
     }
 }
@@ -153,9 +153,9 @@
     auto due = m_notices.due(now);
     if (refreshes) {
         m_suspects.sweep(now);
-        for (const auto& [fingerprint, last_crash] : m_suspects.quarantined()) {
-            due.push_back({crash_notice_kind::quarantined, fingerprint.value, 0,
-                           age_of(last_crash, now), fingerprint.position});
+        for (const auto& each : m_suspects.quarantined()) {
+            due.push_back({crash_notice_kind::quarantined, each.fingerprint.value, each.crashes,
+                           age_of(each.last_crash, now), each.fingerprint.position});
         }
     }
     return due;
--- a/src/savoryrelay/state/serving/crash_notice.h
+++ b/src/savoryrelay/state/serving/crash_notice.h
@@ -44,7 +44,8 @@
 struct crash_notice {
     crash_notice_kind kind = crash_notice_kind::crashed;
     request_fingerprint fingerprint = 0;
-    /// Digest of the crashed endpoint and its incarnation; 0 unless `kind` is `crashed`.
+    /// Digest of the crashed endpoint and its incarnation if `kind` is `crashed`; the number
+    /// of crashes that the sender knows if `kind` is `quarantined`; otherwise 0.
     std::uint64_t crash = 0;
     /// Time since the crash or the answer; since the last crash if `kind` is `quarantined`.
     milliseconds age{0};
--- a/tests/coordination/crash_watch_test.cpp
+++ b/tests/coordination/crash_watch_test.cpp
@@ -334,6 +334,30 @@
     CHECK(late_crashes == 3); // one after each quarantine
 }
 
+TEST_CASE("crash watch: a host that missed the crashes of an answered part refuses it too") {
+    const auto settings = entry_host_crash_settings();
+    auto hosts = make_hosts(2);
+    state::time_point now{1h};
+    for (auto& host : hosts) {
+        host->record_answer({7}, now);
+    }
+    now += settings.answer_validity + 1s;
+    for (std::uint64_t crash = 0; crash < settings.max_crashes_after_answer; ++crash) {
+        now += 200ms;
+        hosts[0]->record_crash(state::endpoint_id("e"), crash, {7}, now);
+    }
+    REQUIRE(hosts[0]->time_quarantined({7}, now));
+    // The second host is out of contact until notices of crashes are no longer sent.
+    for (int round = 0; round < notice_rounds; ++round) {
+        now += 100ms;
+        static_cast<void>(hosts[0]->due_notices(now));
+    }
+    now += crash_watch::refresh_interval;
+    exchange_notices(hosts, now);
+    CHECK(hosts[0]->time_quarantined({7}, now));
+    CHECK(hosts[1]->time_quarantined({7}, now));
+}
+
 TEST_CASE("crash watch: notices that travel for long do not prolong a quarantine") {
     auto hosts = make_hosts(2);
     struct late_notice {
