--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -231,8 +231,11 @@
     while (!m_shared.is_stopping) {
         // Members learn of further hosts from their hub.
         const bool must_read = m_shared.is_store_reader || !m_directory.hears_hub(m_now());
-        const bool is_read = must_read && co_await read_hosts_table();
-        co_await pause_for(is_read || !must_read ? hosts_read_interval : hosts_retry_interval);
+        bool is_current = true;
+        if (must_read) {
+            is_current = co_await read_hosts_table();
+        }
+        co_await pause_for(is_current ? hosts_read_interval : hosts_retry_interval);
     }
 }
 
--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -72,7 +72,10 @@
         error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
         while (!m_server.m_stopping.load()) {
-            if (!co_await wait_for_request() || !co_await serve_request()) {
+            if (!co_await wait_for_request()) {
+                break;
+            }
+            if (!co_await serve_request()) {
                 break;
             }
         }
--- a/tests/transport/idle_connection_test.cpp
+++ b/tests/transport/idle_connection_test.cpp
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <future>
 #include <thread>
 
@@ -107,7 +108,21 @@
     caller kept(fixture.server.port());
     kept.send();
     REQUIRE(kept.receive() == 200);
+    const auto idle_since = std::chrono::steady_clock::now();
     CHECK(kept.receive() == 0);
+    CHECK(std::chrono::steady_clock::now() - idle_since < 3s);
+}
+
+TEST_CASE("a stop closes an idle connection at once", "[transport][idle]") {
+    idle_fixture fixture;
+    caller kept(fixture.server.port());
+    kept.send();
+    REQUIRE(kept.receive() == 200);
+    fixture.server.stop_accepting();
+    auto status = std::async(std::launch::async, [&] { return kept.receive(); });
+    CHECK(status.wait_for(3s) == std::future_status::ready);
+    CHECK(fixture.server.open_requests() == 0);
+    CHECK(status.get() == 0);
 }
 
 TEST_CASE("a request that arrives while the server stops is answered", "[transport][idle]") {
