Skip informational heads before an answer

A caller got status 103 as its answer when the endpoint sent an early-hints head with the request's id before the answer, and 502 for a stream with any informational head before it, though the request ran and its answer followed.

Cause: an informational head was taken for a whole answer. Change: read_header reads on after up to 8 informational heads and fails after more, so that heads without end hold no thread.

--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -37,6 +37,7 @@
 constexpr int keepalive_probes = 3;
 
 constexpr std::uint32_t max_answer_header_bytes = 16 * 1024;
+constexpr int max_informational_heads = 8;
 
 // Returns whether `text` contains the status line of an answer up to its status.
 bool contains_status_line(std::string_view text) {
@@ -62,6 +63,10 @@
            });
 }
 
+bool is_informational(const http::response_header<>& head) {
+    return http::to_status_class(head.result_int()) == http::status_class::informational;
+}
+
 void set_socket_options(tcp::socket& socket) {
     const auto set = [&](int level, int name, int value) {
         ::setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
@@ -116,13 +121,21 @@
 
 asio::awaitable<error_code> endpoint_connection::read_header(state::milliseconds timeout) {
     m_watchdog.extend(timeout);
-    const auto [failed, size] =
-        co_await http::async_read_header(m_stream, m_buffer, *m_parser, use_tuple);
+    error_code result = http::error::bad_status;
+    for (int heads = 0; heads <= max_informational_heads; ++heads) {
+        const auto [failed, size] =
+            co_await http::async_read_header(m_stream, m_buffer, *m_parser, use_tuple);
+        if (failed || !is_informational(m_parser->get())) {
+            result = failed;
+            break;
+        }
+        reset_parser();
+    }
     m_watchdog.disarm();
-    if (!failed && is_spliced(m_parser->get())) {
+    if (!result && is_spliced(m_parser->get())) {
         co_return http::error::bad_value;
     }
-    co_return failed;
+    co_return result;
 }
 
 asio::awaitable<std::pair<error_code, std::size_t>>
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -43,8 +43,8 @@
     boost::asio::awaitable<boost::system::error_code> send(const http_request& request,
                                                            state::milliseconds timeout);
 
-    /// Reads the answer's header. Fails if another answer begins within it, after a part of
-    /// an earlier one.
+    /// Reads the answer's header, after a few informational ones at most.
+    /// Fails if another answer begins within it, after a part of an earlier one.
     boost::asio::awaitable<boost::system::error_code> read_header(state::milliseconds timeout);
 
     /// Reads at least one byte of the body into `buffer`. Returns 0 bytes and no
--- a/tests/process/late_answer_test.cpp
+++ b/tests/process/late_answer_test.cpp
@@ -1,5 +1,6 @@
 // Tests answers that an endpoint sends twice, late or in part on a connection that is in
-// use again. Each caller gets its own answer or a truthful failure.
+// use again, and informational heads before an answer. Each caller gets its own answer or
+// a truthful failure.
 #include "edge_fixture.h"
 #include "support/kept_connection.h"
 
@@ -411,3 +412,45 @@
         }
     }
 }
+
+TEST_CASE("edge: informational heads before an answer are not the answer") {
+    late_fixture fixture;
+    const auto early_hints = [](const std::string& own) {
+        const auto begin = own.find("Attempt-Id: ");
+        return "HTTP/1.1 103 Early Hints\r\n" +
+               own.substr(begin, own.find("\r\n", begin) + 2 - begin) + "\r\n";
+    };
+    const std::string proceed = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::array<delivery_hook, 3> deliveries{
+        [&](const auto&, const auto& own) { return proceed + own; },
+        [&](const auto&, const auto& own) { return early_hints(own) + own; },
+        [&](const auto&, const auto& own) {
+            return proceed + early_hints(own) + proceed + early_hints(own) + proceed + own;
+        }};
+    for (const std::string path : paths) {
+        for (std::size_t i = 0; i < deliveries.size(); ++i) {
+            INFO(path << " delivery " << i);
+            fixture.endpoint.set(own_answer, deliveries[i]);
+            CHECK(fixture.is_served(fixture.call(path)));
+            fixture.endpoint.set(own_answer, own_only);
+            fixture.call_until_served(path);
+        }
+    }
+}
+
+TEST_CASE("edge: informational heads without end are refused in time") {
+    late_fixture fixture;
+    std::string heads;
+    constexpr int many = 100'000;
+    for (int i = 0; i < many; ++i) {
+        heads += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    for (const std::string path : paths) {
+        INFO(path);
+        fixture.endpoint.set(own_answer, [&](const auto&, const auto&) { return heads; });
+        const auto result = fixture.call(path);
+        CHECK((result.answer.status == 502 || result.answer.status == 504));
+        fixture.endpoint.set(own_answer, own_only);
+        fixture.call_until_served(path);
+    }
+}
