--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -69,9 +69,26 @@
     return json::serialize(object);
 }
 
+std::string runner_standin::orders() {
+    const std::scoped_lock lock(m_mutex);
+    json::array all;
+    for (const auto& [body, status] : m_orders) {
+        auto order = json::parse(body).as_object();
+        order["status"] = status;
+        all.push_back(std::move(order));
+    }
+    return json::serialize(all);
+}
+
+unsigned runner_standin::receive_order(const std::string& body) {
+    const std::scoped_lock lock(m_mutex);
+    const auto status = apply_order(body);
+    m_orders.emplace_back(body, status);
+    return status;
+}
+
 unsigned runner_standin::apply_order(const std::string& body) {
     const auto order = json::parse(body).as_object();
-    const std::scoped_lock lock(m_mutex);
     if (order.at("expected_rev").to_number<std::uint64_t>() != m_record.sequence) {
         return status_conflict;
     }
@@ -165,7 +182,11 @@
         co_return;
     }
     if (request.target() == "/order") {
-        co_await send_json(writer, apply_order(request.body()), "");
+        co_await send_json(writer, receive_order(request.body()), "");
+        co_return;
+    }
+    if (request.target() == "/orders") {
+        co_await send_json(writer, status_ok, orders());
         co_return;
     }
     if (request.target() == "/runs") {
--- a/src/standin/runner_standin.h
+++ b/src/standin/runner_standin.h
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace savoryrelay::standin {
 
@@ -18,8 +20,9 @@
 public:
     runner_standin(control_switches& switches, std::string id, std::uint64_t started_ms);
 
-    /// Serves GET /report, POST /order and GET /runs (number of calls that began to
-    /// run), and handles any other request as a call. A call with a model gets a
+    /// Serves GET /report, POST /order, GET /runs (number of calls that began to run) and
+    /// GET /orders (received orders and the status of their answers, oldest first), and
+    /// handles any other request as a call. A call with a model gets a
     /// stream of `max_events` events; a call without a model gets a short body. A call that
     /// the switches name crashes the process when its first event or its body is due.
     boost::asio::awaitable<void> handle(transport::http_request request,
@@ -29,7 +32,9 @@
     static constexpr int max_events = 8;
 
     [[nodiscard]] std::string report();
-    [[nodiscard]] unsigned apply_order(const std::string& body);
+    [[nodiscard]] std::string orders();
+    [[nodiscard]] unsigned receive_order(const std::string& body);
+    [[nodiscard]] unsigned apply_order(const std::string& body); // called with m_mutex locked
     [[nodiscard]] bool crashes_on(const transport::http_request& request) const;
     boost::asio::awaitable<void> stream(const transport::http_request& request,
                                         transport::response_writer& writer);
@@ -38,8 +43,9 @@
     const std::string m_id;
     const std::uint64_t m_started_ms;
     std::mutex m_mutex;
-    state::runner_record m_record; // guarded by m_mutex
-    std::uint64_t m_runs = 0;      // guarded by m_mutex
+    state::runner_record m_record;                          // guarded by m_mutex
+    std::uint64_t m_runs = 0;                               // guarded by m_mutex
+    std::vector<std::pair<std::string, unsigned>> m_orders; // guarded by m_mutex
 };
 
 } // namespace savoryrelay::standin
