--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -170,7 +170,18 @@
     }
     if (request.target() == "/runs") {
         const std::scoped_lock lock(m_mutex);
-        co_await send_json(writer, status_ok, std::to_string(m_runs));
+        co_await send_json(writer, status_ok, std::to_string(m_run_ids.size()));
+        co_return;
+    }
+    if (request.target() == "/run_ids") {
+        std::string lines;
+        {
+            const std::scoped_lock lock(m_mutex);
+            for (const auto& id : m_run_ids) {
+                lines += id + "\n";
+            }
+        }
+        co_await writer.send(status_ok, transport::content_type_field("text/plain"), lines);
         co_return;
     }
     bool is_head = true;
@@ -178,7 +189,9 @@
     {
         const std::scoped_lock lock(m_mutex);
         is_head = !needs_model || m_record.is_open_head();
-        m_runs += is_head ? 1 : 0;
+        if (is_head) {
+            m_run_ids.push_back(transport::header_of(request, "Attempt-Id"));
+        }
     }
     if (!is_head) {
         co_await send_json(writer, status_misdirected_request, "{}");
--- a/src/standin/runner_standin.h
+++ b/src/standin/runner_standin.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace savoryrelay::standin {
 
@@ -18,10 +19,10 @@
 public:
     runner_standin(control_switches& switches, std::string id, std::uint64_t started_ms);
 
-    /// Serves GET /report, POST /order and GET /runs (number of calls that began to
-    /// run), and handles any other request as a call. A call with a model gets a
-    /// stream of `max_events` events; a call without a model gets a short body. A call that
-    /// the switches name crashes the process when its first event or its body is due.
+    /// Serves GET /report, POST /order, GET /runs (number of calls that began to run) and
+    /// GET /run_ids (their ids, one a line), and handles any other request as a call. A call with a
+    /// model gets a stream of `max_events` events; a call without a model gets a short body. A call
+    /// that the switches name crashes the process when its first event or its body is due.
     boost::asio::awaitable<void> handle(transport::http_request request,
                                         transport::response_writer& writer);
 
@@ -38,8 +39,8 @@
     const std::string m_id;
     const std::uint64_t m_started_ms;
     std::mutex m_mutex;
-    state::runner_record m_record; // guarded by m_mutex
-    std::uint64_t m_runs = 0;      // guarded by m_mutex
+    state::runner_record m_record;      // guarded by m_mutex
+    std::vector<std::string> m_run_ids; // guarded by m_mutex; ids of the calls that began to run
 };
 
 } // namespace savoryrelay::standin
