--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -133,9 +133,9 @@
     return status_ok;
 }
 
-std::uint64_t runner_standin::runs() {
+std::vector<std::string> runner_standin::run_ids() {
     const std::scoped_lock lock(m_mutex);
-    return m_runs;
+    return m_run_ids;
 }
 
 bool runner_standin::crashes_on(const transport::http_request& request) const {
@@ -200,7 +200,16 @@
         co_return;
     }
     if (request.target() == "/runs") {
-        co_await send_json(writer, status_ok, std::to_string(runs()));
+        co_await send_json(writer, status_ok, std::to_string(run_ids().size()));
+        co_return;
+    }
+    if (request.target() == "/run_ids") {
+        std::string lines;
+        for (const auto& id : run_ids()) {
+            lines += id + "
+                          ";
+        }
+        co_await writer.send(status_ok, transport::content_type_field("text/plain"), lines);
         co_return;
     }
     bool is_head = true;
@@ -208,7 +217,9 @@
     {
         const std::scoped_lock lock(m_mutex);
         is_head = !needs_model || m_record.is_open_head();
-        m_runs += is_head ? 1 : 0;
+        if (is_head) {
+            m_run_ids.push_back(transport::header_of(request, "Attempt-Id"));
+        }
     }
     if (!is_head) {
         co_await send_json(writer, status_misdirected_request, "{}");
--- a/src/standin/runner_standin.h
+++ b/src/standin/runner_standin.h
@@ -21,10 +21,10 @@
     runner_standin(control_switches& switches, std::string id, std::uint64_t started_ms);
 
     /// Serves GET /report, POST /order, GET /runs (number of calls that began to run) and
-    /// GET /orders (received orders and the status of their answers, oldest first), and
-    /// handles any other request as a call. A call with a model gets a
-    /// stream of `max_events` events; a call without a model gets a short body. A call that
-    /// the switches name crashes the process when its first event or its body is due.
+    /// GET /run_ids (their ids, one a line) and GET /orders (received orders and the status of
+    /// their answers, oldest first), and handles any other request as a call. A call with a
+    /// model gets a stream of `max_events` events; a call without a model gets a short body. A
+    /// call that the switches name crashes the process when its first event or its body is due.
     boost::asio::awaitable<void> handle(transport::http_request request,
                                         transport::response_writer& writer);
 
@@ -32,7 +32,7 @@
     static constexpr int max_events = 8;
 
     [[nodiscard]] std::string report();
-    [[nodiscard]] std::uint64_t runs();
+    [[nodiscard]] std::vector<std::string> run_ids();
     [[nodiscard]] std::string orders();
     [[nodiscard]] unsigned receive_order(const std::string& body);
     [[nodiscard]] unsigned apply_order(const std::string& body); // called with m_mutex locked
@@ -44,8 +44,8 @@
     const std::string m_id;
     const std::uint64_t m_started_ms;
     std::mutex m_mutex;
-    state::runner_record m_record;                          // guarded by m_mutex
-    std::uint64_t m_runs = 0;                               // guarded by m_mutex
+    state::runner_record m_record;      // guarded by m_mutex
+    std::vector<std::string> m_run_ids; // of calls that began; guarded by m_mutex
     std::vector<std::pair<std::string, unsigned>> m_orders; // guarded by m_mutex
 };
 
