--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -206,8 +206,7 @@
     if (request.target() == "/run_ids") {
         std::string lines;
         for (const auto& id : run_ids()) {
-            lines += id + "
-                          ";
+            lines += id + "\n";
         }
         co_await writer.send(status_ok, transport::content_type_field("text/plain"), lines);
         co_return;
