Answer what a host has received when it stops

What callers would see: at a stop, a request behind another one on a connection whose close was not announced, and a request on a connection that had just been accepted, were dropped without an answer. A stop without an open request could end the process before its idle connections had been looked at for requests that had arrived.

Restored: a connection serves what has arrived when the stop begins, an accepted connection is served, and a stop waits for connections. The two new tests failed before, in review; all tests of idle connections pass, and the test of stops under load.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -171,7 +171,7 @@
     const auto close_at = std::min(exit_deadline, requested_at + balancer_notice_time);
     wait_condition.wait_until(lock, close_at, [&] { return read_clock() >= close_at; });
     m_caller_server->stop_accepting();
-    while (m_caller_server->open_requests() > 0 && read_clock() < exit_deadline) {
+    while (m_caller_server->open_connections() > 0 && read_clock() < exit_deadline) {
         wait_condition.wait_for(lock, open_calls_check_interval);
     }
     log_info("stopped", {{"open_calls", std::to_string(m_caller_server->open_requests())}});
--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -75,12 +75,11 @@
         const auto self = shared_from_this();
         error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
-        while (!m_server.m_stopping.load()) {
-            if (!co_await wait_for_request()) {
-                break;
-            }
-            if (!co_await serve_request()) {
-                break;
+        bool is_open = true;
+        while (is_open) {
+            is_open = co_await wait_for_request();
+            if (is_open) {
+                is_open = co_await serve_request();
             }
         }
         if (has_unread_bytes()) {
@@ -118,6 +117,9 @@
         if (m_buffer.size() > 0) {
             co_return true;
         }
+        if (m_server.m_stopping.load()) {
+            co_return has_unread_bytes();
+        }
         const auto idle_since = std::chrono::steady_clock::now();
         const auto time_left = [&] {
             return std::chrono::ceil<state::milliseconds>(
@@ -149,7 +151,7 @@
         } catch (const std::exception& error) {
             log_warning("connection_failed", {{"detail", error.what()}});
         }
-        m_server.request_ended();
+        m_server.m_open_requests.fetch_sub(1);
         co_return may_continue;
     }
 
@@ -319,7 +321,7 @@
     while (!m_stopping.load()) {
         auto& context = m_threads.next();
         auto [failed, socket] = co_await m_acceptor.async_accept(context, use_tuple);
-        if (failed == asio::error::operation_aborted || m_stopping.load()) {
+        if (failed == asio::error::operation_aborted) {
             co_return;
         }
         if (failed) {
@@ -360,20 +362,21 @@
 }
 
 void http_server::wait_until_idle() {
-    std::unique_lock lock(m_idle_mutex);
-    m_became_idle.wait(lock, [this] { return m_open_requests.load() == 0; });
+    std::unique_lock lock(m_connections_mutex);
+    m_became_idle.wait(lock, [this] { return m_connections.empty(); });
 }
 
-void http_server::request_ended() {
-    if (m_open_requests.fetch_sub(1) == 1) {
-        const std::scoped_lock lock(m_idle_mutex);
-        m_became_idle.notify_all();
-    }
+std::size_t http_server::open_connections() const {
+    const std::scoped_lock lock(m_connections_mutex);
+    return m_connections.size();
 }
 
 void http_server::remove_connection(std::uint64_t id) {
     const std::scoped_lock lock(m_connections_mutex);
     m_connections.erase(id);
+    if (m_connections.empty()) {
+        m_became_idle.notify_all();
+    }
 }
 
 } // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/http/http_server.h
+++ b/src/savoryrelay/transport/http/http_server.h
@@ -65,9 +65,12 @@
     /// Returns the number of requests that have begun to arrive and whose answers are not
     /// complete.
     [[nodiscard]] std::size_t open_requests() const { return m_open_requests.load(); }
+    /// Returns the number of connections. A connection that is idle for the server may
+    /// carry a request that it has not read yet.
+    [[nodiscard]] std::size_t open_connections() const;
 
-    /// Waits until no request is open. Call it after `stop_accepting` and never on a socket
-    /// thread.
+    /// Waits until all connections are closed. Call it after `stop_accepting` and never on
+    /// a socket thread.
     void wait_until_idle();
 
 private:
@@ -75,7 +78,6 @@
 
     boost::asio::awaitable<void> accept_loop();
     [[nodiscard]] http_limits limits() const { return m_limits_hook ? m_limits_hook() : m_limits; }
-    void request_ended();
     void remove_connection(std::uint64_t id);
 
     io_threads& m_threads;
@@ -88,11 +90,9 @@
     std::atomic<bool> m_closing{false};
     std::atomic<std::size_t> m_open_requests{0};
 
-    std::mutex m_idle_mutex;
-    std::condition_variable m_became_idle; // notified when m_open_requests reaches 0
-
-    std::mutex m_connections_mutex;
-    std::uint64_t m_next_connection = 0; // guarded by m_connections_mutex
+    mutable std::mutex m_connections_mutex;
+    std::condition_variable m_became_idle; // notified when m_connections becomes empty
+    std::uint64_t m_next_connection = 0;   // guarded by m_connections_mutex
     std::unordered_map<std::uint64_t, std::weak_ptr<connection>> m_connections; // guarded
 };
 
--- a/tests/transport/idle_connection_test.cpp
+++ b/tests/transport/idle_connection_test.cpp
@@ -1,5 +1,6 @@
 // Tests that requests on connections that the server is about to close as idle are answered.
 #include "savoryrelay/transport/http/http_server.h"
+#include "savoryrelay/transport/process/pause.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -157,6 +158,58 @@
     stopped.get();
 }
 
+TEST_CASE("a request behind another one is answered at a stop if no close was announced",
+          "[transport][idle]") {
+    transport::io_threads threads{1};
+    std::promise<void> begun;
+    int calls = 0; // used on the server's thread only
+    transport::http_server server(
+        threads, "127.0.0.1", 0, {},
+        [&](transport::http_request, transport::response_writer& writer) -> asio::awaitable<void> {
+            if (++calls == 1) {
+                begun.set_value();
+                co_await transport::pause_for(300ms);
+            }
+            co_await writer.send(200, transport::content_type_field("text/plain"), "ok");
+        });
+    caller kept(server.port());
+    const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    kept.send_text(request + request);
+    begun.get_future().wait();
+    server.stop_accepting();
+    CHECK(kept.receive() == 200);
+    CHECK(kept.receive() == 200);
+    CHECK(kept.receive() == 0);
+    server.wait_until_idle();
+    threads.stop();
+}
+
+TEST_CASE("a request on a connection that was just accepted is answered at a stop",
+          "[transport][idle]") {
+    transport::io_threads threads{2};
+    transport::http_server server(
+        threads, "127.0.0.1", 0, {},
+        [](transport::http_request, transport::response_writer& writer) -> asio::awaitable<void> {
+            co_await writer.send(200, transport::content_type_field("text/plain"), "ok");
+        });
+    const caller first(server.port()); // runs on the first thread
+    std::promise<void> release;
+    std::promise<void> blocked;
+    asio::post(threads.context(1), [&] {
+        blocked.set_value();
+        release.get_future().wait();
+    });
+    blocked.get_future().wait();
+    caller second(server.port());
+    second.send();
+    std::this_thread::sleep_for(100ms); // until the first thread has accepted it
+    server.stop_accepting();
+    release.set_value();
+    CHECK(second.receive() == 200);
+    server.wait_until_idle();
+    threads.stop();
+}
+
 TEST_CASE("a connection whose answer was cut carries no further answer", "[transport][idle]") {
     transport::io_threads threads{1};
     constexpr std::size_t body_bytes = 16 * 1024 * 1024; // more than the sockets buffer
