Check the lease again once the connection for an order is open

An order was checked against the lease, and then a connection could be opened for up to 400 ms before the order was written. A process paused in between would have sent the order when it went on, whatever its lease said then. Runners refuse such an order if they have accepted another since (its sequence) or know a newer epoch, but not otherwise.

Change: run_exchange asks the hook may_send after the connection is open and before the first byte. Orders pass the lease's phase.

tests/transport/short_exchange_test.cpp: without the question in run_exchange the endpoint receives the request and the case fails; with it no byte arrives. 5 runs alone and 3 beside 6 busy processes pass, and the whole transport_tests. paused_host_test.cpp: 5 runs alone 12.3 to 14.3 s; beside 6 busy processes 25.2 to 27.3 s in three runs (the cause of the longer time was not traced) and 14.7 s in a fourth; all pass.

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -375,7 +375,9 @@
     }
     const auto sent_at = m_now();
     const auto answer =
-        co_await platform::send_order(m_pool, runner, order, lease_times.order_timeout);
+        co_await platform::send_order(m_pool, runner, order, lease_times.order_timeout, [this] {
+            return m_lease.phase(groups_lease, m_now()) == state::lease_phase::holding;
+        });
     const auto result = answer.result;
     const auto now = m_now();
     const auto end = result == state::runner_order_result::unknown
--- a/src/savoryrelay/transport/http/short_exchange.cpp
+++ b/src/savoryrelay/transport/http/short_exchange.cpp
@@ -32,6 +32,11 @@
                                      target.address + ": " + failed.message()};
         }
     }
+    // The process may have been paused while the connection was opened.
+    if (target.may_send && !target.may_send()) {
+        co_return state::failure{failure_kind::endpoint_unreachable,
+                                 target.address + ": the request may no longer be sent"};
+    }
     request.prepare_payload();
     if (const auto failed = co_await connection->send(request, target.answer_timeout)) {
         co_return state::failure{failure_kind::endpoint_failed,
--- a/src/savoryrelay/transport/http/short_exchange.h
+++ b/src/savoryrelay/transport/http/short_exchange.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace savoryrelay::transport {
@@ -18,6 +19,7 @@
     std::uint16_t port = 0;
     state::milliseconds connect_timeout{500};
     state::milliseconds answer_timeout{1'000};
+    std::function<bool()> may_send{}; ///< asked once the connection is open; null: always
 };
 
 /// A complete answer.
--- /dev/null
+++ b/tests/transport/short_exchange_test.cpp
@@ -0,0 +1,45 @@
+// Tests that an exchange asks for permission before it sends its request.
+#include "savoryrelay/transport/http/short_exchange.h"
+#include "savoryrelay/transport/process/io_threads.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_future.hpp>
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace savoryrelay;
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+TEST_CASE("a request whose permission ended while its connection was opened is not sent") {
+    constexpr state::milliseconds step_timeout{500};
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    transport::endpoint_pool pool;
+    transport::io_threads threads{1};
+    int questions = 0;
+    const transport::exchange_target target{"127.0.0.1", acceptor.local_endpoint().port(),
+                                            step_timeout, step_timeout, [&] {
+                                                ++questions;
+                                                return false;
+                                            }};
+    const transport::http_request request{boost::beast::http::verb::post, "/order", 11};
+    const auto answer =
+        asio::co_spawn(threads.context(0), transport::run_exchange(pool, target, request),
+                       asio::use_future)
+            .get();
+    CHECK(questions == 1);
+    REQUIRE_FALSE(answer);
+    CHECK(answer.error().kind == state::failure_kind::endpoint_unreachable);
+
+    // The connection was opened and closed without a byte.
+    auto socket = acceptor.accept();
+    std::string received(1, '\0');
+    boost::system::error_code ended;
+    CHECK(asio::read(socket, asio::buffer(received), ended) == 0);
+    CHECK(ended == asio::error::eof);
+}
