--- a/src/savoryrelay/coordination/serving/call_progress.cpp
+++ b/src/savoryrelay/coordination/serving/call_progress.cpp
@@ -1,12 +1,24 @@
 // Counts the attempts of a call and compares them with the limits of its route.
 #include "savoryrelay/coordination/serving/call_progress.h"
 
-#include <utility>
+#include <cassert>
 
 namespace savoryrelay::coordination {
 
+silence_step decide_on_silence(const silence_hooks& hooks) {
+    if (hooks.is_over()) {
+        return silence_step::give_up;
+    }
+    if (hooks.has_kept_answer() || hooks.prepare_next()) {
+        return silence_step::hand_over;
+    }
+    return hooks.is_lost() ? silence_step::give_up : silence_step::wait;
+}
+
 void call_progress::note(attempt_outcome outcome, bool endpoint_ended) {
     ++m_attempts;
+    assert(m_open > 0);
+    --m_open;
     switch (outcome) {
     case attempt_outcome::delivered:
     case attempt_outcome::caller_gone:
@@ -24,22 +36,24 @@
     }
 }
 
-bool call_progress::allows_repeat(std::uint32_t runs) const {
-    return m_route.may_run_again() && runs < m_route.max_attempts;
-}
-
-bool call_progress::may_attempt() {
+bool call_progress::allows_attempt() const {
     if (m_has_ended || m_refusals > max_refusals) {
         return false;
     }
-    if (m_may_have_run && !allows_repeat(m_runs)) {
+    const bool may_have_run = m_may_have_run || m_open > 0;
+    return !may_have_run || (m_route.may_run_again() && m_runs + m_open < m_route.max_attempts);
+}
+
+bool call_progress::may_attempt() {
+    if (!allows_attempt()) {
         return false;
     }
-    return m_attempts == 0 || std::exchange(m_has_reserved, false) || m_take_repeat();
+    const bool is_first = m_attempts == 0 && m_open == 0;
+    return is_first || std::exchange(m_has_reserved, false) || m_take_repeat();
 }
 
 bool call_progress::reserve_attempt() {
-    m_has_reserved = m_has_reserved || (allows_repeat(m_runs + 1) && m_take_repeat());
+    m_has_reserved = m_has_reserved || (allows_attempt() && m_take_repeat());
     return m_has_reserved;
 }
 
--- a/src/savoryrelay/coordination/serving/call_progress.h
+++ b/src/savoryrelay/coordination/serving/call_progress.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <utility>
 
 namespace savoryrelay::coordination {
 
@@ -58,6 +59,28 @@
 /// hosts share. Returns false when the budget is used up.
 using take_repeat_hook = std::function<bool()>;
 
+/// What a call does while its current endpoint is silent for too long.
+enum class silence_step {
+    wait,      ///< it waits for this endpoint
+    hand_over, ///< it keeps this attempt open and turns to another endpoint
+    give_up,   ///< the attempt has failed, since the endpoint cannot answer any more
+};
+
+/// Facts on which the decision about a silent endpoint depends, each read only when needed.
+struct silence_hooks {
+    /// Returns whether the caller is gone or the deadline has passed.
+    std::function<bool()> is_over;
+    /// Returns whether an endpoint that was kept before has sent something meanwhile.
+    std::function<bool()> has_kept_answer;
+    /// Selects the endpoint of another attempt and reserves the attempt.
+    std::function<bool()> prepare_next;
+    /// Returns whether the endpoint no longer serves.
+    std::function<bool()> is_lost;
+};
+
+/// Decides what a call does while its current endpoint is silent for too long.
+[[nodiscard]] silence_step decide_on_silence(const silence_hooks& hooks);
+
 /// Tracks the attempts of one call. Not thread-safe.
 class call_progress {
 public:
@@ -67,6 +90,10 @@
     call_progress(const state::route_rule& route, take_repeat_hook take_repeat)
         : m_route(route), m_take_repeat(std::move(take_repeat)) {}
 
+    /// Records that an attempt begins. It is open until `note` records its end. Several are
+    /// open while the call keeps silent endpoints.
+    void begin_attempt() { ++m_open; }
+
     /// Records the end of an attempt. Pass true for `endpoint_ended` when the
     /// endpoint's process has ended; the attempt then does not count towards the
     /// number of endpoints that may have run the call.
@@ -76,8 +103,8 @@
     /// this also takes one repeat from the budget, unless one is reserved.
     [[nodiscard]] bool may_attempt();
 
-    /// Returns whether another attempt may follow if the current one is lost, and takes the
-    /// repeat for it from the budget. A call stays with a silent endpoint otherwise.
+    /// Returns whether another attempt may begin while the open ones stay open, and takes
+    /// the repeat for it from the budget. A call stays with a silent endpoint otherwise.
     [[nodiscard]] bool reserve_attempt();
 
     /// Returns `not_run` if no endpoint has run the call, and `unknown` if one may have.
@@ -87,12 +114,13 @@
     [[nodiscard]] std::uint32_t attempts() const { return m_attempts; }
 
 private:
-    /// Returns whether the route allows an attempt after `runs` that may have run the call.
-    [[nodiscard]] bool allows_repeat(std::uint32_t runs) const;
+    /// Returns whether the outcomes of the earlier attempts and the route allow another one.
+    [[nodiscard]] bool allows_attempt() const;
 
     const state::route_rule& m_route;
     take_repeat_hook m_take_repeat;
-    std::uint32_t m_attempts = 0;
+    std::uint32_t m_attempts = 0; // attempts that have ended
+    std::uint32_t m_open = 0;     // attempts that have begun and not ended; each may have run
     std::uint32_t m_refusals = 0;
     std::uint32_t m_runs = 0;    // attempts that may have run, on endpoints that have not ended
     bool m_has_reserved = false; // a repeat was taken for the next attempt
--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -172,6 +172,12 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool endpoint_connection::has_unread_bytes() {
+    char byte = 0;
+    return ::recv(m_stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >
+           0;
+}
+
 void endpoint_connection::close() {
     error_code ignored;
     m_stream.socket().close(ignored);
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -75,6 +75,8 @@
     /// `share` of `keep_alive_timeout`, or of `default_keep_alive_timeout` if the peer
     /// states no timeout.
     [[nodiscard]] bool usable_when_idle(state::time_point now, double share);
+    /// Returns true if bytes of the peer have arrived that were not read.
+    [[nodiscard]] bool has_unread_bytes();
     /// Closes the connection at once.
     void close();
 
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -13,7 +13,7 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 using coordination::attempt_outcome;
-using coordination::selected_endpoint;
+using coordination::silence_step;
 using state::milliseconds;
 
 namespace {
@@ -48,7 +48,8 @@
             end.reason = "answer is not whole at the deadline";
             co_return end;
         }
-        const auto [failed, size] = co_await call.connection->read_some(asio::buffer(buffer), left);
+        const auto [failed, size] =
+            co_await call.current->connection->read_some(asio::buffer(buffer), left);
         if (failed || end.body.size() + size > max_whole_answer_bytes) {
             end.reason = "answer is not whole: " + failed.message();
             end.endpoint_ended = failed == asio::error::connection_reset;
@@ -63,13 +64,12 @@
     }
 }
 
-asio::awaitable<serving_front::attempt_result>
-serving_front::relay_answer(call_state& call, const selected_endpoint&) {
+asio::awaitable<serving_front::attempt_result> serving_front::relay_answer(call_state& call) {
     // Answers to earlier requests may still arrive on this connection. Each answer
     // carries the id of its request.
     constexpr int max_mismatched_answers = 3;
     for (int i = 0; i <= max_mismatched_answers; ++i) {
-        if (const auto failed = co_await call.connection->read_header(
+        if (const auto failed = co_await call.current->connection->read_header(
                 std::max(milliseconds(1), time_until(call.deadline, m_dependencies.now())))) {
             attempt_result end;
             end.reason = "no answer: " + failed.message();
@@ -77,15 +77,15 @@
             end.closed_by_endpoint = is_closed_by_peer(failed);
             co_return end;
         }
-        const auto status = call.connection->status();
-        const auto fields = call.connection->fields();
+        const auto status = call.current->connection->status();
+        const auto fields = call.current->connection->fields();
         const auto answer = m_dependencies.codec.decode_answer(status, fields);
         auto end = co_await read_whole_answer(call);
         if (end.outcome != attempt_outcome::delivered) {
             co_return end;
         }
         if (answer.request_id != call.decoded.id.value() && !answer.is_not_run) {
-            call.connection->expect_another_answer();
+            call.current->connection->expect_another_answer();
             continue;
         }
         end.status = status;
@@ -112,10 +112,12 @@
     co_return end;
 }
 
-asio::awaitable<serving_front::attempt_result>
-serving_front::relay_stream(call_state& call, const selected_endpoint& chosen, bool& is_writing) {
+asio::awaitable<serving_front::attempt_result> serving_front::relay_stream(call_state& call,
+                                                                           bool is_resumed) {
     attempt_result end;
-    const auto sent_at = m_dependencies.now();
+    auto& attempt = *call.current;
+    auto& connection = *attempt.connection;
+    const auto& runner = attempt.chosen.runner.record;
     const auto failed_with = [&](std::string reason, const error_code& failed) {
         end.reason = std::move(reason) + ": " + failed.message();
         end.endpoint_ended = failed == asio::error::connection_reset;
@@ -128,24 +130,37 @@
             std::max(milliseconds(1), time_until(call.deadline, m_dependencies.now())));
     };
     const auto first_limit =
-        std::max(milliseconds(static_cast<std::int64_t>(2 * chosen.predicted_first_event_ms)),
-                 call.route->first_answer_target) +
+        std::max(
+            milliseconds(static_cast<std::int64_t>(2 * attempt.chosen.predicted_first_event_ms)),
+            call.route->first_answer_target) +
         first_event_margin;
     const auto gap_limit = std::max(
         min_event_gap_limit,
         std::chrono::duration_cast<milliseconds>(call.route->event_gap_target * event_gap_factor));
 
-    error_code no_header = co_await call.connection->read_header(bounded_by_deadline(first_limit));
-    while (no_header == asio::error::operation_aborted &&
-           !leaves_silent_endpoint(call, chosen.runner.record)) {
-        no_header =
-            co_await call.connection->read_header(bounded_by_deadline(silence_check_interval));
-    }
-    if (no_header) {
-        co_return failed_with("no answer", no_header);
+    if (!attempt.has_header) {
+        auto no_header = co_await connection.read_header(
+            bounded_by_deadline(is_resumed ? silence_check_interval : first_limit));
+        while (no_header == asio::error::operation_aborted) {
+            const auto step = handle_silence(call);
+            if (step == silence_step::hand_over) {
+                end.is_kept = true;
+                co_return end;
+            }
+            if (step == silence_step::give_up) {
+                break;
+            }
+            no_header =
+                co_await connection.read_header(bounded_by_deadline(silence_check_interval));
+        }
+        if (no_header) {
+            co_return failed_with("no answer", no_header);
+        }
+        attempt.has_header = true;
+        call.events.resume();
     }
-    const auto status = call.connection->status();
-    const auto fields = call.connection->fields();
+    const auto status = connection.status();
+    const auto fields = connection.fields();
     const auto answer = m_dependencies.codec.decode_answer(status, fields);
     if (status != status_ok || answer.request_id != call.decoded.id.value()) {
         end = co_await read_whole_answer(call);
@@ -170,21 +185,26 @@
     // Relay each event once it is complete. The answer's header is sent together
     // with the first event, so that until then the answer of another endpoint can
     // replace this one.
-    call.events.resume();
     std::vector<char> buffer(read_buffer_bytes);
     // Only a new event is progress.
     auto progress_at = m_dependencies.now();
-    auto check_at = progress_at + first_limit;
+    auto check_at = progress_at + (is_resumed ? silence_check_interval : first_limit);
     while (true) {
         const auto left = bounded_by_deadline(time_until(check_at, m_dependencies.now()));
-        const auto [failed, size] = co_await call.connection->read_some(asio::buffer(buffer), left);
-        if (failed == asio::error::operation_aborted &&
-            !leaves_silent_endpoint(call, chosen.runner.record)) {
-            check_at = m_dependencies.now() + silence_check_interval;
-            continue;
+        const auto [failed, size] = co_await connection.read_some(asio::buffer(buffer), left);
+        if (failed == asio::error::operation_aborted) {
+            const auto step = handle_silence(call);
+            if (step == silence_step::hand_over) {
+                end.is_kept = true;
+                co_return end;
+            }
+            if (step == silence_step::wait) {
+                check_at = m_dependencies.now() + silence_check_interval;
+                continue;
+            }
         }
         if (failed) {
-            co_return failed_with(is_writing ? "stream broke off" : "no event", failed);
+            co_return failed_with(attempt.is_writing ? "stream broke off" : "no event", failed);
         }
         if (size == 0) {
             if (call.events.has_partial_event()) {
@@ -193,7 +213,7 @@
             }
             break;
         }
-        m_dependencies.fleet.note_answer(chosen.runner.record.id, m_dependencies.now());
+        m_dependencies.fleet.note_answer(runner.id, m_dependencies.now());
         const std::string_view received(buffer.data(), size);
         const auto appended = state::collect([&] { return call.events.append(received); });
         if (!appended) {
@@ -204,20 +224,20 @@
         if (ready.empty()) {
             // Unlike silence, bytes that complete no event come from a faulty endpoint.
             const auto now = m_dependencies.now();
-            if (now - progress_at >= (is_writing ? gap_limit : first_limit) ||
+            if (now - progress_at >= (attempt.is_writing ? gap_limit : first_limit) ||
                 now >= call.deadline) {
-                end.reason = is_writing ? "stream made no progress" : "no event";
+                end.reason = attempt.is_writing ? "stream made no progress" : "no event";
                 co_return end;
             }
             continue;
         }
-        if (!is_writing) {
-            is_writing = true;
+        end_kept_attempts(call);
+        if (!attempt.is_writing) {
+            attempt.is_writing = true;
             m_dependencies.correction.learn(
-                call.decoded.model, chosen.uncorrected_first_event_ms,
-                static_cast<double>(time_until(m_dependencies.now(), sent_at).count()));
-            m_dependencies.loads.note_first_event(chosen.runner.record.id,
-                                                  call.decoded.prompt_tokens);
+                call.decoded.model, attempt.chosen.uncorrected_first_event_ms,
+                static_cast<double>(time_until(m_dependencies.now(), attempt.sent_at).count()));
+            m_dependencies.loads.note_first_event(runner.id, call.decoded.prompt_tokens);
             m_dependencies.crashes.record_answer(call.fingerprints, m_dependencies.now());
         }
         if (!call.writer.started()) {
@@ -241,6 +261,7 @@
         progress_at = m_dependencies.now();
         check_at = progress_at + gap_limit;
     }
+    end_kept_attempts(call);
     if (!call.writer.started()) {
         call.status = status;
         co_await call.writer.start(status, m_dependencies.codec.select_caller_fields(fields));
--- /dev/null
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -0,0 +1,266 @@
+// Attempts of one call at its endpoints: selects the endpoint, sends the request, keeps a
+// silent attempt while another endpoint is tried, and notes how an attempt ended.
+#include "savoryrelay/transport/serving/call_state.h"
+
+#include "savoryrelay/transport/process/log.h"
+#include "savoryrelay/transport/process/pause.h"
+
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace savoryrelay::transport {
+
+namespace asio = boost::asio;
+using coordination::attempt_outcome;
+using coordination::selected_endpoint;
+using state::milliseconds;
+
+namespace {
+
+// A round trip inside a region takes some milliseconds. An endpoint that does not
+// accept a connection within this time is dead or unreachable.
+constexpr milliseconds connect_timeout{250};
+constexpr milliseconds send_timeout{1'000};
+// An endpoint that did not answer gets no call for this long.
+constexpr milliseconds avoidance_after_failure{500};
+// A call that may not be repeated uses an idle connection only during this fraction
+// of the peer's keep-alive timeout. If the peer closed the connection early, the
+// outcome of the call would be unknown.
+constexpr double non_repeatable_idle_share = 0.25;
+// A call waits for a free endpoint for at most this fraction of its target for the
+// first answer. The longer the front holds a call, the more time the caller loses
+// if the call is then refused.
+constexpr double queue_target_share = 0.3;
+constexpr milliseconds max_queue_time{200};
+constexpr milliseconds queue_poll_interval{20};
+
+} // namespace
+
+asio::awaitable<std::variant<selected_endpoint, coordination::selection_failure>>
+serving_front::wait_for_endpoint(call_state& call) {
+    if (auto prepared = std::exchange(call.next_endpoint, std::nullopt)) {
+        co_return std::move(*prepared);
+    }
+    const auto started_at = m_dependencies.now();
+    const auto max_wait =
+        std::min(max_queue_time, std::chrono::duration_cast<milliseconds>(
+                                     call.route->first_answer_target * queue_target_share));
+    while (true) {
+        const auto now = m_dependencies.now();
+        auto selected = m_dependencies.selector.select(*call.service, call.decoded, call.tried,
+                                                       time_until(call.deadline, now), now);
+        if (std::holds_alternative<selected_endpoint>(selected) || now - started_at >= max_wait ||
+            call.caller_is_gone) {
+            co_return selected;
+        }
+        co_await pause_for(queue_poll_interval);
+    }
+}
+
+coordination::silence_step serving_front::handle_silence(call_state& call) {
+    const auto now = m_dependencies.now();
+    const auto& endpoint = call.current->chosen.runner.record;
+    return coordination::decide_on_silence(
+        {.is_over = [&] { return call.caller_is_gone || now >= call.deadline; },
+         .has_kept_answer =
+             [&] {
+                 return std::any_of(call.kept.begin(), call.kept.end(), [](const auto& attempt) {
+                     return attempt->connection->has_unread_bytes();
+                 });
+             },
+         .prepare_next = [&] { return prepare_next_attempt(call); },
+         .is_lost =
+             [&] {
+                 m_dependencies.report_suspect(endpoint.id);
+                 const auto known = m_dependencies.fleet.find(endpoint.id);
+                 // The controller alone may find an endpoint silent because the controller is
+                 // slow.
+                 const bool is_gone = !known || (known->silent_since && !known->is_listed(now));
+                 return is_gone || known->record.started_ms != endpoint.started_ms ||
+                        (call.service->engine && !known->record.is_head());
+             }});
+}
+
+bool serving_front::prepare_next_attempt(call_state& call) {
+    const auto now = m_dependencies.now();
+    if (m_dependencies.crashes.time_quarantined(call.fingerprints, now)) {
+        return false;
+    }
+    auto selected = m_dependencies.selector.select(*call.service, call.decoded, call.tried,
+                                                   time_until(call.deadline, now), now);
+    auto* endpoint = std::get_if<selected_endpoint>(&selected);
+    if (endpoint == nullptr || !call.progress->reserve_attempt()) {
+        return false;
+    }
+    call.next_endpoint = std::move(*endpoint);
+    return true;
+}
+
+bool serving_front::return_to_kept_attempt(call_state& call) {
+    if (call.kept.empty() || call.next_endpoint) {
+        return false;
+    }
+    auto returned = std::find_if(call.kept.begin(), call.kept.end(), [](const auto& attempt) {
+        return attempt->connection->has_unread_bytes();
+    });
+    if (returned == call.kept.end()) {
+        if (prepare_next_attempt(call)) {
+            return false;
+        }
+        returned = call.kept.begin();
+    }
+    call.current = std::move(*returned);
+    call.kept.erase(returned);
+    call.events = std::move(call.current->kept_events);
+    call.endpoint = call.current->chosen.runner.record.id.value();
+    call.predicted_ms = call.current->chosen.predicted_first_event_ms;
+    return true;
+}
+
+void serving_front::end_kept_attempts(call_state& call) {
+    for (const auto& attempt : std::exchange(call.kept, {})) {
+        attempt_result end;
+        end.reason = "silent";
+        call.progress->note(end.outcome, end.endpoint_ended);
+        report_failed_attempt(call, *attempt, end);
+    }
+}
+
+asio::awaitable<serving_front::attempt_result> serving_front::try_endpoint(call_state& call) {
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    auto& attempt = *call.current;
+    const auto& runner = attempt.chosen.runner.record;
+    attempt_result end;
+
+    // Take or open a connection. The request cannot have run before it is sent.
+    attempt.connection = m_pool.take(context, runner.address, runner.port,
+                                     call.route->may_run_again() ? endpoint_pool::default_idle_share
+                                                                 : non_repeatable_idle_share);
+    if (attempt.connection == nullptr) {
+        attempt.connection = std::make_unique<endpoint_connection>(context);
+        const auto failed = co_await attempt.connection->connect(
+            runner.address, runner.port,
+            std::min(connect_timeout, time_until(call.deadline, m_dependencies.now())));
+        if (failed) {
+            if (!call.caller_is_gone) {
+                avoid(runner.id);
+            }
+            end.outcome = attempt_outcome::not_run;
+            end.reason = "connect: " + failed.message();
+            co_return end;
+        }
+    }
+    if (call.caller_is_gone) {
+        co_return end;
+    }
+    endpoint_request_values added_values;
+    added_values.endpoint = runner.id;
+    added_values.customer = call.customer;
+    added_values.last_event = call.last_event;
+    if (call.decoded.deadline) {
+        added_values.time_left =
+            time_until(call.arrived + *call.decoded.deadline, m_dependencies.now());
+    } else {
+        added_values.time_left = time_until(call.deadline, m_dependencies.now());
+    }
+    const auto request = m_dependencies.codec.make_endpoint_request(call.request, added_values);
+    attempt.counted.emplace(m_dependencies.loads, runner.id, call.decoded.prompt_tokens,
+                            attempt.is_writing);
+    if (const auto failed = co_await attempt.connection->send(request, send_timeout)) {
+        end.reason = "send: " + failed.message();
+        end.endpoint_ended = failed == asio::error::connection_reset;
+        end.closed_by_endpoint = is_closed_by_peer(failed);
+    } else if (call.route->kind == state::call_kind::streaming) {
+        attempt.sent_at = m_dependencies.now();
+        end = co_await relay_stream(call, false);
+    } else {
+        end = co_await relay_answer(call);
+    }
+    conclude_attempt(call, end, context);
+    co_return end;
+}
+
+asio::awaitable<serving_front::attempt_result> serving_front::resume_attempt(call_state& call) {
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    auto end = co_await relay_stream(call, true);
+    conclude_attempt(call, end, context);
+    co_return end;
+}
+
+void serving_front::conclude_attempt(call_state& call, const attempt_result& end,
+                                     asio::io_context& context) {
+    auto& attempt = *call.current;
+    const auto& runner = attempt.chosen.runner.record;
+    if (end.is_kept) {
+        avoid(runner.id);
+        return;
+    }
+    attempt.counted.reset();
+    if (end.outcome == attempt_outcome::not_run && call.service->engine) {
+        m_dependencies.fleet.note_refusal(runner.id, m_dependencies.now());
+    }
+    if (end.outcome == attempt_outcome::lost && !call.caller_is_gone) {
+        avoid(runner.id);
+        if (end.closed_by_endpoint && !attempt.is_writing) {
+            report_close(call, runner);
+        }
+    }
+    // A stream that fails before its first event shows nothing.
+    if (call.route->kind != state::call_kind::streaming &&
+        (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed)) {
+        m_dependencies.crashes.record_answer(call.fingerprints, m_dependencies.now());
+    }
+    if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
+        end.outcome == attempt_outcome::not_run) {
+        if (attempt.connection->reusable()) {
+            m_pool.keep(context, runner.address, runner.port, std::move(attempt.connection));
+        }
+    }
+}
+
+void serving_front::avoid(const state::endpoint_id& endpoint) {
+    m_dependencies.fleet.avoid(endpoint, m_dependencies.now() + avoidance_after_failure);
+    m_dependencies.report_suspect(endpoint);
+}
+
+void serving_front::report_failed_attempt(const call_state& call, const open_attempt& attempt,
+                                          const attempt_result& end) {
+    m_dependencies.metrics
+        .counter_of("savoryrelay_attempts_failed_total",
+                    {{"endpoint", call.service->name},
+                     {"outcome", std::string(state::to_name(end.outcome))}})
+        .add();
+    log_info("attempt_failed", {{"id", call.decoded.id.value()},
+                                {"endpoint", attempt.chosen.runner.record.id.value()},
+                                {"outcome", std::string(state::to_name(end.outcome))},
+                                {"reason", end.reason}});
+}
+
+void serving_front::report_close(const call_state& call, const state::runner_record& endpoint) {
+    m_dependencies.crashes.record_crash(endpoint.id, endpoint.started_ms, call.fingerprints,
+                                        m_dependencies.now());
+    m_dependencies.metrics
+        .counter_of("savoryrelay_calls_closed_by_endpoint_total",
+                    {{"endpoint", call.service->name}})
+        .add();
+    std::string parts;
+    for (const auto& part : call.decoded.shared_prompt_parts) {
+        parts += (parts.empty() ? "" : ",") + part;
+    }
+    std::string fingerprints;
+    for (const auto fingerprint : call.fingerprints) {
+        fingerprints += (fingerprints.empty() ? "" : ",") + coordination::to_text(fingerprint);
+    }
+    log_info("closed_by_endpoint", {{"id", call.decoded.id.value()},
+                                    {"endpoint", endpoint.id.value()},
+                                    {"started_ms", std::to_string(endpoint.started_ms)},
+                                    {"prompt_parts", parts},
+                                    {"fingerprints", fingerprints}});
+}
+
+} // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -20,6 +20,41 @@
     return std::chrono::duration_cast<state::milliseconds>(deadline - now);
 }
 
+/// Counts a call as load of its endpoint from the construction to the destruction.
+class counted_call {
+public:
+    /// `is_writing` is read at the destruction.
+    counted_call(coordination::load_tracker& loads, const state::endpoint_id& endpoint,
+                 double prompt_tokens, const bool& is_writing)
+        : m_loads(loads), m_endpoint(endpoint), m_prompt_tokens(prompt_tokens),
+          m_is_writing(is_writing) {
+        m_loads.begin_call(m_endpoint, m_prompt_tokens);
+    }
+    ~counted_call() { m_loads.end_call(m_endpoint, m_prompt_tokens, m_is_writing); }
+    counted_call(const counted_call&) = delete;
+    counted_call& operator=(const counted_call&) = delete;
+
+private:
+    coordination::load_tracker& m_loads;
+    const state::endpoint_id& m_endpoint;
+    double m_prompt_tokens;
+    const bool& m_is_writing;
+};
+
+/// An attempt whose request was sent or is about to be. Not movable, because the counted
+/// call refers to it.
+struct serving_front::open_attempt {
+    explicit open_attempt(coordination::selected_endpoint selected) : chosen(std::move(selected)) {}
+
+    coordination::selected_endpoint chosen;
+    std::unique_ptr<endpoint_connection> connection;
+    bool is_writing = false;             // true after the first event was received
+    std::optional<counted_call> counted; // set while the endpoint may work on the call
+    state::time_point sent_at{};
+    bool has_header = false;              // the header of a stream was read
+    protocol::event_splitter kept_events; // the call's splitter while the attempt is kept
+};
+
 /// State of a call while the front serves it.
 struct serving_front::call_state {
     call_state(http_request received, response_writer& answer)
@@ -36,13 +71,15 @@
     state::time_point arrived{};
     state::time_point deadline{};
     bool caller_is_gone = false;
-    std::unique_ptr<endpoint_connection> connection; // of the current attempt
+    std::unique_ptr<open_attempt> current;
+    /// Attempts at silent endpoints, which are kept until another endpoint sends an event.
+    std::vector<std::unique_ptr<open_attempt>> kept;
     protocol::event_splitter events;
     bool has_relayed_events = false;         // true after an event was sent to the caller
     std::optional<std::uint64_t> last_event; // number of the last event sent to the caller
     std::set<state::endpoint_id> tried;
     coordination::call_progress* progress = nullptr; // set while attempts run
-    /// Selected before the current attempt was given up.
+    /// Selected before the call turned away from the current attempt.
     std::optional<coordination::selected_endpoint> next_endpoint;
     std::uint32_t attempts = 0;
     coordination::call_outcome outcome = coordination::call_outcome::delivered;
@@ -52,11 +89,21 @@
     std::string endpoint;
     std::optional<state::time_point> first_byte;
     double predicted_ms = 0;
+
+    void close_connections() {
+        if (current != nullptr && current->connection != nullptr) {
+            current->connection->close();
+        }
+        for (const auto& attempt : kept) {
+            attempt->connection->close();
+        }
+    }
 };
 
 /// Result of one attempt.
 struct serving_front::attempt_result {
     coordination::attempt_outcome outcome = coordination::attempt_outcome::lost;
+    bool is_kept = false;            // the endpoint is silent; the attempt has not ended
     bool endpoint_ended = false;     // the connection was reset: the endpoint's process has ended
     bool closed_by_endpoint = false; // the connection ended before the answer was complete
     std::string reason;
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -5,8 +5,6 @@
 #include "savoryrelay/transport/process/log.h"
 #include "savoryrelay/transport/process/pause.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -30,29 +28,14 @@
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_timeout = 504;
 
-// A round trip inside a region takes some milliseconds. An endpoint that does not
-// accept a connection within this time is dead or unreachable.
-constexpr milliseconds connect_timeout{250};
-constexpr milliseconds send_timeout{1'000};
 // Deadline of a call that has none, on a route without a time-out.
 constexpr milliseconds default_deadline{30'000};
-// An endpoint that did not answer gets no call for this long.
-constexpr milliseconds avoidance_after_failure{500};
-// A call that may not be repeated uses an idle connection only during this fraction
-// of the peer's keep-alive timeout. If the peer closed the connection early, the
-// outcome of the call would be unknown.
-constexpr double non_repeatable_idle_share = 0.25;
 // A call that fails less than this time before its deadline is reported as timed out,
 // because a wait until the deadline can end slightly early.
 constexpr milliseconds deadline_accuracy{20};
-// A call waits for a free endpoint for at most this fraction of its target for the
-// first answer. The longer the front holds a call, the more time the caller loses
-// if the call is then refused.
-constexpr double queue_target_share = 0.3;
-constexpr milliseconds max_queue_time{200};
-constexpr milliseconds queue_poll_interval{20};
 // How long a call waits on a host that has just started and has no configuration yet.
 constexpr milliseconds configuration_wait{250};
+constexpr milliseconds configuration_poll_interval{20};
 // Values of the Retry-After field of a refusal. A group can form within
 // `retry_after_refusal`.
 constexpr milliseconds retry_after_refusal{1'000};
@@ -61,27 +44,6 @@
 
 constexpr double ms_per_s = 1'000;
 
-/// Counts a call as load of its endpoint from the construction to the destruction.
-class counted_call {
-public:
-    /// `is_writing` is read at the destruction.
-    counted_call(coordination::load_tracker& loads, const state::endpoint_id& endpoint,
-                 double prompt_tokens, const bool& is_writing)
-        : m_loads(loads), m_endpoint(endpoint), m_prompt_tokens(prompt_tokens),
-          m_is_writing(is_writing) {
-        m_loads.begin_call(m_endpoint, m_prompt_tokens);
-    }
-    ~counted_call() { m_loads.end_call(m_endpoint, m_prompt_tokens, m_is_writing); }
-    counted_call(const counted_call&) = delete;
-    counted_call& operator=(const counted_call&) = delete;
-
-private:
-    coordination::load_tracker& m_loads;
-    const state::endpoint_id& m_endpoint;
-    double m_prompt_tokens;
-    const bool& m_is_writing;
-};
-
 } // namespace
 
 serving_front::serving_front(serving_dependencies dependencies)
@@ -95,7 +57,7 @@
 
     while (call.configuration->version == 0 &&
            m_dependencies.now() - call.arrived < configuration_wait) {
-        co_await pause_for(queue_poll_interval);
+        co_await pause_for(configuration_poll_interval);
         call.configuration = m_dependencies.configuration();
     }
     if (call.configuration->version == 0) {
@@ -154,9 +116,7 @@
     }
     writer.on_caller_gone([&call] {
         call.caller_is_gone = true;
-        if (call.connection != nullptr) {
-            call.connection->close();
-        }
+        call.close_connections();
     });
     call.caller_is_gone = writer.is_caller_gone(); // while the configuration was awaited
     co_await run_attempts(call);
@@ -180,42 +140,53 @@
     std::optional<attempt_result> failure;
     std::string reason;
     auto retry_after = retry_after_refusal;
-    while (progress.may_attempt()) {
+    while (true) {
         const auto now = m_dependencies.now();
         if (call.caller_is_gone) {
-            call.outcome = call_outcome::abandoned;
-            call.reason = "caller_gone";
-            co_return;
-        }
-        const auto left = time_until(call.deadline, now);
-        if (left <= milliseconds(0)) {
-            reason = "deadline";
             break;
         }
-        if (const auto time_left =
-                m_dependencies.crashes.time_quarantined(call.fingerprints, now)) {
-            reason = state::properties_of(state::failure_kind::request_quarantined).name;
-            retry_after = *time_left;
+        if (time_until(call.deadline, now) <= milliseconds(0)) {
+            reason = "deadline";
             break;
         }
-        const auto selected = co_await wait_for_endpoint(call);
-        if (call.caller_is_gone) {
-            continue;
-        }
-        if (const auto* none = std::get_if<coordination::selection_failure>(&selected)) {
-            reason = state::to_name(*none);
-            break;
+        attempt_result end;
+        if (return_to_kept_attempt(call)) {
+            end = co_await resume_attempt(call);
+        } else {
+            if (!progress.may_attempt()) {
+                break;
+            }
+            if (const auto time_left =
+                    m_dependencies.crashes.time_quarantined(call.fingerprints, now)) {
+                reason = state::properties_of(state::failure_kind::request_quarantined).name;
+                retry_after = *time_left;
+                break;
+            }
+            auto selected = co_await wait_for_endpoint(call);
+            if (call.caller_is_gone) {
+                break;
+            }
+            if (const auto* none = std::get_if<coordination::selection_failure>(&selected)) {
+                reason = state::to_name(*none);
+                break;
+            }
+            auto& chosen = std::get<selected_endpoint>(selected);
+            call.predicted_ms = chosen.predicted_first_event_ms;
+            call.endpoint = chosen.runner.record.id.value();
+            call.tried.insert(chosen.runner.record.id);
+            ++call.attempts;
+            progress.begin_attempt();
+            call.current = std::make_unique<open_attempt>(std::move(chosen));
+            end = co_await try_endpoint(call);
         }
-        const auto& chosen = std::get<selected_endpoint>(selected);
-        call.predicted_ms = chosen.predicted_first_event_ms;
-        call.endpoint = chosen.runner.record.id.value();
-        call.tried.insert(chosen.runner.record.id);
-        ++call.attempts;
-        auto end = co_await try_endpoint(call, chosen);
-        call.connection.reset();
         if (call.caller_is_gone) {
             end.outcome = attempt_outcome::caller_gone;
+        } else if (end.is_kept) {
+            call.current->kept_events = call.events;
+            call.kept.push_back(std::move(call.current));
+            continue;
         }
+        const auto attempt = std::move(call.current);
         progress.note(end.outcome, end.endpoint_ended);
         reason = end.reason;
         if (end.outcome == attempt_outcome::delivered ||
@@ -227,19 +198,12 @@
             }
             co_return;
         }
-        m_dependencies.metrics
-            .counter_of("savoryrelay_attempts_failed_total",
-                        {{"endpoint", call.service->name},
-                         {"outcome", std::string(state::to_name(end.outcome))}})
-            .add();
-        log_info("attempt_failed", {{"id", call.decoded.id.value()},
-                                    {"endpoint", call.endpoint},
-                                    {"outcome", std::string(state::to_name(end.outcome))},
-                                    {"reason", end.reason}});
+        report_failed_attempt(call, *attempt, end);
         if (end.outcome == attempt_outcome::failed) {
             failure = std::move(end);
         }
     }
+    end_kept_attempts(call);
     if (call.caller_is_gone) {
         call.writer.abandon();
         call.outcome = call_outcome::abandoned;
@@ -270,133 +234,6 @@
     co_await refuse(call, is_late ? status_timeout : status_bad_gateway, reason, milliseconds(0));
 }
 
-asio::awaitable<std::variant<selected_endpoint, coordination::selection_failure>>
-serving_front::wait_for_endpoint(call_state& call) {
-    if (auto prepared = std::exchange(call.next_endpoint, std::nullopt)) {
-        co_return std::move(*prepared);
-    }
-    const auto started_at = m_dependencies.now();
-    const auto max_wait =
-        std::min(max_queue_time, std::chrono::duration_cast<milliseconds>(
-                                     call.route->first_answer_target * queue_target_share));
-    while (true) {
-        const auto now = m_dependencies.now();
-        auto selected = m_dependencies.selector.select(*call.service, call.decoded, call.tried,
-                                                       time_until(call.deadline, now), now);
-        if (std::holds_alternative<selected_endpoint>(selected) || now - started_at >= max_wait ||
-            call.caller_is_gone) {
-            co_return selected;
-        }
-        co_await pause_for(queue_poll_interval);
-    }
-}
-
-bool serving_front::leaves_silent_endpoint(call_state& call, const state::runner_record& endpoint) {
-    const auto now = m_dependencies.now();
-    if (call.caller_is_gone || now >= call.deadline || prepare_next_attempt(call)) {
-        return true;
-    }
-    m_dependencies.report_suspect(endpoint.id);
-    const auto known = m_dependencies.fleet.find(endpoint.id);
-    // The controller alone may find an endpoint silent because the controller is slow.
-    const bool is_lost = !known || (known->silent_since && !known->is_listed(now));
-    return is_lost || known->record.started_ms != endpoint.started_ms ||
-           (call.service->engine && !known->record.is_head());
-}
-
-bool serving_front::prepare_next_attempt(call_state& call) {
-    const auto now = m_dependencies.now();
-    auto selected = m_dependencies.selector.select(*call.service, call.decoded, call.tried,
-                                                   time_until(call.deadline, now), now);
-    auto* endpoint = std::get_if<selected_endpoint>(&selected);
-    if (endpoint == nullptr || !call.progress->reserve_attempt()) {
-        return false;
-    }
-    call.next_endpoint = std::move(*endpoint);
-    return true;
-}
-
-asio::awaitable<serving_front::attempt_result>
-serving_front::try_endpoint(call_state& call, const selected_endpoint& chosen) {
-    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
-    const auto& runner = chosen.runner.record;
-    const auto sent_at = m_dependencies.now();
-    const auto avoid = [&] {
-        m_dependencies.fleet.avoid(runner.id, m_dependencies.now() + avoidance_after_failure);
-        m_dependencies.report_suspect(runner.id);
-    };
-    attempt_result end;
-
-    // Take or open a connection. The request cannot have run before it is sent.
-    call.connection = m_pool.take(context, runner.address, runner.port,
-                                  call.route->may_run_again() ? endpoint_pool::default_idle_share
-                                                              : non_repeatable_idle_share);
-    if (call.connection == nullptr) {
-        call.connection = std::make_unique<endpoint_connection>(context);
-        const auto failed = co_await call.connection->connect(
-            runner.address, runner.port,
-            std::min(connect_timeout, time_until(call.deadline, sent_at)));
-        if (failed) {
-            if (!call.caller_is_gone) {
-                avoid();
-            }
-            end.outcome = attempt_outcome::not_run;
-            end.reason = "connect: " + failed.message();
-            co_return end;
-        }
-    }
-    if (call.caller_is_gone) {
-        co_return end;
-    }
-    endpoint_request_values added_values;
-    added_values.endpoint = runner.id;
-    added_values.customer = call.customer;
-    added_values.last_event = call.last_event;
-    if (call.decoded.deadline) {
-        added_values.time_left =
-            time_until(call.arrived + *call.decoded.deadline, m_dependencies.now());
-    } else {
-        added_values.time_left = time_until(call.deadline, m_dependencies.now());
-    }
-    const auto request = m_dependencies.codec.make_endpoint_request(call.request, added_values);
-    const double prompt = call.decoded.prompt_tokens;
-    bool is_writing = false;
-    // Counts the call while it exists, also if an exception ends the attempt.
-    std::optional<counted_call> counted;
-    counted.emplace(m_dependencies.loads, runner.id, prompt, is_writing);
-    if (const auto failed = co_await call.connection->send(request, send_timeout)) {
-        end.reason = "send: " + failed.message();
-        end.endpoint_ended = failed == asio::error::connection_reset;
-        end.closed_by_endpoint = is_closed_by_peer(failed);
-    } else if (call.route->kind == state::call_kind::streaming) {
-        end = co_await relay_stream(call, chosen, is_writing);
-    } else {
-        end = co_await relay_answer(call, chosen);
-    }
-    counted.reset();
-    if (end.outcome == attempt_outcome::not_run && call.service->engine) {
-        m_dependencies.fleet.note_refusal(runner.id, m_dependencies.now());
-    }
-    if (end.outcome == attempt_outcome::lost && !call.caller_is_gone) {
-        avoid();
-        if (end.closed_by_endpoint && !is_writing) {
-            report_close(call, runner);
-        }
-    }
-    // A stream that fails before its first event shows nothing.
-    if (call.route->kind != state::call_kind::streaming &&
-        (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed)) {
-        m_dependencies.crashes.record_answer(call.fingerprints, m_dependencies.now());
-    }
-    if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
-        end.outcome == attempt_outcome::not_run) {
-        if (call.connection->reusable()) {
-            m_pool.keep(context, runner.address, runner.port, std::move(call.connection));
-        }
-    }
-    co_return end;
-}
-
 asio::awaitable<void> serving_front::refuse(call_state& call, unsigned status, std::string reason,
                                             milliseconds retry_after) {
     call.status = status;
@@ -416,28 +253,6 @@
     }
 }
 
-void serving_front::report_close(const call_state& call, const state::runner_record& endpoint) {
-    m_dependencies.crashes.record_crash(endpoint.id, endpoint.started_ms, call.fingerprints,
-                                        m_dependencies.now());
-    m_dependencies.metrics
-        .counter_of("savoryrelay_calls_closed_by_endpoint_total",
-                    {{"endpoint", call.service->name}})
-        .add();
-    std::string parts;
-    for (const auto& part : call.decoded.shared_prompt_parts) {
-        parts += (parts.empty() ? "" : ",") + part;
-    }
-    std::string fingerprints;
-    for (const auto fingerprint : call.fingerprints) {
-        fingerprints += (fingerprints.empty() ? "" : ",") + coordination::to_text(fingerprint);
-    }
-    log_info("closed_by_endpoint", {{"id", call.decoded.id.value()},
-                                    {"endpoint", endpoint.id.value()},
-                                    {"started_ms", std::to_string(endpoint.started_ms)},
-                                    {"prompt_parts", parts},
-                                    {"fingerprints", fingerprints}});
-}
-
 void serving_front::report_end(const call_state& call) const {
     const auto now = m_dependencies.now();
     const std::string kind(call.route == nullptr ? "none" : state::to_name(call.route->kind));
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -16,6 +16,7 @@
 #include "savoryrelay/transport/serving/serving_codec.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <memory>
@@ -54,6 +55,7 @@
 private:
     struct call_state;
     struct attempt_result;
+    struct open_attempt;
 
     /// Tries endpoints until one delivers the answer or no further attempt is
     /// allowed, and sends the final answer.
@@ -62,22 +64,33 @@
     boost::asio::awaitable<
         std::variant<coordination::selected_endpoint, coordination::selection_failure>>
     wait_for_endpoint(call_state& call);
-    /// Decides whether a call leaves an endpoint that has been silent for too long: when
-    /// another endpoint takes the call over, when the endpoint no longer serves, or when the
-    /// call is over.
-    bool leaves_silent_endpoint(call_state& call, const state::runner_record& endpoint);
+    /// Decides what a call does while its endpoint is silent for too long.
+    coordination::silence_step handle_silence(call_state& call);
     /// Selects the endpoint of another attempt and reserves the attempt. Returns false if
     /// none may follow.
     bool prepare_next_attempt(call_state& call);
+    /// Makes a kept attempt the current one if it has sent something or if no other endpoint
+    /// can be tried. Returns false if another endpoint is to be tried.
+    bool return_to_kept_attempt(call_state& call);
+    /// Ends the kept attempts and closes their connections.
+    void end_kept_attempts(call_state& call);
+    /// Counts and logs an attempt that has failed.
+    void report_failed_attempt(const call_state& call, const open_attempt& attempt,
+                               const attempt_result& end);
     /// Connects to the endpoint, sends the request and relays the answer.
-    boost::asio::awaitable<attempt_result>
-    try_endpoint(call_state& call, const coordination::selected_endpoint& chosen);
+    boost::asio::awaitable<attempt_result> try_endpoint(call_state& call);
+    /// Goes on with an attempt that was kept.
+    boost::asio::awaitable<attempt_result> resume_attempt(call_state& call);
+    /// Notes what the end of the current attempt says of its endpoint, and keeps a connection
+    /// that can be used again.
+    void conclude_attempt(call_state& call, const attempt_result& end,
+                          boost::asio::io_context& context);
+    /// Makes calls avoid an endpoint that did not answer, and has it checked.
+    void avoid(const state::endpoint_id& endpoint);
     /// Reads the whole answer of a call that does not stream, then sends it to the caller.
-    boost::asio::awaitable<attempt_result>
-    relay_answer(call_state& call, const coordination::selected_endpoint& chosen);
-    /// Relays an event stream. Sets `is_writing` when the first event has arrived.
-    boost::asio::awaitable<attempt_result>
-    relay_stream(call_state& call, const coordination::selected_endpoint& chosen, bool& is_writing);
+    boost::asio::awaitable<attempt_result> relay_answer(call_state& call);
+    /// Relays an event stream, from its start or from where the attempt was kept.
+    boost::asio::awaitable<attempt_result> relay_stream(call_state& call, bool is_resumed);
     /// Reads the body of the answer whose header was read last.
     boost::asio::awaitable<attempt_result> read_whole_answer(call_state& call);
     boost::asio::awaitable<void> refuse(call_state& call, unsigned status, std::string reason,
--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace savoryrelay::standin {
 
@@ -69,6 +70,11 @@
     return json::serialize(object);
 }
 
+std::uint64_t runner_standin::run_count() {
+    const std::scoped_lock lock(m_mutex);
+    return m_runs;
+}
+
 unsigned runner_standin::apply_order(const std::string& body) {
     const auto order = json::parse(body).as_object();
     const std::scoped_lock lock(m_mutex);
@@ -174,15 +180,18 @@
         co_return;
     }
     if (request.target() == "/runs") {
-        const std::scoped_lock lock(m_mutex);
-        co_await send_json(writer, status_ok, std::to_string(m_runs));
+        co_await send_json(writer, status_ok, std::to_string(run_count()));
+        co_return;
+    }
+    if (request.target() == "/streams") {
+        co_await send_json(writer, status_ok, std::to_string(m_streams));
         co_return;
     }
     bool is_head = true;
     const bool needs_model = !transport::header_of(request, "Model").empty();
     {
         const std::scoped_lock lock(m_mutex);
-        is_head = !needs_model || m_record.is_open_head();
+        is_head = !needs_model || (m_record.is_open_head() && !m_switches.refuse_calls);
         m_runs += is_head ? 1 : 0;
     }
     if (!is_head) {
@@ -190,7 +199,13 @@
         co_return;
     }
     if (needs_model) {
+        bool is_connected = true;
+        const auto disconnect = [&] { m_streams -= std::exchange(is_connected, false) ? 1 : 0; };
+        ++m_streams;
+        writer.on_caller_gone(disconnect);
         co_await stream(request, writer);
+        writer.on_caller_gone(nullptr);
+        disconnect();
         co_return;
     }
     if (crashes_on(request)) {
--- a/src/standin/runner_standin.h
+++ b/src/standin/runner_standin.h
@@ -6,6 +6,7 @@
 
 #include "savoryrelay/state/serving/runner_record.h"
 
+#include <atomic>
 #include <cstdint>
 #include <mutex>
 #include <string>
@@ -18,10 +19,11 @@
 public:
     runner_standin(control_switches& switches, std::string id, std::uint64_t started_ms);
 
-    /// Serves GET /report, POST /order and GET /runs (number of calls that began to
-    /// run), and handles any other request as a call. A call with a model gets a
-    /// stream of `max_events` events; a call without a model gets a short body. A call that
-    /// the switches name crashes the process when its first event or its body is due.
+    /// Serves GET /report, POST /order, GET /runs (number of calls that began to run) and
+    /// GET /streams (number of streams whose caller is still connected), and handles any other
+    /// request as a call. A call with a model gets a stream of `max_events` events; a call without
+    /// a model gets a short body. A call that the switches name crashes the process when its first
+    /// event or its body is due.
     boost::asio::awaitable<void> handle(transport::http_request request,
                                         transport::response_writer& writer);
 
@@ -29,6 +31,7 @@
     static constexpr int max_events = 8;
 
     [[nodiscard]] std::string report();
+    [[nodiscard]] std::uint64_t run_count();
     [[nodiscard]] unsigned apply_order(const std::string& body);
     [[nodiscard]] bool crashes_on(const transport::http_request& request) const;
     boost::asio::awaitable<void> stream(const transport::http_request& request,
@@ -40,6 +43,7 @@
     std::mutex m_mutex;
     state::runner_record m_record; // guarded by m_mutex
     std::uint64_t m_runs = 0;      // guarded by m_mutex
+    std::atomic<int> m_streams{0}; // streams whose caller is still connected
 };
 
 } // namespace savoryrelay::standin
--- a/src/standin/standin_control.h
+++ b/src/standin/standin_control.h
@@ -22,6 +22,7 @@
     std::atomic<std::uint32_t> token_ms{5}; ///< time between the tokens of a stream
     std::atomic<bool> drop_reports_and_orders{
         false}; ///< closes the connections of requests for reports and of orders
+    std::atomic<bool> refuse_calls{false};  ///< a runner answers 421 to calls with a model
     std::atomic<bool> cross_answers{false}; ///< answers have the id of another request
     std::atomic<bool> reset_connections{
         false}; ///< resets all connections, once, after the answer to the control message
--- a/tests/coordination/serving/call_progress_test.cpp
+++ b/tests/coordination/serving/call_progress_test.cpp
@@ -7,6 +7,7 @@
 using namespace savoryrelay;
 using coordination::attempt_outcome;
 using coordination::call_progress;
+using coordination::silence_step;
 using state::call_kind;
 using state::execution_outcome;
 
@@ -25,11 +26,13 @@
 TEST_CASE("a non-idempotent call is retried only if it has not run") {
     const auto route = route_of(call_kind::non_idempotent, false, 1);
     call_progress refused(route, [] { return true; });
+    refused.begin_attempt();
     refused.note(attempt_outcome::not_run, false);
     CHECK(refused.may_attempt());
     CHECK(refused.execution() == execution_outcome::not_run);
 
     call_progress lost(route, [] { return true; });
+    lost.begin_attempt();
     lost.note(attempt_outcome::lost, true);
     CHECK_FALSE(lost.may_attempt());
     CHECK(lost.execution() == execution_outcome::unknown);
@@ -38,13 +41,17 @@
 TEST_CASE("the limit on endpoints of a resumable stream does not count ended endpoints") {
     const auto route = route_of(call_kind::streaming, true, 2);
     call_progress progress(route, [] { return true; });
+    progress.begin_attempt();
     progress.note(attempt_outcome::lost, false);
     CHECK(progress.may_attempt());
+    progress.begin_attempt();
     progress.note(attempt_outcome::lost, false);
     CHECK_FALSE(progress.may_attempt());
 
     call_progress ended(route, [] { return true; });
+    ended.begin_attempt();
     ended.note(attempt_outcome::lost, true);
+    ended.begin_attempt();
     ended.note(attempt_outcome::lost, false);
     CHECK(ended.may_attempt());
 }
@@ -53,6 +60,7 @@
     const auto route = route_of(call_kind::idempotent, false, 3);
     call_progress progress(route, [] { return false; });
     CHECK(progress.may_attempt());
+    progress.begin_attempt();
     progress.note(attempt_outcome::not_run, false);
     CHECK_FALSE(progress.may_attempt());
 }
@@ -63,19 +71,95 @@
     const auto resumable = route_of(call_kind::streaming, true, 2);
     call_progress progress(resumable, take);
     REQUIRE(progress.may_attempt());
+    progress.begin_attempt();
     CHECK(progress.reserve_attempt());
     CHECK(progress.reserve_attempt());
     CHECK(repeats == 0);
     progress.note(attempt_outcome::lost, false);
     CHECK(progress.may_attempt());
+    progress.begin_attempt();
     CHECK_FALSE(progress.reserve_attempt()); // the route allows two endpoints
 
     call_progress without_budget(resumable, take);
+    without_budget.begin_attempt();
     CHECK_FALSE(without_budget.reserve_attempt());
-    call_progress once(route_of(call_kind::streaming, false, 2), [] { return true; });
+    const auto not_resumable = route_of(call_kind::streaming, false, 2);
+    call_progress once(not_resumable, [] { return true; });
+    once.begin_attempt();
     CHECK_FALSE(once.reserve_attempt());
 }
 
+TEST_CASE("a silent attempt that is kept open counts towards the limit of the route") {
+    const auto route = route_of(call_kind::streaming, true, 2);
+    int repeats = 0;
+    call_progress progress(route, [&] {
+        ++repeats;
+        return true;
+    });
+    REQUIRE(progress.may_attempt());
+    progress.begin_attempt();
+    REQUIRE(progress.reserve_attempt());
+    REQUIRE(progress.may_attempt());
+    progress.begin_attempt();
+    CHECK(repeats == 1);
+    CHECK_FALSE(progress.reserve_attempt());
+    CHECK_FALSE(progress.may_attempt());
+
+    // The second endpoint refuses, so another one may run the call besides the first.
+    progress.note(attempt_outcome::not_run, false);
+    REQUIRE(progress.reserve_attempt());
+    REQUIRE(progress.may_attempt());
+    progress.begin_attempt();
+    CHECK(repeats == 2);
+    progress.note(attempt_outcome::lost, false);
+    CHECK_FALSE(progress.reserve_attempt());
+    CHECK_FALSE(progress.may_attempt());
+    progress.note(attempt_outcome::lost, false); // the first one
+    CHECK_FALSE(progress.may_attempt());
+    CHECK(progress.execution() == execution_outcome::unknown);
+    CHECK(progress.attempts() == 3);
+    CHECK(repeats == 2);
+}
+
+TEST_CASE("no attempt is reserved after too many refusals") {
+    const auto route = route_of(call_kind::streaming, true, 2);
+    call_progress progress(route, [] { return true; });
+    progress.begin_attempt(); // silent and kept open
+    for (std::uint32_t i = 0; i <= call_progress::max_refusals; ++i) {
+        REQUIRE(progress.reserve_attempt());
+        REQUIRE(progress.may_attempt());
+        progress.begin_attempt();
+        progress.note(attempt_outcome::not_run, false);
+    }
+    CHECK_FALSE(progress.reserve_attempt());
+    CHECK_FALSE(progress.may_attempt());
+}
+
+TEST_CASE("a call gives a silent endpoint up only if the call is over or the endpoint is lost") {
+    for (unsigned facts = 0; facts < 16; ++facts) {
+        const bool is_over = (facts & 1U) != 0;
+        const bool has_kept_answer = (facts & 2U) != 0;
+        const bool can_prepare = (facts & 4U) != 0;
+        const bool is_lost = (facts & 8U) != 0;
+        int prepared = 0;
+        const auto step =
+            coordination::decide_on_silence({.is_over = [&] { return is_over; },
+                                             .has_kept_answer = [&] { return has_kept_answer; },
+                                             .prepare_next =
+                                                 [&] {
+                                                     ++prepared;
+                                                     return can_prepare;
+                                                 },
+                                             .is_lost = [&] { return is_lost; }});
+        CAPTURE(is_over, has_kept_answer, can_prepare, is_lost);
+        const bool hands_over = !is_over && (has_kept_answer || can_prepare);
+        CHECK((step == silence_step::hand_over) == hands_over);
+        CHECK((step == silence_step::give_up) == (!hands_over && (is_over || is_lost)));
+        // An attempt is reserved only if it is used.
+        CHECK(prepared == (is_over || has_kept_answer ? 0 : 1));
+    }
+}
+
 TEST_CASE(
     "a call that may run once never runs twice and is reported as not run only if it did not run") {
     CHECK(rc::check("at most one run, correct report", [] {
@@ -88,6 +172,7 @@
             const auto outcome = static_cast<attempt_outcome>(*rc::gen::inRange(0, 5));
             runs += outcome == attempt_outcome::not_run ? 0 : 1;
             RC_ASSERT(runs <= 1);
+            progress.begin_attempt();
             progress.note(outcome, *rc::gen::arbitrary<bool>());
         }
         RC_ASSERT((progress.execution() == execution_outcome::not_run) == (runs == 0));
