--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace savoryrelay::standin {
 
@@ -211,11 +212,15 @@
         co_await writer.send(status_ok, transport::content_type_field("text/plain"), lines);
         co_return;
     }
+    if (request.target() == "/streams") {
+        co_await send_json(writer, status_ok, std::to_string(m_streams));
+        co_return;
+    }
     bool is_head = true;
     const bool needs_model = !transport::header_of(request, "Model").empty();
     {
         const std::scoped_lock lock(m_mutex);
-        is_head = !needs_model || m_record.is_open_head();
+        is_head = !needs_model || (m_record.is_open_head() && !m_switches.refuse_calls);
         if (is_head) {
             m_run_ids.push_back(transport::header_of(request, "Attempt-Id"));
         }
@@ -225,7 +230,13 @@
         co_return;
     }
     if (needs_model) {
+        bool is_connected = true;
+        const auto disconnect = [&] { m_streams -= std::exchange(is_connected, false) ? 1 : 0; };
+        ++m_streams;
+        writer.on_caller_gone(disconnect);
         co_await stream(request, writer);
+        writer.on_caller_gone(nullptr);
+        disconnect();
         co_return;
     }
     if (crashes_on(request)) {
--- a/src/standin/runner_standin.h
+++ b/src/standin/runner_standin.h
@@ -6,6 +6,7 @@
 
 #include "savoryrelay/state/serving/runner_record.h"
 
+#include <atomic>
 #include <cstdint>
 #include <mutex>
 #include <string>
@@ -21,10 +22,11 @@
     runner_standin(control_switches& switches, std::string id, std::uint64_t started_ms);
 
     /// Serves GET /report, POST /order, GET /runs (number of calls that began to run) and
-    /// GET /run_ids (their ids, one a line) and GET /orders (received orders and the status of
-    /// their answers, oldest first), and handles any other request as a call. A call with a
-    /// model gets a stream of `max_events` events; a call without a model gets a short body. A
-    /// call that the switches name crashes the process when its first event or its body is due.
+    /// GET /run_ids (their ids, one a line), GET /streams (number of streams whose caller is
+    /// still connected) and GET /orders (received orders and the status of their answers,
+    /// oldest first), and handles any other request as a call. A call with a model gets a
+    /// stream of `max_events` events; a call without a model gets a short body. A call that the
+    /// switches name crashes the process when its first event or its body is due.
     boost::asio::awaitable<void> handle(transport::http_request request,
                                         transport::response_writer& writer);
 
@@ -47,6 +49,7 @@
     state::runner_record m_record;      // guarded by m_mutex
     std::vector<std::string> m_run_ids; // of calls that began; guarded by m_mutex
     std::vector<std::pair<std::string, unsigned>> m_orders; // guarded by m_mutex
+    std::atomic<int> m_streams{0}; // streams whose caller is still connected
 };
 
 } // namespace savoryrelay::standin
