Count an endpoint that ends before it answers as an attempt of the route

What callers see: one call that crashes the endpoints that run it took down all eight groups of the test before the quarantine held it, although its route allows two attempts. No group was left for other calls.

Cause: an attempt whose connection was reset never counted towards max_attempts, so that callers whose endpoint dies are not the worse for it.

Change: such an attempt stays uncounted only if the endpoint had sent this call an event. An endpoint that ends before may have been ended by the call. To leave one such attempt uncounted was ruled out: a call would crash one endpoint more than its route allows. Callers whose endpoint dies before it answers keep the attempts that the route allows, and an endpoint that cannot be reached counts as a refusal as before; a call that meets two endpoints that die before its first event, on a route with two attempts, now ends there.

The unit tests cover streams and idempotent calls with one to three attempts. A call that crashes endpoints only after its first event is still uncounted.

--- a/src/savoryrelay/coordination/serving/call_progress.cpp
+++ b/src/savoryrelay/coordination/serving/call_progress.cpp
@@ -15,7 +15,7 @@
     return hooks.is_lost() ? silence_step::give_up : silence_step::wait;
 }
 
-void call_progress::note(attempt_outcome outcome, bool endpoint_ended) {
+void call_progress::note(attempt_outcome outcome, endpoint_end end) {
     ++m_attempts;
     assert(m_open > 0);
     --m_open;
@@ -31,7 +31,7 @@
     case attempt_outcome::failed:
     case attempt_outcome::lost:
         m_may_have_run = true;
-        m_runs += endpoint_ended ? 0 : 1;
+        m_runs += end == endpoint_end::during_answer ? 0 : 1;
         break;
     }
 }
--- a/src/savoryrelay/coordination/serving/call_progress.h
+++ b/src/savoryrelay/coordination/serving/call_progress.h
@@ -22,6 +22,13 @@
     caller_gone, ///< the caller closed the connection
 };
 
+/// Whether an endpoint's process ended with an attempt.
+enum class endpoint_end {
+    none,          ///< the process has not ended, as far as is known
+    before_answer, ///< it ended before it had sent an event of the answer
+    during_answer, ///< it ended after it had sent an event of the answer
+};
+
 /// The result of a call as its caller sees it.
 enum class call_outcome {
     delivered, ///< the caller received the endpoint's whole answer
@@ -43,6 +50,16 @@
     };
 };
 
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::coordination::endpoint_end> {
+    using e = savoryrelay::coordination::endpoint_end;
+    static constexpr std::array rows{
+        enum_name<e>{e::none, "none"},
+        enum_name<e>{e::before_answer, "before_answer"},
+        enum_name<e>{e::during_answer, "during_answer"},
+    };
+};
+
 template <>
 struct savoryrelay::state::enum_table<savoryrelay::coordination::attempt_outcome> {
     using o = savoryrelay::coordination::attempt_outcome;
@@ -94,10 +111,10 @@
     /// open while the call keeps silent endpoints.
     void begin_attempt() { ++m_open; }
 
-    /// Records the end of an attempt. Pass true for `endpoint_ended` when the
-    /// endpoint's process has ended; the attempt then does not count towards the
-    /// number of endpoints that may have run the call.
-    void note(attempt_outcome outcome, bool endpoint_ended);
+    /// Records the end of an attempt. An endpoint that ended before it answered counts towards
+    /// the number of endpoints that may run the call, because the call may have ended it. An
+    /// endpoint that ended while it answered does not count.
+    void note(attempt_outcome outcome, endpoint_end end);
 
     /// Returns whether the next attempt may be sent now. If it is not the first one,
     /// this also takes one repeat from the budget, unless one is reserved.
@@ -122,7 +139,7 @@
     std::uint32_t m_attempts = 0; // attempts that have ended
     std::uint32_t m_open = 0;     // attempts that have begun and not ended; each may have run
     std::uint32_t m_refusals = 0;
-    std::uint32_t m_runs = 0;    // attempts that may have run, on endpoints that have not ended
+    std::uint32_t m_runs = 0;    // ended attempts that count towards the route's limit
     bool m_has_reserved = false; // a repeat was taken for the next attempt
     bool m_may_have_run = false;
     bool m_has_ended = false; // the answer was delivered, or the caller is gone
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -126,7 +126,7 @@
     for (const auto& attempt : std::exchange(call.kept, {})) {
         attempt_result end;
         end.reason = "silent";
-        call.progress->note(end.outcome, end.endpoint_ended);
+        call.progress->note(end.outcome, coordination::endpoint_end::none);
         report_failed_attempt(call, *attempt, end);
     }
 }
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -17,6 +17,7 @@
 namespace asio = boost::asio;
 using coordination::attempt_outcome;
 using coordination::call_outcome;
+using coordination::endpoint_end;
 using coordination::selected_endpoint;
 using state::milliseconds;
 
@@ -187,7 +188,9 @@
             continue;
         }
         const auto attempt = std::move(call.current);
-        progress.note(end.outcome, end.endpoint_ended);
+        progress.note(end.outcome, !end.endpoint_ended   ? endpoint_end::none
+                                   : attempt->is_writing ? endpoint_end::during_answer
+                                                         : endpoint_end::before_answer);
         reason = end.reason;
         if (end.outcome == attempt_outcome::delivered ||
             end.outcome == attempt_outcome::caller_gone) {
--- a/tests/coordination/serving/call_progress_test.cpp
+++ b/tests/coordination/serving/call_progress_test.cpp
@@ -7,6 +7,7 @@
 using namespace savoryrelay;
 using coordination::attempt_outcome;
 using coordination::call_progress;
+using coordination::endpoint_end;
 using coordination::silence_step;
 using state::call_kind;
 using state::execution_outcome;
@@ -27,33 +28,54 @@
     const auto route = route_of(call_kind::non_idempotent, false, 1);
     call_progress refused(route, [] { return true; });
     refused.begin_attempt();
-    refused.note(attempt_outcome::not_run, false);
+    refused.note(attempt_outcome::not_run, endpoint_end::none);
     CHECK(refused.may_attempt());
     CHECK(refused.execution() == execution_outcome::not_run);
 
     call_progress lost(route, [] { return true; });
     lost.begin_attempt();
-    lost.note(attempt_outcome::lost, true);
+    lost.note(attempt_outcome::lost, endpoint_end::during_answer);
     CHECK_FALSE(lost.may_attempt());
     CHECK(lost.execution() == execution_outcome::unknown);
 }
 
-TEST_CASE("the limit on endpoints of a resumable stream does not count ended endpoints") {
+TEST_CASE(
+    "the limit of a resumable stream does not count endpoints that ended while they answered") {
     const auto route = route_of(call_kind::streaming, true, 2);
     call_progress progress(route, [] { return true; });
     progress.begin_attempt();
-    progress.note(attempt_outcome::lost, false);
+    progress.note(attempt_outcome::lost, endpoint_end::none);
     CHECK(progress.may_attempt());
     progress.begin_attempt();
-    progress.note(attempt_outcome::lost, false);
+    progress.note(attempt_outcome::lost, endpoint_end::none);
     CHECK_FALSE(progress.may_attempt());
 
     call_progress ended(route, [] { return true; });
     ended.begin_attempt();
-    ended.note(attempt_outcome::lost, true);
+    ended.note(attempt_outcome::lost, endpoint_end::during_answer);
     ended.begin_attempt();
-    ended.note(attempt_outcome::lost, false);
+    ended.note(attempt_outcome::lost, endpoint_end::none);
     CHECK(ended.may_attempt());
+    ended.begin_attempt();
+    ended.note(attempt_outcome::lost, endpoint_end::none);
+    CHECK_FALSE(ended.may_attempt());
+}
+
+TEST_CASE("endpoints that end before they answer a call count towards the limit of its route") {
+    for (const auto kind : {call_kind::streaming, call_kind::idempotent}) {
+        for (std::uint32_t max_attempts = 1; max_attempts <= 3; ++max_attempts) {
+            const auto route = route_of(kind, true, max_attempts);
+            call_progress progress(route, [] { return true; });
+            std::uint32_t crashed = 0;
+            while (progress.may_attempt()) {
+                REQUIRE(crashed < max_attempts);
+                progress.begin_attempt();
+                progress.note(attempt_outcome::lost, endpoint_end::before_answer);
+                ++crashed;
+            }
+            CHECK(crashed == max_attempts);
+        }
+    }
 }
 
 TEST_CASE("a repeat takes from the budget, a first attempt does not") {
@@ -61,7 +83,7 @@
     call_progress progress(route, [] { return false; });
     CHECK(progress.may_attempt());
     progress.begin_attempt();
-    progress.note(attempt_outcome::not_run, false);
+    progress.note(attempt_outcome::not_run, endpoint_end::none);
     CHECK_FALSE(progress.may_attempt());
 }
 
@@ -75,7 +97,7 @@
     CHECK(progress.reserve_attempt());
     CHECK(progress.reserve_attempt());
     CHECK(repeats == 0);
-    progress.note(attempt_outcome::lost, false);
+    progress.note(attempt_outcome::lost, endpoint_end::none);
     CHECK(progress.may_attempt());
     progress.begin_attempt();
     CHECK_FALSE(progress.reserve_attempt()); // the route allows two endpoints
@@ -106,15 +128,15 @@
     CHECK_FALSE(progress.may_attempt());
 
     // The second endpoint refuses, so another one may run the call besides the first.
-    progress.note(attempt_outcome::not_run, false);
+    progress.note(attempt_outcome::not_run, endpoint_end::none);
     REQUIRE(progress.reserve_attempt());
     REQUIRE(progress.may_attempt());
     progress.begin_attempt();
     CHECK(repeats == 2);
-    progress.note(attempt_outcome::lost, false);
+    progress.note(attempt_outcome::lost, endpoint_end::none);
     CHECK_FALSE(progress.reserve_attempt());
     CHECK_FALSE(progress.may_attempt());
-    progress.note(attempt_outcome::lost, false); // the first one
+    progress.note(attempt_outcome::lost, endpoint_end::none); // the first one
     CHECK_FALSE(progress.may_attempt());
     CHECK(progress.execution() == execution_outcome::unknown);
     CHECK(progress.attempts() == 3);
@@ -129,7 +151,7 @@
         REQUIRE(progress.reserve_attempt());
         REQUIRE(progress.may_attempt());
         progress.begin_attempt();
-        progress.note(attempt_outcome::not_run, false);
+        progress.note(attempt_outcome::not_run, endpoint_end::none);
     }
     CHECK_FALSE(progress.reserve_attempt());
     CHECK_FALSE(progress.may_attempt());
@@ -173,7 +195,7 @@
             runs += outcome == attempt_outcome::not_run ? 0 : 1;
             RC_ASSERT(runs <= 1);
             progress.begin_attempt();
-            progress.note(outcome, *rc::gen::arbitrary<bool>());
+            progress.note(outcome, static_cast<endpoint_end>(*rc::gen::inRange(0, 3)));
         }
         RC_ASSERT((progress.execution() == execution_outcome::not_run) == (runs == 0));
     }));
