Do not cut a stream whose event arrives in pieces after a pause

What callers see: a stream whose endpoint paused beyond the limit of its route, and then sent its next event in more than one piece, was cut at the first piece with "stream made no progress", although no other endpoint could take it over and the silence itself was borne.

Cause: the time without progress was counted from the last event, with the silence in it. It now counts from the first bytes after the last event, so that bytes which complete no event still end the stream at the limit.

The new check of endless_answer_test.cpp failed before and passes; streams without progress end in time as before.

--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -200,9 +201,9 @@
     // with the first event, so that until then the answer of another endpoint can
     // replace this one.
     std::vector<char> buffer(read_buffer_bytes);
-    // Only a new event is progress.
-    auto progress_at = m_dependencies.now();
-    auto check_at = progress_at + (is_resumed ? silence_check_interval : first_limit);
+    // Set from the first bytes after the last new event. Only a new event is progress.
+    std::optional<state::time_point> partial_since;
+    auto check_at = m_dependencies.now() + (is_resumed ? silence_check_interval : first_limit);
     while (true) {
         const auto left = bounded_by_deadline(time_until(check_at, m_dependencies.now()));
         const auto [failed, size] = co_await connection.read_some(asio::buffer(buffer), left);
@@ -238,7 +239,8 @@
         if (ready.empty()) {
             // Unlike silence, bytes that complete no event come from a faulty endpoint.
             const auto now = m_dependencies.now();
-            if (now - progress_at >= (attempt.is_writing ? gap_limit : first_limit) ||
+            partial_since = partial_since.value_or(now);
+            if (now - *partial_since >= (attempt.is_writing ? gap_limit : first_limit) ||
                 now >= call.deadline) {
                 end.reason = attempt.is_writing ? "stream made no progress" : "no event";
                 co_return end;
@@ -272,8 +274,8 @@
             co_return end;
         }
         // A caller that reads slowly has held up the stream until now.
-        progress_at = m_dependencies.now();
-        check_at = progress_at + gap_limit;
+        partial_since.reset();
+        check_at = m_dependencies.now() + gap_limit;
     }
     end_kept_attempts(call);
     if (!call.writer.started()) {
--- a/tests/process/endless_answer_test.cpp
+++ b/tests/process/endless_answer_test.cpp
@@ -91,6 +91,13 @@
         } else if (has("/unframed ")) {
             send_text(connection, stream_head + "id: 0\ndata: x\n\nid: 1\ndata: y\n\n");
             return;
+        } else if (has("/halves ")) {
+            send_text(connection, stream_head + "id: 0\ndata: x\n\n");
+            std::this_thread::sleep_for(700ms);
+            send_text(connection, "id: 1\nda");
+            std::this_thread::sleep_for(50ms);
+            send_text(connection, "ta: y\n\n");
+            return;
         } else if (has("/torn ")) {
             send_text(connection, stream_head + "id: 0\ndata: x\n\nid: 1\nda");
             return;
@@ -191,6 +198,10 @@
     const auto stream = ask("/feed/unframed");
     CHECK(stream.is_complete);
     CHECK(stream.body == "id: 0\ndata: x\n\nid: 1\ndata: y\n\n");
+    // The second event arrives in two halves, after a pause beyond the limit of the route.
+    const auto halves = ask("/feed/halves");
+    CHECK(halves.is_complete);
+    CHECK(halves.body == stream.body);
     const auto torn = ask("/feed/torn");
     CHECK_FALSE(torn.is_complete);
     CHECK(torn.body == "id: 0\ndata: x\n\n");
