Route the calls of a stopping host by what it learns after SIGTERM

After SIGTERM a host serves new calls for 2.8 s and calls in flight for up to 7.5 s. All that time it sent calls, retries and resumed streams to the endpoints that were listed when the signal came: to runners that had been drained since, to groups that had been closed, and again to endpoints that had just failed.

Class of fault: the end of a duty ends a service that others still use.

Change: a host that stops resigns as the lease holder (it plans no order and releases the lease once no order is in flight; before, the release was tried once, and with an order in flight the lease had to run out), and the loop goes on until the process ends. Once the lease has ended, the host makes no further call to the store for it.

Ruled out: the rows themselves arrive, the store feed never stopped.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -160,7 +160,7 @@
     m_shared.is_stopping = true;
     m_caller_server->announce_close();
     log_info("stopping", {{"open_calls", std::to_string(m_caller_server->open_requests())}});
-    m_groups.stop();
+    m_groups.resign();
 
     // New calls arrive until the balancer has noticed the stop. The calls in flight at that
     // point may take almost all of the time until the process is killed.
--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -86,9 +86,12 @@
     transport::start_control_loop(m_threads.context(0), "groups", [this] { return run_steps(); });
 }
 
-void group_part::stop() {
-    m_is_stopping = true;
+void group_part::resign() {
+    m_is_resigning = true;
     m_lease_worker.post([this] { maintain_lease(); });
+}
+
+void group_part::stop() {
     m_lease_worker.stop();
 }
 
@@ -106,11 +109,14 @@
         const std::scoped_lock lock(m_mutex);
         controller_is_alive = now - m_controller_digest_at < takeover_delay();
     }
-    if (phase == state::lease_phase::observing && (controller_is_alive || m_is_stopping)) {
+    const bool has_ended =
+        phase == state::lease_phase::observing || phase == state::lease_phase::lapsed;
+    if (m_is_resigning ? has_ended
+                       : phase == state::lease_phase::observing && controller_is_alive) {
         return;
     }
     const auto done =
-        state::collect([&] { return m_lease.maintain(groups_lease, !m_is_stopping.load()); });
+        state::collect([&] { return m_lease.maintain(groups_lease, !m_is_resigning.load()); });
     if (!done) {
         m_shared.metrics.counter_of("savoryrelay_lease_store_failures_total").add();
     }
@@ -236,7 +242,7 @@
 
 asio::awaitable<void> group_part::run_steps() {
     asio::steady_timer timer(co_await asio::this_coro::executor);
-    while (!m_is_stopping) {
+    while (true) {
         const auto now = m_now();
         m_shared.fleet.refresh(now);
         const bool is_holder = m_lease.phase(groups_lease, now) == state::lease_phase::holding;
@@ -245,14 +251,15 @@
         }
         if (is_holder) {
             poll_due_runners(now);
-            plan_orders(now);
+            if (!m_is_resigning) {
+                plan_orders(now);
+            }
         } else {
             m_reconcilers.clear();
         }
         timer.expires_after(step_interval);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    m_is_controller = false;
 }
 
 void group_part::poll_due_runners(state::time_point now) {
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -30,7 +30,9 @@
                std::function<state::time_point()> now);
 
     void start();
-    /// Releases the lease if no order is in flight, and ends its thread.
+    /// Plans no further orders, and releases the lease once no order is in flight.
+    void resign();
+    /// Ends the thread of the lease.
     void stop();
 
     /// Returns whether this host holds the lease.
@@ -84,7 +86,7 @@
     state::time_point m_free_models_sent_at{};                           // control context only
     transport::endpoint_pool m_pool;
     std::atomic<bool> m_is_controller{false};
-    std::atomic<bool> m_is_stopping{false};
+    std::atomic<bool> m_is_resigning{false};
 
     std::mutex m_mutex; // guards the members up to m_confirmed_at
     state::time_point m_controller_digest_at{};
