Exchange digests with peers until a stopping host ends

A host that had been told to stop no longer sent or received digests while it finished its calls. The stopping host itself routed its last calls without its peers' loads and observations.

Cause: the loops of the exchange ended at SIGTERM, not with the process.

Change: they run until the process ends. A hub that stops is passed over when it falls silent, as one that was killed; before, that happened at SIGTERM. Readiness alone depends on the stop now, so its flag moves from the shared state to the host.

Test: a host that starts while the only other one stops learns of the quarantine before that one ends; failed before, passes now.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -143,7 +143,7 @@
 
 asio::awaitable<void> edge_host::answer_readiness(transport::http_request,
                                                   transport::response_writer& writer) {
-    const bool is_ready = !m_shared.is_stopping && m_shared.configuration.load()->version > 0;
+    const bool is_ready = !m_is_stopping && m_shared.configuration.load()->version > 0;
     co_await writer.send(is_ready ? status_ok : status_unavailable,
                          transport::content_type_field("text/plain"), is_ready ? "ready" : "");
 }
@@ -157,7 +157,7 @@
 
 void edge_host::finish_open_calls() {
     const auto requested_at = read_clock();
-    m_shared.is_stopping = true;
+    m_is_stopping = true;
     m_caller_server->announce_close();
     log_info("stopping", {{"open_calls", std::to_string(m_caller_server->open_requests())}});
     m_groups.resign();
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -11,6 +11,7 @@
 #include "savoryrelay/transport/process/signals.h"
 #include "savoryrelay/transport/serving/serving_front.h"
 
+#include <atomic>
 #include <memory>
 
 namespace savoryrelay::edge {
@@ -36,6 +37,7 @@
 
     const protocol::edge_settings m_settings;
     const std::uint64_t m_incarnation;
+    std::atomic<bool> m_is_stopping{false}; // not ready for further calls
     shared_state m_shared;
     transport::io_threads m_threads;
     platform::store_client m_store;
--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -95,7 +95,7 @@
 
 asio::awaitable<void> peer_part::exchange_digests() {
     asio::steady_timer timer(co_await asio::this_coro::executor);
-    while (!m_shared.is_stopping) {
+    while (true) {
         const auto now = m_now();
         update_host_count(now);
         send_digests(now);
@@ -228,7 +228,7 @@
         co_await pause_for(hosts_retry_interval);
     }
     co_await pause_for(second_hosts_read_delay);
-    while (!m_shared.is_stopping) {
+    while (true) {
         // Members learn of further hosts from their hub.
         const bool must_read = m_shared.is_store_reader || !m_directory.hears_hub(m_now());
         bool is_current = true;
@@ -246,7 +246,7 @@
 asio::awaitable<void> peer_part::copy_tables() {
     state::time_point operators_fetched_at{};
     state::time_point runners_fetched_at{};
-    while (!m_shared.is_stopping) {
+    while (true) {
         co_await pause_for(copy_interval);
         const bool has_operators =
             co_await copy_table(shared_table::operators, m_shared.operators, operators_fetched_at);
--- a/src/edge/shared_state.h
+++ b/src/edge/shared_state.h
@@ -55,7 +55,6 @@
     coordination::crash_watch crashes;
     /// Time from a runner's notice to leave until no call may reach it.
     const state::milliseconds leave_limit;
-    std::atomic<bool> is_stopping{false};
     std::atomic<bool> is_store_reachable{false};
     /// This host follows the tables of the store for the hosts of its zone.
     std::atomic<bool> is_store_reader{false};
