Resume an interrupted stream until its endpoints have had time to return

Cause: an interrupted stream was treated like a call that has not begun: given up after four refusals, and after the short wait that suits a call which can be refused and told to come back. The caller of a begun stream cannot be refused any more, it sees its answer end. Class of fault: a limit that ends a wait, applied where the end is a loss.

Change: refusals do not end a call whose answer has begun, it waits up to 1.5 s from the interruption, takes a repeat from the budget only when an endpoint is found, and tries endpoints that refused it again after a pause. The limits are with the other decisions in `call_progress` now. Nothing else changes for calls whose answer has not begun.

--- a/src/savoryrelay/coordination/serving/call_progress.cpp
+++ b/src/savoryrelay/coordination/serving/call_progress.cpp
@@ -1,9 +1,23 @@
 // Counts the attempts of a call and compares them with the limits of its route.
 #include "savoryrelay/coordination/serving/call_progress.h"
 
+#include <algorithm>
 #include <cassert>
+#include <chrono>
 
 namespace savoryrelay::coordination {
+namespace {
+
+// A call waits for a free endpoint for at most this fraction of its target for the
+// first answer. The longer the front holds a call, the more time the caller loses
+// if the call is then refused.
+constexpr double queue_target_share = 0.3;
+constexpr state::milliseconds max_queue_time{200};
+// An interrupted stream waits for as long as a group takes to form again from weights that
+// its hosts have. Callers leave a stream that pauses for much longer.
+constexpr state::milliseconds max_interruption{1'500};
+
+} // namespace
 
 silence_step decide_on_silence(const silence_hooks& hooks) {
     if (hooks.is_over()) {
@@ -37,13 +51,21 @@
 }
 
 bool call_progress::allows_attempt() const {
-    if (m_has_ended || m_refusals > max_refusals) {
+    if (m_has_ended || (m_refusals > max_refusals && !m_has_begun)) {
         return false;
     }
     const bool may_have_run = m_may_have_run || m_open > 0;
     return !may_have_run || (m_route.may_run_again() && m_runs + m_open < m_route.max_attempts);
 }
 
+state::time_point call_progress::queue_deadline(state::time_point since) const {
+    if (m_has_begun) {
+        return since + max_interruption;
+    }
+    return since + std::min(max_queue_time, std::chrono::duration_cast<state::milliseconds>(
+                                                m_route.first_answer_target * queue_target_share));
+}
+
 bool call_progress::may_attempt() {
     if (!allows_attempt()) {
         return false;
--- a/src/savoryrelay/coordination/serving/call_progress.h
+++ b/src/savoryrelay/coordination/serving/call_progress.h
@@ -4,6 +4,7 @@
 
 #include "savoryrelay/state/core/enum_names.h"
 #include "savoryrelay/state/core/failure.h"
+#include "savoryrelay/state/core/time.h"
 #include "savoryrelay/state/serving/serving_configuration.h"
 
 #include <array>
@@ -101,7 +102,8 @@
 /// Tracks the attempts of one call. Not thread-safe.
 class call_progress {
 public:
-    /// A call is not retried after more than this number of endpoints have refused it.
+    /// A call whose answer has not begun is not retried after more than this number of
+    /// endpoints have refused it.
     static constexpr std::uint32_t max_refusals = 3;
 
     call_progress(const state::route_rule& route, take_repeat_hook take_repeat)
@@ -116,6 +118,18 @@
     /// endpoint that ended while it answered does not count.
     void note(attempt_outcome outcome, endpoint_end end);
 
+    /// Records that the caller has received a part of the answer. From now on the call can
+    /// only be completed or cut, no longer refused.
+    void note_answer_begun() { m_has_begun = true; }
+    [[nodiscard]] bool has_answer_begun() const { return m_has_begun; }
+
+    /// Returns whether the outcomes of the earlier attempts and the route allow another one.
+    [[nodiscard]] bool allows_attempt() const;
+
+    /// Returns until when the call waits for an endpoint that can take it, if it has waited
+    /// since `since` or its answer has been interrupted since then.
+    [[nodiscard]] state::time_point queue_deadline(state::time_point since) const;
+
     /// Returns whether the next attempt may be sent now. If it is not the first one,
     /// this also takes one repeat from the budget, unless one is reserved.
     [[nodiscard]] bool may_attempt();
@@ -131,9 +145,6 @@
     [[nodiscard]] std::uint32_t attempts() const { return m_attempts; }
 
 private:
-    /// Returns whether the outcomes of the earlier attempts and the route allow another one.
-    [[nodiscard]] bool allows_attempt() const;
-
     const state::route_rule& m_route;
     take_repeat_hook m_take_repeat;
     std::uint32_t m_attempts = 0; // attempts that have ended
@@ -141,6 +152,7 @@
     std::uint32_t m_refusals = 0;
     std::uint32_t m_runs = 0;    // ended attempts that count towards the route's limit
     bool m_has_reserved = false; // a repeat was taken for the next attempt
+    bool m_has_begun = false;    // the caller has received a part of the answer
     bool m_may_have_run = false;
     bool m_has_ended = false; // the answer was delivered, or the caller is gone
 };
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -266,6 +266,8 @@
             }
         }
         call.has_relayed_events = true;
+        call.interrupted_at.reset();
+        call.progress->note_answer_begun();
         if (call.events.next_token() > 0) {
             call.last_event = call.events.next_token() - 1;
         }
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -35,12 +35,9 @@
 // of the peer's keep-alive timeout. If the peer closed the connection early, the
 // outcome of the call would be unknown.
 constexpr double non_repeatable_idle_share = 0.25;
-// A call waits for a free endpoint for at most this fraction of its target for the
-// first answer. The longer the front holds a call, the more time the caller loses
-// if the call is then refused.
-constexpr double queue_target_share = 0.3;
-constexpr milliseconds max_queue_time{200};
 constexpr milliseconds queue_poll_interval{20};
+// The loss of a group interrupts many streams at once.
+constexpr milliseconds interrupted_poll_interval{100};
 
 asio::awaitable<bool> accepts_connection(asio::io_context& context,
                                          const state::runner_record& endpoint) {
@@ -68,19 +65,24 @@
     if (auto prepared = std::exchange(call.next_endpoint, std::nullopt)) {
         co_return std::move(*prepared);
     }
-    const auto started_at = m_dependencies.now();
-    const auto max_wait =
-        std::min(max_queue_time, std::chrono::duration_cast<milliseconds>(
-                                     call.route->first_answer_target * queue_target_share));
+    auto& progress = *call.progress;
+    const bool has_begun = progress.has_answer_begun();
+    const auto queue_deadline =
+        progress.queue_deadline(call.interrupted_at.value_or(m_dependencies.now()));
+    const auto* excluded = &call.tried;
     while (true) {
         const auto now = m_dependencies.now();
-        auto selected = m_dependencies.selector.select(*call.service, call.decoded, call.tried,
+        auto selected = m_dependencies.selector.select(*call.service, call.decoded, *excluded,
                                                        time_until(call.deadline, now), now);
-        if (std::holds_alternative<selected_endpoint>(selected) || now - started_at >= max_wait ||
-            call.caller_is_gone) {
+        const bool is_found = std::holds_alternative<selected_endpoint>(selected) &&
+                              (!has_begun || progress.reserve_attempt());
+        if (is_found || now >= std::min(queue_deadline, call.deadline) || call.caller_is_gone) {
             co_return selected;
         }
-        co_await pause_for(queue_poll_interval);
+        co_await pause_for(has_begun ? interrupted_poll_interval : queue_poll_interval);
+        if (has_begun) {
+            excluded = &call.may_have_run_at; // an endpoint that refused may serve by now
+        }
     }
 }
 
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -77,7 +77,10 @@
     protocol::event_splitter events;
     bool has_relayed_events = false;         // true after an event was sent to the caller
     std::optional<std::uint64_t> last_event; // number of the last event sent to the caller
+    /// When the stream was interrupted after its last event; empty while it runs.
+    std::optional<state::time_point> interrupted_at;
     std::set<state::endpoint_id> tried;
+    std::set<state::endpoint_id> may_have_run_at;    // those of `tried` that did not refuse
     coordination::call_progress* progress = nullptr; // set while attempts run
     /// Selected before the call turned away from the current attempt.
     std::optional<coordination::selected_endpoint> next_endpoint;
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -154,7 +154,10 @@
         if (return_to_kept_attempt(call)) {
             end = co_await resume_attempt(call);
         } else {
-            if (!progress.may_attempt()) {
+            // The answer of an interrupted stream has begun, so the call is not told to come
+            // back. It takes a repeat only when an endpoint can resume it.
+            const bool is_interrupted = progress.has_answer_begun();
+            if (is_interrupted ? !progress.allows_attempt() : !progress.may_attempt()) {
                 break;
             }
             if (const auto time_left =
@@ -171,10 +174,14 @@
                 reason = state::to_name(*none);
                 break;
             }
+            if (is_interrupted && !progress.may_attempt()) {
+                break;
+            }
             auto& chosen = std::get<selected_endpoint>(selected);
             call.predicted_ms = chosen.predicted_first_event_ms;
             call.endpoint = chosen.runner.record.id.value();
             call.tried.insert(chosen.runner.record.id);
+            call.may_have_run_at.insert(chosen.runner.record.id);
             ++call.attempts;
             progress.begin_attempt();
             call.current = std::make_unique<open_attempt>(std::move(chosen));
@@ -192,6 +199,12 @@
                                    : attempt->is_writing ? endpoint_end::during_answer
                                                          : endpoint_end::before_answer);
         reason = end.reason;
+        if (end.outcome == attempt_outcome::not_run) {
+            call.may_have_run_at.erase(attempt->chosen.runner.record.id);
+        }
+        if (progress.has_answer_begun() && !call.interrupted_at) {
+            call.interrupted_at = m_dependencies.now();
+        }
         if (end.outcome == attempt_outcome::delivered ||
             end.outcome == attempt_outcome::caller_gone) {
             call.reason = state::to_name(end.outcome);
--- a/tests/coordination/serving/call_progress_test.cpp
+++ b/tests/coordination/serving/call_progress_test.cpp
@@ -11,6 +11,8 @@
 using coordination::silence_step;
 using state::call_kind;
 using state::execution_outcome;
+using state::milliseconds;
+using state::time_point;
 
 namespace {
 
@@ -157,6 +159,32 @@
     CHECK_FALSE(progress.may_attempt());
 }
 
+TEST_CASE("refusals do not end a call whose answer has begun") {
+    const auto route = route_of(call_kind::streaming, true, 2);
+    call_progress progress(route, [] { return true; });
+    progress.begin_attempt();
+    progress.note_answer_begun();
+    progress.note(attempt_outcome::lost, endpoint_end::none);
+    for (std::uint32_t i = 0; i <= 2 * call_progress::max_refusals; ++i) {
+        REQUIRE(progress.may_attempt());
+        progress.begin_attempt();
+        progress.note(attempt_outcome::not_run, endpoint_end::none);
+    }
+    progress.begin_attempt();
+    progress.note(attempt_outcome::lost, endpoint_end::none);
+    CHECK_FALSE(progress.allows_attempt()); // the route allows two endpoints
+}
+
+TEST_CASE("a call whose answer has begun waits longer for an endpoint") {
+    auto route = route_of(call_kind::streaming, true, 2);
+    route.first_answer_target = milliseconds(500);
+    const time_point since{};
+    call_progress progress(route, [] { return true; });
+    CHECK(progress.queue_deadline(since) == since + milliseconds(150));
+    progress.note_answer_begun();
+    CHECK(progress.queue_deadline(since) == since + milliseconds(1'500));
+}
+
 TEST_CASE("a call gives a silent endpoint up only if the call is over or the endpoint is lost") {
     for (unsigned facts = 0; facts < 16; ++facts) {
         const bool is_over = (facts & 1U) != 0;
