Limit the time without progress of a write, not the whole write

What callers see: a large answer to a caller that reads slowly but steadily ends after the write limit (15 s for callers) with a part of its body. The answer was whole at the host, and the call may have run.

Cause: the limit covered the whole write of a body. It now starts again with each part of at most 64 KiB that the peer takes. A caller that takes nothing is still cut at the limit ("a connection whose answer was cut carries no further answer").

--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -37,6 +37,7 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
+constexpr std::size_t max_written_bytes = 64 * 1024; // by one operation of a write
 constexpr std::size_t discard_buffer_bytes = 16 * 1024;
 constexpr std::size_t max_discarded_bytes = 64 * 1024 * 1024;
 // Time after which the server accepts again when it could not, for want of descriptors.
@@ -170,13 +171,7 @@
 
         auto request = parser.release();
         response_writer writer(
-            [this](std::array<asio::const_buffer, 3> buffers) -> asio::awaitable<error_code> {
-                m_watchdog.extend(m_limits.write_timeout);
-                const auto [error, written] =
-                    co_await asio::async_write(m_stream, buffers, use_tuple);
-                m_watchdog.disarm();
-                co_return error;
-            },
+            [this](std::array<asio::const_buffer, 3> buffers) { return write_all(buffers); },
             request.keep_alive() && !m_server.m_stopping.load() && !m_server.m_closing.load());
         m_stream.expires_never();
         m_writer = &writer;
@@ -195,6 +190,18 @@
         co_return writer.complete() && writer.keep_alive();
     }
 
+    /// Sends all buffers. The time limit starts again with each part that the peer takes.
+    asio::awaitable<error_code> write_all(std::array<asio::const_buffer, 3> buffers) {
+        const auto next_part_limit = [this](const error_code& failed, std::size_t) {
+            m_watchdog.extend(m_limits.write_timeout);
+            return failed ? std::size_t{0} : max_written_bytes;
+        };
+        const auto [error, written] =
+            co_await asio::async_write(m_stream, buffers, next_part_limit, use_tuple);
+        m_watchdog.disarm();
+        co_return error;
+    }
+
     /// Runs the handler. Returns the exception that it threw, or null.
     asio::awaitable<std::exception_ptr> run_handler(http_request request, response_writer& writer) {
         try {
--- a/src/savoryrelay/transport/http/http_server.h
+++ b/src/savoryrelay/transport/http/http_server.h
@@ -28,7 +28,7 @@
     std::uint64_t body_bytes = 1024 * 1024;
     state::milliseconds idle_timeout{60'000};    ///< between requests
     state::milliseconds request_timeout{15'000}; ///< until a request has arrived completely
-    state::milliseconds write_timeout{15'000};   ///< for one write to complete
+    state::milliseconds write_timeout{15'000};   ///< without progress of a write
 };
 
 /// Answers one request with the writer. If it throws, the server answers 500, or cuts an
--- a/src/savoryrelay/transport/http/response_writer.h
+++ b/src/savoryrelay/transport/http/response_writer.h
@@ -15,7 +15,7 @@
 
 namespace savoryrelay::transport {
 
-/// Sends all buffers or returns an error. Fails if the peer does not read within the
+/// Sends all buffers or returns an error. Fails if the peer takes nothing for the
 /// connection's write timeout.
 using send_buffers_hook = std::function<boost::asio::awaitable<boost::system::error_code>(
     std::array<boost::asio::const_buffer, 3>)>;
