Send no body with an answer to HEAD

What callers see: behind each answer to HEAD, refusals included, comes its body. The caller takes it for the beginning of the next answer on the connection.

Cause: the writer of answers did not know the method. For HEAD it now sends the header alone, with the length that the body would have.

The new test failed before, for a whole answer and for a stream.

--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -172,7 +172,8 @@
         auto request = parser.release();
         response_writer writer(
             [this](std::array<asio::const_buffer, 3> buffers) { return write_all(buffers); },
-            request.keep_alive() && !m_server.m_stopping.load() && !m_server.m_closing.load());
+            request.keep_alive() && !m_server.m_stopping.load() && !m_server.m_closing.load(),
+            request.method() != http::verb::head);
         m_stream.expires_never();
         m_writer = &writer;
         detect_caller_gone();
@@ -269,7 +270,7 @@
                     co_await asio::async_write(m_stream, buffers, use_tuple);
                 co_return error;
             },
-            false);
+            false, true);
         const unsigned status = too_large ? 413 : 400;
         auto fields = content_type_field("application/json");
         fields.push_back({"Savoryrelay-Outcome", "not-run"});
--- a/src/savoryrelay/transport/http/response_writer.cpp
+++ b/src/savoryrelay/transport/http/response_writer.cpp
@@ -11,8 +11,8 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-response_writer::response_writer(send_buffers_hook send_buffers, bool keep_alive)
-    : m_send_buffers(std::move(send_buffers)), m_keep_alive(keep_alive) {}
+response_writer::response_writer(send_buffers_hook send_buffers, bool keep_alive, bool has_body)
+    : m_send_buffers(std::move(send_buffers)), m_keep_alive(keep_alive), m_has_body(has_body) {}
 
 std::string response_writer::header_text(unsigned status, const http_fields& fields,
                                          const std::string& framing) const {
@@ -33,8 +33,9 @@
     m_started = true;
     const auto header =
         header_text(status, fields, "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    const auto sent_body = m_has_body ? asio::buffer(body) : asio::const_buffer{};
     const auto failed =
-        co_await m_send_buffers({asio::buffer(header), asio::buffer(body), asio::const_buffer{}});
+        co_await m_send_buffers({asio::buffer(header), sent_body, asio::const_buffer{}});
     m_complete = !failed;
     co_return failed;
 }
@@ -49,7 +50,7 @@
 
 asio::awaitable<error_code> response_writer::write(std::string_view bytes) {
     assert(m_started);
-    if (bytes.empty()) {
+    if (bytes.empty() || !m_has_body) {
         co_return error_code{};
     }
     std::array<char, 20> size{};
@@ -65,6 +66,10 @@
 
 asio::awaitable<error_code> response_writer::finish() {
     assert(m_started);
+    if (!m_has_body) {
+        m_complete = true;
+        co_return error_code{};
+    }
     static constexpr std::string_view last_chunk = "0\r\n\r\n";
     const auto failed = co_await m_send_buffers(
         {asio::buffer(last_chunk), asio::const_buffer{}, asio::const_buffer{}});
--- a/src/savoryrelay/transport/http/response_writer.h
+++ b/src/savoryrelay/transport/http/response_writer.h
@@ -23,8 +23,9 @@
 /// Writes the answer to one request. Call exactly one of `send` and `start`, once.
 class response_writer {
 public:
-    /// `keep_alive` is true if the connection may carry another request.
-    response_writer(send_buffers_hook send_buffers, bool keep_alive);
+    /// `keep_alive` is true if the connection may carry another request. `has_body` is false
+    /// for an answer to HEAD, of which only the header is sent.
+    response_writer(send_buffers_hook send_buffers, bool keep_alive, bool has_body);
 
     /// Sends a complete answer.
     boost::asio::awaitable<boost::system::error_code> send(unsigned status, http_fields fields,
@@ -65,6 +66,7 @@
 
     send_buffers_hook m_send_buffers;
     bool m_keep_alive;
+    const bool m_has_body; // if false, nothing is sent after the header
     bool m_started = false;
     bool m_complete = false; // implies m_started
     bool m_is_caller_gone = false;
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -81,6 +81,12 @@
         if (target == "/throws_unknown") {
             throw 7; // NOLINT(hicpp-exception-baseclass)
         }
+        if (target == "/streams") {
+            co_await writer.start(200, std::move(fields));
+            co_await writer.write("part");
+            co_await writer.finish();
+            co_return;
+        }
         if (target == "/throws_in_stream") {
             co_await writer.start(200, std::move(fields));
             co_await writer.write("part");
@@ -191,3 +197,18 @@
     asio::read_until(caller, asio::dynamic_buffer(answer), "whole", failed);
     CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 200"));
 }
+
+TEST_CASE("an answer to HEAD has no body, which would be taken for the next answer") {
+    const failing_server fixture;
+    const std::string next = "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    for (const std::string target : {"/", "/streams"}) {
+        INFO(target);
+        const auto received =
+            fixture.exchange_raw("HEAD " + target + " HTTP/1.1\r\nHost: a\r\n\r\n" + next);
+        const auto end_of_head = received.find("\r\n\r\n");
+        REQUIRE(end_of_head != std::string::npos);
+        CHECK_THAT(received, Catch::StartsWith("HTTP/1.1 200"));
+        CHECK_THAT(received.substr(end_of_head + 4), Catch::StartsWith("HTTP/1.1 200"));
+        CHECK_THAT(received, Catch::EndsWith("whole"));
+    }
+}
