Do not await a body in an answer to HEAD

What callers see: a HEAD request whose endpoint answers with a length gets 504 at its deadline, on plain and on streaming routes, although the answer was there.

Cause: the parser of answers expects a body where the header states a length. The front now takes an answer to HEAD as whole after its header and passes on the length. The connection is not used again: a body that the endpoint sends nevertheless would precede the next answer. An answer to another request is still read with its body, because HEAD leaves no connection that is kept.

--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -140,6 +140,9 @@
 
 asio::awaitable<std::pair<error_code, std::size_t>>
 endpoint_connection::read_some(asio::mutable_buffer buffer, state::milliseconds timeout) {
+    if (m_skips_body) {
+        co_return std::pair{error_code{}, std::size_t{0}};
+    }
     m_watchdog.extend(timeout);
     while (!m_parser->is_done()) {
         auto& body = m_parser->get().body();
@@ -178,7 +181,8 @@
 }
 
 bool endpoint_connection::reusable() const {
-    return m_parser && m_parser->is_done() && m_parser->keep_alive() && m_buffer.size() == 0;
+    return !m_skips_body && m_parser && m_parser->is_done() && m_parser->keep_alive() &&
+           m_buffer.size() == 0;
 }
 
 void endpoint_connection::expect_another_answer() {
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -52,6 +52,10 @@
     boost::asio::awaitable<std::pair<boost::system::error_code, std::size_t>>
     read_some(boost::asio::mutable_buffer buffer, state::milliseconds timeout);
 
+    /// Makes `read_some` return the end of the answer whose header was read, as an answer to
+    /// HEAD has no body. The connection carries no further request.
+    void skip_body() { m_skips_body = true; }
+
     /// Returns the status of the answer. Call it only after `read_header`.
     [[nodiscard]] unsigned status() const;
     /// Returns the answer's header field `name`, or an empty string. Call it only after
@@ -91,6 +95,7 @@
     state::time_point m_idle_since{};
     progress_watchdog m_watchdog; // cancels the pending operation when its time limit expires
     boost::beast::flat_buffer m_buffer{max_buffered_bytes};
+    bool m_skips_body = false;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
 };
 
--- a/src/savoryrelay/transport/http/response_writer.cpp
+++ b/src/savoryrelay/transport/http/response_writer.cpp
@@ -31,8 +31,11 @@
                                                   std::string_view body) {
     assert(!m_started);
     m_started = true;
-    const auto header =
-        header_text(status, fields, "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    // Without a body to measure, `fields` state the length of an answer to HEAD.
+    const auto framing = m_has_body || !body.empty()
+                             ? "Content-Length: " + std::to_string(body.size()) + "\r\n"
+                             : std::string{};
+    const auto header = header_text(status, fields, framing);
     const auto sent_body = m_has_body ? asio::buffer(body) : asio::const_buffer{};
     const auto failed =
         co_await m_send_buffers({asio::buffer(header), sent_body, asio::const_buffer{}});
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -44,6 +44,10 @@
     return answer.request_id == request.value() || (answer.is_not_run && answer.request_id.empty());
 }
 
+bool is_head(const http_request& request) {
+    return request.method() == boost::beast::http::verb::head;
+}
+
 } // namespace
 
 asio::awaitable<serving_front::attempt_result> serving_front::read_whole_answer(call_state& call) {
@@ -85,16 +89,24 @@
         const auto status = call.current->connection->status();
         const auto fields = call.current->connection->fields();
         const auto answer = m_dependencies.codec.decode_answer(status, fields);
+        const bool is_own = belongs_to(answer, call.decoded.id);
+        if (is_own && is_head(call.request)) {
+            call.current->connection->skip_body();
+        }
         auto end = co_await read_whole_answer(call);
         if (end.outcome != attempt_outcome::delivered) {
             co_return end;
         }
-        if (!belongs_to(answer, call.decoded.id)) {
+        if (!is_own) {
             call.current->connection->expect_another_answer();
             continue;
         }
         end.status = status;
         end.fields = m_dependencies.codec.select_caller_fields(fields);
+        if (const auto length = call.current->connection->header("Content-Length");
+            is_head(call.request) && !length.empty()) {
+            end.fields.push_back({"Content-Length", length});
+        }
         end.has_request_id = !answer.request_id.empty();
         if (answer.is_not_run) {
             end.outcome = attempt_outcome::not_run;
@@ -166,6 +178,9 @@
                        call.decoded.id)) {
             attempt.has_header = true;
             call.events.resume();
+            if (is_head(call.request)) {
+                connection.skip_body();
+            }
             continue;
         }
         auto other = co_await read_whole_answer(call);
--- a/tests/process/edge_test.cpp
+++ b/tests/process/edge_test.cpp
@@ -1,6 +1,7 @@
 // End-to-end tests of entry hosts on the platform: forming groups, calls, configuration,
 // the loss of a runner, of the store and of a host, and the graceful stop.
 #include "edge_fixture.h"
+#include "support/kept_connection.h"
 
 #include <chrono>
 
@@ -66,6 +67,29 @@
     CHECK(fetch(port, http::verb::get, "/look/1", "", edge_fixture::headers("n")).status == 200);
 }
 
+TEST_CASE("edge: an answer to HEAD is relayed at once, and the next answer is the right one") {
+    edge_fixture fixture;
+    fixture.hosts[0]->wait_until_ready();
+    const auto& port = fixture.hosts[0]->callers;
+    while (fetch(port, http::verb::get, "/look/1", "", edge_fixture::headers("l")).status != 200) {
+    }
+    kept_connection caller(port);
+    const auto ask = [&](http::verb method, const std::string& path, const std::string& id) {
+        const auto started = std::chrono::steady_clock::now();
+        auto answer = caller.fetch(method, path, "", edge_fixture::headers(id));
+        CHECK(std::chrono::steady_clock::now() - started < std::chrono::seconds(1));
+        CHECK(answer.request_id == id);
+        return answer;
+    };
+    const std::string body = "ran by p1 for workshop";
+    const auto head = ask(http::verb::head, "/look/1", "h1");
+    CHECK(head.status == 200);
+    CHECK(head.content_length == std::to_string(body.size()));
+    CHECK(ask(http::verb::get, "/look/1", "h2").body == body);
+    CHECK(ask(http::verb::head, "/none/1", "h3").status == 404);
+    CHECK(ask(http::verb::get, "/look/1", "h4").body == body);
+}
+
 TEST_CASE("edge: the entry of a runner with an overlong group name does not end a host") {
     edge_fixture fixture(2);
     // Nothing listens at the runner's address, so the lease holder reports it as silent.
--- a/tests/process/endless_answer_test.cpp
+++ b/tests/process/endless_answer_test.cpp
@@ -2,6 +2,7 @@
 // bodies without end, streams that make no progress), and those that end with the
 // connection. The caller gets a truthful end in time.
 #include "edge_fixture.h"
+#include "support/kept_connection.h"
 
 #include <atomic>
 #include <chrono>
@@ -58,6 +59,11 @@
                static_cast<ssize_t>(text.size());
     }
 
+    static bool is_closed(int connection) {
+        char byte = 0;
+        return ::recv(connection, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    }
+
     void answer(int connection) {
         std::string request;
         char byte = 0;
@@ -77,7 +83,11 @@
         std::string first = head;
         std::string filler = "X-Filler: 0123456789\r\n";
         auto pause = 0ms;
-        if (has("/body ")) {
+        if (request.starts_with("HEAD ")) {
+            first = head + "Content-Length: 100\r\n\r\n";
+            filler = "";
+            pause = 10ms;
+        } else if (has("/body ")) {
             first = head + "\r\n";
             filler = std::string(64 * 1024, 'x');
         } else if (has("/trickle ")) {
@@ -112,7 +122,7 @@
         bool is_open = send_text(connection, first);
         while (is_open && !m_is_stopping) {
             std::this_thread::sleep_for(pause);
-            is_open = send_text(connection, filler);
+            is_open = send_text(connection, filler) && !is_closed(connection);
         }
         closed_by_relay += is_open ? 0 : 1;
     }
@@ -180,6 +190,25 @@
     CHECK_FALSE(answer.is_complete);
 }
 
+TEST_CASE("edge: an answer to HEAD is not awaited until its deadline for a body") {
+    faulty_fixture fixture;
+    for (const std::string path : {"/look/1", "/feed/1"}) {
+        INFO(path);
+        kept_connection caller(fixture.hosts[0]->callers);
+        kept_answer answer;
+        auto started = test_clock::now();
+        int number = 0;
+        while (answer.status == 0 || answer.status == 503) { // the endpoint is not known yet
+            started = test_clock::now();
+            answer = caller.fetch(http::verb::head, path, "",
+                                  edge_fixture::headers("h" + std::to_string(number++)));
+        }
+        CHECK(test_clock::now() - started < 1s);
+        CHECK(answer.status == 200);
+        CHECK(answer.is_complete);
+    }
+}
+
 TEST_CASE("edge: an answer that ends with its connection is complete, a torn event is not") {
     faulty_fixture fixture;
     int number = 0;
--- a/tests/support/kept_connection.h
+++ b/tests/support/kept_connection.h
@@ -17,6 +17,7 @@
 struct kept_answer : test_answer {
     std::string request_id; ///< value of the header Attempt-Id
     std::string seal;       ///< value of the header Server-Seal
+    std::string content_length;
 };
 
 /// A connection to a port of 127.0.0.1. Opened again for the next request after the peer
@@ -36,6 +37,7 @@
     void send(http::verb method, const std::string& target, const std::string& body,
               const test_headers& headers) {
         open();
+        m_is_head = method == http::verb::head;
         http::request<http::string_body> request{method, target, 11};
         for (const auto& [name, value] : headers) {
             request.set(name, value);
@@ -48,6 +50,7 @@
     /// Reads the whole answer to the request that was sent last.
     kept_answer finish() {
         http::response_parser<http::string_body> parser;
+        parser.skip(m_is_head); // an answer to HEAD has no body
         while (!m_error && !parser.is_done()) {
             http::read_some(*m_socket, m_buffer, parser, m_error);
         }
@@ -60,6 +63,7 @@
             answer.retry_after = std::string(message[http::field::retry_after]);
             answer.request_id = std::string(message["Attempt-Id"]);
             answer.seal = std::string(message["Server-Seal"]);
+            answer.content_length = std::string(message[http::field::content_length]);
         }
         answer.error = m_error ? m_error.message() : std::string{};
         if (m_error || !parser.keep_alive()) {
@@ -86,6 +90,7 @@
     boost::asio::io_context m_context;
     std::optional<boost::asio::ip::tcp::socket> m_socket; // empty while closed
     boost::beast::flat_buffer m_buffer;
+    bool m_is_head = false; // of the request that was sent last
     boost::system::error_code m_error;
 };
 
