End an exchange whose answer does not become whole

What is seen: an exchange with the store, a runner or a peer that sends a byte now and then never ends. The loop that awaits it stands still, so that a host goes on with the configuration that it has.

Cause: each read had a limit, the whole answer had none. It is 10 s from the head; the usual limit still holds for each piece.

The new test failed before: the exchange lasted as long as the peer sent (4 s) and was taken for a whole answer.

--- a/src/savoryrelay/transport/http/short_exchange.cpp
+++ b/src/savoryrelay/transport/http/short_exchange.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/this_coro.hpp>
 
+#include <chrono>
 #include <vector>
 
 namespace savoryrelay::transport {
@@ -48,10 +49,12 @@
     }
     short_answer answer{connection->status(), {}};
     std::vector<char> buffer(read_buffer_bytes);
+    const auto deadline = std::chrono::steady_clock::now() + target.whole_answer_timeout;
     while (true) {
         const auto [failed, size] =
             co_await connection->read_some(asio::buffer(buffer), target.answer_timeout);
-        if (failed || answer.body.size() + size > max_answer_bytes) {
+        const bool is_late = size > 0 && std::chrono::steady_clock::now() >= deadline;
+        if (failed || is_late || answer.body.size() + size > max_answer_bytes) {
             co_return state::failure{failure_kind::endpoint_failed,
                                      target.address + ": the answer is incomplete or too large"};
         }
--- a/src/savoryrelay/transport/http/short_exchange.h
+++ b/src/savoryrelay/transport/http/short_exchange.h
@@ -18,8 +18,9 @@
     std::string address; ///< IP address
     std::uint16_t port = 0;
     state::milliseconds connect_timeout{500};
-    state::milliseconds answer_timeout{1'000};
-    std::function<bool()> may_send{}; ///< asked once the connection is open; null: always
+    state::milliseconds answer_timeout{1'000}; ///< until the head, and for each further piece
+    std::function<bool()> may_send{};          ///< asked once the connection is open; null: always
+    state::milliseconds whole_answer_timeout{10'000}; ///< from the head until the end
 };
 
 /// A complete answer.
--- a/tests/transport/short_exchange_test.cpp
+++ b/tests/transport/short_exchange_test.cpp
@@ -1,16 +1,21 @@
-// Tests that an exchange asks for permission before it sends its request.
+// Tests that an exchange asks for permission before it sends its request, and that it ends.
 #include "savoryrelay/transport/http/short_exchange.h"
 #include "savoryrelay/transport/process/io_threads.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <string>
+#include <thread>
 
 using namespace savoryrelay;
+using namespace std::chrono_literals;
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -43,3 +48,33 @@
     CHECK(asio::read(socket, asio::buffer(received), ended) == 0);
     CHECK(ended == asio::error::eof);
 }
+
+TEST_CASE("an exchange with a peer that sends a byte now and then ends") {
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::thread peer([&] {
+        auto socket = acceptor.accept();
+        boost::system::error_code ended;
+        std::string request;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", ended);
+        asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\n")), ended);
+        const auto limit = std::chrono::steady_clock::now() + 4s;
+        while (!ended && std::chrono::steady_clock::now() < limit) {
+            std::this_thread::sleep_for(50ms);
+            asio::write(socket, asio::buffer(std::string("x")), ended);
+        }
+    });
+    transport::endpoint_pool pool;
+    transport::io_threads threads{1};
+    transport::exchange_target target{"127.0.0.1", acceptor.local_endpoint().port()};
+    target.whole_answer_timeout = 500ms;
+    const transport::http_request request{boost::beast::http::verb::get, "/report", 11};
+    const auto started = std::chrono::steady_clock::now();
+    const auto answer =
+        asio::co_spawn(threads.context(0), transport::run_exchange(pool, target, request),
+                       asio::use_future)
+            .get();
+    CHECK(std::chrono::steady_clock::now() - started < 2s);
+    CHECK_FALSE(answer);
+    peer.join();
+}
