Close a connection after the caller has received its answer

What callers see: the last answer of a connection is cut if the caller sends more before it has read that answer, such as its next request at a stop.

Cause: closing a socket with unread bytes resets the connection, and the kernel discards what it has not sent yet. The server now waits until the caller has acknowledged the answer, as long as that makes progress within the write limit. It does not read the bytes behind: a request that is not read may be repeated by its caller, one that is read and dropped may not.

--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -16,6 +16,10 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -40,6 +44,8 @@
 constexpr std::size_t max_written_bytes = 64 * 1024; // by one operation of a write
 constexpr std::size_t discard_buffer_bytes = 16 * 1024;
 constexpr std::size_t max_discarded_bytes = 64 * 1024 * 1024;
+// Interval of the check whether the peer has received an answer.
+constexpr state::milliseconds acknowledgement_check_interval{20};
 // Time after which the server accepts again when it could not, for want of descriptors.
 constexpr state::milliseconds accept_retry_interval{50};
 
@@ -90,6 +96,7 @@
                  {"stopping", m_server.m_stopping.load() ? "yes" : "no"}});
         }
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        co_await wait_until_answer_received();
         // A pending wait of detect_caller_gone would keep the socket open.
         m_stream.socket().cancel(ignored);
         m_server.remove_connection(m_id);
@@ -112,6 +119,35 @@
                                              MSG_PEEK | MSG_DONTWAIT) > 0;
     }
 
+    /// Returns the number of sent bytes that the peer has not acknowledged; 0 after a reset.
+    [[nodiscard]] int unacknowledged_bytes() {
+        const int socket = m_stream.socket().native_handle();
+        tcp_info info{};
+        socklen_t size = sizeof(info);
+        int bytes = 0;
+        if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+            info.tcpi_state == TCP_CLOSE || ::ioctl(socket, SIOCOUTQ, &bytes) != 0) {
+            return 0;
+        }
+        return bytes;
+    }
+
+    /// Waits until the peer has received what was sent. Bytes of the peer that are not read
+    /// make the close reset the connection, which discards what has not been received yet.
+    asio::awaitable<void> wait_until_answer_received() {
+        auto last = m_has_write_failed ? 0 : unacknowledged_bytes();
+        auto progress_at = std::chrono::steady_clock::now();
+        while (last > 0 &&
+               std::chrono::steady_clock::now() - progress_at < m_limits.write_timeout) {
+            co_await pause_for(acknowledgement_check_interval);
+            const auto left = unacknowledged_bytes();
+            if (left != last) {
+                progress_at = std::chrono::steady_clock::now();
+            }
+            last = left;
+        }
+    }
+
     /// Waits for the first byte of a request. Returns false if the wait timed out, the
     /// peer closed the connection, or the server stops.
     asio::awaitable<bool> wait_for_request() {
@@ -200,6 +236,7 @@
         const auto [error, written] =
             co_await asio::async_write(m_stream, buffers, next_part_limit, use_tuple);
         m_watchdog.disarm();
+        m_has_write_failed = m_has_write_failed || error;
         co_return error;
     }
 
@@ -304,7 +341,8 @@
     beast::flat_buffer m_buffer{max_buffered_bytes};
     response_writer* m_writer = nullptr; // writer of the current request, or null
     bool m_caller_wait_pending = false;  // a wait of detect_caller_gone is pending
-    bool m_idle = false;                 // true while waiting for the first byte of a request
+    bool m_has_write_failed = false;
+    bool m_idle = false; // true while waiting for the first byte of a request
 };
 
 http_server::http_server(io_threads& threads, const std::string& address, std::uint16_t port,
--- a/tests/transport/slow_caller_test.cpp
+++ b/tests/transport/slow_caller_test.cpp
@@ -1,4 +1,5 @@
-// Tests that whole answers reach callers that read slowly.
+// Tests that whole answers reach callers that read slowly, or that send the next request
+// before they have read the answer.
 #include "savoryrelay/transport/http/http_server.h"
 
 #include <boost/asio/io_context.hpp>
@@ -87,3 +88,14 @@
     CHECK(caller.read(body_bytes, 64 * 1024, 8ms) >= body_bytes);
     CHECK(std::chrono::steady_clock::now() - started > 1s);
 }
+
+TEST_CASE("an answer is not cut by a request that arrives behind it when the connection closes") {
+    constexpr std::size_t body_bytes = 2 * 1024 * 1024;
+    large_answer_server fixture(body_bytes, 15s);
+    fixture.server.announce_close();
+    slow_caller caller(fixture.server.port());
+    caller.send_request();
+    std::this_thread::sleep_for(100ms); // until the server has read it
+    caller.send_request();
+    CHECK(caller.read(body_bytes, 64 * 1024, 5ms) >= body_bytes);
+}
