--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -89,14 +89,17 @@
                 is_open = co_await serve_request();
             }
         }
-        if (has_unread_bytes()) {
+        const bool was_unread = has_unread_bytes();
+        if (was_unread) {
             log_warning(
                 "connection_closed_unread",
                 {{"idle_timeout_ms", std::to_string(m_server.limits().idle_timeout.count())},
                  {"stopping", m_server.m_stopping.load() ? "yes" : "no"}});
         }
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-        co_await wait_until_answer_received();
+        if (was_unread) {
+            co_await wait_until_answer_received();
+        }
         // A pending wait of detect_caller_gone would keep the socket open.
         m_stream.socket().cancel(ignored);
         m_server.remove_connection(m_id);
