Run no request whose caller left before it was read

A host that had been paused ran the requests of callers that had given up meanwhile: it read request and close together, and sent the request on an idle connection to an endpoint before the wait for the caller's close had completed.

The server now looks for a close when it has read a request, so that the handler knows of it from its start. A caller that ends only its sending side was already treated as gone, since TCP does not tell the two apart.

--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -111,6 +111,14 @@
                                              MSG_PEEK | MSG_DONTWAIT) > 0;
     }
 
+    /// Returns whether the peer has closed the connection and sends nothing more.
+    [[nodiscard]] bool is_closed_by_peer() {
+        char byte = 0;
+        const auto received =
+            ::recv(m_stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+        return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     /// Waits for the first byte of a request. Returns false if the wait timed out, the
     /// peer closed the connection, or the server stops.
     asio::awaitable<bool> wait_for_request() {
@@ -180,7 +188,12 @@
             request.keep_alive() && !m_server.m_stopping.load() && !m_server.m_closing.load());
         m_stream.expires_never();
         m_writer = &writer;
-        detect_caller_gone();
+        // The caller may have gone while the process was paused.
+        if (is_closed_by_peer()) {
+            writer.notify_caller_gone();
+        } else {
+            detect_caller_gone();
+        }
         const auto error = co_await run_handler(std::move(request), writer);
         m_writer = nullptr;
         // The hook refers to the frame of the handler.
--- a/tests/process/paused_host_test.cpp
+++ b/tests/process/paused_host_test.cpp
@@ -1,5 +1,6 @@
 // Tests hosts that were paused while others went on: a former lease holder gives no order
-// that a runner accepts, and a host applies the configuration that it missed.
+// that a runner accepts, and a host applies the configuration that it missed and runs no
+// request whose caller has gone.
 #include "edge_fixture.h"
 #include "support/kept_connection.h"
 
@@ -8,8 +9,10 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <thread>
+#include <vector>
 
 using namespace savoryrelay::tests;
 using namespace std::chrono_literals;
@@ -268,3 +271,45 @@
         std::this_thread::sleep_for(poll_interval);
     }
 }
+
+TEST_CASE("edge: a host that was paused runs no request whose caller has gone meanwhile") {
+    constexpr int caller_count = 8;
+    paused_fixture fixture(1, 0);
+    const auto& host = *fixture.hosts.front();
+    host.wait_until_ready();
+    const auto send = [&](kept_connection& connection) {
+        connection.send(http::verb::get, "/look/1", "", edge_fixture::headers("c"));
+    };
+    fixture.wait_until([&] {
+        kept_connection first(host.callers);
+        send(first);
+        return first.finish().status == 200;
+    });
+    // Calls at the same time leave the host with several idle connections to the endpoint.
+    std::vector<std::unique_ptr<kept_connection>> callers;
+    for (int i = 0; i < caller_count; ++i) {
+        callers.push_back(std::make_unique<kept_connection>(host.callers));
+        send(*callers.back());
+    }
+    for (const auto& caller : callers) {
+        REQUIRE(caller->finish().status == 200);
+    }
+
+    const auto runs_before = std::stoi(fixture.runs(fixture.plain));
+    fixture.pause(0);
+    for (const auto& caller : callers) {
+        send(*caller);
+    }
+    for (int i = 0; i < caller_count; ++i) {
+        callers.push_back(std::make_unique<kept_connection>(host.callers));
+        send(*callers.back());
+    }
+    callers.clear(); // closes the connections
+    std::this_thread::sleep_for(500ms);
+    fixture.resume();
+    kept_connection last(host.callers);
+    send(last);
+    CHECK(last.finish().status == 200);
+    std::this_thread::sleep_for(200ms);
+    CHECK(std::stoi(fixture.runs(fixture.plain)) - runs_before == 1);
+}
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -4,6 +4,7 @@
 #include "support/test_http_client.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -13,9 +14,11 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <ctime>
 #include <functional>
+#include <future>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -191,3 +194,41 @@
     asio::read_until(caller, asio::dynamic_buffer(answer), "whole", failed);
     CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 200"));
 }
+
+TEST_CASE("a handler learns at once that the caller closed the connection before") {
+    std::atomic<int> gone{0};
+    std::atomic<int> present{0};
+    transport::io_threads threads{1};
+    transport::http_server server{
+        threads,
+        "127.0.0.1",
+        0,
+        {},
+        [&](transport::http_request, transport::response_writer& writer) -> asio::awaitable<void> {
+            ++(writer.is_caller_gone() ? gone : present);
+            auto fields = transport::content_type_field("text/plain");
+            co_await writer.send(200, std::move(fields), "ok");
+        }};
+    std::promise<void> blocked;
+    std::promise<void> release;
+    asio::post(threads.context(0), [&] {
+        blocked.set_value();
+        release.get_future().wait();
+    });
+    blocked.get_future().wait();
+    asio::io_context context;
+    for (const bool resets : {false, true}) {
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::address_v4::loopback(), server.port()});
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+        socket.set_option(asio::socket_base::linger(resets, 0));
+    }
+    release.set_value();
+    CHECK(fetch(std::to_string(server.port()), http::verb::get, "/").status == 200);
+    server.stop_accepting();
+    server.wait_until_idle();
+    CHECK(gone <= 2);
+    CHECK(gone >= 1); // a reset may discard the request
+    CHECK(present == 1);
+    threads.stop();
+}
