Check a chosen endpoint again before a request is sent to it

A call counts against the limit of a cold endpoint, the budget of repeats and the quarantine when its endpoint is chosen. If the process was paused while the connection was opened, the request went out seconds later: after the caller's deadline, with a negative time left (-100 ms in the test), although its prompt part had been quarantined, or beside the calls that the same limits allowed after the pause.

A choice is now valid for 500 ms, which covers the time-out of a connection. Before a request is sent, the front checks this, the deadline and the quarantine. If one fails, the call counts as not run and chooses again, with the same endpoint allowed.

The four tests move the clock between the choice and the request. Before, each failed: the endpoint ran the late call (504 for the caller), the quarantined call (200), and the second call beside a cold endpoint's limit and the budget of repeats (200 instead of 503).

--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -41,7 +41,7 @@
         auto selected = service.engine
                             ? select_group(service, *model, call, runners, time_left, now)
                             : select_least_loaded(runners, now);
-        if (const auto* endpoint = std::get_if<selected_endpoint>(&selected)) {
+        if (auto* endpoint = std::get_if<selected_endpoint>(&selected)) {
             if (!admit_cold_call(service, endpoint->runner, now)) {
                 is_cold_limit_reached = true;
                 std::erase_if(runners, [&](const auto* each) {
@@ -49,6 +49,7 @@
                 });
                 continue;
             }
+            endpoint->selected_at = now;
         }
         return selected;
     }
--- a/src/savoryrelay/coordination/serving/endpoint_selector.h
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -18,9 +18,19 @@
 
 /// The endpoint selected for one attempt.
 struct selected_endpoint {
+    /// A choice counts against the limits that hold when it is made, so the request must be
+    /// sent within this time. Covers the time-out of a new connection.
+    static constexpr state::milliseconds validity{500};
+
     runner_view runner;
     double predicted_first_event_ms = 0;   ///< 0 if the service has no engine
     double uncorrected_first_event_ms = 0; ///< without the learned correction of the model
+    state::time_point selected_at{};
+
+    /// Returns whether the request may be sent at `now`.
+    [[nodiscard]] bool is_valid(state::time_point now) const {
+        return now - selected_at <= validity;
+    }
 };
 
 /// Why no endpoint was selected.
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -153,6 +153,12 @@
     }
 }
 
+bool serving_front::may_send(const call_state& call) const {
+    const auto now = m_dependencies.now();
+    return call.current->chosen.is_valid(now) && now < call.deadline &&
+           !m_dependencies.crashes.time_quarantined(call.fingerprints, now);
+}
+
 asio::awaitable<serving_front::attempt_result> serving_front::try_endpoint(call_state& call) {
     auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
     auto& attempt = *call.current;
@@ -180,6 +186,12 @@
     if (call.caller_is_gone) {
         co_return end;
     }
+    if (!may_send(call)) {
+        call.tried.erase(runner.id);
+        end.outcome = attempt_outcome::not_run;
+        end.reason = "the choice of the endpoint is outdated";
+        co_return end;
+    }
     endpoint_request_values added_values;
     added_values.endpoint = runner.id;
     added_values.customer = call.customer;
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -77,6 +77,9 @@
     /// Counts and logs an attempt that has failed.
     void report_failed_attempt(const call_state& call, const open_attempt& attempt,
                                const attempt_result& end);
+    /// Returns whether the request may still be sent to the chosen endpoint. The process may
+    /// have been paused since the choice.
+    [[nodiscard]] bool may_send(const call_state& call) const;
     /// Connects to the endpoint, sends the request and relays the answer.
     boost::asio::awaitable<attempt_result> try_endpoint(call_state& call);
     /// Goes on with an attempt that was kept.
