Test that a host that was paused refuses a quarantined prompt part

A host is paused while the others quarantine a part, for longer than crash notices are sent, once with its datagrams kept by the kernel and once with a full receive buffer, so that it misses them all. Both passed on the code before this commit: the repeated notices of the quarantine reach the host within the contact time.

--- a/tests/process/crashing_prompt_test.cpp
+++ b/tests/process/crashing_prompt_test.cpp
@@ -2,10 +2,15 @@
 // after few crashes, and no others.
 #include "edge_fixture.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <csignal>
 #include <functional>
 #include <optional>
 #include <thread>
@@ -24,6 +29,8 @@
 // Time for which a crashed runner is down.
 constexpr auto restart_delay = 1s;
 constexpr auto poll_interval = 10ms;
+// Time for which a notice of a crash is sent.
+constexpr auto notice_time = 1'200ms;
 // Calls that may reach runners once all hosts have to know of the crashes.
 constexpr int max_late_runs = 3;
 constexpr int late_calls = 30;
@@ -199,8 +206,65 @@
     std::vector<std::jthread> m_threads; // destroyed first, because they use the counts
 };
 
+// Fills the receive buffer of a paused host, so that it misses the datagrams of its peers.
+void fill_receive_buffer(const edge_process& host, const std::string& port) {
+    using boost::asio::ip::udp;
+    constexpr int datagrams = 2'000;
+    boost::asio::io_context context;
+    udp::socket socket(context, udp::v4());
+    const udp::endpoint to(boost::asio::ip::make_address(host.peer_address),
+                           static_cast<std::uint16_t>(std::stoi(port)));
+    const std::string damaged(1'000, 'x');
+    for (int i = 0; i < datagrams; ++i) {
+        socket.send_to(boost::asio::buffer(damaged), to);
+    }
+}
+
+// Pauses the last host while the others quarantine a prompt part, and sends calls with the
+// part through it once it has been in touch again for the contact time.
+void check_refused_after_pause(bool misses_notices) {
+    constexpr std::size_t paused = host_count - 1;
+    crash_fixture fixture(R"({"crash_on_part":"dead01"})");
+    const auto& process = *fixture.hosts[paused]->process;
+    process.send(SIGSTOP);
+    if (misses_notices) {
+        fill_receive_buffer(*fixture.hosts[paused], fixture.peer_port);
+    }
+    const auto limit = test_clock::now() + 15s;
+    for (std::size_t host = 0; host < paused; ++host) {
+        while (!is_quarantined(fixture.ask_with_part(host, crashing_part))) {
+            REQUIRE(test_clock::now() < limit);
+            fixture.supervise();
+        }
+    }
+    fixture.supervise_until(test_clock::now() + 2 * notice_time);
+
+    process.send(SIGCONT);
+    fixture.supervise_until(test_clock::now() + contact_time);
+    fixture.wait_until_served(paused);
+    const auto crashes_before = fixture.count_crashes();
+    int quarantined = 0;
+    for (int i = 0; i < late_calls; ++i) {
+        quarantined += is_quarantined(fixture.ask_with_part(paused, crashing_part)) ? 1 : 0;
+        fixture.supervise_until(test_clock::now() + 50ms);
+    }
+    const auto late_crashes = fixture.count_crashes() - crashes_before;
+    CAPTURE(crashes_before, late_crashes, quarantined);
+    CHECK(late_crashes <= max_late_runs);
+    CHECK(quarantined >= late_calls - max_late_runs);
+    CHECK(fixture.ask_with_part(paused, "0a").status == 200);
+}
+
 } // namespace
 
+TEST_CASE("edge: a host that was paused refuses a prompt part that the others quarantined") {
+    check_refused_after_pause(false);
+}
+
+TEST_CASE("edge: a host that missed all notices in a pause refuses a quarantined prompt part") {
+    check_refused_after_pause(true);
+}
+
 TEST_CASE("edge: a prompt part that crashes endpoints is refused by every host after few crashes") {
     crash_fixture fixture(R"({"crash_on_part":"dead01"})");
     constexpr std::size_t crash_count = 5;
