Refuse amounts in digests that are not finite or are negative

One datagram with a load that is not a number made the prediction of first events one: the correction that a host learns from it stayed so until the host ended, and work and loads of all hosts were sums of it.

The decoder refuses such a digest as damaged. The encoder limits amounts to the range of the message, since a runner's report may state a factor beyond it, and one such observation must not make peers refuse the others in its datagram. The tests damage each of the four amounts in three ways, and send the factors 1e300 and -1; all of these failed before. The lasting effect on predictions is by reading, no test shows it.

--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <sstream>
 
@@ -19,11 +20,26 @@
 constexpr std::size_t max_value_bytes = 8 * 1024 * 1024;
 constexpr std::uint32_t max_counter = std::numeric_limits<std::uint16_t>::max();
 
+// Amounts are finite and not negative. One that is not finite would remain in the sums and
+// averages of its receivers.
+void write_amount(bounded_writer& out, double amount) {
+    constexpr double largest = std::numeric_limits<float>::max();
+    out.number(static_cast<float>(std::clamp(amount, 0.0, largest)));
+}
+
+double read_amount(bounded_reader& in) {
+    const auto amount = in.number<float>();
+    if (!std::isfinite(amount) || amount < 0) {
+        throw cereal::Exception("an amount is not finite or is negative");
+    }
+    return amount;
+}
+
 void write_load(bounded_writer& out, const state::endpoint_load_entry& entry) {
     out.text(entry.endpoint.value(), max_text_bytes);
     out.number(static_cast<std::uint16_t>(std::min(entry.load.writing, max_counter)));
     out.number(static_cast<std::uint16_t>(std::min(entry.load.waiting, max_counter)));
-    out.number(static_cast<float>(entry.load.waiting_prompt_tokens));
+    write_amount(out, entry.load.waiting_prompt_tokens);
 }
 
 state::endpoint_load_entry read_load(bounded_reader& in) {
@@ -31,7 +47,7 @@
     entry.endpoint = state::endpoint_id(in.text(max_text_bytes));
     entry.load.writing = in.number<std::uint16_t>();
     entry.load.waiting = in.number<std::uint16_t>();
-    entry.load.waiting_prompt_tokens = in.number<float>();
+    entry.load.waiting_prompt_tokens = read_amount(in);
     return entry;
 }
 
@@ -45,7 +61,7 @@
     out.number(observation.membership.epoch);
     out.number(observation.membership.rank);
     out.enum_value(observation.membership.state);
-    out.number(static_cast<float>(observation.time_factor));
+    write_amount(out, observation.time_factor);
 }
 
 state::runner_observation read_observation(bounded_reader& in) {
@@ -59,7 +75,7 @@
     observation.membership.epoch = in.number<std::uint64_t>();
     observation.membership.rank = in.number<std::uint32_t>();
     observation.membership.state = in.enum_value<state::membership_state>();
-    observation.time_factor = in.number<float>();
+    observation.time_factor = read_amount(in);
     return observation;
 }
 
@@ -68,7 +84,7 @@
     out.text(host.address.ip, max_text_bytes);
     out.number(host.address.port);
     out.text(host.availability_zone.value(), max_text_bytes);
-    out.number(static_cast<float>(host.processor_share));
+    write_amount(out, host.processor_share);
 }
 
 state::host_entry read_host(bounded_reader& in) {
@@ -77,7 +93,7 @@
     host.address.ip = in.text(max_text_bytes);
     host.address.port = in.number<std::uint16_t>();
     host.availability_zone = state::availability_zone_id(in.text(max_text_bytes));
-    host.processor_share = in.number<float>();
+    host.processor_share = read_amount(in);
     return host;
 }
 
@@ -136,7 +152,7 @@
     out.count(digest.work.size(), max_digest_entries);
     for (const auto& entry : digest.work) {
         out.text(entry.model, max_text_bytes);
-        out.number(static_cast<float>(entry.groups));
+        write_amount(out, entry.groups);
     }
     out.count(digest.observations.size(), max_digest_entries);
     for (const auto& observation : digest.observations) {
@@ -243,7 +259,7 @@
         }
         for (auto remaining = in.count(max_digest_entries); remaining > 0; --remaining) {
             auto model = in.text(max_text_bytes);
-            digest.work.push_back({std::move(model), in.number<float>()});
+            digest.work.push_back({std::move(model), read_amount(in)});
         }
         for (auto remaining = in.count(max_digest_entries); remaining > 0; --remaining) {
             digest.observations.push_back(read_observation(in));
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <cmath>
+#include <cstring>
 #include <limits>
 #include <string_view>
 #include <vector>
@@ -228,3 +230,46 @@
     CHECK_THAT(message_of(std::string(good).replace(good.find("10.1.0.4:8080"), 13, "nowhere")),
                Catch::Contains("callers"));
 }
+
+TEST_CASE("a digest with an amount that is not finite or is negative is refused") {
+    // The bytes of each amount are found by its value.
+    constexpr float marker = 300.5F;
+    const auto bytes_of = [](float value) {
+        std::string bytes(sizeof(value), '\0');
+        std::memcpy(bytes.data(), &value, sizeof(value));
+        return bytes;
+    };
+    auto of_loads = make_digest(0);
+    of_loads.loads.push_back({state::endpoint_id("i-1"), {1, 2, marker}});
+    auto of_work = make_digest(0);
+    of_work.work.push_back({"gold", marker});
+    auto of_observations = make_digest(0);
+    of_observations.observations.emplace_back().time_factor = marker;
+    auto of_sender = make_digest(0);
+    of_sender.host.processor_share = marker;
+    for (const auto& digest : {of_loads, of_work, of_observations, of_sender}) {
+        const auto good = encode(digest);
+        REQUIRE(read_digest(good));
+        const auto at = good.find(bytes_of(marker));
+        REQUIRE(at != std::string::npos);
+        using limits = std::numeric_limits<float>;
+        for (const float amount : {limits::quiet_NaN(), limits::infinity(), -1.0F}) {
+            auto damaged = good;
+            damaged.replace(at, sizeof(amount), bytes_of(amount));
+            CAPTURE(at, amount);
+            CHECK_FALSE(read_digest(damaged));
+        }
+    }
+}
+
+TEST_CASE("a runner's amount outside the range of a digest does not make peers refuse it") {
+    for (const double factor : {1e300, -1.0}) {
+        auto digest = make_digest(1);
+        digest.observations.front().time_factor = factor;
+        const auto read = read_digest(encode(digest));
+        REQUIRE(read);
+        const auto received = read.value().observations.front().time_factor;
+        CHECK(std::isfinite(received));
+        CHECK(received >= 0);
+    }
+}
