Do not count event numbers past their range

An event with the number 2^64 - 1 set the next expected number to 0, so that a stream that went on at another endpoint repeated its events to the caller. So did a caller's request to continue after that number.

A number without a successor counts as none, like one that does not fit, and the number that a caller has is limited alike.

--- a/src/savoryrelay/protocol/event_stream/event_splitter.cpp
+++ b/src/savoryrelay/protocol/event_stream/event_splitter.cpp
@@ -23,7 +23,7 @@
     event.remove_prefix(id_field.size());
     std::uint64_t number = 0;
     const auto parsed = std::from_chars(event.data(), event.data() + event.size(), number);
-    if (parsed.ec != std::errc{}) {
+    if (parsed.ec != std::errc{} || number > event_splitter::max_token) {
         return std::nullopt;
     }
     return number;
--- a/src/savoryrelay/protocol/event_stream/event_splitter.h
+++ b/src/savoryrelay/protocol/event_stream/event_splitter.h
@@ -4,8 +4,10 @@
 
 #include "savoryrelay/state/core/failure.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -18,6 +20,8 @@
 class event_splitter {
 public:
     static constexpr std::size_t max_event_bytes = 32 * 1024;
+    /// A larger number has no successor and counts as none.
+    static constexpr std::uint64_t max_token = std::numeric_limits<std::uint64_t>::max() - 1;
 
     /// Appends bytes received from the engine. Fails with `message_damaged` when an
     /// incomplete event exceeds `max_event_bytes`.
@@ -39,7 +43,7 @@
     [[nodiscard]] bool has_partial_event() const { return !m_pending.empty(); }
 
     /// Sets the number of the next token to the one after `last`.
-    void continue_after(std::uint64_t last) { m_next_token = last + 1; }
+    void continue_after(std::uint64_t last) { m_next_token = std::min(last, max_token) + 1; }
 
     /// Discards a partial event and the events not yet taken. Call it before the stream
     /// resumes on another connection. `append` then drops events that repeat earlier
