Release a quarantine also on hosts that know of it from others only

What callers saw: a sound prompt part that was quarantined beside another one stayed refused on some hosts for 15 minutes, although the host that had quarantined it released it when the other part explained its crashes. A caller that keeps to such a host gets no answer that would clear the part.

Cause: a host releases a part by the crashes that it knows itself. One that learned of the quarantine from the announcements alone knows none, and announces the quarantine further.

Change: a host that hears a quarantine announced whose crashes it finds explained answers with a notice `released`, which has the number and the time of these crashes. A host ends a quarantine on it unless it has the evidence itself or the quarantine is based on more or later crashes. It remembers the explanation, so that late announcements of others do not bring the quarantine back, and answers them too. So it takes no single datagram: each further announcement is answered until it stops.

Ruled out: a quarantine that ends when its origin no longer announces it. The origin may have been restarted, and the part would be tried again on all hosts.

peer_digest_codec_test.cpp took 3 for an unknown kind of notice, which is now `released`; it takes the first value behind the table instead.

--- a/src/savoryrelay/coordination/retry/crash_suspects.cpp
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -15,6 +15,16 @@
 // Further crashes of a fingerprint only extend the time that its crashes span.
 constexpr std::size_t max_known_crashes = 256;
 
+// The ages in notices lack the time of their transfer, so that the same crash appears later to
+// each host that passes it on.
+constexpr state::milliseconds max_transfer_time{5'000};
+
+// Returns whether crashes that others explain include those of a quarantine.
+bool covers(const quarantined_fingerprint& explained, const quarantined_fingerprint& quarantine) {
+    return quarantine.crashes <= explained.crashes &&
+           quarantine.last_crash <= explained.last_crash + max_transfer_time;
+}
+
 } // namespace
 
 request_fingerprint fingerprint_of(const state::customer_id& customer, std::string_view body) {
@@ -79,8 +89,7 @@
         if (!has_capacity && !is_suspect(fingerprint.value)) {
             continue;
         }
-        crash_evidence evidence;
-        evidence.other_suspects = earlier_suspects - (was_suspect(fingerprint) ? 1 : 0);
+        const auto other_suspects = earlier_suspects - (was_suspect(fingerprint) ? 1 : 0);
         const auto known = m_suspects.update(fingerprint.value, [&](suspect_row& row) {
             row.position = std::max(row.position, fingerprint.position);
             const bool is_known =
@@ -96,10 +105,8 @@
             }
             return row;
         });
-        evidence.crashes = unexplained_crashes(fingerprint.value, known);
-        evidence.span =
-            std::chrono::duration_cast<state::milliseconds>(known.last_crash - known.first_crash);
-        evidence.was_answered = last_answer(fingerprint.value).has_value();
+        auto evidence = evidence_of(fingerprint.value, known);
+        evidence.other_suspects = other_suspects;
         // The hook runs outside the shard's lock.
         const bool repeats = known.is_on_probation && evidence.crashes > 0;
         if (repeats || m_hooks.is_quarantined(m_settings, evidence)) {
@@ -110,6 +117,16 @@
     return changed;
 }
 
+crash_evidence crash_suspects::evidence_of(request_fingerprint fingerprint,
+                                           const suspect_row& suspect) const {
+    crash_evidence evidence;
+    evidence.crashes = unexplained_crashes(fingerprint, suspect);
+    evidence.span =
+        std::chrono::duration_cast<state::milliseconds>(suspect.last_crash - suspect.first_crash);
+    evidence.was_answered = last_answer(fingerprint).has_value();
+    return evidence;
+}
+
 std::size_t crash_suspects::unexplained_crashes(request_fingerprint fingerprint,
                                                 const suspect_row& suspect) const {
     if (suspect.crashes.size() < m_settings.crashes_if_sole_suspect) {
@@ -228,6 +245,9 @@
     if (known && !known->crashes.empty() && unexplained_crashes(fingerprint, *known) == 0) {
         return false;
     }
+    if (find_explanation(reported)) {
+        return false;
+    }
     m_suspects.update(fingerprint, [&](suspect_row& row) {
         row.last_crash = std::max(row.last_crash, reported.last_crash);
         row.reported_crashes = std::max(row.reported_crashes, reported.crashes);
@@ -236,6 +256,50 @@
     return set_quarantined(fingerprint);
 }
 
+std::optional<quarantined_fingerprint>
+crash_suspects::find_explanation(const quarantined_fingerprint& reported) const {
+    const auto fingerprint = reported.fingerprint.value;
+    const auto row = m_suspects.find(fingerprint);
+    if (!row || row->is_quarantined) {
+        return std::nullopt;
+    }
+    const quarantined_fingerprint known_here{
+        {fingerprint, row->position}, row->last_crash, row->crashes.size()};
+    if (covers(known_here, reported) && unexplained_crashes(fingerprint, *row) == 0) {
+        return known_here;
+    }
+    const quarantined_fingerprint known_to_peer{
+        {fingerprint, row->position}, row->explained_until, row->explained_crashes};
+    return covers(known_to_peer, reported) ? std::optional(known_to_peer) : std::nullopt;
+}
+
+bool crash_suspects::record_explanation(const quarantined_fingerprint& explained) {
+    const auto fingerprint = explained.fingerprint.value;
+    if (m_suspects.size() >= m_settings.max_suspects && !is_suspect(fingerprint)) {
+        return false;
+    }
+    const auto known = m_suspects.find(fingerprint).value_or(suspect_row{});
+    const bool is_quarantined_here =
+        known.is_quarantined && m_hooks.is_quarantined(m_settings, evidence_of(fingerprint, known));
+    bool is_new = false;
+    m_suspects.update(fingerprint, [&](suspect_row& row) {
+        const quarantined_fingerprint reported{
+            {fingerprint, row.position}, row.last_crash, row.reported_crashes};
+        if (row.is_quarantined && !is_quarantined_here &&
+            row.crashes.size() == known.crashes.size() && covers(explained, reported)) {
+            row.is_quarantined = false;
+            is_new = true;
+        }
+        if (explained.crashes > row.explained_crashes ||
+            explained.last_crash > row.explained_until + max_transfer_time) {
+            row.explained_crashes = explained.crashes;
+            row.explained_until = explained.last_crash;
+            is_new = true;
+        }
+    });
+    return is_new;
+}
+
 std::optional<state::time_point>
 crash_suspects::quarantined_until(request_fingerprint fingerprint) const {
     const auto row = m_suspects.find(fingerprint);
@@ -294,7 +358,7 @@
             return now - row.last_crash > m_settings.retention + m_settings.probation;
         }
         const bool is_weak = !row.is_quarantined && row.crashes.size() < 2;
-        return now - row.last_crash >
+        return now - std::max(row.last_crash, row.explained_until) >
                (is_full && is_weak ? m_settings.answer_validity : m_settings.retention);
     });
     const auto remove_answers = [&](bool with_repeated) {
--- a/src/savoryrelay/coordination/retry/crash_suspects.h
+++ b/src/savoryrelay/coordination/retry/crash_suspects.h
@@ -108,6 +108,13 @@
     /// Quarantines a fingerprint because a peer does, which may not know of answers. Returns
     /// whether this is new.
     bool quarantine(const quarantined_fingerprint& reported);
+    /// Returns the explained crashes, as this member found or a peer reported, if the
+    /// reported quarantine is based on no other ones.
+    [[nodiscard]] std::optional<quarantined_fingerprint>
+    find_explanation(const quarantined_fingerprint& reported) const;
+    /// Ends a quarantine that is based on what peers reported, because a peer finds that
+    /// others explain its crashes. Returns whether this is new.
+    bool record_explanation(const quarantined_fingerprint& explained);
 
     /// Returns when the quarantine of the fingerprint ends, or nothing when there is none.
     [[nodiscard]] std::optional<state::time_point>
@@ -137,11 +144,13 @@
     struct suspect_row {
         std::vector<std::uint64_t> crashes; ///< digests of the crashes, at most max_known_crashes
         std::size_t reported_crashes = 0;   ///< the most that a peer counted
+        std::size_t explained_crashes = 0;  ///< as a peer counted them, up to `explained_until`
         std::uint8_t position = 0;          ///< of the part, as in `call_fingerprint`
         bool is_quarantined = false;
         bool is_on_probation = false; ///< its last quarantine has ended
         state::time_point first_crash;
         state::time_point last_crash;
+        state::time_point explained_until;
     };
 
     struct answer_row {
@@ -156,6 +165,9 @@
     /// endpoints, and each of them may be quarantined too.
     [[nodiscard]] std::size_t unexplained_crashes(request_fingerprint fingerprint,
                                                   const suspect_row& suspect) const;
+    /// Returns what this member itself knows of the suspect's crashes.
+    [[nodiscard]] crash_evidence evidence_of(request_fingerprint fingerprint,
+                                             const suspect_row& suspect) const;
     /// Sets the quarantine of a known suspect and calls the hook if it is new.
     bool set_quarantined(request_fingerprint fingerprint);
     /// Ends the quarantine of the fingerprints whose crashes are all explained by others.
--- a/src/savoryrelay/coordination/retry/crash_watch.cpp
+++ b/src/savoryrelay/coordination/retry/crash_watch.cpp
@@ -117,6 +117,13 @@
         }
         return;
     }
+    const quarantined_fingerprint reported{{notice.fingerprint, notice.position}, at, notice.crash};
+    if (notice.kind == crash_notice_kind::released) {
+        if (m_suspects.record_explanation(reported)) {
+            m_notices.add(notice, now);
+        }
+        return;
+    }
     // The peer may not know of an answer that this host has seen.
     announce_answer(notice.fingerprint, now);
     if (m_suspects.valid_answer(notice.fingerprint, at)) {
@@ -124,8 +131,12 @@
     }
     if (notice.kind == crash_notice_kind::crashed) {
         record_evidence(notice.crash, {{notice.fingerprint, notice.position}}, at, now);
-    } else if (m_suspects.quarantine({{notice.fingerprint, notice.position}, at, notice.crash})) {
+    } else if (m_suspects.quarantine(reported)) {
         m_notices.add(notice, now);
+    } else if (const auto explained = m_suspects.find_explanation(reported)) {
+        m_notices.add({crash_notice_kind::released, notice.fingerprint, explained->crashes,
+                       age_of(explained->last_crash, now), explained->fingerprint.position},
+                      now);
     }
 }
 
--- a/src/savoryrelay/state/serving/crash_notice.h
+++ b/src/savoryrelay/state/serving/crash_notice.h
@@ -29,6 +29,7 @@
     crashed,     ///< an endpoint crashed before it answered a call with the fingerprint
     answered,    ///< an endpoint began to answer a call with the fingerprint
     quarantined, ///< calls with the fingerprint are refused
+    released,    ///< others explain the crashes of the fingerprint
 };
 
 template <>
@@ -37,6 +38,7 @@
         enum_name<crash_notice_kind>{crash_notice_kind::crashed, "crashed"},
         enum_name<crash_notice_kind>{crash_notice_kind::answered, "answered"},
         enum_name<crash_notice_kind>{crash_notice_kind::quarantined, "quarantined"},
+        enum_name<crash_notice_kind>{crash_notice_kind::released, "released"},
     };
 };
 
@@ -45,9 +47,10 @@
     crash_notice_kind kind = crash_notice_kind::crashed;
     request_fingerprint fingerprint = 0;
     /// Digest of the crashed endpoint and its incarnation if `kind` is `crashed`; the number
-    /// of crashes that the sender knows if `kind` is `quarantined`; otherwise 0.
+    /// of crashes that the sender knows if `kind` is `quarantined` or `released`; otherwise 0.
     std::uint64_t crash = 0;
-    /// Time since the crash or the answer; since the last crash if `kind` is `quarantined`.
+    /// Time since the crash or the answer; since the last crash if `kind` is `quarantined` or
+    /// `released`.
     milliseconds age{0};
     /// Position of the part in the prompt, as in `call_fingerprint`; 0 if `kind` is `answered`.
     std::uint8_t position = 0;
--- a/tests/coordination/crash_watch_test.cpp
+++ b/tests/coordination/crash_watch_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <random>
 #include <vector>
 
 using namespace savoryrelay;
@@ -21,6 +22,8 @@
 constexpr std::size_t max_late_calls = 3;
 constexpr int notice_rounds = 30;
 constexpr int day_rounds = 220;
+// The users' time within which hosts in touch know of each other's news.
+constexpr auto contact_time = 3s;
 
 // Returns how many crashing calls reach endpoints after the time for notice.
 std::size_t late_calls(crash_simulation& simulation) {
@@ -48,6 +51,22 @@
     }
 }
 
+// Records crashes `first` to `last` against the fingerprints, 200 ms apart.
+void record_crashes(crash_watch& host, std::uint64_t first, std::uint64_t last,
+                    const std::vector<request_fingerprint>& fingerprints, state::time_point& now) {
+    for (auto number = first; number <= last; ++number) {
+        now += 200ms;
+        host.record_crash(state::endpoint_id("e"), number, fingerprints, now);
+    }
+}
+
+// Drops the notices of the host until those of its crashes are no longer sent.
+void wait_until_crashes_are_not_sent(crash_watch& host, state::time_point& now) {
+    now += crash_notice_schedule::repeated_for;
+    static_cast<void>(host.due_notices(now));
+    now += crash_watch::refresh_interval;
+}
+
 std::vector<std::unique_ptr<crash_watch>> make_hosts(std::size_t count) {
     std::vector<std::unique_ptr<crash_watch>> hosts;
     for (std::size_t i = 0; i < count; ++i) {
@@ -390,6 +409,118 @@
     CHECK_FALSE(hosts[1]->time_quarantined({2}, now));
 }
 
+TEST_CASE("crash watch: a host that only heard of a quarantine ends it with its origin") {
+    auto hosts = make_hosts(3);
+    state::time_point now{1h};
+    record_crashes(*hosts[0], 1, 3, {2}, now);
+    wait_until_crashes_are_not_sent(*hosts[0], now);
+    exchange_notices(hosts, now);
+    REQUIRE(hosts[1]->time_quarantined({2}, now));
+    REQUIRE(hosts[2]->time_quarantined({2}, now));
+
+    // Another part ran at these crashes too and at further ones.
+    record_crashes(*hosts[0], 1, 4, {1}, now);
+    for (const auto end = now + contact_time; now < end; now += 100ms) {
+        exchange_notices(hosts, now);
+    }
+    for (const auto& host : hosts) {
+        CHECK(host->time_quarantined({1}, now));
+        CHECK_FALSE(host->time_quarantined({2}, now));
+    }
+}
+
+TEST_CASE("crash watch: a peer that missed crashes does not end the quarantine that they caused") {
+    auto hosts = make_hosts(2);
+    state::time_point now{1h};
+    // The first host misses three of the crashes.
+    record_crashes(*hosts[1], 1, 3, {2}, now);
+    wait_until_crashes_are_not_sent(*hosts[1], now);
+    record_crashes(*hosts[0], 11, 13, {2}, now);
+    record_crashes(*hosts[0], 11, 14, {1}, now);
+    REQUIRE_FALSE(hosts[0]->time_quarantined({2}, now));
+    for (const auto end = now + contact_time; now < end; now += 100ms) {
+        exchange_notices(hosts, now);
+    }
+    CHECK(hosts[1]->time_quarantined({2}, now));
+}
+
+TEST_CASE("crash watch: a released part that goes on to crash endpoints is refused again") {
+    auto hosts = make_hosts(3);
+    state::time_point now{1h};
+    record_crashes(*hosts[0], 1, 3, {2}, now);
+    record_crashes(*hosts[0], 1, 4, {1}, now);
+    wait_until_crashes_are_not_sent(*hosts[0], now);
+    exchange_notices(hosts, now);
+    REQUIRE_FALSE(hosts[0]->time_quarantined({2}, now));
+
+    now += 10s;
+    record_crashes(*hosts[1], 21, 23, {2}, now);
+    wait_until_crashes_are_not_sent(*hosts[1], now);
+    now += crash_watch::refresh_interval;
+    exchange_notices(hosts, now);
+    exchange_notices(hosts, now);
+    CHECK(hosts[1]->time_quarantined({2}, now));
+    CHECK(hosts[2]->time_quarantined({2}, now));
+}
+
+TEST_CASE("crash watch: late, lost and reordered notices do not bring a released quarantine back") {
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        INFO("seed " << seed);
+        constexpr std::size_t host_count = 6;
+        std::mt19937_64 random(seed);
+        auto hosts = make_hosts(host_count);
+        struct late_notice {
+            state::time_point arrives;
+            std::size_t to = 0;
+            state::crash_notice notice;
+        };
+        std::vector<late_notice> late;
+        state::time_point now{1h};
+        const auto play = [&](state::milliseconds span) {
+            for (const auto end = now + span; now < end; now += 100ms) {
+                std::erase_if(late, [&](const late_notice& each) {
+                    if (each.arrives <= now) {
+                        hosts[each.to]->apply(each.notice, now);
+                    }
+                    return each.arrives <= now;
+                });
+                for (std::size_t from = 0; from < host_count; ++from) {
+                    for (const auto& notice : hosts[from]->due_notices(now)) {
+                        for (std::size_t to = 0; to < host_count; ++to) {
+                            const bool is_lost = std::bernoulli_distribution(0.3)(random);
+                            const auto delay = std::uniform_int_distribution<int>(0, 1'500)(random);
+                            if (to != from && !is_lost) {
+                                late.push_back({now + state::milliseconds(delay), to, notice});
+                            }
+                        }
+                    }
+                }
+            }
+        };
+        record_crashes(*hosts[0], 1, 3, {2}, now);
+        wait_until_crashes_are_not_sent(*hosts[0], now);
+        play(3s);
+        record_crashes(*hosts[0], 1, 4, {1}, now);
+        play(3s);
+        // A host that starts again learns from the others.
+        hosts[1 + seed % (host_count - 1)] =
+            std::make_unique<crash_watch>(entry_host_crash_settings(), default_crash_hooks());
+        play(5s);
+        for (int round = 0; round < 100; ++round) {
+            play(100ms);
+            for (const auto& host : hosts) {
+                REQUIRE(host->time_quarantined({1}, now));
+                REQUIRE_FALSE(host->time_quarantined({2}, now));
+            }
+        }
+        // The quarantine of the other part ends on all hosts.
+        play(entry_host_crash_settings().retention);
+        for (const auto& host : hosts) {
+            CHECK_FALSE(host->time_quarantined({1}, now));
+        }
+    }
+}
+
 TEST_CASE("crash watch: many answered calls do not displace the answers of shared parts") {
     crash_watch watch(entry_host_crash_settings(), default_crash_hooks());
     state::time_point now{1h};
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -139,7 +139,8 @@
     // position.
     constexpr std::size_t notice_bytes = 1 + 8 + 8 + 4 + 1;
     auto unknown_kind = good;
-    unknown_kind[good.size() - notice_bytes] = 3;
+    unknown_kind[good.size() - notice_bytes] =
+        static_cast<char>(state::enum_table<state::crash_notice_kind>::rows.size());
     CHECK_FALSE(read_digest(unknown_kind));
     auto too_many = good;
     too_many[good.size() - notice_bytes - 1] = max_digest_notices + 1;
