Accept one call at a time at the end of a quarantine, on one host after the other

What callers saw: 15 minutes after the last crash all hosts accepted calls with a quarantined part again.

Cause: the quarantine ended at the same time on all hosts, and for all calls.

Change: a quarantine ends up to 5 minutes later by the name of the host, so that mostly one host tries a call first. After it, a host accepts one call with the fingerprint each 10 s until one is answered (`crash_watch::accept`); the call's own further attempts wait too. An answer admits the part on all hosts, a crash starts the next quarantine on all.

Ruled out: an earlier trial, some minutes into the quarantine.

--- a/src/edge/shared_state.h
+++ b/src/edge/shared_state.h
@@ -25,8 +25,14 @@
     shared_state(const state::host_entry& host, coordination::repeat_limit repeat_limit,
                  state::milliseconds limit, coordination::crash_hooks crash_hooks)
         : own_host(host), hosts(host), repeats(repeat_limit),
-          crashes(coordination::entry_host_crash_settings(), std::move(crash_hooks)),
-          leave_limit(limit) {}
+          crashes(crash_settings_of(host), std::move(crash_hooks)), leave_limit(limit) {}
+
+    /// Returns the settings of the quarantine on `host`.
+    static coordination::crash_settings crash_settings_of(const state::host_entry& host) {
+        auto settings = coordination::entry_host_crash_settings();
+        settings.end_delay = coordination::quarantine_end_delay(host.name);
+        return settings;
+    }
 
     /// Returns the interval at which the runners' entries are read from the store, and
     /// copied from a peer. An entry passes both before a host learns that a runner leaves;
--- a/src/savoryrelay/coordination/retry/crash_suspects.cpp
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -303,10 +303,30 @@
 std::optional<state::time_point>
 crash_suspects::quarantined_until(request_fingerprint fingerprint) const {
     const auto row = m_suspects.find(fingerprint);
-    if (!row || !row->is_quarantined) {
-        return std::nullopt;
+    if (row && row->is_quarantined) {
+        return std::max(row->trial_until,
+                        row->last_crash + m_settings.retention + m_settings.end_delay);
     }
-    return row->last_crash + m_settings.retention;
+    return row && row->is_on_probation ? std::optional(row->trial_until) : std::nullopt;
+}
+
+std::optional<state::time_point> crash_suspects::begin_trial(request_fingerprint fingerprint,
+                                                             state::time_point now) {
+    std::optional<state::time_point> next;
+    m_suspects.update_existing(fingerprint, [&](suspect_row& row) {
+        if (!row.is_quarantined && !row.is_on_probation) {
+            return;
+        }
+        const auto end = row.last_crash + m_settings.retention + m_settings.end_delay;
+        if (row.is_quarantined && end > now) {
+            next = end;
+        } else if (row.trial_until > now) {
+            next = row.trial_until;
+        } else {
+            row.trial_until = now + m_settings.trial_interval;
+        }
+    });
+    return next;
 }
 
 std::vector<quarantined_fingerprint> crash_suspects::quarantined() const {
@@ -346,7 +366,7 @@
     const bool is_full =
         m_settings.answer_validity.count() > 0 && m_suspects.size() >= m_settings.max_suspects;
     for (const auto& each : quarantined()) {
-        if (now - each.last_crash > m_settings.retention) {
+        if (now - each.last_crash > m_settings.retention + m_settings.end_delay) {
             m_suspects.update_existing(each.fingerprint.value, [](suspect_row& row) {
                 row.is_quarantined = false;
                 row.is_on_probation = true;
@@ -354,10 +374,13 @@
         }
     }
     m_suspects.erase_if([&](request_fingerprint, const suspect_row& row) {
+        if (row.is_quarantined) {
+            return false;
+        }
         if (row.is_on_probation) {
             return now - row.last_crash > m_settings.retention + m_settings.probation;
         }
-        const bool is_weak = !row.is_quarantined && row.crashes.size() < 2;
+        const bool is_weak = row.crashes.size() < 2;
         return now - std::max(row.last_crash, row.explained_until) >
                (is_full && is_weak ? m_settings.answer_validity : m_settings.retention);
     });
--- a/src/savoryrelay/coordination/retry/crash_suspects.h
+++ b/src/savoryrelay/coordination/retry/crash_suspects.h
@@ -62,6 +62,12 @@
     /// Time after the end of a quarantine in which one more crash quarantines the fingerprint
     /// again.
     state::milliseconds probation{0};
+    /// A quarantine ends later by this time. It differs between hosts, so that one of them
+    /// runs a request with the fingerprint before the others do.
+    state::milliseconds end_delay{0};
+    /// During probation, a request with the fingerprint is accepted only this long after the
+    /// last one.
+    state::milliseconds trial_interval{0};
     /// The crashes of a quarantined fingerprint are spread over at least this time. A network
     /// fault that breaks many connections at once looks like many crashes.
     state::milliseconds min_span{0};
@@ -116,7 +122,13 @@
     /// others explain its crashes. Returns whether this is new.
     bool record_explanation(const quarantined_fingerprint& explained);
 
-    /// Returns when the quarantine of the fingerprint ends, or nothing when there is none.
+    /// Returns when the next request with the fingerprint may run because it is on probation
+    /// and another one has begun, or nothing if it may run now, in which case this call
+    /// counts as its begin.
+    std::optional<state::time_point> begin_trial(request_fingerprint fingerprint,
+                                                 state::time_point now);
+    /// Returns when the quarantine of the fingerprint, or the trial that has begun, ends, or
+    /// nothing when there is none.
     [[nodiscard]] std::optional<state::time_point>
     quarantined_until(request_fingerprint fingerprint) const;
     /// Returns the quarantined fingerprints.
@@ -147,7 +159,8 @@
         std::size_t explained_crashes = 0;  ///< as a peer counted them, up to `explained_until`
         std::uint8_t position = 0;          ///< of the part, as in `call_fingerprint`
         bool is_quarantined = false;
-        bool is_on_probation = false; ///< its last quarantine has ended
+        bool is_on_probation = false;  ///< its last quarantine has ended
+        state::time_point trial_until; ///< when the next request may run during probation
         state::time_point first_crash;
         state::time_point last_crash;
         state::time_point explained_until;
--- a/src/savoryrelay/coordination/retry/crash_watch.cpp
+++ b/src/savoryrelay/coordination/retry/crash_watch.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr milliseconds max_end_delay{5 * 60'000};
+
 // Returns fingerprints in the order of `fingerprints_of` with their positions.
 std::vector<call_fingerprint> with_positions(const std::vector<request_fingerprint>& fingerprints) {
     constexpr std::size_t last_position = std::numeric_limits<std::uint8_t>::max();
@@ -51,9 +53,15 @@
     settings.min_span = milliseconds(300);
     settings.answer_validity = milliseconds(10'000);
     settings.probation = std::chrono::hours(24);
+    settings.trial_interval = milliseconds(10'000);
     return settings;
 }
 
+milliseconds quarantine_end_delay(std::string_view host_name) {
+    return milliseconds(state::stable_hash(host_name) %
+                        static_cast<std::uint64_t>(max_end_delay.count()));
+}
+
 std::vector<request_fingerprint> fingerprints_of(const state::serving_call& call,
                                                  const std::string& customer,
                                                  std::string_view body) {
@@ -140,6 +148,20 @@
     }
 }
 
+std::optional<milliseconds>
+crash_watch::accept(const std::vector<request_fingerprint>& fingerprints, state::time_point now) {
+    auto time_left = time_quarantined(fingerprints, now);
+    for (const auto fingerprint : fingerprints) {
+        if (time_left) {
+            break;
+        }
+        if (const auto next = m_suspects.begin_trial(fingerprint, now)) {
+            time_left = age_of(now, *next);
+        }
+    }
+    return time_left;
+}
+
 std::optional<milliseconds>
 crash_watch::time_quarantined(const std::vector<request_fingerprint>& fingerprints,
                               state::time_point now) const {
--- a/src/savoryrelay/coordination/retry/crash_watch.h
+++ b/src/savoryrelay/coordination/retry/crash_watch.h
@@ -30,6 +30,10 @@
 /// sees its own, so that no host knows whether a suspect was the only one.
 [[nodiscard]] crash_settings entry_host_crash_settings();
 
+/// Returns the time by which a quarantine ends later on this host. It spreads the hosts over
+/// some minutes, so that few calls run before all hosts know of a crash.
+[[nodiscard]] state::milliseconds quarantine_end_delay(std::string_view host_name);
+
 /// The crashes, answers and quarantined fingerprints that one entry host knows. Thread-safe.
 class crash_watch {
 public:
@@ -54,6 +58,11 @@
     /// is new to this host is passed on.
     void apply(const state::crash_notice& notice, state::time_point now);
 
+    /// Accepts a call with these fingerprints at `now` or returns the time until calls with
+    /// them are accepted again. After a quarantine, a host accepts one call at a time until
+    /// one is answered.
+    std::optional<state::milliseconds> accept(const std::vector<request_fingerprint>& fingerprints,
+                                              state::time_point now);
     /// Returns the time until calls with these fingerprints are accepted again, or nothing
     /// if they are accepted at `now`.
     [[nodiscard]] std::optional<state::milliseconds>
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -157,8 +157,7 @@
             if (!progress.may_attempt()) {
                 break;
             }
-            if (const auto time_left =
-                    m_dependencies.crashes.time_quarantined(call.fingerprints, now)) {
+            if (const auto time_left = m_dependencies.crashes.accept(call.fingerprints, now)) {
                 reason = state::properties_of(state::failure_kind::request_quarantined).name;
                 retry_after = *time_left;
                 break;
--- a/tests/coordination/crash_watch_test.cpp
+++ b/tests/coordination/crash_watch_test.cpp
@@ -3,8 +3,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <memory>
 #include <random>
+#include <string>
 #include <vector>
 
 using namespace savoryrelay;
@@ -353,6 +355,106 @@
     CHECK(late_crashes == 3); // one after each quarantine
 }
 
+namespace {
+
+// Hosts that get calls with a crashing part after its quarantine.
+struct late_calls_settings {
+    bool is_staggered = true;
+    std::function<bool(crash_watch&, const std::vector<request_fingerprint>&, state::time_point)>
+        accepts = [](crash_watch& host, const auto& fingerprints, state::time_point now) {
+            return !host.accept(fingerprints, now);
+        };
+};
+
+// Returns the number of calls that reach endpoints around the end of the first quarantine.
+std::size_t calls_after_quarantine(std::uint64_t seed, const late_calls_settings& late) {
+    constexpr std::size_t host_count = 9;
+    constexpr double calls_per_round = 0.5;
+    constexpr auto time_to_crash = 1'500ms;
+    std::mt19937_64 random(seed);
+    std::vector<std::unique_ptr<crash_watch>> hosts;
+    for (std::size_t i = 0; i < host_count; ++i) {
+        auto settings = entry_host_crash_settings();
+        if (late.is_staggered) {
+            settings.end_delay = quarantine_end_delay("host-" + std::to_string(seed + i));
+        }
+        hosts.push_back(std::make_unique<crash_watch>(settings, default_crash_hooks()));
+    }
+    state::time_point now{1h};
+    for (std::uint64_t crash = 1; crash <= counted_crashes; ++crash) {
+        record_crashes(*hosts[0], crash, crash, {7}, now);
+        exchange_notices(hosts, now);
+    }
+    struct running_call {
+        state::time_point crashes_at;
+        std::size_t host = 0;
+    };
+    std::vector<running_call> running;
+    std::size_t calls = 0;
+    const auto quarantine_end = now + entry_host_crash_settings().retention;
+    const auto end = quarantine_end + 10min;
+    for (now = quarantine_end - 10s; now < end; now += crash_simulation::round) {
+        std::erase_if(running, [&](const running_call& each) {
+            const bool crashes_now = each.crashes_at <= now;
+            if (crashes_now) {
+                hosts[each.host]->record_crash(state::endpoint_id("e"), 100 + calls, {7}, now);
+            }
+            return crashes_now;
+        });
+        const auto host = std::uniform_int_distribution<std::size_t>(0, host_count - 1)(random);
+        if (std::bernoulli_distribution(calls_per_round)(random) &&
+            late.accepts(*hosts[host], {7}, now)) {
+            ++calls;
+            running.push_back({now + time_to_crash, host});
+        }
+        exchange_notices(hosts, now);
+    }
+    return calls;
+}
+
+} // namespace
+
+TEST_CASE("crash watch: few calls run at the end of a quarantine before all hosts refuse again") {
+    late_calls_settings at_once;
+    at_once.is_staggered = false;
+    at_once.accepts = [](crash_watch& host, const auto& fingerprints, state::time_point now) {
+        return !host.time_quarantined(fingerprints, now);
+    };
+    std::size_t most_at_once = 0;
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        INFO("seed " << seed);
+        const auto calls = calls_after_quarantine(seed, {});
+        CHECK(calls > 0);
+        CHECK(calls <= max_late_calls);
+        most_at_once = std::max(most_at_once, calls_after_quarantine(seed, at_once));
+    }
+    CHECK(most_at_once > max_late_calls);
+}
+
+TEST_CASE("crash watch: after a quarantine an answer to the first call admits all others") {
+    const auto settings = entry_host_crash_settings();
+    auto hosts = make_hosts(2);
+    state::time_point now{1h};
+    record_crashes(*hosts[0], 1, counted_crashes, {7}, now);
+    exchange_notices(hosts, now);
+    now += settings.retention + 1s;
+    CHECK_FALSE(hosts[0]->accept({7}, now));
+    const auto time_left = hosts[0]->accept({7}, now);
+    REQUIRE(time_left);
+    CHECK(*time_left == settings.trial_interval);
+    CHECK(hosts[0]->time_quarantined({7}, now));
+    // A call without an answer does not stop the others for good.
+    CHECK_FALSE(hosts[0]->accept({7}, now + settings.trial_interval));
+
+    now += settings.trial_interval + 1s;
+    hosts[0]->record_answer({7}, now);
+    exchange_notices(hosts, now);
+    for (int call = 0; call < 3; ++call) {
+        CHECK_FALSE(hosts[0]->accept({7}, now));
+        CHECK_FALSE(hosts[1]->accept({7}, now));
+    }
+}
+
 TEST_CASE("crash watch: a host that missed the crashes of an answered part refuses it too") {
     const auto settings = entry_host_crash_settings();
     auto hosts = make_hosts(2);
