--- /dev/null
+++ b/src/savoryrelay/transport/caller/answer_relay.cpp
@@ -0,0 +1,169 @@
+// Exchanges a request with an endpoint and relays its answer: event streams event by
+// event, other answers as a whole.
+#include "savoryrelay/transport/caller/caller_exchange.h"
+
+#include <boost/asio/this_coro.hpp>
+
+#include <chrono>
+
+namespace savoryrelay::transport {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using coordination::exchange_end;
+
+namespace {
+
+/// Appends bytes to the splitter. Returns false if the stream is malformed.
+bool append_events(protocol::event_splitter& events, std::string_view bytes) {
+    return state::collect([&] { return events.append(bytes); }).has_value();
+}
+
+/// Returns the header fields of an event stream.
+http_fields stream_fields(const state::request_id& request) {
+    auto fields = content_type_field("text/event-stream");
+    fields.push_back({"Cache-Control", "no-cache"});
+    fields.push_back({"Savoryrelay-Request-Id", request.value()});
+    return fields;
+}
+
+/// Returns true if the endpoint reports that it did not run the request.
+bool reports_not_run(const endpoint_connection& connection) {
+    return connection.header("Savoryrelay-Outcome") ==
+           state::to_name(state::execution_outcome::not_run);
+}
+
+} // namespace
+
+asio::awaitable<bool> caller_front::open_exchange(exchange& attempt) {
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    const auto& route = attempt.route;
+
+    // Reuse an idle connection unless the attempt requires a new one.
+    if (!route.fresh_connection) {
+        attempt.connection = m_pool.take(context, route.address, route.port);
+    }
+    if (attempt.connection == nullptr) {
+        attempt.connection = std::make_unique<endpoint_connection>(context);
+        const auto failed = co_await attempt.connection->connect(
+            route.address, route.port, attempt.remaining(m_hooks.now(), m_limits.connect_timeout));
+        if (failed) {
+            attempt.end = exchange_end::not_sent;
+            co_return false;
+        }
+    }
+
+    // Send the request and wait for the header of its answer.
+    const auto& deployment = *attempt.accepted->deployment;
+    if (co_await attempt.connection->send(attempt.request, m_limits.send_timeout)) {
+        attempt.end = exchange_end::no_answer;
+        co_return false;
+    }
+    if (co_await attempt.connection->read_header(
+            attempt.remaining(m_hooks.now(), deployment.first_token_timeout))) {
+        attempt.end = exchange_end::no_answer;
+        co_return false;
+    }
+    if (reports_not_run(*attempt.connection)) {
+        attempt.end = exchange_end::refused;
+        co_return false;
+    }
+
+    // An answer with the id of another request must not reach this caller.
+    const auto answered_id = attempt.connection->header("Savoryrelay-Request-Id");
+    if (!answered_id.empty() && answered_id != attempt.accepted->id.value()) {
+        attempt.end = exchange_end::mismatched_answer;
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<exchange_end> caller_front::relay_stream(exchange& attempt,
+                                                         response_writer& writer) {
+    auto& events = *attempt.events;
+    const auto& deployment = *attempt.accepted->deployment;
+    auto last_token_at = m_hooks.now();
+    auto limit = deployment.first_token_timeout;
+    while (!events.finished()) {
+        const auto [failed, size] = co_await attempt.connection->read_some(
+            asio::buffer(attempt.buffer), attempt.remaining(m_hooks.now(), limit));
+        if (failed || size == 0) {
+            co_return exchange_end::interrupted;
+        }
+        if (!append_events(events, attempt.received(size))) {
+            co_return exchange_end::interrupted;
+        }
+
+        // Relay the events that this read completed.
+        const auto tokens_before = events.tokens();
+        const auto ready = events.take();
+        if (ready.empty()) {
+            continue;
+        }
+        error_code write_failed;
+        if (!writer.started()) {
+            write_failed = co_await writer.start(200, stream_fields(attempt.accepted->id));
+        }
+        if (!write_failed) {
+            write_failed = co_await writer.write(ready);
+        }
+        if (write_failed) {
+            co_return exchange_end::caller_gone;
+        }
+
+        // Measure the first token and the interval between tokens.
+        const auto now = m_hooks.now();
+        const auto seconds = [](auto span) { return std::chrono::duration<double>(span).count(); };
+        if (limit == deployment.first_token_timeout) {
+            m_first_token.record(seconds(now - attempt.accepted->accepted_at));
+        } else {
+            m_token_interval.record(seconds(now - last_token_at));
+        }
+        m_tokens.add(events.tokens() - tokens_before);
+        last_token_at = now;
+        limit = deployment.token_timeout;
+    }
+
+    // Read the end of the body, so that the connection can carry another request.
+    co_await attempt.connection->read_some(asio::buffer(attempt.buffer), m_limits.connect_timeout);
+    co_return exchange_end::completed;
+}
+
+asio::awaitable<exchange_end> caller_front::read_answer(exchange& attempt, stored_answer& answer) {
+    const auto& deployment = *attempt.accepted->deployment;
+    answer = {attempt.connection->status(), attempt.connection->header("Content-Type"), {}};
+    while (true) {
+        const auto [failed, size] = co_await attempt.connection->read_some(
+            asio::buffer(attempt.buffer),
+            attempt.remaining(m_hooks.now(), deployment.first_token_timeout));
+        if (failed || answer.body.size() + size > m_limits.max_answer_bytes) {
+            co_return exchange_end::interrupted;
+        }
+        if (size == 0) {
+            co_return exchange_end::completed;
+        }
+        answer.body.append(attempt.received(size));
+    }
+}
+
+asio::awaitable<bool> caller_front::run_exchange(exchange& attempt, stored_answer& answer,
+                                                 response_writer& writer) {
+    // The value stays true if this attempt gets no answer. Tokens that were already relayed
+    // then come from an earlier attempt, and this attempt was made only because that
+    // engine can resume.
+    bool can_resume = true;
+    const bool opened = co_await open_exchange(attempt);
+    if (opened) {
+        const bool is_stream =
+            attempt.connection->header("Content-Type").starts_with("text/event-stream");
+        can_resume = attempt.connection->header("Savoryrelay-Can-Resume") == "true";
+        if (is_stream) {
+            attempt.end = co_await relay_stream(attempt, writer);
+        } else {
+            attempt.end = co_await read_answer(attempt, answer);
+        }
+    }
+    co_return can_resume;
+}
+
+} // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/caller/caller_front.cpp
+++ b/src/savoryrelay/transport/caller/caller_front.cpp
@@ -1,31 +1,28 @@
-// Decodes callers' requests, relays answers and sends refusals.
+// Answers the requests of callers: carries out the attempts of their calls, and sends
+// answers and refusals.
 #include "savoryrelay/transport/caller/caller_front.h"
 
 #include "savoryrelay/protocol/http_api/caller_api.h"
 #include "savoryrelay/state/booking/booking_row.h"
 #include "savoryrelay/state/digest/digest.h"
+#include "savoryrelay/transport/caller/caller_exchange.h"
+#include "savoryrelay/transport/caller/caller_request.h"
 #include "savoryrelay/transport/process/await_completion.h"
 
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
-#include <array>
-#include <charconv>
-#include <chrono>
 #include <random>
 
 namespace savoryrelay::transport {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using boost::system::error_code;
 using coordination::exchange_end;
 using state::failure_kind;
 
 namespace {
 
-constexpr std::size_t relay_buffer_bytes = 16 * 1024;
-constexpr std::string_view service_path = "/v1/services/";
 constexpr std::string_view json_type = "application/json";
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_too_many_requests = 429;
@@ -40,90 +37,6 @@
     return random;
 }
 
-std::string read_bearer_token(const http_request& request) {
-    static constexpr std::string_view scheme = "Bearer ";
-    const auto field = header_of(request, "Authorization");
-    return field.starts_with(scheme) ? field.substr(scheme.size()) : std::string{};
-}
-
-template <typename Number>
-std::optional<Number> parse_number(const std::string& text) {
-    Number value{};
-    const auto* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, value);
-    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end) {
-        return std::nullopt;
-    }
-    return value;
-}
-
-/// Reads the header fields that every call may carry.
-state::result<void> read_call_headers(const http_request& request,
-                                      coordination::call_request& call) {
-    call.bearer_token = read_bearer_token(request);
-    call.idempotency_key = header_of(request, "Idempotency-Key");
-    constexpr std::size_t max_key_bytes = 200;
-    if (call.idempotency_key.size() > max_key_bytes) {
-        return state::fail(failure_kind::invalid_request, "Idempotency-Key exceeds 200 bytes");
-    }
-    if (const auto text = header_of(request, "Savoryrelay-Deadline-Ms"); !text.empty()) {
-        const auto count = parse_number<std::uint32_t>(text);
-        if (!count || *count == 0) {
-            return state::fail(failure_kind::invalid_request,
-                               "Savoryrelay-Deadline-Ms must be a whole number above 0");
-        }
-        call.deadline = state::milliseconds(*count);
-    }
-    if (const auto text = header_of(request, "Savoryrelay-Priority"); !text.empty()) {
-        const auto priority = parse_number<int>(text);
-        if (!priority || *priority < -10 || *priority > 10) {
-            return state::fail(failure_kind::invalid_request,
-                               "Savoryrelay-Priority must be a whole number from -10 to 10");
-        }
-        call.priority = *priority;
-    }
-    return {};
-}
-
-state::result<coordination::call_request> read_completion(const http_request& request) {
-    BOOST_LEAF_AUTO(body, protocol::decode_completion_body(request.body()));
-    coordination::call_request call;
-    BOOST_LEAF_CHECK(read_call_headers(request, call));
-    call.model = body.model;
-    call.prompt = std::move(body.prompt);
-    call.max_tokens = body.max_tokens;
-    call.body = request.body();
-    return call;
-}
-
-state::result<coordination::call_request> read_service_call(const http_request& request) {
-    const std::string target(request.target());
-    const auto name_end = target.find('/', service_path.size());
-    coordination::call_request call;
-    BOOST_LEAF_CHECK(read_call_headers(request, call));
-    call.service = state::deployment_id(target.substr(
-        service_path.size(),
-        name_end == std::string::npos ? std::string::npos : name_end - service_path.size()));
-    if (call.service.empty()) {
-        return state::fail(failure_kind::invalid_request, "the path names no service");
-    }
-    call.body = std::string(request.method_string()) + ' ' + target + '\n' + request.body();
-    return call;
-}
-
-/// Returns the path that is sent to the service: the part after the service's
-/// name, or "/".
-std::string service_target(const http_request& request) {
-    const std::string target(request.target());
-    const auto name_end = target.find('/', service_path.size());
-    return name_end == std::string::npos ? "/" : target.substr(name_end);
-}
-
-/// Appends bytes to the splitter. Returns false if the stream is malformed.
-bool append_events(protocol::event_splitter& events, std::string_view bytes) {
-    return state::collect([&] { return events.append(bytes); }).has_value();
-}
-
 /// Returns how much of the answer was relayed to the caller. If the events carry no
 /// token numbers, the stream cannot be resumed, because the next token is unknown.
 coordination::answer_progress progress_of(const protocol::event_splitter& events, bool started,
@@ -141,45 +54,8 @@
     return fields;
 }
 
-/// Returns the header fields of an event stream.
-http_fields stream_fields(const state::request_id& request) {
-    auto fields = content_type_field("text/event-stream");
-    fields.push_back({"Cache-Control", "no-cache"});
-    fields.push_back({"Savoryrelay-Request-Id", request.value()});
-    return fields;
-}
-
-/// Returns true if the endpoint reports that it did not run the request.
-bool reports_not_run(const endpoint_connection& connection) {
-    return connection.header("Savoryrelay-Outcome") ==
-           state::to_name(state::execution_outcome::not_run);
-}
-
 } // namespace
 
-struct caller_front::exchange {
-    std::shared_ptr<coordination::call> accepted;
-    coordination::call_route route;
-    http_request request; // as sent to the endpoint
-    std::unique_ptr<endpoint_connection> connection;
-    exchange_end end = exchange_end::not_sent; // `not_sent` until the request is sent
-    protocol::event_splitter* events = nullptr;
-    std::vector<char> buffer = std::vector<char>(relay_buffer_bytes);
-
-    /// Returns the first `size` bytes of the buffer, which the last read filled.
-    [[nodiscard]] std::string_view received(std::size_t size) const {
-        return {buffer.data(), size};
-    }
-
-    /// Returns the time until the call's deadline, at most `limit` and at least 1 ms.
-    [[nodiscard]] state::milliseconds remaining(state::time_point now,
-                                                state::milliseconds limit) const {
-        const auto time_left =
-            std::chrono::duration_cast<state::milliseconds>(accepted->deadline - now);
-        return std::clamp(time_left, state::milliseconds(1), limit);
-    }
-};
-
 caller_front::caller_front(coordination::call_coordinator& coordinator,
                            const state::snapshot_cell<state::configuration>& configuration,
                            state::metrics& metrics, exchange_limits limits,
@@ -311,117 +187,6 @@
     co_return false;
 }
 
-asio::awaitable<bool> caller_front::open_exchange(exchange& attempt) {
-    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
-    const auto& route = attempt.route;
-
-    // Reuse an idle connection unless the attempt requires a new one.
-    if (!route.fresh_connection) {
-        attempt.connection = m_pool.take(context, route.address, route.port);
-    }
-    if (attempt.connection == nullptr) {
-        attempt.connection = std::make_unique<endpoint_connection>(context);
-        const auto failed = co_await attempt.connection->connect(
-            route.address, route.port, attempt.remaining(m_hooks.now(), m_limits.connect_timeout));
-        if (failed) {
-            attempt.end = exchange_end::not_sent;
-            co_return false;
-        }
-    }
-
-    // Send the request and wait for the header of its answer.
-    const auto& deployment = *attempt.accepted->deployment;
-    if (co_await attempt.connection->send(attempt.request, m_limits.send_timeout)) {
-        attempt.end = exchange_end::no_answer;
-        co_return false;
-    }
-    if (co_await attempt.connection->read_header(
-            attempt.remaining(m_hooks.now(), deployment.first_token_timeout))) {
-        attempt.end = exchange_end::no_answer;
-        co_return false;
-    }
-    if (reports_not_run(*attempt.connection)) {
-        attempt.end = exchange_end::refused;
-        co_return false;
-    }
-
-    // An answer with the id of another request must not reach this caller.
-    const auto answered_id = attempt.connection->header("Savoryrelay-Request-Id");
-    if (!answered_id.empty() && answered_id != attempt.accepted->id.value()) {
-        attempt.end = exchange_end::mismatched_answer;
-        co_return false;
-    }
-    co_return true;
-}
-
-asio::awaitable<exchange_end> caller_front::relay_stream(exchange& attempt,
-                                                         response_writer& writer) {
-    auto& events = *attempt.events;
-    const auto& deployment = *attempt.accepted->deployment;
-    auto last_token_at = m_hooks.now();
-    auto limit = deployment.first_token_timeout;
-    while (!events.finished()) {
-        const auto [failed, size] = co_await attempt.connection->read_some(
-            asio::buffer(attempt.buffer), attempt.remaining(m_hooks.now(), limit));
-        if (failed || size == 0) {
-            co_return exchange_end::interrupted;
-        }
-        if (!append_events(events, attempt.received(size))) {
-            co_return exchange_end::interrupted;
-        }
-
-        // Relay the events that this read completed.
-        const auto tokens_before = events.tokens();
-        const auto ready = events.take();
-        if (ready.empty()) {
-            continue;
-        }
-        error_code write_failed;
-        if (!writer.started()) {
-            write_failed = co_await writer.start(200, stream_fields(attempt.accepted->id));
-        }
-        if (!write_failed) {
-            write_failed = co_await writer.write(ready);
-        }
-        if (write_failed) {
-            co_return exchange_end::caller_gone;
-        }
-
-        // Measure the first token and the interval between tokens.
-        const auto now = m_hooks.now();
-        const auto seconds = [](auto span) { return std::chrono::duration<double>(span).count(); };
-        if (limit == deployment.first_token_timeout) {
-            m_first_token.record(seconds(now - attempt.accepted->accepted_at));
-        } else {
-            m_token_interval.record(seconds(now - last_token_at));
-        }
-        m_tokens.add(events.tokens() - tokens_before);
-        last_token_at = now;
-        limit = deployment.token_timeout;
-    }
-
-    // Read the end of the body, so that the connection can carry another request.
-    co_await attempt.connection->read_some(asio::buffer(attempt.buffer), m_limits.connect_timeout);
-    co_return exchange_end::completed;
-}
-
-asio::awaitable<exchange_end> caller_front::read_answer(exchange& attempt, stored_answer& answer) {
-    const auto& deployment = *attempt.accepted->deployment;
-    answer = {attempt.connection->status(), attempt.connection->header("Content-Type"), {}};
-    while (true) {
-        const auto [failed, size] = co_await attempt.connection->read_some(
-            asio::buffer(attempt.buffer),
-            attempt.remaining(m_hooks.now(), deployment.first_token_timeout));
-        if (failed || answer.body.size() + size > m_limits.max_answer_bytes) {
-            co_return exchange_end::interrupted;
-        }
-        if (size == 0) {
-            co_return exchange_end::completed;
-        }
-        answer.body.append(attempt.received(size));
-    }
-}
-
 asio::awaitable<void> caller_front::send_answer(const coordination::call& accepted,
                                                 const stored_answer& answer,
                                                 response_writer& writer) {
@@ -430,26 +195,6 @@
     co_await writer.send(answer.status, std::move(fields), answer.body);
 }
 
-asio::awaitable<bool> caller_front::run_exchange(exchange& attempt, stored_answer& answer,
-                                                 response_writer& writer) {
-    // The value stays true if this attempt gets no answer. Tokens that were already relayed
-    // then come from an earlier attempt, and this attempt was made only because that
-    // engine can resume.
-    bool can_resume = true;
-    const bool opened = co_await open_exchange(attempt);
-    if (opened) {
-        const bool is_stream =
-            attempt.connection->header("Content-Type").starts_with("text/event-stream");
-        can_resume = attempt.connection->header("Savoryrelay-Can-Resume") == "true";
-        if (is_stream) {
-            attempt.end = co_await relay_stream(attempt, writer);
-        } else {
-            attempt.end = co_await read_answer(attempt, answer);
-        }
-    }
-    co_return can_resume;
-}
-
 asio::awaitable<void> caller_front::relay_call(std::shared_ptr<coordination::call> accepted,
                                                const http_request& request,
                                                response_writer& writer) {
