--- /dev/null
+++ b/src/savoryrelay/coordination/retry/silence.h
@@ -0,0 +1,47 @@
+// Decides what a call does while its endpoint is silent.
+#pragma once
+
+#include "savoryrelay/state/core/enum_names.h"
+
+#include <array>
+#include <functional>
+
+namespace savoryrelay::coordination {
+
+/// What a call does while its current endpoint is silent for too long.
+enum class silence_step {
+    wait,      ///< it waits for this endpoint
+    hand_over, ///< it keeps this attempt open and turns to another endpoint
+    give_up,   ///< the attempt has failed, since the endpoint cannot answer any more
+};
+
+} // namespace savoryrelay::coordination
+
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::coordination::silence_step> {
+    using s = savoryrelay::coordination::silence_step;
+    static constexpr std::array rows{
+        enum_name<s>{s::wait, "wait"},
+        enum_name<s>{s::hand_over, "hand_over"},
+        enum_name<s>{s::give_up, "give_up"},
+    };
+};
+
+namespace savoryrelay::coordination {
+
+/// Facts on which the decision about a silent endpoint depends, each read only when needed.
+struct silence_hooks {
+    /// Returns whether the caller is gone or the deadline has passed.
+    std::function<bool()> is_over;
+    /// Returns whether an endpoint that was kept before has sent something meanwhile.
+    std::function<bool()> has_kept_answer;
+    /// Selects the endpoint of another attempt and reserves the attempt.
+    std::function<bool()> prepare_next;
+    /// Returns whether the endpoint no longer serves.
+    std::function<bool()> is_lost;
+};
+
+/// Decides what a call does while its current endpoint is silent for too long.
+[[nodiscard]] silence_step decide_on_silence(const silence_hooks& hooks);
+
+} // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/serving/call_progress.cpp
+++ b/src/savoryrelay/coordination/serving/call_progress.cpp
@@ -5,16 +5,6 @@
 
 namespace savoryrelay::coordination {
 
-silence_step decide_on_silence(const silence_hooks& hooks) {
-    if (hooks.is_over()) {
-        return silence_step::give_up;
-    }
-    if (hooks.has_kept_answer() || hooks.prepare_next()) {
-        return silence_step::hand_over;
-    }
-    return hooks.is_lost() ? silence_step::give_up : silence_step::wait;
-}
-
 void call_progress::note(attempt_outcome outcome, endpoint_end end) {
     ++m_attempts;
     assert(m_open > 0);
--- a/src/savoryrelay/coordination/serving/call_progress.h
+++ b/src/savoryrelay/coordination/serving/call_progress.h
@@ -2,6 +2,7 @@
 // whether its caller may be told that it has not run.
 #pragma once
 
+#include "savoryrelay/coordination/retry/silence.h"
 #include "savoryrelay/state/core/enum_names.h"
 #include "savoryrelay/state/core/failure.h"
 #include "savoryrelay/state/serving/serving_configuration.h"
@@ -76,28 +77,6 @@
 /// hosts share. Returns false when the budget is used up.
 using take_repeat_hook = std::function<bool()>;
 
-/// What a call does while its current endpoint is silent for too long.
-enum class silence_step {
-    wait,      ///< it waits for this endpoint
-    hand_over, ///< it keeps this attempt open and turns to another endpoint
-    give_up,   ///< the attempt has failed, since the endpoint cannot answer any more
-};
-
-/// Facts on which the decision about a silent endpoint depends, each read only when needed.
-struct silence_hooks {
-    /// Returns whether the caller is gone or the deadline has passed.
-    std::function<bool()> is_over;
-    /// Returns whether an endpoint that was kept before has sent something meanwhile.
-    std::function<bool()> has_kept_answer;
-    /// Selects the endpoint of another attempt and reserves the attempt.
-    std::function<bool()> prepare_next;
-    /// Returns whether the endpoint no longer serves.
-    std::function<bool()> is_lost;
-};
-
-/// Decides what a call does while its current endpoint is silent for too long.
-[[nodiscard]] silence_step decide_on_silence(const silence_hooks& hooks);
-
 /// Tracks the attempts of one call. Not thread-safe.
 class call_progress {
 public:
