End a call when its caller has gone

What operators would see: an engine worked on for a caller that had closed its connection until the next event could not be written or a limit of silence passed, ten seconds and more; once calls wait until their deadline, two minutes.

Cause: savoryrelayd's front set no hook for the end of the caller's connection. It now closes the connection to the endpoint, begins no further attempt, and does not mark an endpoint down whose connection was being opened.

--- a/src/savoryrelay/transport/caller/caller_exchange.h
+++ b/src/savoryrelay/transport/caller/caller_exchange.h
@@ -30,6 +30,13 @@
         return {buffer.data(), size};
     }
 
+    /// Makes the pending step of the attempt fail.
+    void close_connection() const {
+        if (connection != nullptr) {
+            connection->close();
+        }
+    }
+
     /// Returns the time until the call's deadline, at most `limit` and at least 1 ms.
     [[nodiscard]] state::milliseconds remaining(state::time_point now,
                                                 state::milliseconds limit) const {
--- a/src/savoryrelay/transport/caller/caller_front.cpp
+++ b/src/savoryrelay/transport/caller/caller_front.cpp
@@ -202,6 +202,14 @@
     protocol::event_splitter events;
     std::optional<state::failure> refusal;
     while (true) {
+        if (writer.is_caller_gone()) {
+            refusal =
+                state::failure{failure_kind::stream_interrupted, "the caller closed its connection",
+                               accepted->may_have_run ? state::execution_outcome::unknown
+                                                      : state::execution_outcome::not_run};
+            break;
+        }
+
         // Choose an endpoint.
         auto route = state::collect(
             [&] { return m_coordinator.next_route(*accepted, m_hooks.now(), thread_random()); });
@@ -225,7 +233,12 @@
             attempt.request.set("Savoryrelay-Resume-From", std::to_string(events.next_token()));
         }
         stored_answer answer;
+        writer.on_caller_gone([&attempt] { attempt.close_connection(); });
         const bool can_resume = co_await run_exchange(attempt, answer, writer);
+        writer.on_caller_gone(nullptr);
+        if (writer.is_caller_gone() && attempt.end != exchange_end::completed) {
+            attempt.end = exchange_end::caller_gone;
+        }
         if (attempt.end == exchange_end::completed && attempt.connection->reusable()) {
             m_pool.keep(context, route.value().address, route.value().port,
                         std::move(attempt.connection));
