Take the rejection of another request for what it is in savoryrelayd

What callers saw: when an endpoint answered with the rejection of another request, the caller was told that its own had not run.

Cause: the outcome "not-run" was read before the id of the answer was compared.

Evidence: the new test failed before: "not-run" for a call that may be repeated and for one that may not.

--- a/src/savoryrelay/transport/caller/answer_relay.cpp
+++ b/src/savoryrelay/transport/caller/answer_relay.cpp
@@ -64,17 +64,18 @@
         attempt.end = exchange_end::no_answer;
         co_return false;
     }
-    if (reports_not_run(*attempt.connection)) {
-        attempt.end = exchange_end::refused;
-        co_return false;
-    }
 
-    // An answer with the id of another request must not reach this caller.
+    // An answer with the id of another request must not reach this caller. Neither does
+    // the rejection of another request show that this one did not run.
     const auto answered_id = attempt.connection->header("Savoryrelay-Request-Id");
     if (!answered_id.empty() && answered_id != attempt.accepted->id.value()) {
         attempt.end = exchange_end::mismatched_answer;
         co_return false;
     }
+    if (reports_not_run(*attempt.connection)) {
+        attempt.end = exchange_end::refused;
+        co_return false;
+    }
     co_return true;
 }
 
--- /dev/null
+++ b/tests/transport/caller_front_test.cpp
@@ -0,0 +1,52 @@
+// Tests the callers' front end with answers that belong to other requests and with
+// handlers that fail.
+#include "support/front_fixture.h"
+#include "support/scripted_engine.h"
+
+#include <catch2/catch.hpp>
+
+#include <mutex>
+#include <stdexcept>
+#include <string>
+
+using namespace savoryrelay::tests;
+
+namespace {
+
+constexpr const char* deadline_ms = "5000";
+
+std::string answer_text(const std::string& status, const std::string& id_field,
+                        const std::string& body) {
+    return "HTTP/1.1 " + status + "\r\nContent-Type: text/plain\r\n" + id_field +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string id_field(const std::string& id) {
+    return "Savoryrelay-Request-Id: " + id + "\r\n";
+}
+
+// Answers with the request's id in the body. Sends the previous answer on the same
+// connection once more in front of the next one.
+engine_script repeats_late(bool names_request) {
+    return [names_request, mutex = std::make_shared<std::mutex>(),
+            last = std::make_shared<std::string>()](const auto& connection, const auto& request) {
+        const std::scoped_lock lock(*mutex);
+        const auto id = request.field("Savoryrelay-Request-Id");
+        const auto own =
+            answer_text("200 OK", names_request ? id_field(id) : "", "answer to " + id);
+        connection.send((request.number_on_connection > 1 ? *last : "") + own);
+        *last = own;
+    };
+}
+
+} // namespace
+
+TEST_CASE("calls: the rejection of another request is not taken for the call's own") {
+    const scripted_engine engine([](const auto& connection, const auto&) {
+        connection.send(answer_text("503 Service Unavailable",
+                                    id_field("other") + "Savoryrelay-Outcome: not-run\r\n", ""));
+    });
+    const front_fixture front({engine.port});
+    CHECK(front.look(deadline_ms).outcome == "unknown");
+    CHECK(front.book(deadline_ms).outcome == "unknown");
+}
