Keep a connection only after an answer with the id of its request

What callers would see: an endpoint that sent the answer to an earlier request once more, without `Savoryrelay-Request-Id`, on a connection in use again answered the next caller with it.

Cause: savoryrelayd accepts answers without an id, also on a connection that had carried another request. A connection now carries another request only if its last answer had the id, so each answer on a kept connection can be told from a copy. Endpoints that send no id get a new connection for each call.

Evidence: at the socket, the second caller got "answer to t-1" before, and its own answer now. The test with an id passed before too.

--- a/src/savoryrelay/transport/caller/answer_relay.cpp
+++ b/src/savoryrelay/transport/caller/answer_relay.cpp
@@ -72,6 +72,7 @@
         attempt.end = exchange_end::mismatched_answer;
         co_return false;
     }
+    attempt.has_request_id = !answered_id.empty();
     if (reports_not_run(*attempt.connection)) {
         attempt.end = exchange_end::refused;
         co_return false;
--- a/src/savoryrelay/transport/caller/caller_exchange.h
+++ b/src/savoryrelay/transport/caller/caller_exchange.h
@@ -23,6 +23,7 @@
     std::unique_ptr<endpoint_connection> connection;
     coordination::exchange_end end = coordination::exchange_end::not_sent; // until it is sent
     protocol::event_splitter* events = nullptr;
+    bool has_request_id = false; // the answer carries the id of the request
     std::vector<char> buffer = std::vector<char>(buffer_bytes);
 
     /// Returns the first `size` bytes of the buffer, which the last read filled.
--- a/src/savoryrelay/transport/caller/caller_front.cpp
+++ b/src/savoryrelay/transport/caller/caller_front.cpp
@@ -239,7 +239,9 @@
         if (writer.is_caller_gone() && attempt.end != exchange_end::completed) {
             attempt.end = exchange_end::caller_gone;
         }
-        if (attempt.end == exchange_end::completed && attempt.connection->reusable()) {
+        // A late copy of an answer without an id could not be told from the next answer.
+        if (attempt.end == exchange_end::completed && attempt.has_request_id &&
+            attempt.connection->reusable()) {
             m_pool.keep(context, route.value().address, route.value().port,
                         std::move(attempt.connection));
         }
--- a/tests/transport/caller_front_test.cpp
+++ b/tests/transport/caller_front_test.cpp
@@ -41,6 +41,20 @@
 
 } // namespace
 
+TEST_CASE("calls: a late copy of an answer without an id reaches no other caller") {
+    const scripted_engine engine(repeats_late(false));
+    const front_fixture front({engine.port});
+    CHECK(front.look(deadline_ms).body == "answer to t-1");
+    CHECK(front.look(deadline_ms).body == "answer to t-2");
+}
+
+TEST_CASE("calls: a late copy of an answer with an id reaches no other caller") {
+    const scripted_engine engine(repeats_late(true));
+    const front_fixture front({engine.port});
+    CHECK(front.look(deadline_ms).body == "answer to t-1");
+    CHECK(front.look(deadline_ms).body == "answer to t-2");
+}
+
 TEST_CASE("calls: the rejection of another request is not taken for the call's own") {
     const scripted_engine engine([](const auto& connection, const auto&) {
         connection.send(answer_text("503 Service Unavailable",
