--- a/tests/transport/caller_front_test.cpp
+++ b/tests/transport/caller_front_test.cpp
@@ -64,3 +64,12 @@
     CHECK(front.look(deadline_ms).outcome == "unknown");
     CHECK(front.book(deadline_ms).outcome == "unknown");
 }
+
+TEST_CASE("calls: a hook that throws leaves no caller without an answer") {
+    const scripted_engine engine(repeats_late(true));
+    front_fixture front({engine.port});
+    front.hooks.bookings.begin = [](const auto&, auto, auto) {
+        throw std::runtime_error("the store failed");
+    };
+    CHECK(front.book("1000").status == 500);
+}
