Free the capacity of a call whose handler throws

What callers would see: after an unexpected error in the handling of one call, the deployment's capacity for admission, the load count of the endpoint and its permit for a cold start stayed taken for as long as the process ran; after some errors later calls waited until their deadlines.

Cause: only the last lines of the handler ended the call. The call now knows its open attempts; the coordinator ends them with the call, once, also when the handler throws. No destructor does this, because frames of open requests are destroyed after the coordinator.

Evidence: with the capacity of one call, the second call of the new test is served, and no call counts as open.

--- a/src/savoryrelay/coordination/call/call.h
+++ b/src/savoryrelay/coordination/call/call.h
@@ -58,6 +58,15 @@
 
 namespace savoryrelay::coordination {
 
+/// The endpoint of one attempt and how to connect to it.
+struct call_route {
+    state::endpoint_id endpoint;
+    std::string address;
+    std::uint16_t port = 0;
+    bool fresh_connection = false; ///< a pooled connection must not be reused
+    counted_attempt counted;       ///< identifies this attempt to `endpoint_catalog::end`
+};
+
 /// An accepted call. Only one thread may use it at a time.
 /// Invariants: `deployment` and `customer` point into `configuration`, and
 /// `may_have_run` never changes from true to false.
@@ -78,15 +87,8 @@
     bool may_have_run = false; ///< an endpoint may have run the request
     std::uint32_t attempts = 0;
     std::vector<state::endpoint_id> excluded; ///< endpoints that failed this call
-};
-
-/// The endpoint of one attempt and how to connect to it.
-struct call_route {
-    state::endpoint_id endpoint;
-    std::string address;
-    std::uint16_t port = 0;
-    bool fresh_connection = false; ///< a pooled connection must not be reused
-    counted_attempt counted;       ///< identifies this attempt to `endpoint_catalog::end`
+    std::vector<call_route> open_attempts;    ///< attempts that have begun and not ended
+    bool has_ended = false;
 };
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/call/call_coordinator.cpp
+++ b/src/savoryrelay/coordination/call/call_coordinator.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace savoryrelay::coordination {
 
@@ -184,7 +185,17 @@
     const bool fresh =
         accepted.attempts > 1 || accepted.deployment->repeat == state::repeat_rule::at_most_once;
     const auto& endpoint = attempt.value().endpoint();
-    return call_route{endpoint.id, endpoint.address, endpoint.port, fresh, attempt.value()};
+    accepted.open_attempts.push_back(
+        {endpoint.id, endpoint.address, endpoint.port, fresh, attempt.value()});
+    return accepted.open_attempts.back();
+}
+
+void call_coordinator::release_attempt(call& accepted, const call_route& route, bool completed,
+                                       state::time_point now) {
+    m_components.catalog.end(route.counted, completed, now);
+    m_components.suspects.release(route.endpoint, accepted.crash_fingerprint);
+    std::erase_if(accepted.open_attempts,
+                  [&](const call_route& open) { return open.endpoint == route.endpoint; });
 }
 
 state::result<void> call_coordinator::attempt_ended(call& accepted, const call_route& route,
@@ -192,8 +203,7 @@
                                                     const answer_progress& progress,
                                                     state::time_point now) {
     const auto& mapping = exchange_failures.at(static_cast<std::size_t>(end));
-    m_components.catalog.end(route.counted, end == exchange_end::completed, now);
-    m_components.suspects.release(route.endpoint, accepted.crash_fingerprint);
+    release_attempt(accepted, route, end == exchange_end::completed, now);
     if (mapping.may_have_crashed) {
         m_components.broken.add(route.endpoint, accepted.crash_fingerprint, now);
     }
@@ -227,8 +237,14 @@
     return {};
 }
 
-void call_coordinator::finish(const call& accepted, state::execution_outcome outcome,
+void call_coordinator::finish(call& accepted, state::execution_outcome outcome,
                               state::time_point now) {
+    if (std::exchange(accepted.has_ended, true)) {
+        return;
+    }
+    for (const auto& route : std::exchange(accepted.open_attempts, {})) {
+        release_attempt(accepted, route, false, now);
+    }
     m_components.queue.finish(accepted.deployment->id, accepted.ticket, now);
     m_open.add(-1);
     (outcome == state::execution_outcome::ran ? m_completed : m_refused).add();
--- a/src/savoryrelay/coordination/call/call_coordinator.h
+++ b/src/savoryrelay/coordination/call/call_coordinator.h
@@ -89,11 +89,14 @@
                                                     const answer_progress& progress,
                                                     state::time_point now);
 
-    /// Ends the call: frees its capacity, updates the metrics and calls the hook
-    /// `finished`.
-    void finish(const call& accepted, state::execution_outcome outcome, state::time_point now);
+    /// Ends the call and its open attempts: frees their capacity, updates the metrics and
+    /// calls the hook `finished`. Further calls have no effect.
+    void finish(call& accepted, state::execution_outcome outcome, state::time_point now);
 
 private:
+    /// Frees what an attempt holds at its endpoint.
+    void release_attempt(call& accepted, const call_route& route, bool completed,
+                         state::time_point now);
     [[nodiscard]] state::result<counted_attempt>
     count_attempt(const call& accepted, const std::vector<state::endpoint_id>& excluded,
                   state::time_point now, random_source& random);
--- a/src/savoryrelay/transport/caller/caller_front.cpp
+++ b/src/savoryrelay/transport/caller/caller_front.cpp
@@ -81,9 +81,11 @@
     } else if (target == "/v1/models" && request.method() == http::verb::get) {
         co_await serve_models(request, writer);
     } else if (is_post && (target == "/v1/chat/completions" || target == "/v1/completions")) {
-        co_await serve_completion(request, writer);
+        const auto decoded = state::collect([&] { return read_completion(request); });
+        co_await serve_call(decoded, request, writer);
     } else if (target.starts_with(service_path)) {
-        co_await serve_service(request, writer);
+        const auto decoded = state::collect([&] { return read_service_call(request); });
+        co_await serve_call(decoded, request, writer);
     } else {
         const state::failure unknown_path{failure_kind::not_found, "no such path or method"};
         co_await refuse(unknown_path, no_request, writer);
@@ -133,9 +135,9 @@
                          protocol::encode_models(*configuration, customer->id));
 }
 
-asio::awaitable<std::shared_ptr<coordination::call>>
-caller_front::begin_call(const state::attempt<coordination::call_request>& decoded,
-                         response_writer& writer) {
+asio::awaitable<void>
+caller_front::serve_call(const state::attempt<coordination::call_request>& decoded,
+                         const http_request& request, response_writer& writer) {
     auto accepted = state::collect([&]() -> state::result<std::shared_ptr<coordination::call>> {
         if (!decoded) {
             return state::fail(decoded.error());
@@ -144,36 +146,33 @@
     });
     if (!accepted) {
         co_await refuse(accepted.error(), no_request, writer);
-        co_return nullptr;
+        co_return;
     }
-    const bool started = co_await wait_for_start(*accepted.value(), writer);
-    co_return started ? accepted.value() : nullptr;
-}
-
-asio::awaitable<void> caller_front::serve_completion(const http_request& request,
-                                                     response_writer& writer) {
-    const auto decoded = state::collect([&] { return read_completion(request); });
-    const auto call = co_await begin_call(decoded, writer);
-    if (call != nullptr) {
-        co_await relay_call(call, request, writer);
+    try {
+        co_await run_call(accepted.value(), request, writer);
+    } catch (...) {
+        // The server answers the caller. Without this the call would hold its capacity.
+        m_coordinator.finish(*accepted.value(), state::execution_outcome::unknown, m_hooks.now());
+        throw;
     }
 }
 
-asio::awaitable<void> caller_front::serve_service(const http_request& request,
-                                                  response_writer& writer) {
-    const auto decoded = state::collect([&] { return read_service_call(request); });
-    const auto call = co_await begin_call(decoded, writer);
-    if (call == nullptr) {
+asio::awaitable<void> caller_front::run_call(std::shared_ptr<coordination::call> accepted,
+                                             const http_request& request, response_writer& writer) {
+    const bool started = co_await wait_for_start(*accepted, writer);
+    if (!started) {
         co_return;
     }
-    if (call->deployment->repeat == state::repeat_rule::at_most_once) {
-        co_await run_booking(call, request, writer);
+    const auto& deployment = *accepted->deployment;
+    if (deployment.kind == state::deployment_kind::service &&
+        deployment.repeat == state::repeat_rule::at_most_once) {
+        co_await run_booking(accepted, request, writer);
     } else {
-        co_await relay_call(call, request, writer);
+        co_await relay_call(accepted, request, writer);
     }
 }
 
-asio::awaitable<bool> caller_front::wait_for_start(const coordination::call& accepted,
+asio::awaitable<bool> caller_front::wait_for_start(coordination::call& accepted,
                                                    response_writer& writer) {
     const auto started =
         co_await await_completion<state::attempt<state::done>>([&](auto completion) {
--- a/src/savoryrelay/transport/caller/caller_front.h
+++ b/src/savoryrelay/transport/caller/caller_front.h
@@ -45,14 +45,13 @@
 private:
     struct exchange; // one attempt at an endpoint
 
-    /// Accepts a decoded request and waits until it may start. Returns null after
-    /// refusing it.
-    boost::asio::awaitable<std::shared_ptr<coordination::call>>
-    begin_call(const state::attempt<coordination::call_request>& decoded, response_writer& writer);
-    boost::asio::awaitable<void> serve_completion(const http_request& request,
-                                                  response_writer& writer);
-    boost::asio::awaitable<void> serve_service(const http_request& request,
-                                               response_writer& writer);
+    /// Accepts a decoded request and carries out its call, or refuses it.
+    boost::asio::awaitable<void>
+    serve_call(const state::attempt<coordination::call_request>& decoded,
+               const http_request& request, response_writer& writer);
+    /// Waits until an accepted call may start, and carries it out.
+    boost::asio::awaitable<void> run_call(std::shared_ptr<coordination::call> accepted,
+                                          const http_request& request, response_writer& writer);
     boost::asio::awaitable<void> relay_call(std::shared_ptr<coordination::call> accepted,
                                             const http_request& request, response_writer& writer);
     /// Carries out a call that may run at most once: stores the intent, sends the
@@ -61,7 +60,7 @@
                                              const http_request& request, response_writer& writer);
 
     /// Waits until the call may start. If it may not, refuses it and returns false.
-    boost::asio::awaitable<bool> wait_for_start(const coordination::call& accepted,
+    boost::asio::awaitable<bool> wait_for_start(coordination::call& accepted,
                                                 response_writer& writer);
     /// Connects, sends the request and reads the header of the answer. On failure
     /// sets the attempt's end and returns false.
--- a/tests/transport/caller_front_test.cpp
+++ b/tests/transport/caller_front_test.cpp
@@ -73,3 +73,19 @@
     };
     CHECK(front.book("1000").status == 500);
 }
+
+TEST_CASE("calls: a handler that fails frees the capacity of its call") {
+    const scripted_engine engine(repeats_late(true));
+    front_fixture front({engine.port});
+    constexpr double capacity_of_one_call = 1;
+    front.queue.set_capacity(savoryrelay::state::deployment_id("orders"), capacity_of_one_call,
+                             front_fixture::now());
+    const auto store = front.hooks.bookings;
+    front.hooks.bookings.begin = [](const auto&, auto, auto) {
+        throw std::runtime_error("the store failed");
+    };
+    CHECK(front.book("1000").status == 500);
+    front.hooks.bookings = store;
+    CHECK(front.book("1000").status == 200);
+    CHECK(front.metrics.gauge_of("calls_open").value() == 0);
+}
