Leave a silent endpoint of savoryrelayd only for another one

What callers saw: a stream or an answer on its last attempt was cut, or refused with 502, when its endpoint was silent for longer than first_token_timeout or token_timeout, although its deadline had not passed; a booking became unknown. With one endpoint a slow call was sent to it again, up to three times.

Cause: silence ended the attempt before anything had decided whether another one could follow. The call coordinator now decides: the call leaves a silent endpoint if an endpoint that has not failed it can take it, and reserves the attempt; otherwise it waits until its deadline. A call that may run once is awaited until its deadline, also if its caller goes. An endpoint that is lost ends its connection, or TCP's keepalive does.

--- a/src/savoryrelay/coordination/call/call.h
+++ b/src/savoryrelay/coordination/call/call.h
@@ -88,6 +88,7 @@
     std::uint32_t attempts = 0;
     std::vector<state::endpoint_id> excluded; ///< endpoints that failed this call
     std::vector<call_route> open_attempts;    ///< attempts that have begun and not ended
+    std::optional<call_route> reserved;       ///< the next attempt, which is counted already
     bool has_ended = false;
 };
 
--- a/src/savoryrelay/coordination/call/call_coordinator.cpp
+++ b/src/savoryrelay/coordination/call/call_coordinator.cpp
@@ -62,6 +62,11 @@
     return {failure_kind::endpoint_failed, detail, state::execution_outcome::unknown};
 }
 
+call_route route_to(const counted_attempt& attempt, bool fresh_connection) {
+    const auto& endpoint = attempt.endpoint();
+    return {endpoint.id, endpoint.address, endpoint.port, fresh_connection, attempt};
+}
+
 } // namespace
 
 call_coordinator::call_coordinator(call_settings settings,
@@ -168,6 +173,12 @@
                            "endpoints that ran this request have crashed", outcome);
     }
 
+    if (accepted.reserved) {
+        ++accepted.attempts;
+        accepted.open_attempts.push_back(*std::exchange(accepted.reserved, std::nullopt));
+        return accepted.open_attempts.back();
+    }
+
     // If no other endpoint is available, retry one that failed this call before.
     auto attempt =
         state::collect([&] { return count_attempt(accepted, accepted.excluded, now, random); });
@@ -184,12 +195,61 @@
     }
     const bool fresh =
         accepted.attempts > 1 || accepted.deployment->repeat == state::repeat_rule::at_most_once;
-    const auto& endpoint = attempt.value().endpoint();
-    accepted.open_attempts.push_back(
-        {endpoint.id, endpoint.address, endpoint.port, fresh, attempt.value()});
+    accepted.open_attempts.push_back(route_to(attempt.value(), fresh));
     return accepted.open_attempts.back();
 }
 
+silence_step call_coordinator::handle_silence(call& accepted, const call_route& route,
+                                              const answer_progress& progress, bool is_caller_gone,
+                                              state::time_point now, random_source& random) {
+    // The outcome of a call that may run once is stored, also if its caller has gone.
+    const bool needs_caller = accepted.deployment->repeat != state::repeat_rule::at_most_once;
+    return decide_on_silence(
+        {.is_over = [&] { return (is_caller_gone && needs_caller) || now >= accepted.deadline; },
+         .has_kept_answer = [] { return false; },
+         .prepare_next = [&] { return reserve_attempt(accepted, route, progress, now, random); },
+         // The connection to an endpoint that is lost breaks.
+         .is_lost = [] { return false; }});
+}
+
+bool call_coordinator::reserve_attempt(call& accepted, const call_route& route,
+                                       const answer_progress& progress, state::time_point now,
+                                       random_source& random) {
+    const bool may_retry =
+        !decide_retry_of(
+             accepted, attempt_end::progress_deadline, progress, [] { return true; }, now)
+             .give_up;
+    const bool is_quarantined =
+        !state::collect([&] { return m_components.suspects.check(accepted.crash_fingerprint); });
+    if (!may_retry || is_quarantined) {
+        return false;
+    }
+    auto excluded = accepted.excluded;
+    excluded.push_back(route.endpoint);
+    const auto attempt =
+        state::collect([&] { return count_attempt(accepted, excluded, now, random); });
+    if (!attempt) {
+        return false;
+    }
+    const auto next = route_to(attempt.value(), true);
+    if (!m_components.budget.take(accepted.deployment->id)) {
+        release_attempt(accepted, next, false, now);
+        return false;
+    }
+    accepted.reserved = next;
+    return true;
+}
+
+retry_decision call_coordinator::decide_retry_of(const call& accepted, attempt_end end,
+                                                 const answer_progress& progress,
+                                                 const std::function<bool()>& take_from_budget,
+                                                 state::time_point now) const {
+    return decide_retry({accepted.deployment->repeat, accepted.deadline, accepted.attempts,
+                         !accepted.may_have_run, progress.tokens_relayed,
+                         progress.engine_can_resume},
+                        end, m_settings.retries, {proves_not_run, take_from_budget}, now);
+}
+
 void call_coordinator::release_attempt(call& accepted, const call_route& route, bool completed,
                                        state::time_point now) {
     m_components.catalog.end(route.counted, completed, now);
@@ -214,7 +274,6 @@
         }
     }
 
-    const bool earlier_proved_not_run = !accepted.may_have_run;
     accepted.may_have_run =
         accepted.may_have_run || !mapping.attempt || !proves_not_run(*mapping.attempt);
     if (end == exchange_end::completed) {
@@ -225,11 +284,13 @@
                            state::execution_outcome::unknown);
     }
     accepted.excluded.push_back(route.endpoint);
-    const auto decision = decide_retry(
-        {accepted.deployment->repeat, accepted.deadline, accepted.attempts, earlier_proved_not_run,
-         progress.tokens_relayed, progress.engine_can_resume},
-        *mapping.attempt, m_settings.retries,
-        {proves_not_run, [&] { return m_components.budget.take(accepted.deployment->id); }}, now);
+    if (accepted.reserved) {
+        m_retried.add();
+        return {};
+    }
+    const auto decision = decide_retry_of(
+        accepted, *mapping.attempt, progress,
+        [&] { return m_components.budget.take(accepted.deployment->id); }, now);
     if (decision.give_up) {
         return state::fail(*decision.give_up);
     }
@@ -245,6 +306,9 @@
     for (const auto& route : std::exchange(accepted.open_attempts, {})) {
         release_attempt(accepted, route, false, now);
     }
+    if (const auto reserved = std::exchange(accepted.reserved, std::nullopt)) {
+        release_attempt(accepted, *reserved, false, now);
+    }
     m_components.queue.finish(accepted.deployment->id, accepted.ticket, now);
     m_open.add(-1);
     (outcome == state::execution_outcome::ran ? m_completed : m_refused).add();
--- a/src/savoryrelay/coordination/call/call_coordinator.h
+++ b/src/savoryrelay/coordination/call/call_coordinator.h
@@ -9,6 +9,7 @@
 #include "savoryrelay/coordination/retry/crash_suspects.h"
 #include "savoryrelay/coordination/retry/retry_budget.h"
 #include "savoryrelay/coordination/retry/retry_policy.h"
+#include "savoryrelay/coordination/retry/silence.h"
 #include "savoryrelay/coordination/routing/endpoint_catalog.h"
 #include "savoryrelay/state/core/snapshot_cell.h"
 #include "savoryrelay/state/metrics/metrics.h"
@@ -82,6 +83,13 @@
     [[nodiscard]] state::result<call_route> next_route(call& accepted, state::time_point now,
                                                        random_source& random);
 
+    /// Decides what the call does while the endpoint of `route` is silent for longer than its
+    /// limit. Before `hand_over` it reserves an attempt at an endpoint that has not failed the
+    /// call, so that the call continues after `attempt_ended` for `route`.
+    [[nodiscard]] silence_step handle_silence(call& accepted, const call_route& route,
+                                              const answer_progress& progress, bool is_caller_gone,
+                                              state::time_point now, random_source& random);
+
     /// Records how an attempt ended. Succeeds if the call was completed or must be
     /// retried; otherwise fails with the failure to send to the caller.
     [[nodiscard]] state::result<void> attempt_ended(call& accepted, const call_route& route,
@@ -97,6 +105,14 @@
     /// Frees what an attempt holds at its endpoint.
     void release_attempt(call& accepted, const call_route& route, bool completed,
                          state::time_point now);
+    [[nodiscard]] retry_decision decide_retry_of(const call& accepted, attempt_end end,
+                                                 const answer_progress& progress,
+                                                 const std::function<bool()>& take_from_budget,
+                                                 state::time_point now) const;
+    /// Reserves an attempt that follows the silent one at `route`, if the call may have one.
+    [[nodiscard]] bool reserve_attempt(call& accepted, const call_route& route,
+                                       const answer_progress& progress, state::time_point now,
+                                       random_source& random);
     [[nodiscard]] state::result<counted_attempt>
     count_attempt(const call& accepted, const std::vector<state::endpoint_id>& excluded,
                   state::time_point now, random_source& random);
--- a/src/savoryrelay/transport/caller/answer_relay.cpp
+++ b/src/savoryrelay/transport/caller/answer_relay.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+// Interval of the check whether a call leaves an endpoint that has exceeded its limit.
+constexpr state::milliseconds silence_check_interval{200};
+
 /// Appends bytes to the splitter. Returns false if the stream is malformed.
 bool append_events(protocol::event_splitter& events, std::string_view bytes) {
     return state::collect([&] { return events.append(bytes); }).has_value();
@@ -59,8 +62,7 @@
         attempt.end = exchange_end::no_answer;
         co_return false;
     }
-    if (co_await attempt.connection->read_header(
-            attempt.remaining(m_hooks.now(), deployment.first_token_timeout))) {
+    if (co_await read_header(attempt, deployment.first_token_timeout)) {
         attempt.end = exchange_end::no_answer;
         co_return false;
     }
@@ -80,15 +82,48 @@
     co_return true;
 }
 
-asio::awaitable<exchange_end> caller_front::relay_stream(exchange& attempt,
-                                                         response_writer& writer) {
+bool caller_front::waits_on(const exchange& attempt) {
+    return m_coordinator.handle_silence(*attempt.accepted, attempt.route, attempt.progress(),
+                                        attempt.writer.is_caller_gone(), m_hooks.now(),
+                                        thread_random()) == coordination::silence_step::wait;
+}
+
+asio::awaitable<error_code> caller_front::read_header(exchange& attempt,
+                                                      state::milliseconds limit) {
+    auto failed = co_await attempt.connection->read_header(attempt.remaining(m_hooks.now(), limit));
+    while (failed == asio::error::operation_aborted) {
+        if (!waits_on(attempt)) {
+            break;
+        }
+        failed = co_await attempt.connection->read_header(
+            attempt.remaining(m_hooks.now(), silence_check_interval));
+    }
+    co_return failed;
+}
+
+asio::awaitable<std::pair<error_code, std::size_t>>
+caller_front::read_bytes(exchange& attempt, state::milliseconds limit) {
+    const auto buffer = asio::buffer(attempt.buffer);
+    auto result =
+        co_await attempt.connection->read_some(buffer, attempt.remaining(m_hooks.now(), limit));
+    while (result.first == asio::error::operation_aborted) {
+        if (!waits_on(attempt)) {
+            break;
+        }
+        result = co_await attempt.connection->read_some(
+            buffer, attempt.remaining(m_hooks.now(), silence_check_interval));
+    }
+    co_return result;
+}
+
+asio::awaitable<exchange_end> caller_front::relay_stream(exchange& attempt) {
     auto& events = *attempt.events;
+    auto& writer = attempt.writer;
     const auto& deployment = *attempt.accepted->deployment;
     auto last_token_at = m_hooks.now();
     auto limit = deployment.first_token_timeout;
     while (!events.finished()) {
-        const auto [failed, size] = co_await attempt.connection->read_some(
-            asio::buffer(attempt.buffer), attempt.remaining(m_hooks.now(), limit));
+        const auto [failed, size] = co_await read_bytes(attempt, limit);
         if (failed || size == 0) {
             co_return exchange_end::interrupted;
         }
@@ -135,9 +170,7 @@
     const auto& deployment = *attempt.accepted->deployment;
     answer = {attempt.connection->status(), attempt.connection->header("Content-Type"), {}};
     while (true) {
-        const auto [failed, size] = co_await attempt.connection->read_some(
-            asio::buffer(attempt.buffer),
-            attempt.remaining(m_hooks.now(), deployment.first_token_timeout));
+        const auto [failed, size] = co_await read_bytes(attempt, deployment.first_token_timeout);
         if (failed || answer.body.size() + size > m_limits.max_answer_bytes) {
             co_return exchange_end::interrupted;
         }
@@ -148,24 +181,17 @@
     }
 }
 
-asio::awaitable<bool> caller_front::run_exchange(exchange& attempt, stored_answer& answer,
-                                                 response_writer& writer) {
-    // The value stays true if this attempt gets no answer. Tokens that were already relayed
-    // then come from an earlier attempt, and this attempt was made only because that
-    // engine can resume.
-    bool can_resume = true;
+asio::awaitable<void> caller_front::run_exchange(exchange& attempt, stored_answer& answer) {
     const bool opened = co_await open_exchange(attempt);
-    if (opened) {
-        const bool is_stream =
-            attempt.connection->header("Content-Type").starts_with("text/event-stream");
-        can_resume = attempt.connection->header("Savoryrelay-Can-Resume") == "true";
-        if (is_stream) {
-            attempt.end = co_await relay_stream(attempt, writer);
-        } else {
-            attempt.end = co_await read_answer(attempt, answer);
-        }
+    if (!opened) {
+        co_return;
+    }
+    attempt.can_resume = attempt.connection->header("Savoryrelay-Can-Resume") == "true";
+    if (attempt.connection->header("Content-Type").starts_with("text/event-stream")) {
+        attempt.end = co_await relay_stream(attempt);
+    } else {
+        attempt.end = co_await read_answer(attempt, answer);
     }
-    co_return can_resume;
 }
 
 } // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/caller/caller_front.cpp
+++ b/src/savoryrelay/transport/caller/caller_front.cpp
@@ -11,9 +11,6 @@
 
 #include <boost/asio/this_coro.hpp>
 
-#include <algorithm>
-#include <random>
-
 namespace savoryrelay::transport {
 
 namespace asio = boost::asio;
@@ -32,19 +29,6 @@
 // expression twice; the arguments of other co_await calls are named for the same reason.
 const state::request_id no_request{};
 
-coordination::random_source& thread_random() {
-    thread_local coordination::random_source random{std::random_device{}()};
-    return random;
-}
-
-/// Returns how much of the answer was relayed to the caller. If the events carry no
-/// token numbers, the stream cannot be resumed, because the next token is unknown.
-coordination::answer_progress progress_of(const protocol::event_splitter& events, bool started,
-                                          bool can_resume) {
-    const auto next = events.next_token();
-    return {started ? std::max<std::uint64_t>(next, 1) : 0, can_resume && next > 0};
-}
-
 /// Returns the header fields of a complete answer or a refusal.
 http_fields answer_fields(std::string type, state::execution_outcome outcome,
                           const state::request_id& request) {
@@ -218,8 +202,7 @@
         }
 
         // Send the request there and relay the answer.
-        exchange attempt{accepted, route.value(),          request,
-                         nullptr,  exchange_end::not_sent, &events};
+        exchange attempt(accepted, route.value(), request, writer, &events);
         if (accepted->deployment->kind == state::deployment_kind::service) {
             attempt.request.target(service_target(request));
         }
@@ -233,7 +216,7 @@
         }
         stored_answer answer;
         writer.on_caller_gone([&attempt] { attempt.close_connection(); });
-        const bool can_resume = co_await run_exchange(attempt, answer, writer);
+        co_await run_exchange(attempt, answer);
         writer.on_caller_gone(nullptr);
         if (writer.is_caller_gone() && attempt.end != exchange_end::completed) {
             attempt.end = exchange_end::caller_gone;
@@ -246,10 +229,9 @@
         }
 
         // Let the coordinator decide whether another attempt follows.
-        const auto progress = progress_of(events, writer.started(), can_resume);
         const auto decision = state::collect([&] {
-            return m_coordinator.attempt_ended(*accepted, route.value(), attempt.end, progress,
-                                               m_hooks.now());
+            return m_coordinator.attempt_ended(*accepted, route.value(), attempt.end,
+                                               attempt.progress(), m_hooks.now());
         });
         if (!decision) {
             refusal = decision.error();
@@ -300,8 +282,7 @@
             refusal = route.error();
             break;
         }
-        exchange attempt{accepted, route.value(),          request,
-                         nullptr,  exchange_end::not_sent, nullptr};
+        exchange attempt(accepted, route.value(), request, writer, nullptr);
         attempt.request.target(service_target(request));
         attempt.request.erase(http::field::authorization);
         attempt.request.keep_alive(false);
--- a/src/savoryrelay/transport/caller/caller_front.h
+++ b/src/savoryrelay/transport/caller/caller_front.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace savoryrelay::transport {
 
@@ -65,14 +66,20 @@
     /// Connects, sends the request and reads the header of the answer. On failure
     /// sets the attempt's end and returns false.
     boost::asio::awaitable<bool> open_exchange(exchange& attempt);
-    /// Carries out one attempt and sets its end. Returns whether another engine can
-    /// resume the stream after the tokens that were relayed.
-    boost::asio::awaitable<bool> run_exchange(exchange& attempt, stored_answer& answer,
-                                              response_writer& writer);
-    boost::asio::awaitable<coordination::exchange_end> relay_stream(exchange& attempt,
-                                                                    response_writer& writer);
+    /// Carries out one attempt and sets its end.
+    boost::asio::awaitable<void> run_exchange(exchange& attempt, stored_answer& answer);
+    boost::asio::awaitable<coordination::exchange_end> relay_stream(exchange& attempt);
     boost::asio::awaitable<coordination::exchange_end> read_answer(exchange& attempt,
                                                                    stored_answer& answer);
+    /// Reads the header of the answer. If the endpoint is silent for longer than `limit`,
+    /// fails only if the call leaves it or ends.
+    boost::asio::awaitable<boost::system::error_code> read_header(exchange& attempt,
+                                                                  state::milliseconds limit);
+    /// Reads bytes of the answer into the attempt's buffer, and fails as `read_header` does.
+    boost::asio::awaitable<std::pair<boost::system::error_code, std::size_t>>
+    read_bytes(exchange& attempt, state::milliseconds limit);
+    /// Returns whether the call waits on for the silent endpoint of the attempt.
+    [[nodiscard]] bool waits_on(const exchange& attempt);
     boost::asio::awaitable<void> refuse(const state::failure& error,
                                         const state::request_id& request, response_writer& writer);
     boost::asio::awaitable<void> send_answer(const coordination::call& accepted,
--- a/tests/coordination/call/call_coordinator_test.cpp
+++ b/tests/coordination/call/call_coordinator_test.cpp
@@ -335,3 +335,99 @@
     REQUIRE_FALSE(refused);
     CHECK(refused.error().kind == failure_kind::request_quarantined);
 }
+
+TEST_CASE("calls: a silent endpoint is left only for another one that may take the call") {
+    auto four = two_zones();
+    four.endpoints.push_back(endpoint("m-c", model_id, "a"));
+    four.endpoints.push_back(endpoint("m-d", model_id, "a"));
+    fixture f(four);
+    const auto step_of = [&](call& accepted, const call_route& route,
+                             const answer_progress& progress = {}, state::time_point now = start) {
+        return f.coordinator.handle_silence(accepted, route, progress, false, now, f.random);
+    };
+
+    SECTION("another endpoint is free") {
+        const auto accepted = f.accept(false);
+        const auto silent = f.next(*accepted).value();
+        REQUIRE(step_of(*accepted, silent) == silence_step::hand_over);
+        REQUIRE(f.ended(*accepted, silent, exchange_end::no_answer));
+        const auto next = f.next(*accepted).value();
+        CHECK(next.endpoint != silent.endpoint);
+        CHECK(next.fresh_connection);
+        CHECK(accepted->attempts == 2);
+    }
+    SECTION("there is no other endpoint") {
+        auto one = two_zones();
+        one.endpoints.erase(one.endpoints.begin() + 1);
+        f.put(one, start);
+        const auto accepted = f.accept(false);
+        CHECK(step_of(*accepted, f.next(*accepted).value()) == silence_step::wait);
+    }
+    SECTION("the other endpoint has failed the call") {
+        f.put(two_zones(), start);
+        const auto accepted = f.accept(false);
+        REQUIRE(f.ended(*accepted, f.next(*accepted).value(), exchange_end::refused));
+        CHECK(step_of(*accepted, f.next(*accepted).value()) == silence_step::wait);
+    }
+    SECTION("no attempt is left") {
+        const auto accepted = f.accept(false);
+        REQUIRE(f.ended(*accepted, f.next(*accepted).value(), exchange_end::refused));
+        REQUIRE(f.ended(*accepted, f.next(*accepted).value(), exchange_end::refused));
+        CHECK(step_of(*accepted, f.next(*accepted).value()) == silence_step::wait);
+    }
+    SECTION("the retry budget is used up") {
+        const auto accepted = f.accept(false);
+        const auto silent = f.next(*accepted).value();
+        while (f.budget.take(model_id)) {
+        }
+        CHECK(step_of(*accepted, silent) == silence_step::wait);
+    }
+    SECTION("the call may run once") {
+        const auto accepted = f.accept(true);
+        const auto silent = f.next(*accepted).value();
+        CHECK(step_of(*accepted, silent) == silence_step::wait);
+        CHECK(f.coordinator.handle_silence(*accepted, silent, {}, true, start, f.random) ==
+              silence_step::wait);
+    }
+    SECTION("the engine cannot resume the stream") {
+        const auto accepted = f.accept(false);
+        const auto silent = f.next(*accepted).value();
+        CHECK(step_of(*accepted, silent, {5, false}) == silence_step::wait);
+        CHECK(step_of(*accepted, silent, {5, true}) == silence_step::hand_over);
+    }
+    SECTION("the request is quarantined") {
+        const auto accepted = f.accept(false);
+        const auto silent = f.next(*accepted).value();
+        for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+            f.suspects.record_crash(
+                {state::endpoint_id("m-d"), crash, {accepted->crash_fingerprint}},
+                start + crash * 1s);
+        }
+        CHECK(step_of(*accepted, silent) == silence_step::wait);
+    }
+    SECTION("the call is over") {
+        const auto accepted = f.accept(false, "body", 1s);
+        const auto silent = f.next(*accepted).value();
+        CHECK(f.coordinator.handle_silence(*accepted, silent, {}, true, start, f.random) ==
+              silence_step::give_up);
+        CHECK(step_of(*accepted, silent, {}, start + 999ms) == silence_step::wait);
+        CHECK(step_of(*accepted, silent, {}, start + 1s) == silence_step::give_up);
+    }
+}
+
+TEST_CASE("calls: the end of a call releases its open and its reserved attempt") {
+    fixture f;
+    f.set_cold(); // each of the two endpoints accepts two requests
+    const auto accepted = f.accept(false);
+    const auto silent = f.next(*accepted).value();
+    REQUIRE(f.coordinator.handle_silence(*accepted, silent, {}, false, start, f.random) ==
+            silence_step::hand_over);
+    f.coordinator.finish(*accepted, execution_outcome::unknown, start);
+    for (int i = 0; i < 4; ++i) {
+        const auto next = f.accept(false, std::to_string(i));
+        CHECK(f.next(*next));
+    }
+    CHECK(f.metrics.gauge_of("calls_open").value() == 4);
+    f.coordinator.finish(*accepted, execution_outcome::unknown, start);
+    CHECK(f.metrics.gauge_of("calls_open").value() == 4);
+}
--- a/tests/process/relay_test.cpp
+++ b/tests/process/relay_test.cpp
@@ -50,6 +50,22 @@
     }
 }
 
+// Guards against a sound call that is ended because every endpoint is slow.
+TEST_CASE("a call waits for slow endpoints until its deadline", "[process]") {
+    const relay_fixture relay;
+    relay.engine_1.control(R"({"token_ms": 1300})");
+    relay.engine_2.control(R"({"token_ms": 1300})");
+    const auto answer = relay.stream(3);
+    CHECK(answer.status == 200);
+    CHECK(answer.body == expected_stream(3));
+
+    relay.service.control(R"({"delay_ms": 1300})");
+    const auto booked = relay.book("slow");
+    CHECK(booked.status == 200);
+    CHECK(booked.outcome == "ran");
+    CHECK(fetch(relay.service.port, http::verb::get, "/runs").body == R"({"workshop:slow":1})");
+}
+
 // Guards against sending a caller the answer to another request.
 TEST_CASE("an answer to another request is not relayed", "[process]") {
     const relay_fixture relay;
--- a/tests/transport/caller_silence_test.cpp
+++ b/tests/transport/caller_silence_test.cpp
@@ -66,6 +66,108 @@
 
 } // namespace
 
+TEST_CASE("calls: a stream is not cut while its only endpoint is silent") {
+    const scripted_engine engine([](const auto& connection, const auto& request) {
+        pause(long_pause);
+        connection.send(stream_head(request));
+        pause(long_pause);
+        connection.send(chunk(event(0)));
+        pause(long_pause);
+        connection.send(chunk(event(1) + final_event) + last_chunk);
+    });
+    const front_fixture front({engine.port});
+    const auto answer = front.stream(long_deadline_ms);
+    CAPTURE(answer.status, answer.error);
+    CHECK(answer.is_complete);
+    CHECK(answer.body == whole_stream());
+    CHECK(engine.received() == 1);
+}
+
+TEST_CASE("calls: an answer is awaited until the deadline if no other endpoint can give it") {
+    const scripted_engine engine([](const auto& connection, const auto& request) {
+        pause(long_pause);
+        connection.send(plain_head(request, 4) + "do");
+        pause(long_pause);
+        connection.send("ne");
+    });
+    const front_fixture front({engine.port});
+    const auto looked = front.look(long_deadline_ms);
+    CAPTURE(looked.status, looked.error);
+    CHECK(looked.status == 200);
+    CHECK(looked.body == "done");
+    CHECK(engine.received() == 1);
+}
+
+TEST_CASE("calls: a call that may run once is awaited until its deadline and sent once") {
+    const engine_script slow = [](const auto& connection, const auto& request) {
+        pause(long_pause);
+        connection.send(plain_head(request, 4) + "done");
+    };
+    const scripted_engine first(slow);
+    const scripted_engine second(slow);
+    const front_fixture front({first.port, second.port});
+    const auto booked = front.book(long_deadline_ms);
+    CAPTURE(booked.status, booked.error);
+    CHECK(booked.status == 200);
+    CHECK(booked.outcome == "ran");
+    CHECK(first.received() + second.received() == 1);
+}
+
+TEST_CASE("calls: a silent endpoint is left for another one, and the last one is awaited") {
+    std::atomic<int> requests{0};
+    const engine_script script = [&](const auto& connection, const auto& request) {
+        if (++requests == 1) {
+            connection.send(stream_head(request) + chunk(event(0)));
+            static_cast<void>(connection.wait_until_closed(10s));
+            return;
+        }
+        pause(long_pause);
+        connection.send(stream_head(request) + chunk(event(1) + final_event) + last_chunk);
+    };
+    const scripted_engine first(script);
+    const scripted_engine second(script);
+    const front_fixture front({first.port, second.port});
+    const auto answer = front.stream(long_deadline_ms);
+    CAPTURE(answer.status, answer.error);
+    CHECK(answer.is_complete);
+    CHECK(answer.body == whole_stream());
+    CHECK(first.received() == 1);
+    CHECK(second.received() == 1);
+}
+
+TEST_CASE("calls: a call to silent endpoints ends at its deadline") {
+    const engine_script silent = [](const auto& connection, const auto&) {
+        static_cast<void>(connection.wait_until_closed(20s));
+    };
+    const scripted_engine first(silent);
+    const scripted_engine second(silent);
+    const front_fixture front({first.port, second.port});
+    const auto begin = test_clock::now();
+    const auto answer = front.stream("1200");
+    const auto elapsed = test_clock::now() - begin;
+    CHECK(answer.status >= 500);
+    CHECK(answer.outcome == "unknown");
+    CHECK(elapsed >= 1200ms);
+    CHECK(elapsed < prompt_end);
+    CHECK(first.received() == 1);
+    CHECK(second.received() == 1);
+}
+
+TEST_CASE("calls: an event that arrives in pieces after a pause is relayed") {
+    const scripted_engine engine([](const auto& connection, const auto& request) {
+        connection.send(stream_head(request) + chunk(event(0)));
+        pause(long_pause);
+        const auto next = event(1);
+        connection.send(chunk(next.substr(0, 3)));
+        pause(40ms);
+        connection.send(chunk(next.substr(3) + final_event) + last_chunk);
+    });
+    const front_fixture front({engine.port});
+    const auto answer = front.stream(long_deadline_ms);
+    CHECK(answer.body == whole_stream());
+    CHECK(engine.received() == 1);
+}
+
 TEST_CASE("calls: no endpoint works on for a caller that has gone") {
     std::atomic<bool> is_closed{false};
     const scripted_engine engine([&](const auto& connection, const auto&) {
