End streams of savoryrelayd whose events are never whole

What callers saw: a stream that sent a comment or a part of an event now and then never ended, not even at the deadline of its call.

Cause: each read had the whole limit, so any byte counted as progress. Progress is now a new event: one with a token number or data. From the first bytes without one the limit of the stream runs, also if no other endpoint can take the call, and a comment does not begin the answer to the caller. An event that arrives in pieces after a pause is not cut.

--- a/src/savoryrelay/protocol/event_stream/event_splitter.cpp
+++ b/src/savoryrelay/protocol/event_stream/event_splitter.cpp
@@ -9,8 +9,20 @@
 
 constexpr std::string_view boundary = "\n\n";
 constexpr std::string_view id_field = "id: ";
+constexpr std::string_view data_field = "data";
 constexpr std::string_view final_event = "data: [DONE]";
 
+// Returns whether a line of the event begins with the name of the data field.
+bool has_data(std::string_view event) {
+    for (auto at = event.find(data_field); at != std::string_view::npos;
+         at = event.find(data_field, at + 1)) {
+        if (at == 0 || event[at - 1] == '\n') {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::optional<std::uint64_t> token_number(std::string_view event) {
     // Other fields of the event may come before its number.
     while (!event.starts_with(id_field)) {
@@ -65,8 +77,10 @@
         }
         m_next_token = *number + 1;
         ++m_tokens;
-    } else if (event.starts_with(final_event)) {
-        m_finished = true;
+        ++m_new_events;
+    } else if (has_data(event)) {
+        m_finished = event.starts_with(final_event);
+        ++m_new_events;
     }
     m_ready.append(event);
 }
--- a/src/savoryrelay/protocol/event_stream/event_splitter.h
+++ b/src/savoryrelay/protocol/event_stream/event_splitter.h
@@ -32,6 +32,9 @@
     [[nodiscard]] std::uint64_t next_token() const { return m_next_token; }
     /// Returns the number of events with a token number that were relayed so far.
     [[nodiscard]] std::uint64_t tokens() const { return m_tokens; }
+    /// Returns the number of new events so far: those with a token number, with data or the
+    /// final one. An event without them, such as a comment, tells the caller nothing.
+    [[nodiscard]] std::uint64_t new_events() const { return m_new_events; }
     /// Returns true once the final event `data: [DONE]` was received.
     [[nodiscard]] bool finished() const { return m_finished; }
 
@@ -54,6 +57,7 @@
     bool m_is_ready_taken = false; // `take` has returned m_ready
     std::uint64_t m_next_token = 0;
     std::uint64_t m_tokens = 0;
+    std::uint64_t m_new_events = 0;
     bool m_finished = false;
 };
 
--- a/src/savoryrelay/transport/caller/answer_relay.cpp
+++ b/src/savoryrelay/transport/caller/answer_relay.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include <chrono>
+#include <optional>
 
 namespace savoryrelay::transport {
 
@@ -122,19 +123,32 @@
     const auto& deployment = *attempt.accepted->deployment;
     auto last_token_at = m_hooks.now();
     auto limit = deployment.first_token_timeout;
+    // Set from the first bytes after the last new event.
+    std::optional<state::time_point> partial_since;
     while (!events.finished()) {
         const auto [failed, size] = co_await read_bytes(attempt, limit);
         if (failed || size == 0) {
             co_return exchange_end::interrupted;
         }
+        const auto tokens_before = events.tokens();
+        const auto events_before = events.new_events();
         if (!append_events(events, attempt.received(size))) {
             co_return exchange_end::interrupted;
         }
+        const bool is_progress = events.new_events() > events_before;
+        if (!is_progress) {
+            // Unlike silence, bytes without a new event come from a faulty endpoint.
+            const auto received_at = m_hooks.now();
+            partial_since = partial_since.value_or(received_at);
+            if (received_at - *partial_since >= limit) {
+                co_return exchange_end::interrupted;
+            }
+        }
 
-        // Relay the events that this read completed.
-        const auto tokens_before = events.tokens();
+        // Relay the events that this read completed. Only a new event begins the answer,
+        // because the call can go to any other endpoint until then.
         const auto ready = events.take();
-        if (ready.empty()) {
+        if (ready.empty() || (!is_progress && !writer.started())) {
             continue;
         }
         error_code write_failed;
@@ -147,6 +161,9 @@
         if (write_failed) {
             co_return exchange_end::caller_gone;
         }
+        if (!is_progress) {
+            continue;
+        }
 
         // Measure the first token and the interval between tokens.
         const auto now = m_hooks.now();
@@ -158,6 +175,7 @@
         }
         m_tokens.add(events.tokens() - tokens_before);
         last_token_at = now;
+        partial_since.reset();
         limit = deployment.token_timeout;
     }
 
--- a/tests/transport/caller_silence_test.cpp
+++ b/tests/transport/caller_silence_test.cpp
@@ -153,6 +153,26 @@
     CHECK(second.received() == 1);
 }
 
+TEST_CASE("calls: a stream whose events are never whole ends long before its deadline") {
+    for (const std::string bytes : {"x", ": ping\n\n", ":\n"}) {
+        for (const bool has_begun : {false, true}) {
+            CAPTURE(bytes, has_begun);
+            const scripted_engine engine([&](const auto& connection, const auto& request) {
+                const bool is_first = request.number == 1;
+                connection.send(stream_head(request) +
+                                (has_begun && is_first ? chunk(event(0)) : ""));
+                drip(connection, bytes);
+            });
+            const front_fixture front({engine.port});
+            const auto begin = test_clock::now();
+            const auto answer = front.stream(long_deadline_ms);
+            CHECK(test_clock::now() - begin < prompt_end);
+            CHECK(answer.status == (has_begun ? 200 : 502));
+            CHECK_FALSE((answer.is_complete && answer.status == 200));
+        }
+    }
+}
+
 TEST_CASE("calls: an event that arrives in pieces after a pause is relayed") {
     const scripted_engine engine([](const auto& connection, const auto& request) {
         connection.send(stream_head(request) + chunk(event(0)));
