Read no answer past the deadline of its call in savoryrelayd

What callers saw: an endless stream went on past the deadline for as long as its bytes came faster than the caller read them, because each read had at least a millisecond and found bytes at once. An answer that is read as a whole was read past the deadline likewise, up to 16 MB.

A read now begins only before the deadline, and the wait for the end of a stream's body is bounded by it.

Evidence: without the check the new test's stream of 800 ms was open after 3 s. The bound of the wait for the end of a body has no test of its own.

--- a/src/savoryrelay/transport/caller/answer_relay.cpp
+++ b/src/savoryrelay/transport/caller/answer_relay.cpp
@@ -104,6 +104,10 @@
 
 asio::awaitable<std::pair<error_code, std::size_t>>
 caller_front::read_bytes(exchange& attempt, state::milliseconds limit) {
+    // An answer without end delivers bytes at any time, so no read may begin late.
+    if (m_hooks.now() >= attempt.accepted->deadline) {
+        co_return std::pair{error_code(asio::error::timed_out), std::size_t{0}};
+    }
     const auto buffer = asio::buffer(attempt.buffer);
     auto result =
         co_await attempt.connection->read_some(buffer, attempt.remaining(m_hooks.now(), limit));
@@ -180,7 +184,8 @@
     }
 
     // Read the end of the body, so that the connection can carry another request.
-    co_await attempt.connection->read_some(asio::buffer(attempt.buffer), m_limits.connect_timeout);
+    co_await attempt.connection->read_some(
+        asio::buffer(attempt.buffer), attempt.remaining(m_hooks.now(), m_limits.connect_timeout));
     co_return exchange_end::completed;
 }
 
--- a/tests/transport/caller_silence_test.cpp
+++ b/tests/transport/caller_silence_test.cpp
@@ -188,6 +188,35 @@
     CHECK(engine.received() == 1);
 }
 
+TEST_CASE("calls: a stream without end is not relayed past the deadline") {
+    std::atomic<bool> is_closed{false};
+    const scripted_engine engine([&](const auto& connection, const auto& request) {
+        connection.send(stream_head(request));
+        bool is_open = true;
+        for (int number = 0; is_open;) {
+            std::string events;
+            constexpr int events_per_send = 100;
+            for (int i = 0; i < events_per_send; ++i) {
+                events += chunk(event(number++));
+            }
+            is_open = connection.send(events);
+        }
+        is_closed = true;
+    });
+    const front_fixture front({engine.port});
+    const auto begin = test_clock::now();
+    auto open = front.begin_stream("800");
+    // The caller reads more slowly than the engine sends, so bytes are always there.
+    constexpr int events_per_read = 5'000;
+    int number = events_per_read;
+    while (!is_closed && test_clock::now() - begin < prompt_end &&
+           open.read_until("id: " + std::to_string(number) + "\n")) {
+        number += events_per_read;
+        pause(20ms);
+    }
+    CHECK(is_closed);
+}
+
 TEST_CASE("calls: no endpoint works on for a caller that has gone") {
     std::atomic<bool> is_closed{false};
     const scripted_engine engine([&](const auto& connection, const auto&) {
