Do not end a stream as complete when its rest is refused

What callers saw: when a stream broke off and the engine answered the request to resume with something other than a stream, for example 500, the caller got the events so far and a regular end.

Cause: the answer was read as a whole, the attempt counted as completed, and the stream that had begun was finished. Such an answer now counts as an interrupted attempt.

Evidence: the new test failed before: the cut stream was complete.

--- a/src/savoryrelay/transport/caller/answer_relay.cpp
+++ b/src/savoryrelay/transport/caller/answer_relay.cpp
@@ -212,6 +212,8 @@
     attempt.can_resume = attempt.connection->header("Savoryrelay-Can-Resume") == "true";
     if (attempt.connection->header("Content-Type").starts_with("text/event-stream")) {
         attempt.end = co_await relay_stream(attempt);
+    } else if (attempt.writer.started()) {
+        attempt.end = exchange_end::interrupted; // a stream can only continue with a stream
     } else {
         attempt.end = co_await read_answer(attempt, answer);
     }
--- a/tests/transport/caller_front_test.cpp
+++ b/tests/transport/caller_front_test.cpp
@@ -89,3 +89,20 @@
     CHECK(front.book("1000").status == 200);
     CHECK(front.metrics.gauge_of("calls_open").value() == 0);
 }
+
+TEST_CASE("calls: a stream whose rest is refused is not ended as complete") {
+    const scripted_engine engine([](const auto& connection, const auto& request) {
+        const auto id = id_field(request.field("Savoryrelay-Request-Id"));
+        if (request.number > 1) {
+            connection.send(answer_text("500 Internal Server Error", id, "cannot resume"));
+            return;
+        }
+        connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + id +
+                        "Savoryrelay-Can-Resume: true\r\n\r\nid: 0\ndata: t0\n\n");
+        connection.close();
+    });
+    const front_fixture front({engine.port});
+    const auto answer = front.stream(deadline_ms);
+    CHECK(answer.body.starts_with("id: 0\ndata: t0\n\n"));
+    CHECK_FALSE(answer.is_complete);
+}
