Do not mark an endpoint down because a call had no time to connect

What callers would see: a call with a deadline shorter than a connection to its endpoint takes, such as 1 ms, took that endpoint out of use for a second for all calls of the host.

Cause: a connection that the call's own deadline cut short counted as a failed one. It shows nothing about the endpoint.

--- a/src/savoryrelay/coordination/call/call_coordinator.cpp
+++ b/src/savoryrelay/coordination/call/call_coordinator.cpp
@@ -267,7 +267,8 @@
     if (mapping.may_have_crashed) {
         m_components.broken.add(route.endpoint, accepted.crash_fingerprint, now);
     }
-    if (end == exchange_end::not_sent) {
+    // A connection that the deadline cut short shows nothing about the endpoint.
+    if (end == exchange_end::not_sent && now < accepted.deadline) {
         m_components.catalog.mark_unreachable(*route.counted.routes, route.counted.slot, now);
         if (const auto crash = m_components.broken.take_crash(route.endpoint, now)) {
             m_components.suspects.record_crash(*crash, now);
--- a/tests/coordination/call/call_coordinator_test.cpp
+++ b/tests/coordination/call/call_coordinator_test.cpp
@@ -431,3 +431,15 @@
     f.coordinator.finish(*accepted, execution_outcome::unknown, start);
     CHECK(f.metrics.gauge_of("calls_open").value() == 4);
 }
+
+TEST_CASE("calls: a connection that the deadline cut short doesn't mark the endpoint down") {
+    auto one = two_zones();
+    one.endpoints.erase(one.endpoints.begin() + 1);
+    fixture f(one);
+    const auto hasty = f.accept(false, "hasty", 1ms);
+    const auto route = f.next(*hasty);
+    REQUIRE(route);
+    (void)f.ended(*hasty, route.value(), exchange_end::not_sent, start + 1ms);
+    const auto other = f.accept(false, "other", 1s);
+    CHECK(f.next(*other, start + 2ms));
+}
