Drop a partial event before the next attempt of a call

What callers saw: when an attempt broke off within its first event, the part was joined to the first event of the next attempt's answer.

Cause: the splitter dropped its partial event only before a request to resume, that is after a whole event with a number.

Evidence: the new test got "data: lostid: 0" before.

--- a/src/savoryrelay/transport/caller/caller_front.cpp
+++ b/src/savoryrelay/transport/caller/caller_front.cpp
@@ -210,8 +210,8 @@
         attempt.request.keep_alive(true);
         attempt.request.set(http::field::host, route.value().address);
         attempt.request.set("Savoryrelay-Request-Id", accepted->id.value());
+        events.resume();
         if (events.next_token() > 0) {
-            events.resume();
             attempt.request.set("Savoryrelay-Resume-From", std::to_string(events.next_token()));
         }
         stored_answer answer;
--- a/tests/transport/caller_front_test.cpp
+++ b/tests/transport/caller_front_test.cpp
@@ -106,3 +106,18 @@
     CHECK(answer.body.starts_with("id: 0\ndata: t0\n\n"));
     CHECK_FALSE(answer.is_complete);
 }
+
+TEST_CASE("calls: a part of an event is not joined to the answer of the next attempt") {
+    const std::string rest = "id: 0\ndata: t0\n\ndata: [DONE]\n\n";
+    const scripted_engine engine([&](const auto& connection, const auto& request) {
+        connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+                        id_field(request.field("Savoryrelay-Request-Id")) + "\r\n" +
+                        (request.number == 1 ? "id: 0\ndata: lost" : rest));
+        connection.close();
+    });
+    const front_fixture front({engine.port});
+    const auto answer = front.stream(deadline_ms);
+    CHECK(engine.received() == 2);
+    CHECK(answer.is_complete);
+    CHECK(answer.body == rest);
+}
