Tell no state of a runner that an accepted order has changed

Cause: when a runner accepts an order, the controller counts its sequence up at once, and learns the new group from the next report, 100 ms later. An observation sent in between paired the new sequence with the state before the order ("free, sequence 9"). A host that became the controller within 1.5 s took it for a fresh report and based a join on it. The check of the sequence, which makes outdated orders harmless, could not refuse it. The class of fault: two facts of different times told as one state.

Change: the controller tells of a runner only if its group and sequence are those of one recent report; a silent runner is told of as before, since receivers use nothing else of that. What is told is decided in `coordination/serving/runner_observations` now.

Test: without the check the successor learns sequence 3 without a group and the test fails; it passes now.

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -2,6 +2,7 @@
 #include "group_part.h"
 
 #include "platform/runner_client.h"
+#include "savoryrelay/coordination/serving/runner_observations.h"
 #include "savoryrelay/protocol/lease/lease_text.h"
 #include "savoryrelay/transport/process/control_loop.h"
 #include "savoryrelay/transport/process/log.h"
@@ -210,32 +211,20 @@
             confirmed.insert(id);
         }
     }
-    // The entry of a group member contains its model. The last model of a free runner is
-    // known to the other hosts only from these observations.
     const bool sends_free_models = now >= m_free_models_sent_at + free_models_interval;
     if (sends_free_models) {
         m_free_models_sent_at = now;
     }
     for (const auto& runner : *fleet) {
-        const auto& record = runner.record;
-        const bool is_free = !record.membership && !runner.last_model.empty();
-        const bool is_confirmed = !is_controller() && confirmed.contains(record.id);
-        const bool is_included = is_controller()
-                                     ? runner.was_recently_head(now) || runner.silent_since ||
-                                           (sends_free_models && is_free)
-                                     : is_confirmed || suspects.contains(record.id);
-        if (!is_included) {
-            continue;
+        const auto& id = runner.record.id;
+        if (is_controller()) {
+            if (auto told = coordination::observe_as_controller(runner, sends_free_models, now)) {
+                all.push_back(std::move(*told));
+            }
+        } else if (const bool is_confirmed = confirmed.contains(id);
+                   is_confirmed || suspects.contains(id)) {
+            all.push_back(coordination::make_observation(runner, !is_confirmed));
         }
-        state::runner_observation observation;
-        observation.id = record.id;
-        observation.started_ms = record.started_ms;
-        observation.sequence = record.sequence;
-        observation.is_silent = is_controller() ? runner.silent_since.has_value() : !is_confirmed;
-        observation.model = is_free ? runner.last_model : record.model;
-        observation.membership = record.membership.value_or(state::group_membership{});
-        observation.time_factor = runner.time_factor;
-        all.push_back(std::move(observation));
     }
     return all;
 }
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -64,7 +64,7 @@
         // Entries carry no sequence number of orders, and lag behind reports.
         runner.record.sequence = is_new ? 0 : known.sequence;
         const bool was_recently_reported =
-            runner.reported_at && now - *runner.reported_at < report_precedence;
+            runner.reported_at && now - *runner.reported_at < runner_view::report_precedence;
         if (!is_new && was_recently_reported) {
             runner.record.membership = known.membership;
             runner.record.model = known.model;
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -20,6 +20,9 @@
     /// How long a former head is still reported to other hosts. Covers the lag of
     /// entries behind reports: a heartbeat and the delay of the store's feed.
     static constexpr state::milliseconds former_head_retention{3'000};
+    /// A report that is no older than this takes precedence over an entry with
+    /// different group data, because entries arrive later than reports.
+    static constexpr state::milliseconds report_precedence{1'500};
 
     state::runner_record record;
     bool has_entry = false;                         ///< listed on the platform
@@ -55,6 +58,15 @@
     [[nodiscard]] bool was_recently_head(state::time_point now) const {
         return record.is_head() || (last_head_at && now - *last_head_at < former_head_retention);
     }
+    /// Returns whether the runner has accepted an order whose effect is unknown until its
+    /// next report. The sequence counts the order already.
+    [[nodiscard]] bool has_unconfirmed_order() const {
+        return awaits_report_since && !is_effect_known;
+    }
+    /// Returns whether the group and the sequence of the record are those of one report.
+    [[nodiscard]] bool is_state_reported(state::time_point now) const {
+        return reported_at && now - *reported_at < report_precedence && !has_unconfirmed_order();
+    }
     /// Returns whether the runner may receive calls at `now`. Does not check its
     /// group or zone.
     [[nodiscard]] bool may_take_calls(state::time_point now) const {
@@ -70,10 +82,6 @@
     /// A runner is removed when it has had neither an entry nor an answer for
     /// this long.
     static constexpr state::milliseconds forget_after{30'000};
-    /// A report that is no older than this takes precedence over an entry with
-    /// different group data, because entries arrive later than reports.
-    static constexpr state::milliseconds report_precedence{1'500};
-
     /// When no report has shown an accepted order after this time, a report is
     /// applied even though it counts fewer orders.
     static constexpr state::milliseconds max_report_lag{1'000};
--- a/src/savoryrelay/coordination/serving/group_formation.cpp
+++ b/src/savoryrelay/coordination/serving/group_formation.cpp
@@ -89,7 +89,7 @@
         }
         free_now.insert(id);
         m_free_since.try_emplace(id, current.now);
-        if (is_settled(id, current.now) && !current.has_unconfirmed_order(runner)) {
+        if (is_settled(id, current.now) && !runner.has_unconfirmed_order()) {
             current.free[runner.record.fabric_domain].push_back(&runner);
         }
     }
@@ -104,7 +104,7 @@
         // that the order was lost.
         const bool is_report_current =
             current.now - entry.second.at >= m_settings.staging_report_delay &&
-            current.has_fresh_report(*runner) && !current.has_unconfirmed_order(*runner);
+            current.has_fresh_report(*runner) && !runner->has_unconfirmed_order();
         return runner->record.has_staged(entry.second.model) ||
                (is_report_current && !runner->is_order_in_progress);
     });
--- a/src/savoryrelay/coordination/serving/group_reconciler.cpp
+++ b/src/savoryrelay/coordination/serving/group_reconciler.cpp
@@ -27,7 +27,7 @@
 void group_reconciler::add_order(step& current, const runner_view& runner, runner_order_kind kind,
                                  const std::string& group, std::uint64_t epoch) {
     const auto& id = runner.record.id;
-    if (!is_settled(id, current.now) || current.has_unconfirmed_order(runner)) {
+    if (!is_settled(id, current.now) || runner.has_unconfirmed_order()) {
         return;
     }
     state::runner_order order;
@@ -93,7 +93,7 @@
             ++current.usable_runners;
         }
         const bool is_state_known = runner.silent_since || (current.has_fresh_report(runner) &&
-                                                            !current.has_unconfirmed_order(runner));
+                                                            !runner.has_unconfirmed_order());
         if (runner.is_listed(current.now) && !is_state_known) {
             current.unknown_state_domains.insert(runner.record.fabric_domain);
         }
--- a/src/savoryrelay/coordination/serving/group_reconciler_step.h
+++ b/src/savoryrelay/coordination/serving/group_reconciler_step.h
@@ -32,11 +32,6 @@
     std::set<state::fabric_domain_id> unknown_state_domains{}; // with a runner of unknown state
     std::vector<state::runner_order> orders{};
 
-    /// Returns whether the runner has accepted an order whose effect is unknown
-    /// until its next report.
-    [[nodiscard]] static bool has_unconfirmed_order(const runner_view& runner) {
-        return runner.awaits_report_since && !runner.is_effect_known;
-    }
     [[nodiscard]] const runner_view* find(const state::endpoint_id& id) const {
         const auto found = std::lower_bound(
             input.fleet->begin(), input.fleet->end(), id,
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -2,6 +2,7 @@
 // and the counting of loads and work.
 #include "savoryrelay/coordination/serving/fleet_table.h"
 #include "savoryrelay/coordination/serving/load_tracker.h"
+#include "savoryrelay/coordination/serving/runner_observations.h"
 #include "savoryrelay/coordination/serving/work_meter.h"
 
 #include <catch2/catch.hpp>
@@ -43,6 +44,36 @@
 
 } // namespace
 
+TEST_CASE("no observation pairs the sequence of a join with the state before the join") {
+    fleet_table controller;
+    fleet_table successor;
+    for (auto* fleet : {&controller, &successor}) {
+        fleet->apply_entry(entry(5), start);
+        auto in_group = report(5, 1, "g");
+        in_group.model = "gold";
+        fleet->apply_report(id, in_group, start);
+        fleet->apply_report(id, report(5, 2, ""), start);
+    }
+    const auto tell = [&](state::time_point now) {
+        controller.refresh(now);
+        for (const auto& runner : *controller.snapshot()) {
+            if (const auto told = observe_as_controller(runner, true, now)) {
+                successor.apply_observation(*told, now);
+            }
+        }
+    };
+    tell(start + 10ms);
+    controller.note_order_accepted(order(state::runner_order_kind::join, 2), start + 20ms);
+    tell(start + 30ms);
+    CHECK(successor.find(id)->record.sequence == 2);
+    CHECK_FALSE(successor.find(id)->record.membership);
+
+    controller.apply_report(id, report(5, 3, "h"), start + 120ms);
+    tell(start + 130ms);
+    CHECK(successor.find(id)->record.sequence == 3);
+    CHECK(successor.find(id)->record.membership->group == "h");
+}
+
 TEST_CASE("a report made before an accepted order does not undo the order") {
     fleet_table fleet;
     fleet.apply_entry(entry(5), start);
