Send the call that tries a prompt part again after its quarantine

Change: the check before the send asks for quarantines alone; a trial that has begun is no reason.

Test: the call that tries the part again reaches the endpoint. It was written with the fix; that it fails without it is by reading.

--- a/src/savoryrelay/coordination/retry/crash_suspects.cpp
+++ b/src/savoryrelay/coordination/retry/crash_suspects.cpp
@@ -300,6 +300,12 @@
     return is_new;
 }
 
+bool crash_suspects::is_quarantined(request_fingerprint fingerprint, state::time_point now) const {
+    const auto row = m_suspects.find(fingerprint);
+    return row && row->is_quarantined &&
+           row->last_crash + m_settings.retention + m_settings.end_delay > now;
+}
+
 std::optional<state::time_point>
 crash_suspects::quarantined_until(request_fingerprint fingerprint) const {
     const auto row = m_suspects.find(fingerprint);
--- a/src/savoryrelay/coordination/retry/crash_suspects.h
+++ b/src/savoryrelay/coordination/retry/crash_suspects.h
@@ -127,6 +127,10 @@
     /// counts as its begin.
     std::optional<state::time_point> begin_trial(request_fingerprint fingerprint,
                                                  state::time_point now);
+    /// Returns whether the fingerprint is quarantined at `now`. A trial after the quarantine does
+    /// not count.
+    [[nodiscard]] bool is_quarantined(request_fingerprint fingerprint, state::time_point now) const;
+
     /// Returns when the quarantine of the fingerprint, or the trial that has begun, ends, or
     /// nothing when there is none.
     [[nodiscard]] std::optional<state::time_point>
--- a/src/savoryrelay/coordination/retry/crash_watch.cpp
+++ b/src/savoryrelay/coordination/retry/crash_watch.cpp
@@ -162,6 +162,13 @@
     return time_left;
 }
 
+bool crash_watch::is_quarantined(const std::vector<request_fingerprint>& fingerprints,
+                                 state::time_point now) const {
+    return std::any_of(fingerprints.begin(), fingerprints.end(), [&](request_fingerprint each) {
+        return m_suspects.is_quarantined(each, now);
+    });
+}
+
 std::optional<milliseconds>
 crash_watch::time_quarantined(const std::vector<request_fingerprint>& fingerprints,
                               state::time_point now) const {
--- a/src/savoryrelay/coordination/retry/crash_watch.h
+++ b/src/savoryrelay/coordination/retry/crash_watch.h
@@ -63,6 +63,10 @@
     /// one is answered.
     std::optional<state::milliseconds> accept(const std::vector<request_fingerprint>& fingerprints,
                                               state::time_point now);
+    /// Returns whether a call with these fingerprints that was accepted before must no longer
+    /// be sent. The call that `accept` has let pass after a quarantine may be sent.
+    [[nodiscard]] bool is_quarantined(const std::vector<request_fingerprint>& fingerprints,
+                                      state::time_point now) const;
     /// Returns the time until calls with these fingerprints are accepted again, or nothing
     /// if they are accepted at `now`.
     [[nodiscard]] std::optional<state::milliseconds>
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -158,7 +158,7 @@
 bool serving_front::may_send(const call_state& call) const {
     const auto now = m_dependencies.now();
     return call.current->chosen.is_valid(now) && now < call.deadline &&
-           !m_dependencies.crashes.time_quarantined(call.fingerprints, now);
+           !m_dependencies.crashes.is_quarantined(call.fingerprints, now);
 }
 
 asio::awaitable<serving_front::attempt_result> serving_front::try_endpoint(call_state& call) {
--- a/tests/transport/serving_front_test.cpp
+++ b/tests/transport/serving_front_test.cpp
@@ -164,6 +164,14 @@
                      {{request_id_name, id}, {part_name, "dead01"}});
     }
 
+    /// Quarantines the part of all calls.
+    void quarantine_part() {
+        state::serving_call call;
+        call.shared_prompt_parts = {"dead01"};
+        const auto part = coordination::fingerprints_of(call, "", "").front();
+        crashes.apply({state::crash_notice_kind::quarantined, part, 3, 0ms, 1}, now());
+    }
+
     [[nodiscard]] int runs() const {
         int sum = 0;
         for (const auto& endpoint : endpoints) {
@@ -217,19 +225,23 @@
 
 TEST_CASE("a call quarantined after its endpoint was chosen does not reach it") {
     front_fixture fixture;
-    fixture.pause_after_choice(100ms, 1, [&] {
-        state::serving_call call;
-        call.shared_prompt_parts = {"dead01"};
-        const auto part = coordination::fingerprints_of(call, "", "").front();
-        fixture.crashes.apply({state::crash_notice_kind::quarantined, part, 3, 0ms, 1},
-                              fixture.now());
-    });
+    fixture.pause_after_choice(100ms, 1, [&] { fixture.quarantine_part(); });
     const auto answer = fixture.ask("part");
     CHECK(answer.status == 503);
     CHECK(answer.body.find("request_quarantined") != std::string::npos);
     CHECK(fixture.runs() == 0);
 }
 
+TEST_CASE("the call that tries a part again after its quarantine reaches an endpoint") {
+    front_fixture fixture;
+    fixture.quarantine_part();
+    REQUIRE(fixture.ask("refused").status == 503);
+    const auto retention = coordination::entry_host_crash_settings().retention;
+    fixture.skipped_ms += (retention + 1s).count();
+    CHECK(fixture.ask("trial").status == 200);
+    CHECK(fixture.runs() == 1);
+}
+
 TEST_CASE("calls before and after a pause exceed no limit of a cold endpoint together") {
     front_fixture fixture(1, 100, 1);
     fixture.pause_after_choice(1'300ms);
