Count no refused call as work of its model

Change: a call is counted when it has passed the quarantine, once.

Test: the second assertion, after the quarantine, counted 2 before by reading; it was written with the fix.

--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -127,13 +127,6 @@
 
 asio::awaitable<void> serving_front::run_attempts(call_state& call) {
     m_dependencies.repeats.note_call(call.service->name, call.arrived);
-    if (call.service->engine) {
-        if (const auto* model = call.service->engine->find_model(call.decoded.model)) {
-            m_dependencies.report_work(
-                model->name,
-                coordination::call_work_ms(*call.service->engine, *model, call.decoded));
-        }
-    }
     coordination::call_progress progress(*call.route, [&] {
         return m_dependencies.repeats.take(call.service->name, m_dependencies.now());
     });
@@ -165,6 +158,7 @@
                 retry_after = *time_left;
                 break;
             }
+            report_work(call);
             auto selected = co_await wait_for_endpoint(call);
             if (call.caller_is_gone) {
                 break;
@@ -249,6 +243,15 @@
     co_await refuse(call, is_late ? status_timeout : status_bad_gateway, reason, milliseconds(0));
 }
 
+void serving_front::report_work(call_state& call) {
+    const auto& engine = call.service->engine;
+    const auto* model = engine ? engine->find_model(call.decoded.model) : nullptr;
+    if (model != nullptr && !std::exchange(call.is_work_reported, true)) {
+        m_dependencies.report_work(model->name,
+                                   coordination::call_work_ms(*engine, *model, call.decoded));
+    }
+}
+
 asio::awaitable<void> serving_front::refuse(call_state& call, unsigned status, std::string reason,
                                             milliseconds retry_after) {
     call.status = status;
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -77,6 +77,9 @@
     /// Counts and logs an attempt that has failed.
     void report_failed_attempt(const call_state& call, const open_attempt& attempt,
                                const attempt_result& end);
+    /// Adds the call to the work of its model, once. A refused call is no work, and must not draw
+    /// groups to its model.
+    void report_work(call_state& call);
     /// Returns whether the request may still be sent to the chosen endpoint. The process may
     /// have been paused since the choice.
     [[nodiscard]] bool may_send(const call_state& call) const;
--- a/tests/transport/serving_front_test.cpp
+++ b/tests/transport/serving_front_test.cpp
@@ -1,5 +1,6 @@
-// Tests that the serving front sends no request by a decision that a pause of the process has
-// outlasted: the pause falls between the choice of an endpoint and the request to it.
+// Tests which requests the serving front sends: none by a decision that a pause of the process
+// between the choice of an endpoint and the request has outlasted, and what it does with calls
+// whose prompt part is quarantined.
 #include "savoryrelay/transport/serving/serving_front.h"
 
 #include "savoryrelay/transport/http/http_server.h"
@@ -31,6 +32,7 @@
     call.id = state::request_id(transport::header_of(request, request_id_name));
     call.host = "a.example";
     call.path = std::string(request.target());
+    call.model = "gold";
     call.shared_prompt_parts = {transport::header_of(request, part_name)};
     return call;
 }
@@ -95,6 +97,11 @@
         next.routes.push_back(route);
         next.services["orders"].name = "orders";
         next.services["orders"].cold_calls_per_s = cold_calls_per_s;
+        route.path_prefix = "/ask";
+        route.services = {{"model", 1}};
+        next.routes.push_back(route);
+        next.services["model"].name = "model";
+        next.services["model"].engine.emplace().models.push_back({"gold"});
         next.index();
         configuration = std::make_shared<const state::serving_configuration>(std::move(next));
 
@@ -129,7 +136,7 @@
                  return transport::http_field{request_id_name, id.value()};
              }},
             [this] { return configuration; },
-            [](const std::string&, double) {},
+            [this](const std::string&, double) { ++calls_in_work; },
             [](const state::endpoint_id&) {},
             [this] { return now(); }});
         callers = std::make_unique<transport::http_server>(
@@ -159,8 +166,8 @@
         };
     }
 
-    test_answer ask(const std::string& id) {
-        return fetch(std::to_string(callers->port()), http::verb::post, "/book", "x",
+    test_answer ask(const std::string& id, const std::string& path = "/book") {
+        return fetch(std::to_string(callers->port()), http::verb::post, path, "x",
                      {{request_id_name, id}, {part_name, "dead01"}});
     }
 
@@ -180,6 +187,7 @@
         return sum;
     }
 
+    std::atomic<int> calls_in_work{0};
     std::atomic<std::int64_t> skipped_ms{0};
     std::mutex mutex;
     std::function<void()> at_choice = [] {}; // guarded by `mutex`
@@ -260,3 +268,12 @@
     CHECK(fixture.ask("next").status == 503);
     CHECK(fixture.runs() == 1);
 }
+
+TEST_CASE("calls that are refused by the quarantine draw no groups to their model") {
+    front_fixture fixture;
+    CHECK(fixture.ask("without a group", "/ask").status == 503);
+    CHECK(fixture.calls_in_work == 1);
+    fixture.quarantine_part();
+    CHECK(fixture.ask("refused", "/ask").status == 503);
+    CHECK(fixture.calls_in_work == 1);
+}
