--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <cstring>
 #include <limits>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -43,8 +44,13 @@
     return digest;
 }
 
-auto read_digest(std::string_view bytes) {
-    return state::collect([&] { return decode_digest(bytes); });
+std::optional<state::peer_digest> read_digest(std::string_view bytes) {
+    std::optional<state::peer_digest> digest;
+    static_cast<void>(state::collect([&]() -> state::result<void> {
+        BOOST_LEAF_ASSIGN(digest, decode_digest(bytes));
+        return {};
+    }));
+    return digest;
 }
 
 std::string encode(const state::peer_digest& digest) {
