Stop the threads of an entry host before the sockets that their loops use

Since the loops of the exchange go on until a stopping host ends, they used the datagram socket after the host had closed it, and a host could end with a signal instead of status 0, after its last answer.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -97,9 +97,9 @@
 }
 
 edge_host::~edge_host() {
-    m_peers.stop();
-    m_groups.stop();
+    m_groups.stop(); // waits for a call to the store, which needs the threads
     m_threads.stop();
+    m_peers.stop(); // closes the socket that a control loop uses
 }
 
 void edge_host::start() {
