Wait for the caller also when much of an answer has not left the host

A request that arrives behind an answer after the server has looked for one resets the connection all the same. With the check of unread bytes alone, slow_caller_test.cpp failed: 2 MiB were in the send buffer when the connection closed, and the request came later. It passes now; small answers close at once as before.

--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -41,7 +41,7 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
-constexpr std::size_t max_written_bytes = 64 * 1024; // by one operation of a write
+constexpr int max_written_bytes = 64 * 1024; // by one operation of a write
 constexpr std::size_t discard_buffer_bytes = 16 * 1024;
 constexpr std::size_t max_discarded_bytes = 64 * 1024 * 1024;
 // Interval of the check whether the peer has received an answer.
@@ -97,7 +97,8 @@
                  {"stopping", m_server.m_stopping.load() ? "yes" : "no"}});
         }
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-        if (was_unread) {
+        // A smaller rest is on its way by now.
+        if (was_unread || unacknowledged_bytes() > max_written_bytes) {
             co_await wait_until_answer_received();
         }
         // A pending wait of detect_caller_gone would keep the socket open.
@@ -247,7 +248,7 @@
     asio::awaitable<error_code> write_all(std::array<asio::const_buffer, 3> buffers) {
         const auto next_part_limit = [this](const error_code& failed, std::size_t) {
             m_watchdog.extend(m_limits.write_timeout);
-            return failed ? std::size_t{0} : max_written_bytes;
+            return failed ? std::size_t{0} : std::size_t{max_written_bytes};
         };
         const auto [error, written] =
             co_await asio::async_write(m_stream, buffers, next_part_limit, use_tuple);
