--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -220,8 +220,15 @@
         co_return;
     }
 
-    // No attempt succeeded. Report a broken stream if events were relayed, else the
-    // failure that an endpoint answered, else a refusal.
+    co_await answer_without_success(call, std::move(failure), std::move(reason), retry_after);
+}
+
+asio::awaitable<void> serving_front::answer_without_success(call_state& call,
+                                                            std::optional<attempt_result> failure,
+                                                            std::string reason,
+                                                            milliseconds retry_after) {
+    // Report a broken stream if events were relayed, else the failure that an endpoint
+    // answered, else a refusal.
     if (call.has_relayed_events) {
         call.writer.abandon();
         call.outcome = call_outcome::broken;
@@ -235,7 +242,7 @@
         co_await call.writer.send(failure->status, std::move(failure->fields), failure->body);
         co_return;
     }
-    if (progress.execution() == state::execution_outcome::not_run) {
+    if (call.progress->execution() == state::execution_outcome::not_run) {
         co_await refuse(call, status_unavailable, reason, retry_after);
         co_return;
     }
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -20,6 +20,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace savoryrelay::transport {
@@ -99,6 +100,12 @@
     boost::asio::awaitable<attempt_result> relay_stream(call_state& call, bool is_resumed);
     /// Reads the body of the answer whose header was read last.
     boost::asio::awaitable<attempt_result> read_whole_answer(call_state& call);
+    /// Answers a call of which no attempt succeeded, or cuts a stream that has begun. `failure`
+    /// is the last complete failure that an endpoint answered.
+    boost::asio::awaitable<void> answer_without_success(call_state& call,
+                                                        std::optional<attempt_result> failure,
+                                                        std::string reason,
+                                                        state::milliseconds retry_after);
     boost::asio::awaitable<void> refuse(call_state& call, unsigned status, std::string reason,
                                         state::milliseconds retry_after);
     /// Counts and logs that the endpoint closed the connection before it answered the call,
