Keep once whether the answer of a call has begun

The call's state and its progress both held it, set in the same place. No change of behaviour: transport tests and 13 process tests of streams, silent endpoints and stops pass.

--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -280,7 +280,6 @@
                 co_return end;
             }
         }
-        call.has_relayed_events = true;
         call.interrupted_at.reset();
         call.progress->note_answer_begun();
         if (call.events.next_token() > 0) {
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -76,7 +76,6 @@
     std::vector<std::unique_ptr<open_attempt>> kept;
     protocol::event_splitter events;
     bool is_work_reported = false;           // the model's work includes the call
-    bool has_relayed_events = false;         // true after an event was sent to the caller
     std::optional<std::uint64_t> last_event; // number of the last event sent to the caller
     /// When the stream was interrupted after its last event; empty while it runs.
     std::optional<state::time_point> interrupted_at;
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -229,7 +229,7 @@
                                                             milliseconds retry_after) {
     // Report a broken stream if events were relayed, else the failure that an endpoint
     // answered, else a refusal.
-    if (call.has_relayed_events) {
+    if (call.progress->has_answer_begun()) {
         call.writer.abandon();
         call.outcome = call_outcome::broken;
         call.reason = "stream_broken: " + reason;
