--- a/src/edge/peer_part.h
+++ b/src/edge/peer_part.h
@@ -68,7 +68,6 @@
     // The table of hosts was read, or the store cannot be reached; control context only.
     bool m_knows_hosts = false;
     bool m_has_read_hosts = false; // control context only
-    std::uint64_t m_round = 0;     // control context only
 };
 
 } // namespace savoryrelay::edge
