Do not cut a stream that falls silent within an event

Callers lost streams whose endpoint fell silent in the middle of an event and then sent the rest of it in more than one piece.

Cause: the time in which bytes arrive without completing an event was counted from the first such byte, whatever silence lay in between. The silence itself was judged rightly, as no reason to end the answer.

trickle_detector counts only the time in which such bytes keep arriving. An endpoint that sends a byte now and then still ends in the same time, and a silence is left to decide_on_silence. savoryrelayd had the same count.

The new case of endless_answer_test fails on the code before (the stream ends after its first event) and passes now.

--- a/src/savoryrelay/coordination/retry/silence.h
+++ b/src/savoryrelay/coordination/retry/silence.h
@@ -1,10 +1,12 @@
-// Decides what a call does while its endpoint is silent.
+// Decides what a call does while its endpoint is silent or sends bytes without progress.
 #pragma once
 
 #include "savoryrelay/state/core/enum_names.h"
+#include "savoryrelay/state/core/time.h"
 
 #include <array>
 #include <functional>
+#include <optional>
 
 namespace savoryrelay::coordination {
 
@@ -44,4 +46,24 @@
 /// Decides what a call does while its current endpoint is silent for too long.
 [[nodiscard]] silence_step decide_on_silence(const silence_hooks& hooks);
 
+/// Detects an endpoint that goes on sending bytes that complete no event. An endpoint that is
+/// silent within an event is judged by `decide_on_silence` instead, so its silence does not
+/// count. Not thread-safe.
+class trickle_detector {
+public:
+    /// A pause of `min_silence` or longer between two pieces counts as silence.
+    explicit trickle_detector(state::milliseconds min_silence) : m_min_silence(min_silence) {}
+
+    /// Records bytes that completed no event. Returns whether such bytes have arrived, without
+    /// a silence, for `limit` or longer.
+    [[nodiscard]] bool note_piece(state::time_point now, state::milliseconds limit);
+    /// Records a new event.
+    void note_event() { m_began_at.reset(); }
+
+private:
+    const state::milliseconds m_min_silence;
+    std::optional<state::time_point> m_began_at; // first piece since the last event or silence
+    state::time_point m_last_piece_at{};         // meaningful while m_began_at is set
+};
+
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/transport/caller/answer_relay.cpp
+++ b/src/savoryrelay/transport/caller/answer_relay.cpp
@@ -1,11 +1,11 @@
 // Exchanges a request with an endpoint and relays its answer: event streams event by
 // event, other answers as a whole.
+#include "savoryrelay/coordination/retry/silence.h"
 #include "savoryrelay/transport/caller/caller_exchange.h"
 
 #include <boost/asio/this_coro.hpp>
 
 #include <chrono>
-#include <optional>
 
 namespace savoryrelay::transport {
 
@@ -127,8 +127,7 @@
     const auto& deployment = *attempt.accepted->deployment;
     auto last_token_at = m_hooks.now();
     auto limit = deployment.first_token_timeout;
-    // Set from the first bytes after the last new event.
-    std::optional<state::time_point> partial_since;
+    coordination::trickle_detector trickle(silence_check_interval);
     while (!events.finished()) {
         const auto [failed, size] = co_await read_bytes(attempt, limit);
         if (failed || size == 0) {
@@ -140,13 +139,9 @@
             co_return exchange_end::interrupted;
         }
         const bool is_progress = events.new_events() > events_before;
-        if (!is_progress) {
-            // Unlike silence, bytes without a new event come from a faulty endpoint.
-            const auto received_at = m_hooks.now();
-            partial_since = partial_since.value_or(received_at);
-            if (received_at - *partial_since >= limit) {
-                co_return exchange_end::interrupted;
-            }
+        // Unlike silence, bytes without a new event come from a faulty endpoint.
+        if (!is_progress && trickle.note_piece(m_hooks.now(), limit)) {
+            co_return exchange_end::interrupted;
         }
 
         // Relay the events that this read completed. Only a new event begins the answer,
@@ -179,7 +174,7 @@
         }
         m_tokens.add(events.tokens() - tokens_before);
         last_token_at = now;
-        partial_since.reset();
+        trickle.note_event();
         limit = deployment.token_timeout;
     }
 
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -216,8 +215,7 @@
     // with the first event, so that until then the answer of another endpoint can
     // replace this one.
     std::vector<char> buffer(read_buffer_bytes);
-    // Set from the first bytes after the last new event. Only a new event is progress.
-    std::optional<state::time_point> partial_since;
+    coordination::trickle_detector trickle(silence_check_interval);
     auto check_at = m_dependencies.now() + (is_resumed ? silence_check_interval : first_limit);
     while (true) {
         const auto left = bounded_by_deadline(time_until(check_at, m_dependencies.now()));
@@ -254,8 +252,7 @@
         if (ready.empty()) {
             // Unlike silence, bytes that complete no event come from a faulty endpoint.
             const auto now = m_dependencies.now();
-            partial_since = partial_since.value_or(now);
-            if (now - *partial_since >= (attempt.is_writing ? gap_limit : first_limit) ||
+            if (trickle.note_piece(now, attempt.is_writing ? gap_limit : first_limit) ||
                 now >= call.deadline) {
                 end.reason = attempt.is_writing ? "stream made no progress" : "no event";
                 co_return end;
@@ -290,7 +287,7 @@
             co_return end;
         }
         // A caller that reads slowly has held up the stream until now.
-        partial_since.reset();
+        trickle.note_event();
         check_at = m_dependencies.now() + gap_limit;
     }
     end_kept_attempts(call);
--- a/tests/coordination/serving/call_progress_test.cpp
+++ b/tests/coordination/serving/call_progress_test.cpp
@@ -210,6 +210,22 @@
     }
 }
 
+TEST_CASE("bytes without an event are a trickle only while no silence lies between them") {
+    const milliseconds limit(400);
+    const time_point start{std::chrono::hours(1)};
+    coordination::trickle_detector trickle(milliseconds(200));
+    // A byte each 100 ms is found out at the limit, and an event starts the time again.
+    for (int i = 0; i < 4; ++i) {
+        CHECK_FALSE(trickle.note_piece(start + i * milliseconds(100), limit));
+    }
+    CHECK(trickle.note_piece(start + milliseconds(400), limit));
+    trickle.note_event();
+    CHECK_FALSE(trickle.note_piece(start + milliseconds(450), limit));
+    // A silence within an event, of any length, is none of the trickle.
+    CHECK_FALSE(trickle.note_piece(start + milliseconds(1'900), limit));
+    CHECK_FALSE(trickle.note_piece(start + milliseconds(1'950), limit));
+}
+
 TEST_CASE(
     "a call that may run once never runs twice and is reported as not run only if it did not run") {
     CHECK(rc::check("at most one run, correct report", [] {
--- a/tests/process/endless_answer_test.cpp
+++ b/tests/process/endless_answer_test.cpp
@@ -108,6 +108,15 @@
             std::this_thread::sleep_for(50ms);
             send_text(connection, "ta: y\n\n");
             return;
+        } else if (has("/pieces ")) {
+            send_text(connection, stream_head + "id: 0\ndata: x\n\n");
+            std::this_thread::sleep_for(50ms);
+            send_text(connection, "id: 1\nda");
+            std::this_thread::sleep_for(900ms);
+            send_text(connection, "ta: ");
+            std::this_thread::sleep_for(50ms);
+            send_text(connection, "y\n\n");
+            return;
         } else if (has("/torn ")) {
             send_text(connection, stream_head + "id: 0\ndata: x\n\nid: 1\nda");
             return;
@@ -235,3 +244,16 @@
     CHECK_FALSE(torn.is_complete);
     CHECK(torn.body == "id: 0\ndata: x\n\n");
 }
+
+TEST_CASE(
+    "edge: a stream that falls silent within an event is not cut when the rest comes in pieces") {
+    faulty_fixture fixture;
+    test_answer answer;
+    answer.status = 503;
+    for (int number = 0; answer.status == 503; ++number) { // the host does not know the endpoint
+        answer = fetch(fixture.hosts[0]->callers, http::verb::get, "/feed/pieces", "",
+                       edge_fixture::headers("p" + std::to_string(number)));
+    }
+    CHECK(answer.is_complete);
+    CHECK(answer.body == "id: 0\ndata: x\n\nid: 1\ndata: y\n\n");
+}
