Give no silent endpoint up because of its entry

Callers lost streams whose endpoint fell silent for a second while its entry was missing or named no group: the call took it for one that had left.

Cause: entries lag behind, lapse while the store is away, and go back with a store that is restored from a copy. A silent runner without an entry, or one whose entry named it no longer as a head, was given up at the next check.

An endpoint has dropped its calls when its incarnation has ended, when its own recent report shows that it left the group, or when it has been silent for two seconds without an entry; a sound one may be silent for about a second.

Two new cases of edge_test fail on the code before (no event arrives) and pass now; the case that an endpoint is given up which is silent and has lost its entry passes as before.

--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -23,6 +23,9 @@
     /// A report that is no older than this takes precedence over an entry with
     /// different group data, because entries arrive later than reports.
     static constexpr state::milliseconds report_precedence{1'500};
+    /// An unlisted runner that has been silent for this long no longer works on its calls. A
+    /// runner may be silent for a second and go on, and its entry may be missing meanwhile.
+    static constexpr state::milliseconds ended_after_silence{2'000};
 
     state::runner_record record;
     bool has_entry = false;                         ///< listed on the platform
@@ -67,6 +70,17 @@
     [[nodiscard]] bool is_state_reported(state::time_point now) const {
         return reported_at && now - *reported_at < report_precedence && !has_unconfirmed_order();
     }
+    /// Returns whether the runner cannot answer the calls that its incarnation `started_ms`
+    /// has accepted: that incarnation has ended, or its report shows that a runner that
+    /// serves in groups is no longer the head of one. Entries are no evidence of that,
+    /// because they lag and may come from an older copy of the store.
+    [[nodiscard]] bool has_dropped_calls(std::uint64_t started_ms, bool serves_in_groups,
+                                         state::time_point now) const {
+        const bool has_ended =
+            silent_since && now - *silent_since >= ended_after_silence && !is_listed(now);
+        return record.started_ms != started_ms || has_ended ||
+               (serves_in_groups && is_state_reported(now) && !record.is_head());
+    }
     /// Returns whether the runner may receive calls at `now`. Does not check its
     /// group or zone.
     [[nodiscard]] bool may_take_calls(state::time_point now) const {
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -102,11 +102,8 @@
              [&] {
                  m_dependencies.report_suspect(endpoint.id);
                  const auto known = m_dependencies.fleet.find(endpoint.id);
-                 // The controller alone may find an endpoint silent because the controller is
-                 // slow.
-                 const bool is_gone = !known || (known->silent_since && !known->is_listed(now));
-                 return is_gone || known->record.started_ms != endpoint.started_ms ||
-                        (call.service->engine && !known->record.is_head());
+                 return !known || known->has_dropped_calls(endpoint.started_ms,
+                                                           call.service->engine.has_value(), now);
              }});
 }
 
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -44,6 +44,31 @@
 
 } // namespace
 
+TEST_CASE(
+    "only a report or a long silence without an entry shows that a runner dropped its calls") {
+    fleet_table fleet;
+    const auto has_dropped = [&](state::time_point now) {
+        return fleet.find(id)->has_dropped_calls(5, true, now);
+    };
+    fleet.apply_entry(entry(5), start);
+    fleet.apply_report(id, report(5, 1, "g"), start);
+    CHECK_FALSE(has_dropped(start + 1s));
+    // An entry without the group, later than any report.
+    fleet.apply_entry(entry(5), start + 5s);
+    REQUIRE_FALSE(fleet.find(id)->record.is_head());
+    CHECK_FALSE(has_dropped(start + 5s));
+    // The entry goes while the runner is silent.
+    fleet.note_silence(id, 5, start + 6s);
+    fleet.apply_removal(id, start + 6s);
+    CHECK_FALSE(has_dropped(start + 7s));
+    CHECK(has_dropped(start + 8s));
+    // Its report shows that it has left the group, or its incarnation has ended.
+    fleet.apply_report(id, report(5, 2, ""), start + 9s);
+    CHECK(has_dropped(start + 9s));
+    fleet.apply_entry(entry(6), start + 10s);
+    CHECK(has_dropped(start + 10s));
+}
+
 TEST_CASE("no observation pairs the sequence of a join with the state before the join") {
     fleet_table controller;
     fleet_table successor;
--- a/tests/process/edge_test.cpp
+++ b/tests/process/edge_test.cpp
@@ -4,8 +4,10 @@
 #include "support/kept_connection.h"
 
 #include <chrono>
+#include <thread>
 
 using namespace savoryrelay::tests;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -194,6 +196,47 @@
     CHECK(ids_of(answer.body) == complete_stream_ids());
 }
 
+TEST_CASE("edge: a stream is not cut when its runner falls silent while its entry is missing") {
+    edge_fixture fixture;
+    fixture.ask_until_served();
+    for (auto& runner : fixture.models) {
+        runner->control(R"({"token_ms":2000,"drop_reports_and_orders":true})");
+    }
+    test_exchange paused(fixture.hosts[0]->callers, http::verb::post, "/ask/1", "prompt",
+                         edge_fixture::headers("p1", true));
+    fixture.hosts[0]->process->read_until("event=runner_silent");
+    for (const auto* id : {"m0", "m1", "m2"}) {
+        fixture.write_row("servers", id, "null");
+    }
+    for (auto& runner : fixture.models) {
+        runner->control(R"({"token_ms":5})");
+    }
+    const auto answer = paused.finish();
+    CHECK(answer.is_complete);
+    CHECK(ids_of(answer.body) == complete_stream_ids());
+}
+
+TEST_CASE("edge: a silent stream is not cut because of an entry that names no group") {
+    edge_fixture fixture;
+    fixture.ask_until_served();
+    for (auto& runner : fixture.models) {
+        runner->control(R"({"token_ms":3500,"drop_reports_and_orders":true})");
+    }
+    test_exchange paused(fixture.hosts[0]->callers, http::verb::post, "/ask/1", "prompt",
+                         edge_fixture::headers("p1", true));
+    // Entries give way to a recent report.
+    std::this_thread::sleep_for(1'700ms);
+    for (std::size_t i = 0; i < fixture.models.size(); ++i) {
+        fixture.write_entry("m" + std::to_string(i), "model", fixture.models[i]->port, "d0");
+    }
+    for (auto& runner : fixture.models) {
+        runner->control(R"({"token_ms":5})");
+    }
+    const auto answer = paused.finish();
+    CHECK(answer.is_complete);
+    CHECK(ids_of(answer.body) == complete_stream_ids());
+}
+
 TEST_CASE("edge: a stream ends when its runner answers no reports and has lost its entry") {
     edge_fixture fixture;
     fixture.ask_until_served();
