Do not count endpoints that ended during an answer as attempts

Cause: only a reset showed that the process had ended. One that closes its connections in order looked like an endpoint that breaks an answer off, which counts as one of the route's attempts.

When the attempts of an interrupted stream are used up, endpoints that closed its connection are asked whether they still accept connections. Those that do not, or that have started again, are taken off the count.

--- a/src/savoryrelay/coordination/serving/call_progress.cpp
+++ b/src/savoryrelay/coordination/serving/call_progress.cpp
@@ -40,6 +40,11 @@
     }
 }
 
+void call_progress::note_ended_during_answer() {
+    assert(m_runs > 0);
+    --m_runs;
+}
+
 bool call_progress::allows_attempt() const {
     if (m_has_ended || (m_refusals > max_refusals && !m_has_begun)) {
         return false;
--- a/src/savoryrelay/coordination/serving/call_progress.h
+++ b/src/savoryrelay/coordination/serving/call_progress.h
@@ -97,6 +97,10 @@
     /// endpoint that ended while it answered does not count.
     void note(attempt_outcome outcome, endpoint_end end);
 
+    /// Records that an endpoint whose attempt was noted with `endpoint_end::none` has ended
+    /// while it answered, as found out since.
+    void note_ended_during_answer();
+
     /// Records that the caller has received a part of the answer. From now on the call can
     /// only be completed or cut, no longer refused.
     void note_answer_begun() { m_has_begun = true; }
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -152,6 +152,20 @@
     }
 }
 
+asio::awaitable<void> serving_front::discount_ended_endpoints(call_state& call) {
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    for (const auto& endpoint : std::exchange(call.broke_off, {})) {
+        const auto known = m_dependencies.fleet.find(endpoint.id);
+        bool has_ended = known && known->record.started_ms != endpoint.started_ms;
+        if (!has_ended) {
+            has_ended = !co_await accepts_connection(context, endpoint);
+        }
+        if (has_ended) {
+            call.progress->note_ended_during_answer();
+        }
+    }
+}
+
 bool serving_front::may_send(const call_state& call) const {
     const auto now = m_dependencies.now();
     return call.current->chosen.is_valid(now) && now < call.deadline &&
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -80,6 +80,9 @@
     /// When the stream was interrupted after its last event; empty while it runs.
     std::optional<state::time_point> interrupted_at;
     std::set<state::endpoint_id> tried;
+    /// Endpoints that closed the connection while they answered. They count towards the
+    /// attempts of the call, unless their processes have ended.
+    std::vector<state::runner_record> broke_off;
     std::set<state::endpoint_id> may_have_run_at;    // those of `tried` that did not refuse
     coordination::call_progress* progress = nullptr; // set while attempts run
     /// Selected before the call turned away from the current attempt.
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -150,6 +150,9 @@
             // The answer of an interrupted stream has begun, so the call is not told to come
             // back. It takes a repeat only when an endpoint can resume it.
             const bool is_interrupted = progress.has_answer_begun();
+            if (is_interrupted && !progress.allows_attempt()) {
+                co_await discount_ended_endpoints(call);
+            }
             if (is_interrupted ? !progress.allows_attempt() : !progress.may_attempt()) {
                 break;
             }
@@ -191,6 +194,9 @@
         progress.note(end.outcome, !end.endpoint_ended   ? endpoint_end::none
                                    : attempt->is_writing ? endpoint_end::during_answer
                                                          : endpoint_end::before_answer);
+        if (end.closed_by_endpoint && !end.endpoint_ended && attempt->is_writing) {
+            call.broke_off.push_back(attempt->chosen.runner.record);
+        }
         reason = end.reason;
         if (end.outcome == attempt_outcome::not_run) {
             call.may_have_run_at.erase(attempt->chosen.runner.record.id);
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -75,6 +75,8 @@
     bool return_to_kept_attempt(call_state& call);
     /// Ends the kept attempts and closes their connections.
     void end_kept_attempts(call_state& call);
+    /// Discounts the attempts of a call whose endpoints have ended while they answered.
+    boost::asio::awaitable<void> discount_ended_endpoints(call_state& call);
     /// Counts and logs an attempt that has failed.
     void report_failed_attempt(const call_state& call, const open_attempt& attempt,
                                const attempt_result& end);
--- a/tests/coordination/serving/call_progress_test.cpp
+++ b/tests/coordination/serving/call_progress_test.cpp
@@ -63,6 +63,18 @@
     CHECK_FALSE(ended.may_attempt());
 }
 
+TEST_CASE("an endpoint found to have ended while it answered is taken off the limit") {
+    const auto route = route_of(call_kind::streaming, true, 2);
+    call_progress progress(route, [] { return true; });
+    for (int i = 0; i < 2; ++i) {
+        progress.begin_attempt();
+        progress.note(attempt_outcome::lost, endpoint_end::none);
+    }
+    CHECK_FALSE(progress.may_attempt());
+    progress.note_ended_during_answer();
+    CHECK(progress.may_attempt());
+}
+
 TEST_CASE("endpoints that end before they answer a call count towards the limit of its route") {
     for (const auto kind : {call_kind::streaming, call_kind::idempotent}) {
         for (std::uint32_t max_attempts = 1; max_attempts <= 3; ++max_attempts) {
