Wait in tests until a paused process has stopped

The case was wrong: it sent its requests when kill() had returned. The host served these requests before it stopped. The fixture now waits until the process reports that it has stopped; the check and its bound are as before.

--- a/tests/process/crashing_prompt_test.cpp
+++ b/tests/process/crashing_prompt_test.cpp
@@ -226,7 +226,7 @@
     constexpr std::size_t paused = host_count - 1;
     crash_fixture fixture(R"({"crash_on_part":"dead01"})");
     const auto& process = *fixture.hosts[paused]->process;
-    process.send(SIGSTOP);
+    process.pause();
     if (misses_notices) {
         fill_receive_buffer(*fixture.hosts[paused], fixture.peer_port);
     }
--- a/tests/process/paused_host_test.cpp
+++ b/tests/process/paused_host_test.cpp
@@ -44,7 +44,7 @@
 
     void pause(std::size_t host) {
         paused = host;
-        hosts[host]->process->send(SIGSTOP);
+        hosts[host]->process->pause();
     }
 
     void resume() {
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -57,6 +57,14 @@
         }
     }
 
+    /// Stops the process with SIGSTOP and waits until all its threads have stopped, which on a
+    /// busy machine is some time after the signal was sent.
+    void pause() const {
+        send(SIGSTOP);
+        siginfo_t info{};
+        REQUIRE(::waitid(P_PID, static_cast<id_t>(m_pid), &info, WSTOPPED) == 0);
+    }
+
     /// Waits until the process ends. Returns its exit code, or -1 if a signal killed it.
     int wait() {
         if (!m_status) {
