Order the rows of the store by its era before their versions

Callers saw routes that had been confirmed answered with 404 and older configurations handled seconds after a newer one had been acknowledged, once the store had come back from a copy some seconds old.

Cause: the store gives versions out again after a restore. The copies of its tables took what was written then for older than what they held, and a feed that asked after a version of the time before missed all changes up to it in silence. Peers copied tables by the same numbers.

A version is now the pair of the era, which each answer of the store states, and the number. It orders rows, feeds, images, digests and copies between hosts. Rows of a restored store are older than their writers' last word until these have written them again: between eras the writers' own counts decide (the operators' version of the configuration, the writes of a runner's entry), and where there are none, only a second read after the grace of an outage changes a known row.

--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -30,7 +30,7 @@
 
 constexpr auto hosts_table = "savoryrelay_hosts";
 // A table is requested as "/tables/NAME" or, for its changes after a version, as
-// "/tables/NAME?after=VERSION".
+// "/tables/NAME?after=ERA.NUMBER".
 constexpr std::string_view tables_path = "/tables/";
 constexpr std::string_view after_parameter = "?after=";
 constexpr unsigned status_ok = 200;
@@ -49,6 +49,20 @@
 // among this many.
 constexpr std::size_t unknown_fleet_hosts = 1'000;
 
+// Returns number 0, for a full copy, if the text is not "ERA.NUMBER".
+state::store_version parse_version(std::string_view text) {
+    const auto point = text.find('.');
+    if (point == std::string_view::npos) {
+        return {};
+    }
+    state::store_version version;
+    const auto* end = text.data() + text.size();
+    const auto era = std::from_chars(text.data(), text.data() + point, version.era);
+    const auto number = std::from_chars(text.data() + point + 1, end, version.number);
+    const bool is_valid = era.ec == std::errc{} && number.ec == std::errc{} && number.ptr == end;
+    return is_valid ? version : state::store_version{};
+}
+
 } // namespace
 
 peer_part::peer_part(transport::io_threads& threads, platform::store_client& store,
@@ -116,6 +130,7 @@
     digest.incarnation = m_incarnation;
     digest.operators_version = m_shared.operators.newest_row_version();
     digest.runners_version = m_shared.runners.newest_row_version();
+    digest.configuration_version = m_shared.configuration.load()->version;
     digest.tables_age = m_tables.age(now);
     digest.return_grace = m_tables.return_grace(now);
     digest.is_controller = m_groups.is_controller();
@@ -256,8 +271,9 @@
         const bool has_runners =
             co_await copy_table(shared_table::runners, m_shared.runners, runners_fetched_at);
         const auto source = m_directory.best_source(shared_table::runners, m_now());
-        if (has_operators && has_runners && source && m_shared.operators.synced_version() > 0 &&
-            m_shared.runners.synced_version() > 0) {
+        if (has_operators && has_runners && source &&
+            m_shared.operators.synced_version().number > 0 &&
+            m_shared.runners.synced_version().number > 0) {
             m_tables.note_current(source->current_at);
         }
     }
@@ -271,19 +287,35 @@
         co_return false;
     }
     if (source->version <= mirror.synced_version()) {
+        if (table == shared_table::operators) {
+            co_return co_await copy_newest_configuration();
+        }
         co_return true;
     }
     if (table == shared_table::runners && now - fetched_at < m_shared.entry_interval()) {
         co_return true; // the copy is no older than the interval
     }
     fetched_at = now;
-    co_return co_await fetch_table(source->address, table, mirror);
+    co_return co_await fetch_table(source->address, table, mirror, mirror.synced_version());
+}
+
+asio::awaitable<bool> peer_part::copy_newest_configuration() {
+    const auto source = m_directory.newest_configuration(m_now());
+    if (!source || source->configuration_version <= m_shared.configuration.load()->version) {
+        co_return true;
+    }
+    // The row has no later version of the store than the rows here, so it is in no changes.
+    const state::store_version whole_table;
+    co_return co_await fetch_table(source->address, shared_table::operators, m_shared.operators,
+                                   whole_table);
 }
 
 asio::awaitable<bool> peer_part::fetch_table(state::member_address from, shared_table table,
-                                             state::table_mirror& mirror) {
+                                             state::table_mirror& mirror,
+                                             state::store_version after) {
     const auto path = std::string(tables_path) + std::string(state::to_name(table)) +
-                      std::string(after_parameter) + std::to_string(mirror.synced_version());
+                      std::string(after_parameter) + std::to_string(after.era) + '.' +
+                      std::to_string(after.number);
     transport::http_request request{http::verb::get, path, 11};
     request.set(http::field::host, from.ip);
     // A named variable, because g++ 12 destroys a braced temporary in a co_await twice.
@@ -298,7 +330,7 @@
         transport::log_warning("peer_table_damaged", {{"detail", image.error().message()}});
         co_return false;
     }
-    const bool was_empty = mirror.synced_version() == 0;
+    const bool was_empty = mirror.synced_version().number == 0;
     const auto changed = mirror.apply_image(image.value());
     if (table == shared_table::operators) {
         m_tables.apply_operators(changed);
@@ -318,10 +350,9 @@
     const std::string_view target(request.target().data(), request.target().size());
     const auto query = target.find(after_parameter);
     const auto path = target.substr(0, query);
-    std::uint64_t after = 0;
+    state::store_version after;
     if (query != std::string_view::npos) {
-        const auto text = target.substr(query + after_parameter.size());
-        std::from_chars(text.data(), text.data() + text.size(), after);
+        after = parse_version(target.substr(query + after_parameter.size()));
     }
     std::optional<std::string> body;
     for (const auto table : {shared_table::operators, shared_table::runners}) {
--- a/src/edge/peer_part.h
+++ b/src/edge/peer_part.h
@@ -44,7 +44,13 @@
                                             state::time_point& fetched_at);
     boost::asio::awaitable<bool> fetch_table(state::member_address from,
                                              coordination::shared_table table,
-                                             state::table_mirror& mirror);
+                                             state::table_mirror& mirror,
+                                             state::store_version after);
+    /// Copies the operators' table from a peer whose configuration is newer. A restored store
+    /// and its readers may know an older one than a peer that has run through.
+    boost::asio::awaitable<bool> copy_newest_configuration();
+    /// Returns the latest era of the store that this host knows, from the store or from peers.
+    [[nodiscard]] std::uint64_t known_era() const;
     boost::asio::awaitable<void> answer_table(transport::http_request request,
                                               transport::response_writer& writer);
     void update_host_count(state::time_point now);
--- a/src/edge/shared_state.h
+++ b/src/edge/shared_state.h
@@ -1,6 +1,8 @@
 // The shared state of an entry host. Each member does its own locking.
 #pragma once
 
+#include "platform/configuration_codec.h"
+#include "platform/runner_codec.h"
 #include "savoryrelay/coordination/exchange/host_directory.h"
 #include "savoryrelay/coordination/retry/crash_watch.h"
 #include "savoryrelay/coordination/serving/fleet_table.h"
@@ -46,9 +48,9 @@
 
     const state::host_entry own_host;
     state::metrics metrics;
-    coordination::host_directory hosts; ///< the other entry hosts
-    state::table_mirror operators;      ///< the operators' table
-    state::table_mirror runners;        ///< the runners' entries
+    coordination::host_directory hosts;                             ///< the other entry hosts
+    state::table_mirror operators{platform::compare_operator_rows}; ///< the operators' table
+    state::table_mirror runners{platform::compare_runner_entries};  ///< the runners' entries
     state::snapshot_cell<state::serving_configuration> configuration{
         state::serving_configuration{}};
     state::snapshot_cell<std::set<state::availability_zone_id>> zones_out_of_service{
--- a/src/edge/state_gauges.cpp
+++ b/src/edge/state_gauges.cpp
@@ -14,6 +14,9 @@
         metrics.gauge_of(name, labels).set(static_cast<std::int64_t>(value));
     };
     set("savoryrelay_configuration_version", shared.configuration.load()->version);
+    set("savoryrelay_store_era", shared.runners.synced_version().era);
+    set("savoryrelay_operators_version", shared.operators.synced_version().number);
+    set("savoryrelay_runners_version", shared.runners.synced_version().number);
     set("savoryrelay_store_reachable", shared.is_store_reachable.load() ? 1 : 0);
     set("savoryrelay_hosts", shared.host_count.load());
     set("savoryrelay_controller", is_controller ? 1 : 0);
--- a/src/edge/store_part.cpp
+++ b/src/edge/store_part.cpp
@@ -12,6 +12,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace savoryrelay::edge {
 
 namespace asio = boost::asio;
@@ -128,28 +131,52 @@
 asio::awaitable<void> store_part::follow(std::string table, state::table_mirror& mirror,
                                          feed_times times, apply_rows_hook apply_rows) {
     bool must_read_all = true;
+    auto known = mirror.synced_version();
+    // When the rows that their writers have not written again since a restore are given up.
+    std::optional<state::time_point> confirm_at;
     const auto pause_after_failure = [this] {
         return m_shared.is_store_reader ? retry_pause : member_retry_pause;
     };
     while (true) {
+        const auto held = mirror.synced_version();
+        const auto before = std::exchange(known, held);
+        if (before.number > 0 && held.era > before.era) {
+            confirm_at = m_now() + return_grace_after_outage;
+        }
         if (!follows_store()) {
             // The copies from the hub have all changes up to the mirror's version.
-            must_read_all = mirror.synced_version() == 0;
+            must_read_all = held.number == 0;
             co_await pause_for(follow_check_interval);
             continue;
         }
-        if (must_read_all) {
-            const auto image = co_await m_store.read_table(table);
+        if (confirm_at && m_now() >= *confirm_at) {
+            must_read_all = true;
+            confirm_at.reset();
+        }
+        // The feed does not tell that the version it is asked for is one of an earlier era.
+        if (must_read_all || m_store.era() > held.era) {
+            auto image = co_await m_store.read_table(table);
             note_store_call(image.has_value(), image ? "" : image.error().message());
             if (!image) {
                 co_await pause_for(pause_after_failure());
                 continue;
             }
+            const bool is_restored = held.number > 0 && image.value().version.era > held.era;
+            if (is_restored) {
+                note_restore(table, held, image.value().version);
+            }
+            image.value().is_confirmed = !is_restored && !confirm_at;
             (this->*apply_rows)(mirror.apply_image(image.value()));
             must_read_all = false;
+            if (image.value().version.era < m_store.era()) {
+                co_await pause_for(retry_pause); // a late answer of the earlier era
+            }
+            continue;
         }
-        const auto feed =
-            co_await m_store.wait_for_changes(table, mirror.synced_version(), times.wait);
+        const auto wait =
+            confirm_at ? std::clamp(milliseconds_until(*confirm_at), milliseconds(1), times.wait)
+                       : times.wait;
+        const auto feed = co_await m_store.wait_for_changes(table, held, wait);
         note_store_call(feed.has_value(), feed ? "" : feed.error().message());
         if (!feed) {
             co_await pause_for(pause_after_failure());
@@ -160,6 +187,11 @@
             log_info("feed_history_gone", {{"table", table}});
             continue;
         }
+        if (feed.value().version.era != held.era) {
+            must_read_all = true;
+            co_await pause_for(feed.value().version.era < held.era ? retry_pause : milliseconds(0));
+            continue;
+        }
         (this->*apply_rows)(mirror.apply_changes(feed.value().changes, feed.value().version));
         if (times.pause.count() > 0) {
             co_await pause_for(times.pause);
@@ -167,6 +199,22 @@
     }
 }
 
+milliseconds store_part::milliseconds_until(state::time_point at) const {
+    return std::chrono::duration_cast<milliseconds>(at - m_now());
+}
+
+void store_part::note_restore(const std::string& table, state::store_version held,
+                              state::store_version read) {
+    // Entries that the copy lacks return as they do after an outage.
+    note_return_grace(return_grace_after_outage, m_now());
+    log_warning("store_restored", {{"table", table},
+                                   {"era_before", std::to_string(held.era)},
+                                   {"version_before", std::to_string(held.number)},
+                                   {"era", std::to_string(read.era)},
+                                   {"version", std::to_string(read.number)}});
+    m_shared.metrics.counter_of("savoryrelay_store_restores_total", {{"table", table}}).add();
+}
+
 void store_part::apply_operators(const std::vector<state::mirrored_row>& changed) {
     if (changed.empty()) {
         return;
--- a/src/edge/store_part.h
+++ b/src/edge/store_part.h
@@ -53,6 +53,10 @@
     boost::asio::awaitable<void> follow(std::string table, state::table_mirror& mirror,
                                         feed_times times, apply_rows_hook apply_rows);
     void note_store_call(bool succeeded, const std::string& detail);
+    /// Reports that a full read is of a later era than the copy, and lets entries return.
+    void note_restore(const std::string& table, state::store_version held,
+                      state::store_version read);
+    [[nodiscard]] state::milliseconds milliseconds_until(state::time_point at) const;
 
     transport::io_threads& m_threads;
     platform::store_client& m_store;
--- a/src/savoryrelay/coordination/exchange/host_directory.cpp
+++ b/src/savoryrelay/coordination/exchange/host_directory.cpp
@@ -88,6 +88,7 @@
     known.scope = digest.scope;
     known.operators_version = digest.operators_version;
     known.runners_version = digest.runners_version;
+    known.configuration_version = digest.configuration_version;
     known.tables_current_at = now - digest.tables_age;
     return true;
 }
@@ -177,12 +178,26 @@
             table == shared_table::operators ? host.operators_version : host.runners_version;
         if (!best || version > best->version ||
             (version == best->version && host.tables_current_at > best->current_at)) {
-            best = table_source{host.entry.address, version, host.tables_current_at};
+            best = table_source{host.entry.address, version, host.configuration_version,
+                                host.tables_current_at};
         }
     }
     return best;
 }
 
+std::optional<table_source> host_directory::newest_configuration(state::time_point now) const {
+    const std::scoped_lock lock(m_mutex);
+    std::optional<table_source> newest;
+    for (const auto& [key, host] : m_hosts) {
+        if (is_recent(host.heard_at, role_duration, now) &&
+            (!newest || host.configuration_version > newest->configuration_version)) {
+            newest = table_source{host.entry.address, host.operators_version,
+                                  host.configuration_version, host.tables_current_at};
+        }
+    }
+    return newest;
+}
+
 std::vector<state::host_entry> host_directory::sample(std::uint64_t round,
                                                       std::size_t count) const {
     const std::scoped_lock lock(m_mutex);
--- a/src/savoryrelay/coordination/exchange/host_directory.h
+++ b/src/savoryrelay/coordination/exchange/host_directory.h
@@ -30,8 +30,9 @@
 /// A peer from which this host can copy a table.
 struct table_source {
     state::member_address address;
-    std::uint64_t version = 0;      ///< highest version of a row that the peer holds
-    state::time_point current_at{}; ///< when the peer's copies were known to be current
+    state::store_version version;            ///< highest version of a row that the peer holds
+    std::uint64_t configuration_version = 0; ///< the operators' own version at the peer
+    state::time_point current_at{};          ///< when the peer's copies were known to be current
 };
 
 /// Table of the platform that hosts copy from each other.
@@ -66,6 +67,9 @@
     /// recently.
     [[nodiscard]] std::optional<table_source> best_source(shared_table table,
                                                           state::time_point now) const;
+    /// Returns the peer with the newest configuration, by the operators' own version, among
+    /// those that were heard recently.
+    [[nodiscard]] std::optional<table_source> newest_configuration(state::time_point now) const;
     /// Returns up to `count` known hosts, other ones in each round.
     [[nodiscard]] std::vector<state::host_entry> sample(std::uint64_t round,
                                                         std::size_t count) const;
@@ -90,8 +94,9 @@
         bool has_probed = false; // and was not answered yet
         /// When this host began to wait for a digest from it; empty while none is due.
         std::optional<state::time_point> awaited_since;
-        std::uint64_t operators_version = 0;
-        std::uint64_t runners_version = 0;
+        state::store_version operators_version;
+        state::store_version runners_version;
+        std::uint64_t configuration_version = 0;
         state::time_point tables_current_at{};
         state::digest_scope scope = state::digest_scope::member;
         std::size_t counted_hosts = 0; // by a hub, among the hosts of `scope`
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -97,6 +97,16 @@
     return host;
 }
 
+void write_version(bounded_writer& out, const state::store_version& version) {
+    out.number(version.era);
+    out.number(version.number);
+}
+
+state::store_version read_version(bounded_reader& in) {
+    const auto era = in.number<std::uint64_t>();
+    return {era, in.number<std::uint64_t>()};
+}
+
 // Times travel as milliseconds; longer ones mean the same as the longest.
 void write_time(bounded_writer& out, state::milliseconds time) {
     const auto longest = static_cast<std::int64_t>(max_counter);
@@ -134,8 +144,9 @@
     out.number(digest.incarnation);
     out.number(digest.part);
     out.enum_value(digest.scope);
-    out.number(digest.operators_version);
-    out.number(digest.runners_version);
+    write_version(out, digest.operators_version);
+    write_version(out, digest.runners_version);
+    out.number(digest.configuration_version);
     write_time(out, digest.tables_age);
     write_time(out, digest.return_grace);
     out.number(static_cast<std::uint8_t>(digest.is_controller));
@@ -244,8 +255,9 @@
         digest.incarnation = in.number<std::uint64_t>();
         digest.part = in.number<std::uint8_t>();
         digest.scope = in.enum_value<state::digest_scope>();
-        digest.operators_version = in.number<std::uint64_t>();
-        digest.runners_version = in.number<std::uint64_t>();
+        digest.operators_version = read_version(in);
+        digest.runners_version = read_version(in);
+        digest.configuration_version = in.number<std::uint64_t>();
         digest.tables_age = read_time(in);
         digest.return_grace = read_time(in);
         digest.is_controller = in.number<std::uint8_t>() != 0;
@@ -308,12 +320,13 @@
 
 std::string encode_table(const state::table_image& image) {
     bounded_writer out;
-    out.number(image.version);
-    out.number(image.after);
+    write_version(out, image.version);
+    write_version(out, image.after);
+    out.number(static_cast<std::uint8_t>(image.is_confirmed));
     out.count<std::uint32_t>(image.rows.size(), max_rows);
     for (const auto& row : image.rows) {
         out.text(row.key, max_text_bytes);
-        out.number(row.version);
+        write_version(out, row.version);
         out.number(static_cast<std::uint8_t>(row.is_removed));
         out.text<std::uint32_t>(row.value, max_value_bytes);
     }
@@ -324,12 +337,13 @@
     try {
         bounded_reader in(bytes);
         state::table_image image;
-        image.version = in.number<std::uint64_t>();
-        image.after = in.number<std::uint64_t>();
+        image.version = read_version(in);
+        image.after = read_version(in);
+        image.is_confirmed = in.number<std::uint8_t>() != 0;
         for (auto remaining = in.count<std::uint32_t>(max_rows); remaining > 0; --remaining) {
             state::mirrored_row row;
             row.key = in.text(max_text_bytes);
-            row.version = in.number<std::uint64_t>();
+            row.version = read_version(in);
             row.is_removed = in.number<std::uint8_t>() != 0;
             row.value = in.text<std::uint32_t>(max_value_bytes);
             image.rows.push_back(std::move(row));
--- a/src/savoryrelay/state/platform/platform_hooks.h
+++ b/src/savoryrelay/state/platform/platform_hooks.h
@@ -19,6 +19,7 @@
     std::string key;
     std::string value;
     std::uint64_t version = 0;
+    std::uint64_t era = 0; ///< of the store that answered; see `store_version`
 };
 
 /// A condition of a transaction: the row must have the version `version`, or be
@@ -49,6 +50,7 @@
     bool committed = false;
     std::uint64_t version = 0;          ///< version of the written rows if committed
     std::vector<std::string> conflicts; ///< keys whose check failed
+    std::uint64_t era = 0;              ///< of the store that answered; see `store_version`
 };
 
 /// A host on the platform's list. The list may be out of date.
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -3,6 +3,7 @@
 
 #include "savoryrelay/state/core/enum_names.h"
 #include "savoryrelay/state/member/member.h"
+#include "savoryrelay/state/platform/store_version.h"
 #include "savoryrelay/state/serving/crash_notice.h"
 #include "savoryrelay/state/serving/runner_record.h"
 
@@ -98,8 +99,11 @@
     std::uint64_t incarnation = 0; ///< of the sender's process; increases with each start
     std::uint8_t part = 0;         ///< index of this datagram when the lists are split over several
     digest_scope scope = digest_scope::member;
-    std::uint64_t operators_version = 0; ///< highest version of a row of the operators' table
-    std::uint64_t runners_version = 0;   ///< highest version of a row of the runners' table
+    store_version operators_version{}; ///< highest version of a row of the operators' table
+    store_version runners_version{};   ///< highest version of a row of the runners' table
+    /// The operators' own version of the configuration in force. A restored store may hold an
+    /// older one, so the versions of its rows do not show which host has the newest.
+    std::uint64_t configuration_version = 0;
     /// Time since the sender's copies of the tables were known to be current, by its own
     /// calls to the store or through other hosts.
     milliseconds tables_age{0};
--- a/src/savoryrelay/transport/http/short_exchange.cpp
+++ b/src/savoryrelay/transport/http/short_exchange.cpp
@@ -47,7 +47,7 @@
         co_return state::failure{failure_kind::endpoint_failed,
                                  target.address + ": " + failed.message()};
     }
-    short_answer answer{connection->status(), {}};
+    short_answer answer{connection->status(), {}, connection->fields()};
     std::vector<char> buffer(read_buffer_bytes);
     const auto deadline = std::chrono::steady_clock::now() + target.whole_answer_timeout;
     while (true) {
--- a/src/savoryrelay/transport/http/short_exchange.h
+++ b/src/savoryrelay/transport/http/short_exchange.h
@@ -27,6 +27,7 @@
 struct short_answer {
     unsigned status = 0;
     std::string body;
+    http_fields fields;
 };
 
 /// Sends `request` on an idle or a new connection and reads the answer. Never sends
--- a/tests/coordination/exchange/exchange_test.cpp
+++ b/tests/coordination/exchange/exchange_test.cpp
@@ -24,9 +24,14 @@
     return found == loads.end() ? 0 : found->second.waiting;
 }
 
+// Returns a version of a store that was never restored.
+state::store_version at(std::uint64_t number) {
+    return {0, number};
+}
+
 // The versions of the rows that are not removed.
-std::map<std::string, std::uint64_t> rows_of(const state::table_mirror& mirror) {
-    std::map<std::string, std::uint64_t> versions;
+std::map<std::string, state::store_version> rows_of(const state::table_mirror& mirror) {
+    std::map<std::string, state::store_version> versions;
     for (const auto& row : mirror.image().rows) {
         versions[row.key] = row.version;
     }
@@ -175,17 +180,17 @@
 
 TEST_CASE("exchange: a row reaches all hosts within a second, also when all readers end with it") {
     exchange_simulation simulation(1, {}, 5, 40);
-    simulation.store.apply_changes({{"config", "v1", 5, false}}, 5);
+    simulation.store->apply_changes({{"config", "v1", at(5), false}}, at(5));
     simulation.advance(10);
     for (const auto& host : simulation.hosts) {
-        REQUIRE(host.rows->newest_row_version() == 5);
+        REQUIRE(host.rows->newest_row_version() == at(5));
     }
-    simulation.store.apply_changes({{"config", "v2", 9, false}}, 9);
+    simulation.store->apply_changes({{"config", "v2", at(9), false}}, at(9));
     simulation.advance(10);
     for (const auto& host : simulation.hosts) {
-        CHECK(host.rows->newest_row_version() == 9);
+        CHECK(host.rows->newest_row_version() == at(9));
     }
-    simulation.store.apply_changes({{"config", "v3", 12, false}}, 12);
+    simulation.store->apply_changes({{"config", "v3", at(12), false}}, at(12));
     for (auto& host : simulation.hosts) {
         host.is_up = !host.exchange->is_store_reader();
     }
@@ -193,8 +198,59 @@
     simulation.advance(16);
     for (const auto& host : simulation.hosts) {
         if (host.is_up) {
-            CHECK(host.rows->newest_row_version() == 12);
+            CHECK(host.rows->newest_row_version() == at(12));
+        }
+    }
+}
+
+TEST_CASE("exchange: rows of a restored store reach all hosts, and none returns the rows before") {
+    CHECK(rc::check("restored store", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        exchange_simulation simulation(seed, {0.1, 0.1, 0.1}, 3,
+                                       *rc::gen::inRange<std::size_t>(3, 10));
+        const auto cut_off = seed % simulation.hosts.size();
+        for (std::uint64_t number = 1; number <= 9; ++number) {
+            simulation.store->apply_changes(
+                {{"row-" + std::to_string(number % 3), "", at(number), false}}, at(number));
+            simulation.advance();
+        }
+        simulation.advance(second);
+        // The copy ends at version 4. The versions after it are given out again, and a host
+        // that is cut off knows only the earlier ones.
+        simulation.hosts[cut_off].is_cut_off = true;
+        simulation.restore_store(4);
+        for (std::uint64_t number = 5; number <= 8; ++number) {
+            const state::store_version version(1, number);
+            simulation.store->apply_changes(
+                {{"row-" + std::to_string(number % 3), "again", version, false}}, version);
+            simulation.advance();
+        }
+        simulation.advance(2 * second);
+        simulation.hosts[cut_off].is_cut_off = false;
+        simulation.advance(4 * second);
+        RC_ASSERT(simulation.went_back == 0U);
+        for (const auto& host : simulation.hosts) {
+            for (const auto& row : host.rows->image().rows) {
+                RC_ASSERT(row.value == "again");
+            }
+            RC_ASSERT(rows_of(*host.rows) == rows_of(*simulation.store));
         }
+    }));
+}
+
+TEST_CASE("exchange: a host whose copy is restored finds the newest configuration at a peer") {
+    exchange_simulation simulation(1, {}, 3, 5);
+    simulation.advance(second);
+    for (std::size_t i = 0; i < simulation.hosts.size(); ++i) {
+        simulation.hosts[i].configuration_version = i == 4 ? 16 : 13;
+    }
+    simulation.advance(second);
+    for (std::size_t i = 0; i < simulation.hosts.size(); ++i) {
+        const auto source = simulation.hosts[i].directory->newest_configuration(simulation.now);
+        REQUIRE(source);
+        // A member hears of its hub alone.
+        const bool hears_all = simulation.hosts[i].exchange->is_store_reader();
+        CHECK((source->configuration_version == 16 || i == 4 || !hears_all));
     }
 }
 
@@ -219,9 +275,9 @@
                 break;
             case 3:
                 ++version;
-                simulation.store.apply_changes(
-                    {{"row-" + std::to_string(version % 3), "v", version, random() % 4 == 0}},
-                    version);
+                simulation.store->apply_changes(
+                    {{"row-" + std::to_string(version % 3), "v", at(version), random() % 4 == 0}},
+                    at(version));
                 break;
             default:
                 break;
@@ -237,7 +293,7 @@
         }
         // Silent hubs are probed each second, and a tenth of the datagrams is lost.
         simulation.advance(60);
-        const auto expected = rows_of(simulation.store);
+        const auto expected = rows_of(*simulation.store);
         for (const auto& host : simulation.hosts) {
             RC_ASSERT(rows_of(*host.rows) == expected);
         }
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -179,11 +179,13 @@
 
 TEST_CASE("a table is decoded as it was encoded") {
     const state::table_image image{
-        {{"config", std::string("a\0b", 3), 9, false}, {"gone", "", 11, true}}, 12, 8};
+        {{"config", std::string("a\0b", 3), {2, 9}, false}, {"gone", "", {2, 11}, true}},
+        {2, 12},
+        {2, 8}};
     const auto read = state::collect([&] { return decode_table(encode_table(image)); });
     REQUIRE(read);
-    CHECK(read.value().version == 12);
-    CHECK(read.value().after == 8);
+    CHECK(read.value().version == state::store_version(2, 12));
+    CHECK(read.value().after == state::store_version(2, 8));
     CHECK(read.value().rows.back().is_removed);
     CHECK(read.value().rows.front().value == image.rows.front().value);
 }
--- a/tests/support/exchange_simulation.h
+++ b/tests/support/exchange_simulation.h
@@ -39,6 +39,7 @@
         std::unique_ptr<coordination::load_tracker> loads;
         std::unique_ptr<coordination::digest_exchange> exchange;
         std::unique_ptr<state::table_mirror> rows;
+        std::uint64_t configuration_version = 0;
         std::unique_ptr<coordination::crash_notice_schedule> notices;
         /// Kind, fingerprint and crash of the notices that the host made or received.
         std::set<std::tuple<state::crash_notice_kind, state::request_fingerprint, std::uint64_t>>
@@ -85,6 +86,7 @@
                         digest.host = each.entry;
                         digest.incarnation = each.incarnation;
                         digest.operators_version = each.rows->newest_row_version();
+                        digest.configuration_version = each.configuration_version;
                     },
                 .loads = [&each](state::digest_scope scope,
                                  state::time_point at) { return each.loads->report(scope, at); },
@@ -111,6 +113,20 @@
         }
     }
 
+    /// Replaces the store by a copy of its rows up to version `number`, in the next era.
+    void restore_store(std::uint64_t number) {
+        auto copy = store->image();
+        const state::store_version last(copy.version.era, number);
+        std::erase_if(copy.rows, [&](const auto& row) { return row.version > last; });
+        ++copy.version.era;
+        copy.version.number = number;
+        for (auto& row : copy.rows) {
+            ++row.version.era;
+        }
+        store = std::make_unique<state::table_mirror>();
+        store->apply_image(copy);
+    }
+
     /// Plays one round: hosts that read the store see `store`, the others copy from peers.
     void advance() {
         now += round;
@@ -145,7 +161,8 @@
 
     state::time_point now{std::chrono::hours(1)};
     std::vector<host> hosts;
-    state::table_mirror store;   ///< the operators' table as the store holds it
+    /// The operators' table as the store holds it.
+    std::unique_ptr<state::table_mirror> store = std::make_unique<state::table_mirror>();
     std::uint64_t went_back = 0; ///< times that a host's copy lost a version
 
 private:
@@ -219,7 +236,7 @@
             return;
         }
         if (each.exchange->is_store_reader()) {
-            each.rows->apply_image(store.changes_since(each.rows->synced_version()));
+            each.rows->apply_image(store->changes_since(each.rows->synced_version()));
         }
         const auto source = each.directory->best_source(coordination::shared_table::operators, now);
         if (source && source->version > each.rows->synced_version()) {
