Count no lease of an earlier era of the store as held or free

A restored store may return an older row of the lease, or none. A holder could then renew on a version that the store had given out again, a free row could be taken while the holder that the store had lost still gave orders, and a fencing number, which is also the epoch of groups, could come twice.

A member that reads a new era discards what it knows of the row and its own claim, takes nothing until a lost lease has ended, and starts the fencing numbers of each era above those of the eras before. A write that the store answers in another era than the row was read in gives no lease.

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -77,7 +77,8 @@
       m_now(std::move(now)), m_lease(lease_times, state::member_id(m_host.value()), incarnation,
                                      {.platform = store.lease_hooks(lease_table, m_host.value()),
                                       .codec = protocol::lease_text_codec(),
-                                      .clock = m_now},
+                                      .clock = m_now,
+                                      .is_first_start = m_is_first_start},
                                      shared.metrics) {
     m_controller_digest_at = m_now();
 }
--- a/src/savoryrelay/coordination/lease/lease_coordinator.cpp
+++ b/src/savoryrelay/coordination/lease/lease_coordinator.cpp
@@ -153,8 +153,14 @@
     }
     // The clock is read after the row, so that the lease is not considered expired too early.
     const auto now = m_hooks.clock();
+    const auto free_from = end_of_lost_lease(now);
     m_leases.update(deployment, [&](lease_state& lease) {
-        if (lease.version != read.version) {
+        const bool is_new_era = lease.era != read.era;
+        if (is_new_era) {
+            enter_era(lease, read.era, now, free_from);
+        }
+        lease.has_read = true;
+        if (is_new_era || lease.version != read.version) {
             lease.version = read.version;
             lease.row = row;
             lease.seen_at = now;
@@ -163,6 +169,22 @@
     return {};
 }
 
+state::time_point lease_coordinator::end_of_lost_lease(state::time_point now) const {
+    return m_hooks.rules.first_order_at(now, m_settings.duration, m_settings);
+}
+
+void lease_coordinator::enter_era(lease_state& lease, std::uint64_t era, state::time_point now,
+                                  state::time_point free_from) const {
+    if (lease.has_read || !m_hooks.is_first_start) {
+        lease.free_from = free_from;
+    }
+    lease.era = era;
+    lease.row = {};
+    lease.version = 0;
+    lease.seen_at = now;
+    lease.pending.reset();
+}
+
 lease_coordinator::lease_write lease_coordinator::make_write(const state::deployment_id& deployment,
                                                              const lease_state& lease,
                                                              write_kind kind, state::lease_row row,
@@ -203,17 +225,19 @@
     }
 
     const bool is_row_absent = lease.version == 0;
-    const bool is_free = is_row_absent || lease.row.released;
+    const bool is_free = (is_row_absent || lease.row.released) && now >= lease.free_from;
+    // A row that the store has lost in a restore had this duration.
+    const auto duration = std::max(lease.row.duration, m_settings.duration);
     if (!wanted || lease.phase != lease_phase::observing ||
-        (!is_free &&
-         !m_hooks.rules.is_expired(now, lease.seen_at, lease.row.duration, m_settings))) {
+        (!is_free && !m_hooks.rules.is_expired(now, lease.seen_at, duration, m_settings))) {
         return std::nullopt;
     }
-    const state::lease_row row{m_self, m_incarnation, lease.row.fencing_number + 1,
+    const state::lease_row row{m_self, m_incarnation,
+                               state::next_fencing_number(lease.row, lease.era),
                                m_settings.duration, false};
     auto write = make_write(deployment, lease, write_kind::acquire, row, now);
     write.first_order_at =
-        is_free ? now : m_hooks.rules.first_order_at(lease.seen_at, lease.row.duration, m_settings);
+        is_free ? now : m_hooks.rules.first_order_at(lease.seen_at, duration, m_settings);
     return write;
 }
 
@@ -248,8 +272,17 @@
                                      const lease_write& write,
                                      const state::transaction_result& outcome) {
     const auto now = m_hooks.clock();
+    const auto free_from = end_of_lost_lease(now);
     m_leases.update(deployment, [&](lease_state& lease) {
         lease.pending.reset();
+        if (outcome.era != lease.era) {
+            // The row's version belongs to the earlier era. If it is the same by accident, the
+            // write has replaced a row that this member has not read.
+            m_lost.add(write.kind == write_kind::acquire ? 0 : 1);
+            enter_era(lease, outcome.era, now, free_from);
+            set_phase(lease, lease_phase::observing);
+            return;
+        }
         if (!outcome.committed) {
             // Another member changed the row, so the known version is outdated.
             m_lost.add(write.kind == write_kind::acquire ? 0 : 1);
--- a/src/savoryrelay/coordination/lease/lease_coordinator.h
+++ b/src/savoryrelay/coordination/lease/lease_coordinator.h
@@ -80,6 +80,8 @@
         /// Returns the current time. `maintain` calls it after each call to the store, because that
         /// call may block for longer than a lease lasts.
         clock_hook clock;
+        /// The whole system starts for the first time, so no earlier process holds a lease.
+        bool is_first_start = false;
     };
 
     lease_coordinator(lease_settings settings, state::member_id self, std::uint64_t incarnation,
@@ -128,7 +130,12 @@
         state::lease_phase phase = state::lease_phase::observing;
         state::lease_row row;
         std::uint64_t version = 0;   ///< version of `row`; 0 when absent
+        std::uint64_t era = 0;       ///< of the store that returned `row`
         state::time_point seen_at{}; ///< when this member first saw that version
+        /// Until then, a lease that the store has lost in a restore may still be held, whatever
+        /// the row says.
+        state::time_point free_from{};
+        bool has_read = false; ///< a row, or its absence, has been read
         state::time_point valid_until{};
         state::time_point first_order_at{};
         state::time_point next_renewal{};
@@ -142,6 +149,12 @@
     state::result<void> send(const state::deployment_id& deployment, lease_write write);
     void apply_result(const state::deployment_id& deployment, const lease_write& write,
                       const state::transaction_result& outcome);
+    /// Discards what is known of the row and of this member's claim, because a restored store
+    /// may have lost a newer row and gives out its versions again.
+    void enter_era(lease_state& lease, std::uint64_t era, state::time_point now,
+                   state::time_point free_from) const;
+    /// Returns when a lease that a restore found at `now` has lost has ended.
+    [[nodiscard]] state::time_point end_of_lost_lease(state::time_point now) const;
     void revert_phase(const state::deployment_id& deployment);
     /// Returns the write that is due at `now`, or nothing.
     [[nodiscard]] std::optional<lease_write> plan_write(const state::deployment_id& deployment,
--- a/src/savoryrelay/state/lease/lease_row.h
+++ b/src/savoryrelay/state/lease/lease_row.h
@@ -7,6 +7,7 @@
 #include "savoryrelay/state/core/time.h"
 #include "savoryrelay/state/core/transition_table.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -26,6 +27,16 @@
     friend bool operator==(const lease_row&, const lease_row&) = default;
 };
 
+/// Numbers that one era of the store has for fencing numbers. A restored store may return a row
+/// with a lower fencing number than orders already carry, so those of an era start above all
+/// of the eras before it.
+inline constexpr std::uint64_t fencing_numbers_per_era = 1'000'000'000;
+
+/// Returns the fencing number of the next acquisition of `row` in the store's era `era`.
+[[nodiscard]] constexpr std::uint64_t next_fencing_number(const lease_row& row, std::uint64_t era) {
+    return std::max(row.fencing_number, era * fencing_numbers_per_era) + 1;
+}
+
 /// Converts a row's value to and from text. The coordination layer uses these hooks, because the
 /// codec belongs to another layer.
 struct lease_codec {
