--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -234,9 +234,11 @@
 
 asio::awaitable<void> peer_part::sync_hosts_table() {
     const auto own = protocol::encode_host_row(m_shared.own_host);
-    while (!(co_await m_store.put_row(hosts_table, m_settings.host.value(), own)).has_value()) {
+    auto registered_era = co_await m_store.put_row(hosts_table, m_settings.host.value(), own);
+    while (!registered_era) {
         m_knows_hosts = true; // as far as it can be known without the store
         co_await pause_for(hosts_retry_interval);
+        registered_era = co_await m_store.put_row(hosts_table, m_settings.host.value(), own);
     }
     while (!co_await read_hosts_table()) {
         m_knows_hosts = true;
@@ -247,13 +249,24 @@
         // Members learn of further hosts from their hub.
         const bool must_read = m_shared.is_store_reader || !m_directory.hears_hub(m_now());
         bool is_current = true;
-        if (must_read) {
+        // A restored store may have lost the row of this host, which nobody else writes.
+        if (known_era() > registered_era.value()) {
+            const auto written =
+                co_await m_store.put_row(hosts_table, m_settings.host.value(), own);
+            is_current = written.has_value();
+            registered_era = is_current ? written : registered_era;
+        }
+        if (must_read && is_current) {
             is_current = co_await read_hosts_table();
         }
         co_await pause_for(is_current ? hosts_read_interval : hosts_retry_interval);
     }
 }
 
+std::uint64_t peer_part::known_era() const {
+    return std::max(m_store.era(), m_shared.operators.synced_version().era);
+}
+
 state::table_mirror& peer_part::mirror_of(shared_table table) {
     return table == shared_table::operators ? m_shared.operators : m_shared.runners;
 }
