--- a/src/savoryrelay/transport/caller/answer_relay.cpp
+++ b/src/savoryrelay/transport/caller/answer_relay.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/this_coro.hpp>
 
+#include <algorithm>
 #include <chrono>
 
 namespace savoryrelay::transport {
@@ -129,7 +130,11 @@
     auto limit = deployment.first_token_timeout;
     coordination::trickle_detector trickle(silence_check_interval);
     while (!events.finished()) {
-        const auto [failed, size] = co_await read_bytes(attempt, limit);
+        // Bytes that complete no event do not put off the check for another endpoint.
+        const auto left = std::max(
+            state::milliseconds(1),
+            std::chrono::duration_cast<state::milliseconds>(last_token_at + limit - m_hooks.now()));
+        const auto [failed, size] = co_await read_bytes(attempt, left);
         if (failed || size == 0) {
             co_return exchange_end::interrupted;
         }
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -58,6 +58,22 @@
     co_return accepts_later;
 }
 
+// Returns whether no process listens at the endpoint's address, at once or after the time in
+// which a process that ends may still accept connections.
+asio::awaitable<bool> refuses_connections(asio::io_context& context,
+                                          const state::runner_record& endpoint) {
+    for (const auto pause : {milliseconds(0), process_end_time}) {
+        co_await pause_for(pause);
+        endpoint_connection probe(context);
+        const auto failed =
+            co_await probe.connect(endpoint.address, endpoint.port, connect_timeout);
+        if (failed) {
+            co_return failed == asio::error::connection_refused;
+        }
+    }
+    co_return false;
+}
+
 } // namespace
 
 asio::awaitable<std::variant<selected_endpoint, coordination::selection_failure>>
@@ -148,6 +164,9 @@
         attempt_result end;
         end.reason = "silent";
         call.progress->note(end.outcome, coordination::endpoint_end::none);
+        if (attempt->is_writing) {
+            call.broke_off.push_back(attempt->chosen.runner.record);
+        }
         report_failed_attempt(call, *attempt, end);
     }
 }
@@ -158,10 +177,12 @@
         const auto known = m_dependencies.fleet.find(endpoint.id);
         bool has_ended = known && known->record.started_ms != endpoint.started_ms;
         if (!has_ended) {
-            has_ended = !co_await accepts_connection(context, endpoint);
+            has_ended = co_await refuses_connections(context, endpoint);
         }
         if (has_ended) {
             call.progress->note_ended_during_answer();
+        } else {
+            call.broke_off.push_back(endpoint); // it may be found to have ended later
         }
     }
 }
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -150,8 +150,12 @@
             // The answer of an interrupted stream has begun, so the call is not told to come
             // back. It takes a repeat only when an endpoint can resume it.
             const bool is_interrupted = progress.has_answer_begun();
-            if (is_interrupted && !progress.allows_attempt()) {
+            if (is_interrupted && !progress.allows_attempt() && call.route->may_run_again() &&
+                !call.broke_off.empty()) {
                 co_await discount_ended_endpoints(call);
+                if (progress.allows_attempt()) {
+                    continue; // time has passed
+                }
             }
             if (is_interrupted ? !progress.allows_attempt() : !progress.may_attempt()) {
                 break;
--- a/tests/process/endless_answer_test.cpp
+++ b/tests/process/endless_answer_test.cpp
@@ -94,6 +94,10 @@
             first = stream_head + "id: 0\ndata: x\n\n";
             filler = ":";
             pause = 100ms;
+        } else if (has("/slow-trickle ")) {
+            first = stream_head + "id: 0\ndata: x\n\n";
+            filler = ":";
+            pause = 250ms;
         } else if (has("/repeats ")) {
             first = stream_head;
             filler = "id: 0\ndata: x\n\n";
@@ -194,6 +198,9 @@
     // One event, then a byte now and then that completes no event.
     CHECK(fixture.call("/feed/trickle", answer) < 1'500ms);
     CHECK_FALSE(answer.is_complete);
+    // Bytes with silences between them end the stream at its deadline.
+    CHECK(fixture.call("/feed/slow-trickle", answer) < 2'500ms);
+    CHECK_FALSE(answer.is_complete);
     // The same event again and again.
     CHECK(fixture.call("/feed/repeats", answer) < 1'500ms);
     CHECK_FALSE(answer.is_complete);
