Copy a configuration from a peer at most once a second

A peer whose configuration in force is newer than its row, because the row cannot be read, would have been asked for the whole table every 150 ms.

Found by review, by reading.

--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -45,6 +45,8 @@
 // Interval of the check for a peer whose tables are newer.
 constexpr milliseconds copy_interval{150};
 constexpr milliseconds fetch_timeout{600};
+// Limits the copies from a peer whose configuration cannot be taken over.
+constexpr milliseconds configuration_copy_interval{1'000};
 // A host that knows of no others takes the share of the fleet's limits that it would have
 // among this many.
 constexpr std::size_t unknown_fleet_hosts = 1'000;
@@ -313,10 +315,12 @@
 }
 
 asio::awaitable<bool> peer_part::copy_newest_configuration() {
-    const auto source = m_directory.newest_configuration(m_now());
-    if (!source || source->configuration_version <= m_shared.configuration.load()->version) {
+    const auto now = m_now();
+    const auto source = m_directory.newest_configuration(now);
+    if (!source || now - m_configuration_copied_at < configuration_copy_interval || source->configuration_version <= m_shared.configuration.load()->version) {
         co_return true;
     }
+    m_configuration_copied_at = now;
     // The row has no later version of the store than the rows here, so it is in no changes.
     const state::store_version whole_table;
     co_return co_await fetch_table(source->address, shared_table::operators, m_shared.operators,
--- a/src/edge/peer_part.h
+++ b/src/edge/peer_part.h
@@ -74,6 +74,7 @@
     // The table of hosts was read, or the store cannot be reached; control context only.
     bool m_knows_hosts = false;
     bool m_has_read_hosts = false; // control context only
+    state::time_point m_configuration_copied_at{}; // control context only
 };
 
 } // namespace savoryrelay::edge
