Restore the table of the embedded platform from a copy

Tests could not show what a restored store does: it lacks the latest writes and their results, gives their versions out again, and states a later era.

memory_platform copies and restores its table, and all its answers about the table state the era. The fault-injecting platform applies transactions late, and calls back before a reply, so that a restore may fall between them.

--- a/src/savoryrelay/state/platform/memory_platform.cpp
+++ b/src/savoryrelay/state/platform/memory_platform.cpp
@@ -9,58 +9,66 @@
     const std::scoped_lock lock(m_mutex);
 
     // A repeated write key returns the first result and changes nothing.
-    const auto earlier = m_write_results.find(transaction.write_key);
-    if (earlier != m_write_results.end()) {
-        return earlier->second;
+    const auto earlier = m_table.write_results.find(transaction.write_key);
+    if (earlier != m_table.write_results.end()) {
+        auto repeated = earlier->second;
+        repeated.era = m_era;
+        return repeated;
     }
 
     transaction_result outcome;
+    outcome.era = m_era;
     for (const auto& check : transaction.checks) {
-        const auto row = m_rows.find(check.key);
-        const auto version = row == m_rows.end() ? 0 : row->second.version;
+        const auto row = m_table.rows.find(check.key);
+        const auto version = row == m_table.rows.end() ? 0 : row->second.version;
         if (version != check.version) {
             outcome.conflicts.push_back(check.key);
         }
     }
     if (outcome.conflicts.empty()) {
         outcome.committed = true;
-        outcome.version = ++m_version;
+        outcome.version = ++m_table.version;
         for (const auto& put : transaction.puts) {
-            m_rows[put.key] = table_row{put.key, put.value, outcome.version};
+            m_table.rows[put.key] = table_row{put.key, put.value, outcome.version};
         }
         for (const auto& key : transaction.deletes) {
-            m_rows.erase(key);
+            m_table.rows.erase(key);
         }
     }
-    m_write_results[transaction.write_key] = outcome;
+    m_table.write_results[transaction.write_key] = outcome;
     return outcome;
 }
 
 result<std::optional<transaction_result>>
 memory_platform::read_write_result(const std::string& write_key) const {
     const std::scoped_lock lock(m_mutex);
-    const auto found = m_write_results.find(write_key);
-    if (found == m_write_results.end()) {
+    const auto found = m_table.write_results.find(write_key);
+    if (found == m_table.write_results.end()) {
         return std::optional<transaction_result>{};
     }
-    return std::optional<transaction_result>{found->second};
+    auto stored = found->second;
+    stored.era = m_era;
+    return std::optional<transaction_result>{std::move(stored)};
 }
 
 result<table_row> memory_platform::read_row(const std::string& key) const {
     const std::scoped_lock lock(m_mutex);
-    const auto found = m_rows.find(key);
-    if (found == m_rows.end()) {
-        return table_row{key, {}, 0};
+    const auto found = m_table.rows.find(key);
+    if (found == m_table.rows.end()) {
+        return table_row{key, {}, 0, m_era};
     }
-    return found->second;
+    auto row = found->second;
+    row.era = m_era;
+    return row;
 }
 
 result<std::vector<table_row>> memory_platform::scan_rows(const std::string& prefix) const {
     const std::scoped_lock lock(m_mutex);
     std::vector<table_row> rows;
-    for (auto at = m_rows.lower_bound(prefix); at != m_rows.end() && at->first.starts_with(prefix);
-         ++at) {
+    for (auto at = m_table.rows.lower_bound(prefix);
+         at != m_table.rows.end() && at->first.starts_with(prefix); ++at) {
         rows.push_back(at->second);
+        rows.back().era = m_era;
     }
     return rows;
 }
@@ -104,6 +112,17 @@
     return m_hosts;
 }
 
+table_copy memory_platform::copy_table() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_table;
+}
+
+void memory_platform::restore_table(const table_copy& copy) {
+    const std::scoped_lock lock(m_mutex);
+    m_table = copy;
+    ++m_era;
+}
+
 void memory_platform::set_hosts(std::vector<platform_host> hosts) {
     const std::scoped_lock lock(m_mutex);
     m_hosts = std::move(hosts);
--- a/src/savoryrelay/state/platform/memory_platform.h
+++ b/src/savoryrelay/state/platform/memory_platform.h
@@ -10,6 +10,13 @@
 
 namespace savoryrelay::state {
 
+/// The table of a `memory_platform` at one moment.
+struct table_copy {
+    std::uint64_t version = 0;
+    std::map<std::string, table_row> rows;
+    std::map<std::string, transaction_result> write_results;
+};
+
 /// A table, an object store and a host list in the memory of one process.
 /// Thread-safe. `platform_hooks` describes the calls.
 class memory_platform {
@@ -32,6 +39,12 @@
     [[nodiscard]] result<std::vector<std::string>> list_objects(const std::string& prefix) const;
     [[nodiscard]] result<std::vector<platform_host>> list_hosts() const;
 
+    /// Returns a copy of the table.
+    [[nodiscard]] table_copy copy_table() const;
+    /// Replaces the table by an earlier copy of it, as a restore of the store does: versions are
+    /// given out again, and the era rises by one.
+    void restore_table(const table_copy& copy);
+
     /// Replaces the host list.
     void set_hosts(std::vector<platform_host> hosts);
 
@@ -42,11 +55,10 @@
     // One lock is enough: the platform's transactions are serial by contract, and
     // it offers only several hundred writes per second.
     mutable std::mutex m_mutex;
-    std::uint64_t m_version = 0;                               // guarded by m_mutex
-    std::map<std::string, table_row> m_rows;                   // guarded by m_mutex
-    std::map<std::string, transaction_result> m_write_results; // guarded by m_mutex
-    std::map<std::string, std::string> m_objects;              // guarded by m_mutex
-    std::vector<platform_host> m_hosts;                        // guarded by m_mutex
+    table_copy m_table;                           // guarded by m_mutex
+    std::uint64_t m_era = 0;                      // of `m_table`; guarded by m_mutex
+    std::map<std::string, std::string> m_objects; // guarded by m_mutex
+    std::vector<platform_host> m_hosts;           // guarded by m_mutex
 };
 
 } // namespace savoryrelay::state
--- a/tests/support/faulty_platform.h
+++ b/tests/support/faulty_platform.h
@@ -1,24 +1,29 @@
 // Defines a platform that injects faults: calls fail, a reply is lost after the
-// transaction took effect, or a callback runs before a transaction.
+// transaction took effect, a transaction is applied later than it was sent, or a
+// callback runs before or after a transaction.
 #pragma once
 
 #include "savoryrelay/state/platform/memory_platform.h"
 
 #include <functional>
 #include <utility>
+#include <vector>
 
 namespace savoryrelay::tests {
 
 /// Wraps a `memory_platform` and injects faults into its hooks.
 class faulty_platform {
 public:
-    bool store_down = false;               ///< table and host list calls fail without effect
-    bool object_store_down = false;        ///< object store calls fail without effect
-    int lose_next_replies = 0;             ///< number of transactions that take effect, then fail
-    int fail_next_transactions = 0;        ///< number of transactions that fail without effect
-    std::size_t transactions = 0;          ///< number of transactions that reached the store
-    std::size_t reads = 0;                 ///< number of reads that reached the store
-    std::function<void()> before_transact; ///< runs before each transaction, for races
+    bool store_down = false;         ///< table and host list calls fail without effect
+    bool object_store_down = false;  ///< object store calls fail without effect
+    int lose_next_replies = 0;       ///< number of transactions that take effect, then fail
+    int fail_next_transactions = 0;  ///< number of transactions that fail without effect
+    std::size_t transactions = 0;    ///< number of transactions that reached the store
+    std::size_t reads = 0;           ///< number of reads that reached the store
+    int delay_next_transactions = 0; ///< transactions that fail, but may be applied later
+    std::vector<state::table_transaction> delayed; ///< not applied yet
+    std::function<void()> before_transact;         ///< runs before each transaction, for races
+    std::function<void()> after_transact;          ///< runs before the reply to a transaction
 
     /// Returns the store without the faults.
     state::memory_platform& store() { return m_store; }
@@ -29,15 +34,24 @@
         state::platform_hooks outer;
         outer.transact = [this, inner](const state::table_transaction& transaction)
             -> state::result<state::transaction_result> {
-            if (before_transact) {
-                before_transact();
+            // A callback may replace itself.
+            if (const auto callback = before_transact) {
+                callback();
             }
             if (store_down || fail_next_transactions > 0) {
                 fail_next_transactions -= fail_next_transactions > 0 ? 1 : 0;
                 return unavailable();
             }
             ++transactions;
+            if (delay_next_transactions > 0) {
+                --delay_next_transactions;
+                delayed.push_back(transaction);
+                return state::fail(state::failure_kind::store_result_unknown, "no reply");
+            }
             BOOST_LEAF_AUTO(outcome, inner.transact(transaction));
+            if (const auto callback = after_transact) {
+                callback();
+            }
             if (lose_next_replies > 0) {
                 --lose_next_replies;
                 return state::fail(state::failure_kind::store_result_unknown, "reply lost");
@@ -55,6 +69,14 @@
         return outer;
     }
 
+    /// Applies the delayed transactions in the order in which they were sent, if their conditions
+    /// still hold.
+    void apply_delayed() {
+        for (const auto& transaction : std::exchange(delayed, {})) {
+            static_cast<void>(state::collect([&] { return m_store.transact(transaction); }));
+        }
+    }
+
 private:
     static boost::leaf::error_id unavailable() {
         return state::fail(state::failure_kind::store_unavailable, "store is down");
