Repeat no lease write of an earlier era

Cause: a member whose write had no reply, and whose result the restored store did not know, sent the write again. Its condition is on a version that the store may have given out again, so it could replace a row that the member had not read.

The era of the store is read first; in another era, the write counts as lost.

--- a/src/savoryrelay/coordination/lease/lease_coordinator.cpp
+++ b/src/savoryrelay/coordination/lease/lease_coordinator.cpp
@@ -129,12 +129,20 @@
 }
 
 state::result<void> lease_coordinator::resolve_pending(const state::deployment_id& deployment) {
-    const auto pending =
-        m_leases.update(deployment, [](const lease_state& lease) { return lease.pending; });
+    const auto [pending, era] = m_leases.update(
+        deployment, [](const lease_state& lease) { return std::pair(lease.pending, lease.era); });
     if (!pending) {
         return {};
     }
     BOOST_LEAF_AUTO(stored, m_hooks.platform.read_write_result(pending->transaction.write_key));
+    if (!stored) {
+        // A restored store may have lost the result, and must not receive a write that depends on
+        // a version of an earlier era.
+        BOOST_LEAF_AUTO(read, m_hooks.platform.read_row(state::lease_key(deployment)));
+        if (read.era != era) {
+            stored.emplace().era = read.era;
+        }
+    }
     if (!stored) {
         // The first request may still reach the store. Sending it again with the same write key
         // applies it at most once and returns its result.
