Wait for a lost lease only if the row is of an earlier era

Cause: each member waited for the term of a lost lease after it first read a later era than 0, and by its own time alone. A host that started long after a restore, or beside a store that states an era from the start, waited at a released lease that was free. After that time, a released row was free in any case, so that a late release of an earlier era freed the lease of the present holder.

The fencing number tells the era in which a row was acquired. A released row is free if it is of the store's era; one of an earlier era, or an absent one, is taken like a lease that its holder no longer renews.

Measured: "a lease that was released since the restore is free" failed before: the member observed. "a late release of an earlier era does not free the lease" failed before: member 2 took it beside the holder.

--- a/src/savoryrelay/coordination/lease/lease_coordinator.cpp
+++ b/src/savoryrelay/coordination/lease/lease_coordinator.cpp
@@ -161,14 +161,12 @@
     }
     // The clock is read after the row, so that the lease is not considered expired too early.
     const auto now = m_hooks.clock();
-    const auto free_from = end_of_lost_lease(now);
     m_leases.update(deployment, [&](lease_state& lease) {
-        const bool is_new_era = lease.era != read.era;
-        if (is_new_era) {
-            enter_era(lease, read.era, now, free_from);
+        if (lease.era != read.era) {
+            enter_era(lease, read.era, now);
         }
         lease.has_read = true;
-        if (is_new_era || lease.version != read.version) {
+        if (lease.version != read.version) {
             lease.version = read.version;
             lease.row = row;
             lease.seen_at = now;
@@ -177,15 +175,9 @@
     return {};
 }
 
-state::time_point lease_coordinator::end_of_lost_lease(state::time_point now) const {
-    return m_hooks.rules.first_order_at(now, m_settings.duration, m_settings);
-}
-
-void lease_coordinator::enter_era(lease_state& lease, std::uint64_t era, state::time_point now,
-                                  state::time_point free_from) const {
-    if (lease.has_read || !m_hooks.is_first_start) {
-        lease.free_from = free_from;
-    }
+void lease_coordinator::enter_era(lease_state& lease, std::uint64_t era,
+                                  state::time_point now) const {
+    lease.may_have_lost_row = lease.has_read || !m_hooks.is_first_start;
     lease.era = era;
     lease.row = {};
     lease.version = 0;
@@ -232,8 +224,9 @@
         return make_write(deployment, lease, write_kind::renew, row, now);
     }
 
-    const bool is_row_absent = lease.version == 0;
-    const bool is_free = (is_row_absent || lease.row.released) && now >= lease.free_from;
+    const bool is_first_of_era = !state::is_of_era(lease.row, lease.era);
+    const bool is_free =
+        lease.version == 0 ? !lease.may_have_lost_row : lease.row.released && !is_first_of_era;
     // A row that the store has lost in a restore had this duration.
     const auto duration = std::max(lease.row.duration, m_settings.duration);
     if (!wanted || lease.phase != lease_phase::observing ||
@@ -280,14 +273,13 @@
                                      const lease_write& write,
                                      const state::transaction_result& outcome) {
     const auto now = m_hooks.clock();
-    const auto free_from = end_of_lost_lease(now);
     m_leases.update(deployment, [&](lease_state& lease) {
         lease.pending.reset();
         if (outcome.era != lease.era) {
             // The row's version belongs to the earlier era. If it is the same by accident, the
             // write has replaced a row that this member has not read.
             m_lost.add(write.kind == write_kind::acquire ? 0 : 1);
-            enter_era(lease, outcome.era, now, free_from);
+            enter_era(lease, outcome.era, now);
             set_phase(lease, lease_phase::observing);
             return;
         }
--- a/src/savoryrelay/coordination/lease/lease_coordinator.h
+++ b/src/savoryrelay/coordination/lease/lease_coordinator.h
@@ -129,13 +129,11 @@
     struct lease_state {
         state::lease_phase phase = state::lease_phase::observing;
         state::lease_row row;
-        std::uint64_t version = 0;   ///< version of `row`; 0 when absent
-        std::uint64_t era = 0;       ///< of the store that returned `row`
-        state::time_point seen_at{}; ///< when this member first saw that version
-        /// Until then, a lease that the store has lost in a restore may still be held, whatever
-        /// the row says.
-        state::time_point free_from{};
-        bool has_read = false; ///< a row, or its absence, has been read
+        std::uint64_t version = 0;      ///< version of `row`; 0 when absent
+        std::uint64_t era = 0;          ///< of the store that returned `row`
+        state::time_point seen_at{};    ///< when this member first saw that version
+        bool may_have_lost_row = false; ///< an absent row may have been lost in a restore
+        bool has_read = false;          ///< a row, or its absence, has been read
         state::time_point valid_until{};
         state::time_point first_order_at{};
         state::time_point next_renewal{};
@@ -151,10 +149,7 @@
                       const state::transaction_result& outcome);
     /// Discards what is known of the row and of this member's claim, because a restored store
     /// may have lost a newer row and gives out its versions again.
-    void enter_era(lease_state& lease, std::uint64_t era, state::time_point now,
-                   state::time_point free_from) const;
-    /// Returns when a lease that a restore found at `now` has lost has ended.
-    [[nodiscard]] state::time_point end_of_lost_lease(state::time_point now) const;
+    void enter_era(lease_state& lease, std::uint64_t era, state::time_point now) const;
     void revert_phase(const state::deployment_id& deployment);
     /// Returns the write that is due at `now`, or nothing.
     [[nodiscard]] std::optional<lease_write> plan_write(const state::deployment_id& deployment,
--- a/src/savoryrelay/state/lease/lease_row.h
+++ b/src/savoryrelay/state/lease/lease_row.h
@@ -37,6 +37,12 @@
     return std::max(row.fencing_number, era * fencing_numbers_per_era) + 1;
 }
 
+/// Returns whether `row` was acquired in the store's era `era`, the latest one. A restore leaves
+/// rows of earlier eras, whose holders may have been replaced by one that the store has lost.
+[[nodiscard]] constexpr bool is_of_era(const lease_row& row, std::uint64_t era) {
+    return row.fencing_number > era * fencing_numbers_per_era;
+}
+
 /// Converts a row's value to and from text. The coordination layer uses these hooks, because the
 /// codec belongs to another layer.
 struct lease_codec {
