Refuse late writes of lease holders of earlier eras

Cause: a write that was sent before a restore may be applied seconds after it, if the restored store has given out the version of its condition again. A late renewal replaced the row of the present holder, and the next acquisition repeated that holder's fencing number. A late transaction of an earlier holder passed its check of the lease row.

Each write of an era requires that the row closed_era/<era> is absent. The first acquisition of a later era writes that row. No version fulfils this condition by accident.

Measured: "a late renewal of an earlier era does not lower the fencing number" and "a late write of a holder of an earlier era is refused" failed before, the latter with "a write of an earlier holder was committed"; so did the property test, after 72 cases.

--- a/src/savoryrelay/coordination/lease/lease_coordinator.cpp
+++ b/src/savoryrelay/coordination/lease/lease_coordinator.cpp
@@ -15,6 +15,9 @@
 // lease duration.
 constexpr int renewals_per_duration = 2;
 
+// Limits the rows of a transaction. No write is delayed by this many restores.
+constexpr std::uint64_t max_closed_eras = 32;
+
 } // namespace
 
 state::result<void> check_settings(const lease_settings& settings) {
@@ -195,6 +198,7 @@
                                   "/" + std::to_string(++m_sequence);
     const auto key = state::lease_key(deployment);
     write.transaction.checks.push_back({key, lease.version});
+    write.transaction.checks.push_back({state::closed_era_key(deployment, lease.era), 0});
     write.transaction.puts.push_back({key, m_hooks.codec.encode(row)});
     write.row = std::move(row);
     write.sent_at = now;
@@ -237,11 +241,22 @@
                                state::next_fencing_number(lease.row, lease.era),
                                m_settings.duration, false};
     auto write = make_write(deployment, lease, write_kind::acquire, row, now);
+    if (is_first_of_era) {
+        close_earlier_eras(deployment, lease.era, write.transaction);
+    }
     write.first_order_at =
         is_free ? now : m_hooks.rules.first_order_at(lease.seen_at, duration, m_settings);
     return write;
 }
 
+void lease_coordinator::close_earlier_eras(const state::deployment_id& deployment,
+                                           std::uint64_t era,
+                                           state::table_transaction& transaction) {
+    for (auto closed = era - std::min(era, max_closed_eras); closed < era; ++closed) {
+        transaction.puts.push_back({state::closed_era_key(deployment, closed), "closed"});
+    }
+}
+
 state::result<void> lease_coordinator::send(const state::deployment_id& deployment,
                                             lease_write write) {
     auto attempted = state::collect([&] { return m_hooks.platform.transact(write.transaction); });
@@ -364,6 +379,7 @@
                                "', or the result of its last renewal is unknown");
     }
     transaction.checks.push_back({state::lease_key(deployment), lease.version});
+    transaction.checks.push_back({state::closed_era_key(deployment, lease.era), 0});
     return transaction;
 }
 
--- a/src/savoryrelay/coordination/lease/lease_coordinator.h
+++ b/src/savoryrelay/coordination/lease/lease_coordinator.h
@@ -102,10 +102,10 @@
     state::result<void> end_order(const order_ticket& ticket, order_end end, state::time_point now);
 
     /// Adds the check of the lease row's version to a holder's transaction, so that the store
-    /// rejects the transaction once another member holds the lease. Fails with `lease_not_held`
-    /// when this member does not hold the lease, or when the row's version is unknown because the
-    /// reply to the last renewal was lost. The thread that calls `maintain` must call this and send
-    /// the transaction.
+    /// rejects the transaction once another member holds the lease, also after a restore. Fails
+    /// with `lease_not_held` when this member does not hold the lease, or when the row's version is
+    /// unknown because the reply to the last renewal was lost. The thread that calls `maintain`
+    /// must call this and send the transaction.
     [[nodiscard]] state::result<state::table_transaction>
     with_lease_check(const state::deployment_id& deployment, state::table_transaction transaction,
                      state::time_point now);
@@ -150,6 +150,10 @@
     /// Discards what is known of the row and of this member's claim, because a restored store
     /// may have lost a newer row and gives out its versions again.
     void enter_era(lease_state& lease, std::uint64_t era, state::time_point now) const;
+    /// Makes the store refuse writes that were sent in an earlier era once `transaction` is
+    /// applied, because their checks may pass on versions that were given out again.
+    static void close_earlier_eras(const state::deployment_id& deployment, std::uint64_t era,
+                                   state::table_transaction& transaction);
     void revert_phase(const state::deployment_id& deployment);
     /// Returns the write that is due at `now`, or nothing.
     [[nodiscard]] std::optional<lease_write> plan_write(const state::deployment_id& deployment,
--- a/src/savoryrelay/state/lease/lease_row.h
+++ b/src/savoryrelay/state/lease/lease_row.h
@@ -56,6 +56,14 @@
     return "lease/" + deployment.value();
 }
 
+/// Returns the key of the row that exists once a lease of `deployment` has been acquired in a later
+/// era than `era`. Each write of an era requires that its row is absent, which no version that was
+/// given out again can fulfil by accident.
+[[nodiscard]] inline std::string closed_era_key(const deployment_id& deployment,
+                                                std::uint64_t era) {
+    return "closed_era/" + std::to_string(era) + "/" + deployment.value();
+}
+
 /// State of a deployment's lease at one member.
 enum class lease_phase {
     observing, ///< this member does not hold the row
