--- a/src/savoryrelay/coordination/lease/lease_coordinator.cpp
+++ b/src/savoryrelay/coordination/lease/lease_coordinator.cpp
@@ -15,6 +15,9 @@
 // lease duration.
 constexpr int renewals_per_duration = 2;
 
+// Limits the rows of a transaction. No write is delayed by this many restores.
+constexpr std::uint64_t max_closed_eras = 32;
+
 } // namespace
 
 state::result<void> check_settings(const lease_settings& settings) {
@@ -129,12 +132,20 @@
 }
 
 state::result<void> lease_coordinator::resolve_pending(const state::deployment_id& deployment) {
-    const auto pending =
-        m_leases.update(deployment, [](const lease_state& lease) { return lease.pending; });
+    const auto [pending, era] = m_leases.update(
+        deployment, [](const lease_state& lease) { return std::pair(lease.pending, lease.era); });
     if (!pending) {
         return {};
     }
     BOOST_LEAF_AUTO(stored, m_hooks.platform.read_write_result(pending->transaction.write_key));
+    if (!stored) {
+        // A restored store may have lost the result, and must not receive a write that depends on
+        // a version of an earlier era.
+        BOOST_LEAF_AUTO(read, m_hooks.platform.read_row(state::lease_key(deployment)));
+        if (read.era != era) {
+            stored.emplace().era = read.era;
+        }
+    }
     if (!stored) {
         // The first request may still reach the store. Sending it again with the same write key
         // applies it at most once and returns its result.
@@ -153,14 +164,12 @@
     }
     // The clock is read after the row, so that the lease is not considered expired too early.
     const auto now = m_hooks.clock();
-    const auto free_from = end_of_lost_lease(now);
     m_leases.update(deployment, [&](lease_state& lease) {
-        const bool is_new_era = lease.era != read.era;
-        if (is_new_era) {
-            enter_era(lease, read.era, now, free_from);
+        if (lease.era != read.era) {
+            enter_era(lease, read.era, now);
         }
         lease.has_read = true;
-        if (is_new_era || lease.version != read.version) {
+        if (lease.version != read.version) {
             lease.version = read.version;
             lease.row = row;
             lease.seen_at = now;
@@ -169,15 +178,9 @@
     return {};
 }
 
-state::time_point lease_coordinator::end_of_lost_lease(state::time_point now) const {
-    return m_hooks.rules.first_order_at(now, m_settings.duration, m_settings);
-}
-
-void lease_coordinator::enter_era(lease_state& lease, std::uint64_t era, state::time_point now,
-                                  state::time_point free_from) const {
-    if (lease.has_read || !m_hooks.is_first_start) {
-        lease.free_from = free_from;
-    }
+void lease_coordinator::enter_era(lease_state& lease, std::uint64_t era,
+                                  state::time_point now) const {
+    lease.may_have_lost_row = lease.has_read || !m_hooks.is_first_start;
     lease.era = era;
     lease.row = {};
     lease.version = 0;
@@ -195,6 +198,7 @@
                                   "/" + std::to_string(++m_sequence);
     const auto key = state::lease_key(deployment);
     write.transaction.checks.push_back({key, lease.version});
+    write.transaction.checks.push_back({state::closed_era_key(deployment, lease.era), 0});
     write.transaction.puts.push_back({key, m_hooks.codec.encode(row)});
     write.row = std::move(row);
     write.sent_at = now;
@@ -224,8 +228,9 @@
         return make_write(deployment, lease, write_kind::renew, row, now);
     }
 
-    const bool is_row_absent = lease.version == 0;
-    const bool is_free = (is_row_absent || lease.row.released) && now >= lease.free_from;
+    const bool is_first_of_era = !state::is_of_era(lease.row, lease.era);
+    const bool is_free =
+        lease.version == 0 ? !lease.may_have_lost_row : lease.row.released && !is_first_of_era;
     // A row that the store has lost in a restore had this duration.
     const auto duration = std::max(lease.row.duration, m_settings.duration);
     if (!wanted || lease.phase != lease_phase::observing ||
@@ -236,11 +241,22 @@
                                state::next_fencing_number(lease.row, lease.era),
                                m_settings.duration, false};
     auto write = make_write(deployment, lease, write_kind::acquire, row, now);
+    if (is_first_of_era) {
+        close_earlier_eras(deployment, lease.era, write.transaction);
+    }
     write.first_order_at =
         is_free ? now : m_hooks.rules.first_order_at(lease.seen_at, duration, m_settings);
     return write;
 }
 
+void lease_coordinator::close_earlier_eras(const state::deployment_id& deployment,
+                                           std::uint64_t era,
+                                           state::table_transaction& transaction) {
+    for (auto closed = era - std::min(era, max_closed_eras); closed < era; ++closed) {
+        transaction.puts.push_back({state::closed_era_key(deployment, closed), "closed"});
+    }
+}
+
 state::result<void> lease_coordinator::send(const state::deployment_id& deployment,
                                             lease_write write) {
     auto attempted = state::collect([&] { return m_hooks.platform.transact(write.transaction); });
@@ -272,14 +288,13 @@
                                      const lease_write& write,
                                      const state::transaction_result& outcome) {
     const auto now = m_hooks.clock();
-    const auto free_from = end_of_lost_lease(now);
     m_leases.update(deployment, [&](lease_state& lease) {
         lease.pending.reset();
         if (outcome.era != lease.era) {
             // The row's version belongs to the earlier era. If it is the same by accident, the
             // write has replaced a row that this member has not read.
             m_lost.add(write.kind == write_kind::acquire ? 0 : 1);
-            enter_era(lease, outcome.era, now, free_from);
+            enter_era(lease, outcome.era, now);
             set_phase(lease, lease_phase::observing);
             return;
         }
@@ -364,6 +379,7 @@
                                "', or the result of its last renewal is unknown");
     }
     transaction.checks.push_back({state::lease_key(deployment), lease.version});
+    transaction.checks.push_back({state::closed_era_key(deployment, lease.era), 0});
     return transaction;
 }
 
