--- a/src/savoryrelay/coordination/serving/group_formation.cpp
+++ b/src/savoryrelay/coordination/serving/group_formation.cpp
@@ -9,8 +9,9 @@
 using state::runner_order_kind;
 
 void group_reconciler::advance_formations(step& current) {
-    // A formation ends when a member is lost or broken. It also ends when a member has
-    // not joined yet and the lease has been acquired again since the formation began.
+    // A formation ends when a member is lost, broken or in another group. It also ends when
+    // a member has not joined yet and the lease has been acquired again since the formation
+    // began.
     // The members that have joined are then ordered to leave.
     const auto end_formation = [&](const formation& forming) {
         m_closed.insert(forming.group);
@@ -32,6 +33,10 @@
             }
             if (!is_member) {
                 all_ready = false;
+                if (membership) {
+                    // An order of the former lease holder reached the runner first.
+                    return end_formation(forming);
+                }
                 if (is_settled(id, current.now)) {
                     if (current.input.epoch != forming.epoch) {
                         return end_formation(forming);
--- a/src/savoryrelay/coordination/serving/group_reconciler.cpp
+++ b/src/savoryrelay/coordination/serving/group_reconciler.cpp
@@ -30,6 +30,9 @@
     if (!is_settled(id, current.now) || runner.has_unconfirmed_order()) {
         return;
     }
+    if (kind == runner_order_kind::join && runner.record.membership) {
+        return;
+    }
     state::runner_order order;
     order.runner = id;
     order.kind = kind;
--- a/src/savoryrelay/coordination/serving/group_reconciler.h
+++ b/src/savoryrelay/coordination/serving/group_reconciler.h
@@ -81,8 +81,9 @@
 ///
 /// Invariants of its orders: a group is opened only after each of its members has
 /// reported `ready` for the group's name and epoch; all `join` orders of the group carry
-/// the same list of members. A member of a group that is, or may become, open joins
-/// another group only after it has left this one.
+/// the same list of members. A `join` order carries a sequence number with which its runner
+/// was in no group, so a runner that is in a group refuses it, however old the information
+/// that led to the order. Therefore a runner joins a group only after it has left the last.
 class group_reconciler {
 public:
     explicit group_reconciler(group_reconciler_settings settings) : m_settings(settings) {}
--- a/tests/coordination/serving/group_reconciler_test.cpp
+++ b/tests/coordination/serving/group_reconciler_test.cpp
@@ -118,6 +118,53 @@
     CHECK(simulation.open_groups("large") == 3);
 }
 
+TEST_CASE("a runner that refused to join is not joined from the group that it reports") {
+    // Guards against an order that is repeated with the sequence number of a newer report,
+    // although that report shows that the runner is in another group.
+    runner_simulation simulation(1, {}, 1, 2);
+    auto& fleet = simulation.fleet;
+    group_reconciler reconciler({});
+    auto now = simulation.now;
+    const auto report = [&](std::uint64_t sequence, std::optional<state::group_membership> group) {
+        for (const auto& [id, runner] : simulation.runners) {
+            state::runner_report value;
+            value.started_ms = runner.record.started_ms;
+            value.sequence = sequence;
+            value.staged = {"small"};
+            value.model = "small";
+            value.membership = group;
+            fleet.apply_report(id, value, now);
+            if (group) {
+                ++group->rank;
+            }
+        }
+    };
+    const auto plan = [&] {
+        fleet.refresh(now);
+        const auto snapshot = fleet.snapshot();
+        group_reconciler_input input;
+        input.service = &simulation.service;
+        input.fleet = snapshot.get();
+        input.work = simulation.work;
+        input.epoch = 2;
+        return reconciler.plan(input, now);
+    };
+    // The runners were last in a group of the model, so they are ready for it.
+    report(1, state::group_membership{"g1-0", 1, 0, state::membership_state::ready});
+    report(2, std::nullopt);
+    const auto joins = plan();
+    REQUIRE(joins.size() == 2);
+    for (const auto& order : joins) {
+        CHECK(order.kind == state::runner_order_kind::join);
+        reconciler.note_result(order, state::runner_order_result::does_not_fit, now);
+    }
+    for (int i = 0; i < 20; ++i) {
+        now += 50ms;
+        report(3, state::group_membership{"g1-1", 1, 0, state::membership_state::open});
+        CHECK(plan().empty());
+    }
+}
+
 TEST_CASE("a group whose lease holder is gone before it opens is dissolved and re-formed") {
     runner_simulation simulation(1, {}, 1, 8);
     group_reconciler first({});
