Apply an accepted order only to the state that it was based on

Cause: the answer to an order set the runner's group whatever had been learned since. A host that stood still with a leave in flight and handled its answer after the observations of the next lease holder paired that holder's sequence number with 'in no group', which a join needs to be accepted.

Change: an answer has no effect when the record's sequence number counts the order already, and a close changes only the group that it names.

Measured: a test that fails before (the group was reset) and passes after.

--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -165,19 +165,23 @@
 
 void fleet_table::note_order_accepted(const state::runner_order& order, state::time_point now) {
     m_runners.update_existing(order.runner, [&](runner_view& runner) {
-        runner.record.sequence = std::max(runner.record.sequence, order.expected_sequence + 1);
+        runner.answered_at = now;
+        runner.silent_since.reset();
+        if (runner.record.sequence > order.expected_sequence) {
+            return; // a report or an observation that counts the order arrived before its answer
+        }
+        runner.record.sequence = order.expected_sequence + 1;
         runner.awaits_report_since = now;
         runner.is_effect_known = false;
         auto& membership = runner.record.membership;
         if (order.kind == state::runner_order_kind::leave) {
             membership.reset();
             runner.is_effect_known = true;
-        } else if (order.kind == state::runner_order_kind::close_now && membership) {
+        } else if (order.kind == state::runner_order_kind::close_now && membership &&
+                   membership->group == order.group) {
             membership->state = state::membership_state::ready;
             runner.is_effect_known = true;
         }
-        runner.answered_at = now;
-        runner.silent_since.reset();
     });
     m_is_changed = true;
 }
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -24,6 +24,10 @@
     /// different group data, because entries arrive later than reports.
     static constexpr state::milliseconds report_precedence{1'500};
 
+    /// Invariant: while the runner has a report younger than `report_precedence` and no
+    /// unconfirmed order, its group and its sequence are those of one moment. An order changes
+    /// the group only together with the sequence, so a runner that accepts an order with this
+    /// sequence is in this group.
     state::runner_record record;
     bool has_entry = false;                         ///< listed on the platform
     std::optional<state::time_point> unlisted_from; ///< when the removal of the entry takes effect
@@ -107,7 +111,8 @@
     /// Applies an observation of another host.
     void apply_observation(const state::runner_observation& observation, state::time_point now);
     /// Records that an order was accepted, so that the runner's next order carries
-    /// the next sequence number.
+    /// the next sequence number. Has no effect on the state when a report or an observation
+    /// has counted the order already.
     void note_order_accepted(const state::runner_order& order, state::time_point now);
     /// Records that the runner's incarnation `started_ms` did not answer in time.
     void note_silence(const state::endpoint_id& id, std::uint64_t started_ms,
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -91,6 +91,25 @@
     CHECK(fleet.find(id)->record.sequence == 2);
 }
 
+TEST_CASE("an answer that arrives after a newer report or observation does not change the state") {
+    // A host that stood still handles the answer to its last order after the observations of
+    // the next lease holder, which has joined the runner to another group.
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    fleet.apply_report(id, report(5, 2, "g"), start);
+    state::runner_observation observation;
+    observation.id = id;
+    observation.started_ms = 5;
+    observation.sequence = 4;
+    observation.membership = {"h", 2, 0, state::membership_state::open};
+    fleet.apply_observation(observation, start + 1s);
+    fleet.note_order_accepted(order(state::runner_order_kind::leave, 2), start + 1s);
+    REQUIRE(fleet.find(id)->record.membership);
+    CHECK(fleet.find(id)->record.membership->group == "h");
+    CHECK(fleet.find(id)->record.sequence == 4);
+    CHECK_FALSE(fleet.find(id)->has_unconfirmed_order());
+}
+
 TEST_CASE("a report of another incarnation at the same address is rejected") {
     fleet_table fleet;
     fleet.apply_entry(entry(5), start);
