Let the store stand-in return to a copy in the next era

Cause: no process test could restore the table store.

Change: POST /copy and POST /restore; all answers, also refusals, state the era; a feed asked after a version above the store's answers 410.

--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -77,6 +77,7 @@
         platform.store().set_hosts(read.value());
     }
     transport::request_handler handler;
+    standin::answer_fields_hook refusal_fields;
     if (arguments.at("engine").asBool()) {
         handler = [&](transport::http_request request, transport::response_writer& writer) {
             return engine.handle(std::move(request), writer);
@@ -89,6 +90,7 @@
         handler = [&](transport::http_request request, transport::response_writer& writer) {
             return store.handle(std::move(request), writer);
         };
+        refusal_fields = [&] { return store.answer_fields(); };
     } else if (arguments.at("runner").asBool()) {
         handler = [&](transport::http_request request, transport::response_writer& writer) {
             return runner.handle(std::move(request), writer);
@@ -104,9 +106,10 @@
     transport::io_threads threads(2);
     transport::http_limits limits;
     limits.body_bytes = max_body_bytes;
-    transport::http_server server(threads, arguments.at("--address").asString(),
-                                  static_cast<std::uint16_t>(arguments.at("--port").asLong()),
-                                  limits, standin::with_control(switches, std::move(handler)));
+    transport::http_server server(
+        threads, arguments.at("--address").asString(),
+        static_cast<std::uint16_t>(arguments.at("--port").asLong()), limits,
+        standin::with_control(switches, std::move(handler), std::move(refusal_fields)));
     std::cout << "listening " << arguments.at("--address").asString() << ':' << server.port()
               << std::endl;
     signals.wait();
--- a/src/standin/standin_server.cpp
+++ b/src/standin/standin_server.cpp
@@ -34,8 +34,10 @@
 }
 
 transport::request_handler with_control(control_switches& switches,
-                                        transport::request_handler role_handler) {
-    return [&switches, role_handler = std::move(role_handler)](
+                                        transport::request_handler role_handler,
+                                        answer_fields_hook refusal_fields) {
+    return [&switches, role_handler = std::move(role_handler),
+            refusal_fields = std::move(refusal_fields)](
                transport::http_request request,
                transport::response_writer& writer) -> asio::awaitable<void> {
         if (request.target() == "/control") {
@@ -54,6 +56,11 @@
         if (switches.refuse) {
             auto fields = transport::content_type_field("application/json");
             fields.push_back({"Savoryrelay-Outcome", "not-run"});
+            if (refusal_fields) {
+                for (auto& field : refusal_fields()) {
+                    fields.push_back(std::move(field));
+                }
+            }
             co_await writer.send(status_unavailable, std::move(fields), "{}");
             co_return;
         }
--- a/src/standin/store_standin.cpp
+++ b/src/standin/store_standin.cpp
@@ -19,6 +19,8 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_condition_failed = 412;
 constexpr unsigned status_not_found = 404;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_gone = 410;
 constexpr state::milliseconds feed_poll_interval{10};
 
 std::string base64(const std::string& bytes) {
@@ -29,6 +31,10 @@
     return {text.begin(), text.begin() + size};
 }
 
+transport::http_field era_field(std::uint64_t era) {
+    return {"Store-Era", std::to_string(era)};
+}
+
 std::string string_field(const json::object& object, std::string_view name) {
     return std::string(object.at(name).as_string());
 }
@@ -48,7 +54,7 @@
     return object;
 }
 
-std::pair<unsigned, std::string> store_standin::transact(const std::string& body) {
+store_standin::reply store_standin::transact(const std::string& body) {
     const auto transaction = json::parse(body).as_object();
     const std::scoped_lock lock(m_mutex);
     const auto key_of = [](const json::object& item) {
@@ -57,7 +63,7 @@
     json::array conflicting;
     for (const auto& item : transaction.at("expected_rev").as_array()) {
         const auto key = key_of(item.as_object());
-        const auto& current = m_rows[key];
+        const auto& current = m_contents.rows[key];
         const auto version = current.is_removed ? 0 : current.version;
         if (version != item.as_object().at("ver").to_number<std::uint64_t>()) {
             conflicting.push_back(to_json(key, current));
@@ -66,49 +72,101 @@
     json::object answer;
     if (!conflicting.empty()) {
         answer["rows"] = std::move(conflicting);
-        answer["ver"] = m_version;
-        return {status_condition_failed, json::serialize(answer)};
+        answer["ver"] = m_contents.version;
+        return {status_condition_failed, json::serialize(answer), m_era};
     }
-    ++m_version;
+    ++m_contents.version;
     for (const auto& item : transaction.at("set_keys").as_array()) {
-        m_rows[key_of(item.as_object())] = {string_field(item.as_object(), "value"), m_version,
-                                            false};
+        m_contents.rows[key_of(item.as_object())] = {string_field(item.as_object(), "value"),
+                                                     m_contents.version, false};
     }
     for (const auto& item : transaction.at("remove").as_array()) {
-        m_rows[key_of(item.as_object())] = {{}, m_version, true};
+        m_contents.rows[key_of(item.as_object())] = {{}, m_contents.version, true};
     }
-    answer["ver"] = m_version;
-    return {status_ok, json::serialize(answer)};
+    answer["ver"] = m_contents.version;
+    return {status_ok, json::serialize(answer), m_era};
 }
 
-std::string store_standin::rows_after(const std::string& table, const std::string& from,
-                                      std::uint64_t after_version, bool include_removed,
-                                      std::size_t* count) {
+store_standin::found_rows store_standin::rows_after(const std::string& table,
+                                                    const std::string& from,
+                                                    std::uint64_t after_version,
+                                                    bool include_removed) {
     const std::scoped_lock lock(m_mutex);
     json::array rows;
-    for (auto stored = m_rows.lower_bound({table, from});
-         stored != m_rows.end() && stored->first.first == table; ++stored) {
+    for (auto stored = m_contents.rows.lower_bound({table, from});
+         stored != m_contents.rows.end() && stored->first.first == table; ++stored) {
         if (stored->second.version > after_version &&
             (include_removed || !stored->second.is_removed)) {
             rows.push_back(to_json(stored->first, stored->second));
         }
     }
-    *count = rows.size();
+    const auto count = rows.size();
     json::object answer;
     answer["rows"] = std::move(rows);
     answer["has_more"] = false;
-    answer["ver"] = m_version;
-    return json::serialize(answer);
+    answer["ver"] = m_contents.version;
+    return {{status_ok, json::serialize(answer), m_era}, count, m_contents.version};
 }
 
-void store_standin::write_as_operator(const std::string& body) {
+store_standin::reply store_standin::write_as_operator(const std::string& body) {
     const auto object = json::parse(body).as_object();
     const std::scoped_lock lock(m_mutex);
     const row_key key{string_field(object, "table"), string_field(object, "key")};
     const auto& value = object.at("value");
-    ++m_version;
-    m_rows[key] = value.is_null() ? row{{}, m_version, true}
-                                  : row{base64(json::serialize(value)), m_version, false};
+    ++m_contents.version;
+    m_contents.rows[key] = value.is_null()
+                               ? row{{}, m_contents.version, true}
+                               : row{base64(json::serialize(value)), m_contents.version, false};
+    return {status_ok, "{}", m_era};
+}
+
+store_standin::reply store_standin::keep_copy() {
+    const std::scoped_lock lock(m_mutex);
+    m_copy = m_contents;
+    return {status_ok, "{}", m_era};
+}
+
+store_standin::reply store_standin::restore_copy() {
+    const std::scoped_lock lock(m_mutex);
+    if (!m_copy) {
+        return {status_conflict, "{}", m_era};
+    }
+    m_contents = *m_copy;
+    ++m_era;
+    return {status_ok, "{}", m_era};
+}
+
+transport::http_fields store_standin::answer_fields() {
+    const std::scoped_lock lock(m_mutex);
+    return {era_field(m_era)};
+}
+
+asio::awaitable<void> store_standin::answer(transport::response_writer& writer, reply sent) {
+    auto fields = transport::content_type_field("application/json");
+    fields.push_back(era_field(sent.era));
+    co_await writer.send(sent.status, std::move(fields), sent.body);
+}
+
+asio::awaitable<void> store_standin::answer_feed(transport::response_writer& writer,
+                                                 std::string table, std::uint64_t after_version,
+                                                 state::milliseconds wait) {
+    const auto end = std::chrono::steady_clock::now() + wait;
+    auto found = rows_after(table, {}, after_version, true);
+    const auto era = found.page.era;
+    if (after_version > found.version) {
+        const reply gone{status_gone, "{}", era};
+        co_await answer(writer, gone);
+        co_return;
+    }
+    while (found.count == 0 && std::chrono::steady_clock::now() < end) {
+        co_await pause_for(feed_poll_interval);
+        found = rows_after(table, {}, after_version, true);
+        if (found.page.era != era) {
+            writer.abandon();
+            co_return;
+        }
+    }
+    co_await answer(writer, found.page);
 }
 
 asio::awaitable<void> store_standin::handle(transport::http_request request,
@@ -120,34 +178,27 @@
         return found == url.params().end() ? std::string{} : std::string((*found).value);
     };
     if (path == "/operator") {
-        write_as_operator(request.body());
-        co_await send_json(writer, status_ok, "{}");
+        co_await answer(writer, write_as_operator(request.body()));
+    } else if (path == "/copy") {
+        co_await answer(writer, keep_copy());
+    } else if (path == "/restore") {
+        co_await answer(writer, restore_copy());
     } else if (path == "/rows-tx") {
-        const auto [status, body] = transact(request.body());
+        const auto done = transact(request.body());
         if (m_switches.lose_replies > 0) {
             --m_switches.lose_replies;
             writer.abandon();
             co_return;
         }
-        co_await send_json(writer, status, body);
+        co_await answer(writer, done);
     } else if (path == "/rows-get") {
-        std::size_t count = 0;
-        co_await send_json(writer, status_ok,
-                           rows_after(parameter("table"), parameter("from"), 0, false, &count));
+        const auto found = rows_after(parameter("table"), parameter("from"), 0, false);
+        co_await answer(writer, found.page);
     } else if (path == "/rows-feed") {
-        const auto end = std::chrono::steady_clock::now() +
-                         state::milliseconds(std::stoll(parameter("wait_ms")));
-        std::size_t count = 0;
-        auto body =
-            rows_after(parameter("table"), {}, std::stoull(parameter("after_rev")), true, &count);
-        while (count == 0 && std::chrono::steady_clock::now() < end) {
-            co_await pause_for(feed_poll_interval);
-            body = rows_after(parameter("table"), {}, std::stoull(parameter("after_rev")), true,
-                              &count);
-        }
-        co_await send_json(writer, status_ok, body);
+        co_await answer_feed(writer, parameter("table"), std::stoull(parameter("after_rev")),
+                             state::milliseconds(std::stoll(parameter("wait_ms"))));
     } else {
-        co_await send_json(writer, status_not_found, "{}");
+        co_await writer.send(status_not_found, answer_fields(), "{}");
     }
 }
 
--- a/src/standin/store_standin.h
+++ b/src/standin/store_standin.h
@@ -1,6 +1,6 @@
 // Stand-in for the platform's table store: rows with versions, conditional
 // transactions, reads and a feed. POST /operator writes a row as an operator or a runner
-// does.
+// does. POST /copy and POST /restore replace the rows by earlier ones, as in a drill.
 #pragma once
 
 #include "standin_server.h"
@@ -10,8 +10,9 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
-#include <tuple>
+#include <utility>
 
 namespace savoryrelay::standin {
 
@@ -23,9 +24,15 @@
     /// Serves POST /rows-tx, GET /rows-get and GET /rows-feed like the platform.
     /// POST /operator with `table`, `key` and `value` (any JSON, or null to remove
     /// the row) writes unconditionally.
+    /// POST /copy keeps a copy of the rows and of the version. POST /restore returns to the
+    /// last copy in the next era and closes the connections of open feed calls; without a copy
+    /// it answers 409.
     boost::asio::awaitable<void> handle(transport::http_request request,
                                         transport::response_writer& writer);
 
+    /// Returns the header field that states the era, which all answers of the store carry.
+    [[nodiscard]] transport::http_fields answer_fields();
+
 private:
     struct row {
         std::string value; // base64
@@ -33,18 +40,38 @@
         bool is_removed = false;
     };
     using row_key = std::pair<std::string, std::string>; // table, key
+    struct contents {
+        std::map<row_key, row> rows;
+        std::uint64_t version = 0;
+    };
+    /// An answer and the era of the contents that it is made from.
+    struct reply {
+        unsigned status = 200;
+        std::string body = "{}";
+        std::uint64_t era = 0;
+    };
+    struct found_rows {
+        reply page;
+        std::size_t count = 0;
+        std::uint64_t version = 0; ///< of the store
+    };
 
-    [[nodiscard]] std::pair<unsigned, std::string> transact(const std::string& body);
-    [[nodiscard]] std::string rows_after(const std::string& table, const std::string& from,
-                                         std::uint64_t after_version, bool include_removed,
-                                         std::size_t* count);
-    void write_as_operator(const std::string& body);
+    static boost::asio::awaitable<void> answer(transport::response_writer& writer, reply sent);
+    boost::asio::awaitable<void> answer_feed(transport::response_writer& writer, std::string table,
+                                             std::uint64_t after_version, state::milliseconds wait);
+    [[nodiscard]] reply transact(const std::string& body);
+    [[nodiscard]] found_rows rows_after(const std::string& table, const std::string& from,
+                                        std::uint64_t after_version, bool include_removed);
+    [[nodiscard]] reply write_as_operator(const std::string& body);
+    [[nodiscard]] reply keep_copy();
+    [[nodiscard]] reply restore_copy();
     [[nodiscard]] static boost::json::object to_json(const row_key& key, const row& value);
 
     control_switches& m_switches;
     std::mutex m_mutex;
-    std::map<row_key, row> m_rows; // guarded by m_mutex
-    std::uint64_t m_version = 0;   // guarded by m_mutex
+    contents m_contents;            // guarded by m_mutex
+    std::optional<contents> m_copy; // guarded by m_mutex
+    std::uint64_t m_era = 1;        // guarded by m_mutex
 };
 
 } // namespace savoryrelay::standin
