--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -266,3 +266,78 @@
     CHECK(decode_order_status(412) == state::runner_order_result::outdated);
     CHECK(decode_order_status(400) == state::runner_order_result::does_not_fit);
 }
+
+namespace {
+
+state::mirrored_row row_of(const std::string& key, const std::string& value) {
+    return {key, value, {}, false};
+}
+
+state::mirrored_row removed(state::mirrored_row row) {
+    row.is_removed = true;
+    return row;
+}
+
+} // namespace
+
+TEST_CASE("configurations of different eras are ordered by the operators' version") {
+    const auto version = [](const std::string& number) {
+        return row_of("config", R"({"version":)" + number + R"(,"routes":[]})");
+    };
+    CHECK(compare_operator_rows(version("16"), version("16")) == std::partial_ordering::equivalent);
+    CHECK(compare_operator_rows(version("13"), version("16")) == std::partial_ordering::less);
+    CHECK(compare_operator_rows(version("100"), version("16")) == std::partial_ordering::greater);
+    CHECK(compare_operator_rows(removed(version("17")), version("16")) ==
+          std::partial_ordering::less);
+    for (const auto* text : {"", "{}", "[1]", "\xff", R"({"version":"17"})", R"({"version":-1})"}) {
+        INFO(text);
+        CHECK(compare_operator_rows(row_of("config", text), version("16")) ==
+              std::partial_ordering::less);
+        CHECK(compare_operator_rows(version("16"), row_of("config", text)) ==
+              std::partial_ordering::greater);
+    }
+}
+
+TEST_CASE("rows of the operators other than the configuration state no order") {
+    const auto evacuation = row_of("evacuate/zone-a", R"({"version":1})");
+    CHECK(compare_operator_rows(evacuation, evacuation) == std::partial_ordering::unordered);
+    CHECK(compare_operator_rows(evacuation, removed(evacuation)) ==
+          std::partial_ordering::unordered);
+}
+
+TEST_CASE("entries of a runner's incarnation are ordered by its count of writes") {
+    const auto written = [](const std::string& sequence, const std::string& state = "ready",
+                            const std::string& born = "1777699062468") {
+        return row_of("i-1", R"({"service":"s1","state":")" + state + R"(","born":)" + born +
+                                 R"(,"sequence":)" + sequence + "}");
+    };
+    CHECK(compare_runner_entries(written("7"), written("7")) == std::partial_ordering::equivalent);
+    CHECK(compare_runner_entries(written("5"), written("7", "draining")) ==
+          std::partial_ordering::less);
+    CHECK(compare_runner_entries(written("10"), written("7")) == std::partial_ordering::greater);
+
+    // A removal follows the write that it removed and precedes the next one.
+    CHECK(compare_runner_entries(written("7"), removed(written("7"))) ==
+          std::partial_ordering::less);
+    CHECK(compare_runner_entries(removed(written("7")), written("7")) ==
+          std::partial_ordering::greater);
+    CHECK(compare_runner_entries(written("8"), removed(written("7"))) ==
+          std::partial_ordering::greater);
+    CHECK(compare_runner_entries(removed(written("7")), written("8")) ==
+          std::partial_ordering::less);
+}
+
+TEST_CASE("entries that name no incarnation or different ones state no order") {
+    const auto known = row_of("i-1", R"({"born":2000,"sequence":7})");
+    for (const auto* text : {"", "{}", "[1]", "\xff", R"({"sequence":9})",
+                             R"({"born":"2000","sequence":9})", R"({"born":0,"sequence":9})",
+                             R"({"born":1999,"sequence":9})", R"({"born":2001,"sequence":1})"}) {
+        INFO(text);
+        const auto other = row_of("i-1", text);
+        CHECK(compare_runner_entries(other, known) == std::partial_ordering::unordered);
+        CHECK(compare_runner_entries(known, other) == std::partial_ordering::unordered);
+        CHECK(compare_runner_entries(removed(known), other) == std::partial_ordering::unordered);
+    }
+    const auto nameless = row_of("i-1", R"({"sequence":7})");
+    CHECK(compare_runner_entries(nameless, nameless) == std::partial_ordering::unordered);
+}
