Confirm no rows by the first copy of a restored store

Cause: a host that started after a restore took the rows of the copy for confirmed. Hosts that copied its table dropped at once what the copy lacked, without the grace, and the copies of hosts that read no store were never confirmed.

Change: the first read of an era counts as not confirmed, whatever its source says.

Measured: the new cases of table_mirror_test and restored_store_test pass; on the code before, the host answered 503 within the grace.

--- a/src/edge/store_part.cpp
+++ b/src/edge/store_part.cpp
@@ -141,20 +141,18 @@
         const auto held = mirror.synced_version();
         const auto before = std::exchange(known, held);
         if (before.number > 0 && held.era > before.era) {
-            confirm_at = m_now() + return_grace_after_outage;
+            confirm_at = m_now() + return_grace_after_outage + confirm_delay();
         }
-        if (!follows_store()) {
+        // The hub's copy does not tell a host whether the hub knew the rows of before.
+        const bool must_confirm = confirm_at && m_now() >= *confirm_at;
+        if (!follows_store() && !must_confirm) {
             // The copies from the hub have all changes up to the mirror's version.
             must_read_all = held.number == 0;
             co_await pause_for(follow_check_interval);
             continue;
         }
-        if (confirm_at && m_now() >= *confirm_at) {
-            must_read_all = true;
-            confirm_at.reset();
-        }
         // The feed does not tell that the version it is asked for is one of an earlier era.
-        if (must_read_all || m_store.era() > held.era) {
+        if (must_read_all || must_confirm || m_store.era() > held.era) {
             auto image = co_await m_store.read_table(table);
             note_store_call(image.has_value(), image ? "" : image.error().message());
             if (!image) {
@@ -165,8 +163,11 @@
             if (is_restored) {
                 note_restore(table, held, image.value().version);
             }
-            image.value().is_confirmed = !is_restored && !confirm_at;
+            image.value().is_confirmed = !is_restored && (!confirm_at || must_confirm);
             (this->*apply_rows)(mirror.apply_image(image.value()));
+            if (image.value().is_confirmed && image.value().version.era >= held.era) {
+                confirm_at.reset();
+            }
             must_read_all = false;
             if (image.value().version.era < m_store.era()) {
                 co_await pause_for(retry_pause); // a late answer of the earlier era
@@ -199,6 +200,10 @@
     }
 }
 
+milliseconds store_part::confirm_delay() const {
+    return m_shared.is_store_reader ? milliseconds(0) : m_max_age - max_copy_age;
+}
+
 milliseconds store_part::milliseconds_until(state::time_point at) const {
     return std::chrono::duration_cast<milliseconds>(at - m_now());
 }
--- a/src/edge/store_part.h
+++ b/src/edge/store_part.h
@@ -56,6 +56,8 @@
     /// Reports that a full read is of a later era than the copy, and lets entries return.
     void note_restore(const std::string& table, state::store_version held,
                       state::store_version read);
+    /// Returns how much later than the readers this host confirms the rows of a restored store.
+    [[nodiscard]] state::milliseconds confirm_delay() const;
     [[nodiscard]] state::milliseconds milliseconds_until(state::time_point at) const;
 
     transport::io_threads& m_threads;
--- a/src/savoryrelay/state/serving/table_mirror.cpp
+++ b/src/savoryrelay/state/serving/table_mirror.cpp
@@ -69,20 +69,24 @@
                                                : std::vector<mirrored_row>{};
     }
     const std::scoped_lock lock(m_mutex);
+    // A source that started after the restore does not know that its rows are older ones.
+    const bool is_first_of_era =
+        m_synced_version.number > 0 && image.version.era > m_synced_version.era;
+    const bool is_confirmed = image.is_confirmed && !is_first_of_era;
     std::vector<mirrored_row> changed;
     std::set<std::string> present;
     for (const auto& row : image.rows) {
         present.insert(row.key);
-        put(row, image.is_confirmed, changed);
+        put(row, is_confirmed, changed);
     }
     for (const auto& [key, row] : std::map(m_rows)) {
-        if (image.is_confirmed && !row.is_removed && row.version <= image.version &&
+        if (is_confirmed && !row.is_removed && row.version <= image.version &&
             !present.contains(key)) {
             put({key, {}, image.version, true}, true, changed);
         }
     }
     if (image.version >= m_synced_version) {
-        m_is_confirmed = image.is_confirmed;
+        m_is_confirmed = is_confirmed;
     }
     m_synced_version = std::max(m_synced_version, image.version);
     m_removals_known_from = std::max(m_removals_known_from, image.version);
--- a/src/savoryrelay/state/serving/table_mirror.h
+++ b/src/savoryrelay/state/serving/table_mirror.h
@@ -47,7 +47,7 @@
 /// Within an era of the store, the store's versions order the rows. A restored store returns
 /// rows that are older than rows this copy has held, until their writers have written them
 /// again. So between eras the hook `row_order` decides. Where it can't, only a confirmed read
-/// changes a row that was known.
+/// changes a row that was known. The first read of an era counts as not confirmed.
 ///
 /// Invariant: a row never returns to an older version of the same era, nor to an older
 /// content, in whatever order changes and images are applied.
--- a/tests/process/restored_store_test.cpp
+++ b/tests/process/restored_store_test.cpp
@@ -266,6 +266,26 @@
     CHECK(fixture.holds_for(after_grace, [&] { return !fixture.is_served(1); }));
 }
 
+TEST_CASE("edge: a host keeps runners that a peer lacks that knows only the restored store") {
+    restored_fixture fixture;
+    fixture.remove_runner("p1");
+    fixture.copy_store();
+    fixture.raise_version();
+    fixture.write_runner("p1", fixture.plain, 1);
+    fixture.wait_until([&] { return fixture.is_served(); });
+
+    fixture.pause(0);
+    fixture.restore_store();
+    fixture.write_row("servers", "note", "{}"); // gives the peer's copy a version to pass on
+    fixture.add_host("edge-1").wait_until_ready();
+    fixture.wait_until([&] { return fixture.call(1) == 503; });
+    fixture.store.control(R"({"down":true})");
+    fixture.resume();
+    CHECK(fixture.holds_for(within_grace, [&] { return fixture.is_served(); }));
+    fixture.store.control(R"({"down":false})");
+    CHECK(fixture.is_reached_within(2 * after_grace, [&] { return !fixture.is_served(); }));
+}
+
 TEST_CASE("edge: an evacuation that a restored store lacks holds for as long as it may return") {
     restored_fixture fixture;
     fixture.write_runner("p1", fixture.plain, 1);
--- a/tests/state/table_mirror_test.cpp
+++ b/tests/state/table_mirror_test.cpp
@@ -182,6 +182,20 @@
     CHECK(keys == std::set<std::string>{"kept", "removed"});
 }
 
+TEST_CASE("the first image of an era removes no rows, whatever its source takes for confirmed") {
+    table_mirror started_after;
+    started_after.apply_image({{{"a", "1", {2, 3}, false}}, {2, 4}});
+    CHECK(started_after.image().is_confirmed);
+
+    table_mirror mirror;
+    mirror.apply_image({{{"a", "1", {1, 3}, false}, {"b", "1", {1, 9}, false}}, {1, 9}});
+    CHECK(mirror.apply_image(started_after.image()).empty());
+    CHECK(mirror.image().rows.size() == 2);
+    CHECK_FALSE(mirror.image().is_confirmed);
+    CHECK(mirror.synced_version() == store_version(2, 4));
+    CHECK(mirror.apply_image(started_after.image()).size() == 1);
+}
+
 TEST_CASE("an older content of a restored store never replaces a newer one") {
     table_mirror mirror(compare_numbers);
     mirror.apply_image({{{"a", "16", {1, 50}, false}}, {1, 50}});
