--- a/src/edge/store_part.cpp
+++ b/src/edge/store_part.cpp
@@ -134,13 +134,17 @@
     auto known = mirror.synced_version();
     // When the rows that their writers have not written again since a restore are given up.
     std::optional<state::time_point> confirm_at;
+    bool is_failing = false;  // the last call to the feed failed
+    bool has_expired = false; // the last answer of the feed said that its history is gone
     const auto pause_after_failure = [this] {
         return m_shared.is_store_reader ? retry_pause : member_retry_pause;
     };
     while (true) {
         const auto held = mirror.synced_version();
         const auto before = std::exchange(known, held);
-        if (before.number > 0 && held.era > before.era) {
+        // A reader that has just started may have read the copy of a restore.
+        const bool may_be_copy = before.number > 0 || follows_store();
+        if (may_be_copy && held.era > before.era) {
             confirm_at = m_now() + return_grace_after_outage + confirm_delay();
         }
         // The hub's copy does not tell a host whether the hub knew the rows of before.
@@ -163,7 +167,8 @@
             if (is_restored) {
                 note_restore(table, held, image.value().version);
             }
-            image.value().is_confirmed = !is_restored && (!confirm_at || must_confirm);
+            const bool is_first = held.number == 0 && image.value().version.era > 0;
+            image.value().is_confirmed = !is_restored && !is_first && (!confirm_at || must_confirm);
             (this->*apply_rows)(mirror.apply_image(image.value()));
             if (image.value().is_confirmed && image.value().version.era >= held.era) {
                 confirm_at.reset();
@@ -174,18 +179,25 @@
             }
             continue;
         }
-        const auto wait =
-            confirm_at ? std::clamp(milliseconds_until(*confirm_at), milliseconds(1), times.wait)
-                       : times.wait;
+        // After a failure, the era shows in the next answer, which must not wait for a change.
+        auto wait = is_failing ? milliseconds(1) : times.wait;
+        if (confirm_at) {
+            wait = std::clamp(milliseconds_until(*confirm_at), milliseconds(1), wait);
+        }
         const auto feed = co_await m_store.wait_for_changes(table, held, wait);
         note_store_call(feed.has_value(), feed ? "" : feed.error().message());
+        is_failing = !feed.has_value();
         if (!feed) {
             co_await pause_for(pause_after_failure());
             continue;
         }
+        const bool had_expired = std::exchange(has_expired, feed.value().history_expired);
         if (feed.value().history_expired) {
             must_read_all = true;
             log_info("feed_history_gone", {{"table", table}});
+            if (had_expired) {
+                co_await pause_for(retry_pause); // the read before has not helped
+            }
             continue;
         }
         if (feed.value().version.era != held.era) {
--- a/src/savoryrelay/state/serving/table_mirror.cpp
+++ b/src/savoryrelay/state/serving/table_mirror.cpp
@@ -26,7 +26,9 @@
     const bool is_same_content =
         order == std::partial_ordering::equivalent ||
         (row.is_removed == held.is_removed && (row.is_removed || row.value == held.value));
-    return row.version > held.version && (is_same_content || is_confirmed);
+    // The eras share the numbers up to the copy, so a higher number was written later.
+    const bool has_higher_number = row.version.number > held.version.number;
+    return row.version > held.version && (is_same_content || has_higher_number || is_confirmed);
 }
 
 void table_mirror::put(const mirrored_row& row, bool is_confirmed,
@@ -86,7 +88,8 @@
         }
     }
     if (image.version >= m_synced_version) {
-        m_is_confirmed = is_confirmed;
+        const bool was_confirmed = m_is_confirmed && image.version.era == m_synced_version.era;
+        m_is_confirmed = is_confirmed || was_confirmed;
     }
     m_synced_version = std::max(m_synced_version, image.version);
     m_removals_known_from = std::max(m_removals_known_from, image.version);
--- a/tests/state/table_mirror_test.cpp
+++ b/tests/state/table_mirror_test.cpp
@@ -291,3 +291,21 @@
         RC_ASSERT(mirror.synced_version() == store_version(2, store.number));
     }));
 }
+
+TEST_CASE("a row written soon after a restore is not held back if its number is a new one") {
+    table_mirror mirror;
+    mirror.apply_image({{{"a", "old", {1, 9}, false}}, {1, 9}});
+    table_image restored{{{"a", "new", {2, 12}, false}}, {2, 12}};
+    restored.is_confirmed = false;
+    CHECK(mirror.apply_image(restored).size() == 1);
+}
+
+TEST_CASE(
+    "a copy that is confirmed stays so when a peer's unconfirmed copy of its era is applied") {
+    table_mirror mirror;
+    mirror.apply_image({{{"a", "1", {2, 9}, false}}, {2, 9}});
+    table_image unconfirmed{{{"a", "2", {2, 10}, false}}, {2, 10}};
+    unconfirmed.is_confirmed = false;
+    CHECK(mirror.apply_image(unconfirmed).size() == 1);
+    CHECK(mirror.image().is_confirmed);
+}
