Base the orders of a new lease holder on reports that it received itself

Cause: the first plan of a new holder used the observations of its predecessor and the entries on the platform, up to 3 s old. Its joins were refused and sent again 250 ms later, and a group of which entries did not show all members yet was closed while it served.

Change: the reconciler gets the time since which its host holds the lease. It plans once every listed runner that is not silent has reported since, at the latest after 300 ms, and orders and counts as usable only runners that have. The host requests all reports as soon as it holds the lease.

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -238,6 +238,10 @@
         const bool is_holder = m_lease.phase(groups_lease, now) == state::lease_phase::holding;
         if (is_holder != m_is_controller.exchange(is_holder)) {
             log_info("controller", {{"outcome", is_holder ? "gained" : "lost"}});
+            m_holder_since = now;
+            for (auto& [id, poll] : m_polls) {
+                poll.next = now; // the first orders need a report of each runner
+            }
         }
         if (is_holder) {
             poll_due_runners(now);
@@ -352,6 +356,7 @@
         input.work = m_shared.work.all(now);
         input.is_first_start = m_is_first_start;
         input.epoch = ticket.value().fencing_number;
+        input.holder_since = m_holder_since;
         auto& reconciler =
             m_reconcilers.try_emplace(name, coordination::group_reconciler_settings{})
                 .first->second;
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -83,6 +83,7 @@
     coordination::lease_coordinator m_lease;
     std::map<std::string, coordination::group_reconciler> m_reconcilers; // control context only
     std::map<state::endpoint_id, poll_state> m_polls;                    // control context only
+    state::time_point m_holder_since{};                                  // control context only
     state::time_point m_free_models_sent_at{};                           // control context only
     transport::endpoint_pool m_pool;
     std::atomic<bool> m_is_controller{false};
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -16,6 +16,7 @@
     runner.record.is_draining = false;
     runner.silent_since.reset();
     runner.reported_at.reset();
+    runner.own_report_at.reset();
     runner.avoided_until = {};
     runner.refusal_backoff = state::milliseconds(0);
     runner.is_order_in_progress = false;
@@ -111,6 +112,7 @@
             return;
         }
         runner.reported_at = now;
+        runner.own_report_at = now;
         runner.awaits_report_since.reset();
         runner.record.sequence = report.sequence.value_or(0);
         runner.record.membership = report.membership;
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -32,6 +32,7 @@
     bool has_entry = false;                         ///< listed on the platform
     std::optional<state::time_point> unlisted_from; ///< when the removal of the entry takes effect
     std::optional<state::time_point> reported_at;   ///< last report, received here or by a peer
+    std::optional<state::time_point> own_report_at; ///< last report received here
     std::optional<state::time_point> answered_at;   ///< last answer of any kind
     /// When it was found silent. Reset by a report, an accepted order or an observation.
     std::optional<state::time_point> silent_since;
--- a/src/savoryrelay/coordination/serving/group_reconciler.cpp
+++ b/src/savoryrelay/coordination/serving/group_reconciler.cpp
@@ -27,7 +27,8 @@
 void group_reconciler::add_order(step& current, const runner_view& runner, runner_order_kind kind,
                                  const std::string& group, std::uint64_t epoch) {
     const auto& id = runner.record.id;
-    if (!is_settled(id, current.now) || runner.has_unconfirmed_order()) {
+    if (!is_settled(id, current.now) || runner.has_unconfirmed_order() ||
+        !current.has_reported_here(runner)) {
         return;
     }
     if (kind == runner_order_kind::join && runner.record.membership) {
@@ -72,6 +73,9 @@
 std::vector<state::runner_order> group_reconciler::plan(const group_reconciler_input& input,
                                                         state::time_point now) {
     step current{input, *input.service->engine, now};
+    if (!has_first_reports(current)) {
+        return {};
+    }
     collect_groups(current);
     if (current.silent_runners > m_settings.max_silent_share * current.all_runners) {
         return {};
@@ -83,6 +87,16 @@
     return std::move(current.orders);
 }
 
+bool group_reconciler::has_first_reports(const step& current) const {
+    return current.now - current.input.holder_since >= m_settings.first_report_wait ||
+           std::all_of(current.input.fleet->begin(), current.input.fleet->end(),
+                       [&](const runner_view& runner) {
+                           return runner.record.service != current.input.service->name ||
+                                  !runner.is_listed(current.now) || runner.silent_since ||
+                                  current.has_reported_here(runner);
+                       });
+}
+
 void group_reconciler::collect_groups(step& current) {
     for (const auto& runner : *current.input.fleet) {
         if (runner.record.service != current.input.service->name) {
@@ -96,6 +110,7 @@
             ++current.usable_runners;
         }
         const bool is_state_known = runner.silent_since || (current.has_fresh_report(runner) &&
+                                                            current.has_reported_here(runner) &&
                                                             !runner.has_unconfirmed_order());
         if (runner.is_listed(current.now) && !is_state_known) {
             current.unknown_state_domains.insert(runner.record.fabric_domain);
--- a/src/savoryrelay/coordination/serving/group_reconciler.h
+++ b/src/savoryrelay/coordination/serving/group_reconciler.h
@@ -41,6 +41,9 @@
     /// Members of a group whose head is unknown are ordered to leave after this
     /// time, which covers the lag of the head's report.
     state::milliseconds headless_after{400};
+    /// A new lease holder waits at most this long for the reports of all runners before it
+    /// plans. Covers the timeout of a report request.
+    state::milliseconds first_report_wait{300};
     /// When more than this share of the runners is silent, this host is assumed to
     /// be isolated and sends no orders.
     double max_silent_share = 0.6;
@@ -74,6 +77,8 @@
     /// are then not subject to the weight store's rate limit.
     bool is_first_start = false;
     std::uint64_t epoch = 0; ///< fencing number of the lease under which orders are sent
+    /// When this host became the lease holder. Orders are based on reports received since.
+    state::time_point holder_since{};
 };
 
 /// Plans the orders for the groups of one service. Not thread-safe. Its own state is
@@ -84,6 +89,8 @@
 /// the same list of members. A `join` order carries a sequence number with which its runner
 /// was in no group, so a runner that is in a group refuses it, however old the information
 /// that led to the order. Therefore a runner joins a group only after it has left the last.
+/// Each order is based on a report that this host received from the runner as the lease
+/// holder.
 class group_reconciler {
 public:
     explicit group_reconciler(group_reconciler_settings settings) : m_settings(settings) {}
@@ -127,6 +134,9 @@
     [[nodiscard]] bool is_silent_for(const runner_view& runner, state::milliseconds span,
                                      state::time_point now) const;
     [[nodiscard]] bool is_settled(const state::endpoint_id& runner, state::time_point now) const;
+    /// Returns whether all runners have reported to this lease holder, or it has waited long
+    /// enough for them.
+    [[nodiscard]] bool has_first_reports(const step& current) const;
     void collect_groups(step& current);
     void update_existing_groups(step& current);
     void release_members(step& current);
--- a/src/savoryrelay/coordination/serving/group_reconciler_step.h
+++ b/src/savoryrelay/coordination/serving/group_reconciler_step.h
@@ -41,9 +41,12 @@
     [[nodiscard]] bool has_fresh_report(const runner_view& runner) const {
         return runner.reported_at && now - *runner.reported_at < max_report_age;
     }
+    [[nodiscard]] bool has_reported_here(const runner_view& runner) const {
+        return runner.own_report_at && *runner.own_report_at >= input.holder_since;
+    }
     [[nodiscard]] bool is_usable(const runner_view& runner) const {
         return runner.is_listed(now) && !runner.record.is_draining && !runner.silent_since &&
-               has_fresh_report(runner) &&
+               has_fresh_report(runner) && has_reported_here(runner) &&
                !input.zones_out_of_service.contains(runner.record.availability_zone);
     }
     [[nodiscard]] bool before_traffic() const { return input.is_first_start && input.work.empty(); }
--- a/tests/coordination/serving/group_reconciler_test.cpp
+++ b/tests/coordination/serving/group_reconciler_test.cpp
@@ -165,6 +165,57 @@
     }
 }
 
+TEST_CASE("a new lease holder orders only runners that have reported to it") {
+    runner_simulation simulation(1, {}, 1, 3);
+    auto& fleet = simulation.fleet;
+    group_reconciler reconciler({});
+    auto now = simulation.now;
+    const auto report = [&](const state::endpoint_id& id) {
+        state::runner_report value;
+        value.started_ms = simulation.runners.at(id).record.started_ms;
+        value.sequence = 2;
+        value.staged = {"small"};
+        fleet.apply_report(id, value, now);
+    };
+    // What a runner reported before, and what the former holder told of it, is no basis.
+    for (const auto& [id, runner] : simulation.runners) {
+        report(id);
+        state::runner_observation observation;
+        observation.id = id;
+        observation.started_ms = runner.record.started_ms;
+        observation.sequence = 2;
+        observation.model = "small";
+        fleet.apply_observation(observation, now);
+    }
+    now += 50ms;
+    const auto holder_since = now;
+    const auto plan = [&] {
+        fleet.refresh(now);
+        const auto snapshot = fleet.snapshot();
+        group_reconciler_input input;
+        input.service = &simulation.service;
+        input.fleet = snapshot.get();
+        input.work = simulation.work;
+        input.epoch = 2;
+        input.holder_since = holder_since;
+        return reconciler.plan(input, now);
+    };
+    CHECK(plan().empty());
+
+    // It waits for the last runner, but not for long.
+    const state::endpoint_id late("r1");
+    report(state::endpoint_id("r0"));
+    report(state::endpoint_id("r2"));
+    now += 50ms;
+    CHECK(plan().empty());
+    now = holder_since + group_reconciler_settings{}.first_report_wait;
+    const auto orders = plan();
+    CHECK(orders.size() == 2);
+    for (const auto& order : orders) {
+        CHECK(order.runner != late);
+    }
+}
+
 TEST_CASE("a group whose lease holder is gone before it opens is dissolved and re-formed") {
     runner_simulation simulation(1, {}, 1, 8);
     group_reconciler first({});
