Name no group twice under one fencing number

Cause: a host whose lease lapsed discarded its reconcilers. When it renewed the lease under the same fencing number, the names of its groups began again, so a second list of members was joined under the name and epoch of the first. The check that all members were ready (rule PARTIAL) rests on one list for a name.

Change: a host keeps its reconcilers until it holds the lease under another fencing number.

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -13,6 +13,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <utility>
+
 namespace savoryrelay::edge {
 
 namespace asio = boost::asio;
@@ -248,8 +250,6 @@
             if (!m_is_resigning) {
                 plan_orders(now);
             }
-        } else {
-            m_reconcilers.clear();
         }
         timer.expires_after(step_interval);
         co_await timer.async_wait(asio::use_awaitable);
@@ -345,6 +345,12 @@
     }
     static_cast<void>(state::collect(
         [&] { return m_lease.end_order(ticket.value(), coordination::order_end::replied, now); }));
+    // A holder whose lease lapsed may renew it under the same fencing number. It keeps its
+    // reconcilers then, because the names of groups are unique within one.
+    if (std::exchange(m_reconcilers_epoch, ticket.value().fencing_number) !=
+        ticket.value().fencing_number) {
+        m_reconcilers.clear();
+    }
     for (const auto& [name, service] : configuration->services) {
         if (!service.engine) {
             continue;
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -81,10 +81,12 @@
     const double m_processor_share;
     std::function<state::time_point()> m_now;
     coordination::lease_coordinator m_lease;
-    std::map<std::string, coordination::group_reconciler> m_reconcilers; // control context only
-    std::map<state::endpoint_id, poll_state> m_polls;                    // control context only
-    state::time_point m_holder_since{};                                  // control context only
-    state::time_point m_free_models_sent_at{};                           // control context only
+    // Of the services, under the fencing number m_reconcilers_epoch. Control context only.
+    std::map<std::string, coordination::group_reconciler> m_reconcilers;
+    std::uint64_t m_reconcilers_epoch = 0;            // control context only
+    std::map<state::endpoint_id, poll_state> m_polls; // control context only
+    state::time_point m_holder_since{};               // control context only
+    state::time_point m_free_models_sent_at{};        // control context only
     transport::endpoint_pool m_pool;
     std::atomic<bool> m_is_controller{false};
     std::atomic<bool> m_is_resigning{false};
