--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -13,6 +13,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <utility>
+
 namespace savoryrelay::edge {
 
 namespace asio = boost::asio;
@@ -238,14 +240,16 @@
         const bool is_holder = m_lease.phase(groups_lease, now) == state::lease_phase::holding;
         if (is_holder != m_is_controller.exchange(is_holder)) {
             log_info("controller", {{"outcome", is_holder ? "gained" : "lost"}});
+            m_holder_since = now;
+            for (auto& [id, poll] : m_polls) {
+                poll.next = now; // the first orders need a report of each runner
+            }
         }
         if (is_holder) {
             poll_due_runners(now);
             if (!m_is_resigning) {
                 plan_orders(now);
             }
-        } else {
-            m_reconcilers.clear();
         }
         timer.expires_after(step_interval);
         co_await timer.async_wait(asio::use_awaitable);
@@ -341,6 +345,12 @@
     }
     static_cast<void>(state::collect(
         [&] { return m_lease.end_order(ticket.value(), coordination::order_end::replied, now); }));
+    // A holder whose lease lapsed may renew it under the same fencing number. It keeps its
+    // reconcilers then, because the names of groups are unique within one.
+    if (std::exchange(m_reconcilers_epoch, ticket.value().fencing_number) !=
+        ticket.value().fencing_number) {
+        m_reconcilers.clear();
+    }
     for (const auto& [name, service] : configuration->services) {
         if (!service.engine) {
             continue;
@@ -352,6 +362,7 @@
         input.work = m_shared.work.all(now);
         input.is_first_start = m_is_first_start;
         input.epoch = ticket.value().fencing_number;
+        input.holder_since = m_holder_since;
         auto& reconciler =
             m_reconcilers.try_emplace(name, coordination::group_reconciler_settings{})
                 .first->second;
