Let the runner stand-in say that it leaves or wants a pause

Cause: no test could show what a host does with Server-Leaving or with a 503 that has a Retry-After, because the stand-in sent neither.

Change: the switch `leaving` adds Server-Leaving to all answers of a runner: calls, refusals, reports and orders. `pause_calls` refuses calls with 503, Not-Executed and the given Retry-After. GET /requests counts the calls, reports and orders that a runner received.

--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -21,6 +21,7 @@
 constexpr unsigned status_conflict = 409;
 constexpr unsigned status_precondition_failed = 412;
 constexpr unsigned status_misdirected_request = 421;
+constexpr unsigned status_unavailable = 503;
 
 // Returns whether `part` is in a list of ID:TOKENS entries, other than as the last one.
 bool has_shared_part(std::string_view prefix, std::string_view part) {
@@ -41,6 +42,20 @@
 runner_standin::runner_standin(control_switches& switches, std::string id, std::uint64_t started_ms)
     : m_switches(switches), m_id(std::move(id)), m_started_ms(started_ms) {}
 
+transport::http_fields runner_standin::answer_fields(std::string type) const {
+    auto fields = transport::content_type_field(std::move(type));
+    if (m_switches.leaving) {
+        fields.push_back({"Server-Leaving", "1"});
+    }
+    return fields;
+}
+
+asio::awaitable<void> runner_standin::answer(transport::response_writer& writer, unsigned status,
+                                             std::string body) {
+    auto fields = answer_fields("application/json");
+    co_await writer.send(status, std::move(fields), body);
+}
+
 std::string runner_standin::report() {
     const std::scoped_lock lock(m_mutex);
     json::object object;
@@ -149,7 +164,7 @@
 
 asio::awaitable<void> runner_standin::stream(const transport::http_request& request,
                                              transport::response_writer& writer) {
-    auto fields = transport::content_type_field("text/event-stream");
+    auto fields = answer_fields("text/event-stream");
     fields.push_back({"Attempt-Id", transport::header_of(request, "Attempt-Id")});
     fields.push_back({"Server-Seal", m_id});
     if (co_await writer.start(status_ok, std::move(fields))) {
@@ -180,7 +195,7 @@
                                              transport::response_writer& writer) {
     const auto expected = transport::header_of(request, "Expect-Instance");
     if (!expected.empty() && expected != m_id) {
-        co_await send_json(writer, status_misdirected_request, "{}");
+        co_await answer(writer, status_misdirected_request, "{}");
         co_return;
     }
     const bool is_control = request.target() == "/report" || request.target() == "/order";
@@ -188,12 +203,13 @@
         writer.abandon();
         co_return;
     }
+    m_requests += is_control ? 1 : 0;
     if (request.target() == "/report") {
-        co_await send_json(writer, status_ok, report());
+        co_await answer(writer, status_ok, report());
         co_return;
     }
     if (request.target() == "/order") {
-        co_await send_json(writer, receive_order(request.body()), "");
+        co_await answer(writer, receive_order(request.body()), "");
         co_return;
     }
     if (request.target() == "/orders") {
@@ -216,6 +232,19 @@
         co_await send_json(writer, status_ok, std::to_string(m_streams));
         co_return;
     }
+    if (request.target() == "/requests") {
+        co_await send_json(writer, status_ok, std::to_string(m_requests));
+        co_return;
+    }
+    ++m_requests;
+    if (const auto pause = m_switches.pause_calls.load(); !pause->empty()) {
+        auto fields = answer_fields("application/json");
+        fields.push_back({"Attempt-Id", transport::header_of(request, "Attempt-Id")});
+        fields.push_back({"Not-Executed", "1"});
+        fields.push_back({"Retry-After", *pause});
+        co_await writer.send(status_unavailable, std::move(fields), "{}");
+        co_return;
+    }
     bool is_head = true;
     const bool needs_model = !transport::header_of(request, "Model").empty();
     {
@@ -226,7 +255,7 @@
         }
     }
     if (!is_head) {
-        co_await send_json(writer, status_misdirected_request, "{}");
+        co_await answer(writer, status_misdirected_request, "{}");
         co_return;
     }
     if (needs_model) {
@@ -247,7 +276,7 @@
         writer.abandon();
         co_return;
     }
-    auto fields = transport::content_type_field("text/plain");
+    auto fields = answer_fields("text/plain");
     fields.push_back({"Attempt-Id", transport::header_of(request, "Attempt-Id")});
     fields.push_back({"Server-Seal", m_id});
     fields.push_back({"Seen-Customer", transport::header_of(request, "Tenant")});
--- a/src/standin/runner_standin.h
+++ b/src/standin/runner_standin.h
@@ -22,7 +22,8 @@
     runner_standin(control_switches& switches, std::string id, std::uint64_t started_ms);
 
     /// Serves GET /report, POST /order, GET /runs (number of calls that began to run) and
-    /// GET /run_ids (their ids, one a line), GET /streams (number of streams whose caller is
+    /// GET /run_ids (their ids, one a line), GET /requests (number of calls, reports and orders
+    /// that were received), GET /streams (number of streams whose caller is
     /// still connected) and GET /orders (received orders and the status of their answers,
     /// oldest first), and handles any other request as a call. A call with a model gets a
     /// stream of `max_events` events; a call without a model gets a short body. A call that the
@@ -33,6 +34,9 @@
 private:
     static constexpr int max_events = 8;
 
+    [[nodiscard]] transport::http_fields answer_fields(std::string type) const;
+    boost::asio::awaitable<void> answer(transport::response_writer& writer, unsigned status,
+                                        std::string body);
     [[nodiscard]] std::string report();
     [[nodiscard]] std::vector<std::string> run_ids();
     [[nodiscard]] std::string orders();
@@ -49,6 +53,7 @@
     state::runner_record m_record;      // guarded by m_mutex
     std::vector<std::string> m_run_ids; // of calls that began; guarded by m_mutex
     std::vector<std::pair<std::string, unsigned>> m_orders; // guarded by m_mutex
+    std::atomic<int> m_requests{0};                         // calls, reports and orders received
     std::atomic<int> m_streams{0}; // streams whose caller is still connected
 };
 
--- a/src/standin/standin_control.cpp
+++ b/src/standin/standin_control.cpp
@@ -35,6 +35,8 @@
         {"token_ms", number(switches.token_ms)},
         {"drop_reports_and_orders", flag(switches.drop_reports_and_orders)},
         {"refuse_calls", flag(switches.refuse_calls)},
+        {"leaving", flag(switches.leaving)},
+        {"pause_calls", text_value(switches.pause_calls)},
         {"cross_answers", flag(switches.cross_answers)},
         {"reset_connections", flag(switches.reset_connections)},
         {"crash_on_part", text_value(switches.crash_on_part)},
--- a/src/standin/standin_control.h
+++ b/src/standin/standin_control.h
@@ -23,9 +23,12 @@
     std::atomic<bool> drop_reports_and_orders{
         false}; ///< closes the connections of requests for reports and of orders
     std::atomic<bool> refuse_calls{false};  ///< a runner answers 421 to calls with a model
+    std::atomic<bool> leaving{false};       ///< all answers of a runner say that it leaves
     std::atomic<bool> cross_answers{false}; ///< answers have the id of another request
     std::atomic<bool> reset_connections{
         false}; ///< resets all connections, once, after the answer to the control message
+    state::snapshot_cell<std::string> pause_calls{
+        std::string{}}; ///< a runner refuses calls with 503 and this Retry-After; empty: none
     state::snapshot_cell<std::string> crash_on_part{
         std::string{}}; ///< part of a prompt, other than the last, that crashes the runner; empty:
                         ///< none
