Hold what speaks against a runner in one table

Cause: a draining entry was a sticky flag of the runner's record, the pause after a failed call and the backoff after a refusal shared one time. Signals in answers would have added further flags, without a source.

Change: `runner_exclusions` holds one row for each reason, with its source and its end, and is emptied by a new incarnation. The record keeps what the entry says. The selector and the group reconciler ask the table. A silence stays beside it: an answer ends it, and the reconciler needs its begin. `savoryrelay_runners_excluded` gives the number of runners by reason. One test reads the end of the backoff from the table instead of the member that is gone, with the same bounds.

--- a/src/edge/state_gauges.cpp
+++ b/src/edge/state_gauges.cpp
@@ -26,10 +26,15 @@
     std::map<std::pair<std::string, std::string>, std::int64_t> groups;
     std::int64_t listed = 0;
     std::int64_t silent = 0;
+    std::map<coordination::exclusion_reason, std::int64_t> excluded;
     const auto fleet = shared.fleet.snapshot();
     for (const auto& runner : *fleet) {
         listed += runner.is_listed(now) ? 1 : 0;
         silent += runner.silent_since ? 1 : 0;
+        for (const auto& row : state::enum_table<coordination::exclusion_reason>::rows) {
+            excluded[row.value] +=
+                runner.is_listed(now) && runner.exclusions.contains(row.value, now) ? 1 : 0;
+        }
         if (runner.record.is_head()) {
             ++groups[{runner.record.model,
                       std::string(state::to_name(runner.record.membership->state))}];
@@ -37,6 +42,10 @@
     }
     set("savoryrelay_runners_listed", listed);
     set("savoryrelay_runners_silent", silent);
+    for (const auto& row : state::enum_table<coordination::exclusion_reason>::rows) {
+        set("savoryrelay_runners_excluded", excluded[row.value],
+            {{"reason", std::string(row.name)}});
+    }
     for (const auto& [name, service] : shared.configuration.load()->services) {
         if (!service.engine) {
             continue;
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -13,10 +13,9 @@
     runner.record.sequence = 0;
     runner.record.membership.reset();
     runner.record.model.clear();
-    runner.record.is_draining = false;
     runner.silent_since.reset();
     runner.reported_at.reset();
-    runner.avoided_until = {};
+    runner.exclusions.clear();
     runner.refusal_backoff = state::milliseconds(0);
     runner.is_order_in_progress = false;
     runner.awaits_report_since.reset();
@@ -59,7 +58,10 @@
         runner.cold_until = std::max(runner.cold_until, now + entry.cold_remaining);
         const auto known = runner.record;
         runner.record = entry;
-        runner.record.is_draining = entry.is_draining || (!is_new && known.is_draining);
+        if (entry.is_draining) {
+            runner.exclusions.add(exclusion_reason::draining, exclusion_source::entry, now,
+                                  runner_exclusion::no_end);
+        }
 
         // Entries carry no sequence number of orders, and lag behind reports.
         runner.record.sequence = is_new ? 0 : known.sequence;
@@ -201,12 +203,14 @@
 
 void fleet_table::note_refusal(const state::endpoint_id& id, state::time_point now) {
     m_runners.update_existing(id, [&](runner_view& runner) {
-        if (now < runner.avoided_until) {
+        if (runner.exclusions.contains(exclusion_reason::not_serving, now) ||
+            runner.exclusions.contains(exclusion_reason::call_failed, now)) {
             return; // the call was sent before the backoff began
         }
         runner.refusal_backoff =
             std::clamp(2 * runner.refusal_backoff, min_refusal_backoff, max_refusal_backoff);
-        runner.avoided_until = now + runner.refusal_backoff;
+        runner.exclusions.add(exclusion_reason::not_serving, exclusion_source::call, now,
+                              now + runner.refusal_backoff);
     });
     m_is_changed = true;
 }
@@ -217,9 +221,10 @@
     m_is_changed = true;
 }
 
-void fleet_table::avoid(const state::endpoint_id& id, state::time_point until) {
+void fleet_table::avoid(const state::endpoint_id& id, state::time_point now,
+                        state::time_point until) {
     m_runners.update_existing(id, [&](runner_view& runner) {
-        runner.avoided_until = std::max(runner.avoided_until, until);
+        runner.exclusions.add(exclusion_reason::call_failed, exclusion_source::call, now, until);
     });
     m_is_changed = true;
 }
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -2,6 +2,7 @@
 // observations of other hosts, and whether they answer.
 #pragma once
 
+#include "savoryrelay/coordination/serving/runner_exclusions.h"
 #include "savoryrelay/state/core/sharded_map.h"
 #include "savoryrelay/state/core/snapshot_cell.h"
 #include "savoryrelay/state/serving/peer_digest.h"
@@ -34,7 +35,7 @@
     /// Until then, a peer's observation that the runner answers is valid.
     std::optional<state::time_point> peer_confirmed_until;
     state::time_point cold_until{};                ///< until then, the rate of its calls is limited
-    state::time_point avoided_until{};             ///< end of a pause after failed calls
+    runner_exclusions exclusions;                  ///< of this incarnation
     state::milliseconds refusal_backoff{0};        ///< last backoff; 0 after an answer
     std::optional<state::time_point> last_head_at; ///< when it was last seen as a group's head
     bool is_order_in_progress = false;
@@ -67,10 +68,14 @@
     [[nodiscard]] bool is_state_reported(state::time_point now) const {
         return reported_at && now - *reported_at < report_precedence && !has_unconfirmed_order();
     }
+    /// Returns whether the runner is about to stop.
+    [[nodiscard]] bool is_leaving(state::time_point now) const {
+        return exclusions.contains(exclusion_reason::draining, now);
+    }
     /// Returns whether the runner may receive calls at `now`. Does not check its
     /// group or zone.
     [[nodiscard]] bool may_take_calls(state::time_point now) const {
-        return is_listed(now) && !record.is_draining && !silent_since && now >= avoided_until;
+        return is_listed(now) && !silent_since && !exclusions.any(now);
     }
 };
 
@@ -120,8 +125,9 @@
     /// Records that the runner refused a call because it is not the head of an open
     /// group, and starts a backoff.
     void note_refusal(const state::endpoint_id& id, state::time_point now);
-    /// Excludes the runner from new calls until `until`.
-    void avoid(const state::endpoint_id& id, state::time_point until);
+    /// Records that a call of this host failed. Excludes the runner from new calls until
+    /// `until`.
+    void avoid(const state::endpoint_id& id, state::time_point now, state::time_point until);
 
     [[nodiscard]] std::optional<runner_view> find(const state::endpoint_id& id) const;
 
--- a/src/savoryrelay/coordination/serving/group_reconciler.cpp
+++ b/src/savoryrelay/coordination/serving/group_reconciler.cpp
@@ -151,7 +151,7 @@
             });
         const bool is_leaving =
             std::any_of(group.members.begin(), group.members.end(), [&](const auto* member) {
-                return member->record.is_draining ||
+                return member->is_leaving(current.now) ||
                        (!member->is_listed(current.now) && current.has_fresh_report(*member));
             });
         if (membership.state == membership_state::open) {
--- a/src/savoryrelay/coordination/serving/group_reconciler_step.h
+++ b/src/savoryrelay/coordination/serving/group_reconciler_step.h
@@ -42,7 +42,7 @@
         return runner.reported_at && now - *runner.reported_at < max_report_age;
     }
     [[nodiscard]] bool is_usable(const runner_view& runner) const {
-        return runner.is_listed(now) && !runner.record.is_draining && !runner.silent_since &&
+        return runner.is_listed(now) && !runner.is_leaving(now) && !runner.silent_since &&
                has_fresh_report(runner) &&
                !input.zones_out_of_service.contains(runner.record.availability_zone);
     }
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -262,7 +262,8 @@
 }
 
 void serving_front::avoid(const state::endpoint_id& endpoint) {
-    m_dependencies.fleet.avoid(endpoint, m_dependencies.now() + avoidance_after_failure);
+    const auto now = m_dependencies.now();
+    m_dependencies.fleet.avoid(endpoint, now, now + avoidance_after_failure);
     m_dependencies.report_suspect(endpoint);
 }
 
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -42,6 +42,12 @@
     return value;
 }
 
+state::time_point backoff_end(const fleet_table& fleet, state::time_point now) {
+    const auto backoff = fleet.find(id)->exclusions.find(exclusion_reason::not_serving, now);
+    REQUIRE(backoff);
+    return backoff->until;
+}
+
 } // namespace
 
 TEST_CASE("no observation pairs the sequence of a join with the state before the join") {
@@ -181,12 +187,12 @@
     fleet.apply_entry(entry(5), start);
     const auto backoff_after = [&](state::time_point at) {
         fleet.note_refusal(id, at);
-        return fleet.find(id)->avoided_until - at;
+        return backoff_end(fleet, at) - at;
     };
     CHECK(backoff_after(start) == fleet_table::min_refusal_backoff);
     // A refusal during the backoff does not extend it: the call was sent before it began.
     fleet.note_refusal(id, start + 10ms);
-    CHECK(fleet.find(id)->avoided_until == start + fleet_table::min_refusal_backoff);
+    CHECK(backoff_end(fleet, start + 10ms) == start + fleet_table::min_refusal_backoff);
     CHECK(backoff_after(start + 1s) == 2 * fleet_table::min_refusal_backoff);
     CHECK(backoff_after(start + 10s) == 4 * fleet_table::min_refusal_backoff);
     for (int i = 2; i < 10; ++i) {
