Send no calls to a runner that says in an answer that it leaves

Cause: a host learned that a runner leaves from its entry alone. While the store was away or came back from an older copy, or before the entry changed, the runner went on getting calls.

Change: the head of each answer to a call, a report or an order is read for Server-Leaving before its body, whatever its status and whether or not the answer is cut later. It excludes the incarnation of the runner: no entry, report or observation undoes it, and a runner that left is remembered for ten minutes after it was forgotten. The group reconciler treats the runner as a draining member.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -78,8 +78,8 @@
                m_settings.leave_limit, make_crash_hooks()),
       m_threads(1 + m_settings.call_threads),
       m_store(m_threads, {m_settings.store.address, m_settings.store.port}),
-      m_tables(m_threads, m_store, m_shared, read_clock),
-      m_groups(m_threads, m_store, m_shared, m_settings, m_incarnation, read_clock),
+      m_signals(m_shared, read_clock), m_tables(m_threads, m_store, m_shared, read_clock),
+      m_groups(m_threads, m_store, m_shared, m_signals, m_settings, m_incarnation, read_clock),
       m_peers(m_threads, m_store, m_shared, m_tables, m_groups, m_settings, m_incarnation,
               read_clock),
       m_selector(m_shared.fleet, m_shared.loads, m_shared.correction, m_shared.own_host,
@@ -93,8 +93,11 @@
                [this](const std::string& model, double work_ms) {
                    m_shared.work.note(model, work_ms, read_clock());
                },
-               [this](const state::endpoint_id& id) { m_groups.report_suspect(id); }, read_clock}) {
-}
+               [this](const state::endpoint_id& id) { m_groups.report_suspect(id); },
+               [this](const state::runner_record& runner, const state::answer_head& answer) {
+                   m_signals.note_answer(runner, answer);
+               },
+               read_clock}) {}
 
 edge_host::~edge_host() {
     m_groups.stop(); // waits for a call to the store, which needs the threads
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -3,6 +3,7 @@
 
 #include "group_part.h"
 #include "peer_part.h"
+#include "runner_signals.h"
 #include "shared_state.h"
 #include "store_part.h"
 
@@ -41,6 +42,7 @@
     shared_state m_shared;
     transport::io_threads m_threads;
     platform::store_client m_store;
+    runner_signals m_signals;
     store_part m_tables;
     group_part m_groups;
     peer_part m_peers;
--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -1,7 +1,6 @@
 // Maintains the lease, requests reports from runners and sends them orders.
 #include "group_part.h"
 
-#include "platform/runner_client.h"
 #include "savoryrelay/coordination/serving/runner_observations.h"
 #include "savoryrelay/protocol/lease/lease_text.h"
 #include "savoryrelay/transport/process/control_loop.h"
@@ -70,9 +69,10 @@
 } // namespace
 
 group_part::group_part(transport::io_threads& threads, platform::store_client& store,
-                       shared_state& shared, const protocol::edge_settings& settings,
-                       std::uint64_t incarnation, std::function<state::time_point()> now)
-    : m_threads(threads), m_shared(shared), m_host(settings.host),
+                       shared_state& shared, runner_signals& signals,
+                       const protocol::edge_settings& settings, std::uint64_t incarnation,
+                       std::function<state::time_point()> now)
+    : m_threads(threads), m_shared(shared), m_signals(signals), m_host(settings.host),
       m_is_first_start(settings.is_first_start), m_processor_share(settings.processor_share),
       m_now(std::move(now)), m_lease(lease_times, state::member_id(m_host.value()), incarnation,
                                      {.platform = store.lease_hooks(lease_table, m_host.value()),
@@ -182,8 +182,14 @@
     }
 }
 
+platform::answer_head_hook group_part::signal_hook(const state::runner_record& runner) {
+    return
+        [this, runner](const state::answer_head& answer) { m_signals.note_answer(runner, answer); };
+}
+
 asio::awaitable<void> group_part::poll_for_controller(state::runner_record runner) {
-    const auto report = co_await platform::fetch_report(m_pool, runner, report_timeout);
+    const auto report =
+        co_await platform::fetch_report(m_pool, runner, report_timeout, signal_hook(runner));
     if (!report) {
         co_return;
     }
@@ -278,7 +284,8 @@
 }
 
 asio::awaitable<void> group_part::poll_runner(state::runner_record runner) {
-    const auto report = co_await platform::fetch_report(m_pool, runner, report_timeout);
+    const auto report =
+        co_await platform::fetch_report(m_pool, runner, report_timeout, signal_hook(runner));
     const auto now = m_now();
     auto& poll = m_polls[runner.id];
     poll.is_in_progress = false;
@@ -372,10 +379,11 @@
         co_return;
     }
     const auto sent_at = m_now();
-    const auto answer =
-        co_await platform::send_order(m_pool, runner, order, lease_times.order_timeout, [this] {
-            return m_lease.phase(groups_lease, m_now()) == state::lease_phase::holding;
-        });
+    const auto may_send = [this] {
+        return m_lease.phase(groups_lease, m_now()) == state::lease_phase::holding;
+    };
+    const auto answer = co_await platform::send_order(
+        m_pool, runner, order, lease_times.order_timeout, may_send, signal_hook(runner));
     const auto result = answer.result;
     const auto now = m_now();
     const auto end = result == state::runner_order_result::unknown
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -2,8 +2,10 @@
 // and sends the orders that the group reconcilers plan.
 #pragma once
 
+#include "runner_signals.h"
 #include "shared_state.h"
 
+#include "platform/runner_client.h"
 #include "platform/store_client.h"
 #include "savoryrelay/coordination/lease/lease_coordinator.h"
 #include "savoryrelay/coordination/serving/group_reconciler.h"
@@ -26,8 +28,8 @@
 class group_part {
 public:
     group_part(transport::io_threads& threads, platform::store_client& store, shared_state& shared,
-               const protocol::edge_settings& settings, std::uint64_t incarnation,
-               std::function<state::time_point()> now);
+               runner_signals& signals, const protocol::edge_settings& settings,
+               std::uint64_t incarnation, std::function<state::time_point()> now);
 
     void start();
     /// Plans no further orders, and releases the lease once no order is in flight.
@@ -68,6 +70,8 @@
     /// the lease.
     [[nodiscard]] state::milliseconds takeover_delay() const;
     boost::asio::awaitable<void> run_steps();
+    /// Returns a hook that records what `runner` says of itself in an answer.
+    [[nodiscard]] platform::answer_head_hook signal_hook(const state::runner_record& runner);
     void plan_orders(state::time_point now);
     void poll_due_runners(state::time_point now);
     boost::asio::awaitable<void> poll_runner(state::runner_record runner);
@@ -76,6 +80,7 @@
 
     transport::io_threads& m_threads;
     shared_state& m_shared;
+    runner_signals& m_signals;
     const state::host_id m_host;
     const bool m_is_first_start;
     const double m_processor_share;
--- /dev/null
+++ b/src/edge/runner_signals.h
@@ -0,0 +1,30 @@
+// Records what runners say of themselves in the heads of their answers.
+#pragma once
+
+#include "shared_state.h"
+
+#include "savoryrelay/coordination/serving/runner_exclusions.h"
+#include "savoryrelay/state/serving/serving_call.h"
+
+#include <functional>
+
+namespace savoryrelay::edge {
+
+/// Applies the runners' signals to the fleet, counts and logs them. Thread-safe.
+class runner_signals {
+public:
+    runner_signals(shared_state& shared, std::function<state::time_point()> now)
+        : m_shared(shared), m_now(std::move(now)) {}
+
+    /// Records the head of an answer of `runner` to this host.
+    void note_answer(const state::runner_record& runner, const state::answer_head& answer);
+
+private:
+    void note_leaving(const state::endpoint_id& runner, std::uint64_t started_ms,
+                      coordination::exclusion_source source, state::time_point now);
+
+    shared_state& m_shared;
+    const std::function<state::time_point()> m_now;
+};
+
+} // namespace savoryrelay::edge
--- a/src/savoryrelay/coordination/serving/call_progress.cpp
+++ b/src/savoryrelay/coordination/serving/call_progress.cpp
@@ -40,6 +40,13 @@
     }
 }
 
+void call_progress::withdraw_attempt() {
+    assert(m_open > 0);
+    --m_open;
+    const bool is_first = m_attempts == 0 && m_open == 0;
+    m_has_reserved = !is_first;
+}
+
 bool call_progress::allows_attempt() const {
     if (m_has_ended || (m_refusals > max_refusals && !m_has_begun)) {
         return false;
--- a/src/savoryrelay/coordination/serving/call_progress.h
+++ b/src/savoryrelay/coordination/serving/call_progress.h
@@ -92,6 +92,10 @@
     /// open while the call keeps silent endpoints.
     void begin_attempt() { ++m_open; }
 
+    /// Withdraws an attempt of which nothing was sent. It counts as no attempt, and a repeat that
+    /// it took is reserved for the next one.
+    void withdraw_attempt();
+
     /// Records the end of an attempt. An endpoint that ended before it answered counts towards
     /// the number of endpoints that may run the call, because the call may have ended it. An
     /// endpoint that ended while it answered does not count.
--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -42,8 +42,11 @@
                             ? select_group(service, *model, call, runners, time_left, now)
                             : select_least_loaded(runners, now);
         if (auto* endpoint = std::get_if<selected_endpoint>(&selected)) {
-            if (!admit_cold_call(service, endpoint->runner, now)) {
-                is_cold_limit_reached = true;
+            // The snapshot may be older than what the endpoint has said.
+            const auto known = m_fleet.find(endpoint->runner.record.id);
+            const bool is_unwanted = !known || known->is_leaving(now);
+            if (is_unwanted || !admit_cold_call(service, endpoint->runner, now)) {
+                is_cold_limit_reached = is_cold_limit_reached || !is_unwanted;
                 std::erase_if(runners, [&](const auto* each) {
                     return each->record.id == endpoint->runner.record.id;
                 });
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -2,6 +2,7 @@
 #include "savoryrelay/coordination/serving/fleet_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace savoryrelay::coordination {
 namespace {
@@ -33,6 +34,13 @@
     }
 }
 
+bool is_forgotten(const runner_view& runner, state::time_point now) {
+    const auto answered = runner.answered_at.value_or(state::time_point{});
+    return !runner.has_entry && runner.unlisted_from &&
+           now - *runner.unlisted_from > fleet_table::forget_after &&
+           now - answered > fleet_table::forget_after;
+}
+
 // Returns whether the observation repeats what is known of a runner that answers.
 bool is_known(const runner_view& runner, const state::runner_observation& observation) {
     const auto& record = runner.record;
@@ -45,6 +53,7 @@
 } // namespace
 
 void fleet_table::apply_entry(const state::runner_record& entry, state::time_point now) {
+    const auto departed = m_departures.find(entry.id);
     m_runners.update(entry.id, [&](runner_view& runner) {
         const bool is_new = runner.record.id.empty();
         if (!is_new && entry.started_ms < runner.record.started_ms) {
@@ -62,6 +71,10 @@
             runner.exclusions.add(exclusion_reason::draining, exclusion_source::entry, now,
                                   runner_exclusion::no_end);
         }
+        if (is_new && departed && departed->started_ms == entry.started_ms) {
+            runner.exclusions.add(exclusion_reason::leaving, exclusion_source::answer, now,
+                                  runner_exclusion::no_end);
+        }
 
         // Entries carry no sequence number of orders, and lag behind reports.
         runner.record.sequence = is_new ? 0 : known.sequence;
@@ -229,16 +242,42 @@
     m_is_changed = true;
 }
 
+bool fleet_table::note_leaving(const state::endpoint_id& id, std::uint64_t started_ms,
+                               exclusion_source source, state::time_point now) {
+    bool is_new = false;
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        is_new =
+            runner.record.started_ms == started_ms &&
+            runner.exclusions.add(exclusion_reason::leaving, source, now, runner_exclusion::no_end);
+    });
+    if (is_new) {
+        m_is_changed = true;
+    }
+    return is_new;
+}
+
 std::optional<runner_view> fleet_table::find(const state::endpoint_id& id) const {
     return m_runners.find(id);
 }
 
-void fleet_table::refresh(state::time_point now) {
-    const auto removed = m_runners.erase_if([&](const auto&, const runner_view& runner) {
-        const auto answered = runner.answered_at.value_or(state::time_point{});
-        return !runner.has_entry && runner.unlisted_from &&
-               now - *runner.unlisted_from > forget_after && now - answered > forget_after;
+void fleet_table::remember_departures(state::time_point now) {
+    std::vector<std::pair<state::endpoint_id, departure>> departed;
+    m_runners.for_each([&](const state::endpoint_id& id, const runner_view& runner) {
+        if (is_forgotten(runner, now) && runner.is_leaving(now)) {
+            departed.push_back({id, {runner.record.started_ms, now + departure_retention}});
+        }
     });
+    for (const auto& [id, each] : departed) {
+        m_departures.update(id, [&each = each](departure& known) { known = each; });
+    }
+    m_departures.erase_if(
+        [&](const auto&, const departure& each) { return now >= each.forgotten_at; });
+}
+
+void fleet_table::refresh(state::time_point now) {
+    remember_departures(now);
+    const auto removed = m_runners.erase_if(
+        [&](const auto&, const runner_view& runner) { return is_forgotten(runner, now); });
     const bool is_changed = m_is_changed.exchange(false) || removed > 0;
     fleet_snapshot all;
     m_runners.update_each([&](const auto&, runner_view& runner) {
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -70,7 +70,8 @@
     }
     /// Returns whether the runner is about to stop.
     [[nodiscard]] bool is_leaving(state::time_point now) const {
-        return exclusions.contains(exclusion_reason::draining, now);
+        return exclusions.contains(exclusion_reason::draining, now) ||
+               exclusions.contains(exclusion_reason::leaving, now);
     }
     /// Returns whether the runner may receive calls at `now`. Does not check its
     /// group or zone.
@@ -98,6 +99,10 @@
     static constexpr state::milliseconds min_refusal_backoff{250};
     static constexpr state::milliseconds max_refusal_backoff{4'000};
 
+    /// A runner that said that it leaves is remembered for this long after its removal, so
+    /// that an old copy of the store does not make it a candidate again.
+    static constexpr state::milliseconds departure_retention{600'000};
+
     fleet_table() : m_snapshot(fleet_snapshot{}) {}
 
     /// Applies a runner's entry that was read at `now`.
@@ -128,6 +133,10 @@
     /// Records that a call of this host failed. Excludes the runner from new calls until
     /// `until`.
     void avoid(const state::endpoint_id& id, state::time_point now, state::time_point until);
+    /// Records that the runner's incarnation `started_ms` said that it leaves. Neither an entry
+    /// nor an observation undoes it. Returns whether this is new.
+    bool note_leaving(const state::endpoint_id& id, std::uint64_t started_ms,
+                      exclusion_source source, state::time_point now);
 
     [[nodiscard]] std::optional<runner_view> find(const state::endpoint_id& id) const;
 
@@ -140,7 +149,16 @@
     }
 
 private:
+    struct departure {
+        std::uint64_t started_ms = 0;
+        state::time_point forgotten_at{};
+    };
+
+    /// Remembers the leaving runners among those that `refresh` is about to remove.
+    void remember_departures(state::time_point now);
+
     state::sharded_map<state::endpoint_id, runner_view> m_runners;
+    state::sharded_map<state::endpoint_id, departure> m_departures; // of removed runners
     state::snapshot_cell<fleet_snapshot> m_snapshot;
     std::atomic<bool> m_is_changed{false}; // since the snapshot was built
 };
--- a/src/savoryrelay/coordination/serving/runner_exclusions.h
+++ b/src/savoryrelay/coordination/serving/runner_exclusions.h
@@ -14,14 +14,16 @@
 /// Why a runner gets no new calls from this host.
 enum class exclusion_reason {
     draining,    ///< its entry says that it is about to stop
+    leaving,     ///< it said in an answer that it is about to stop
     call_failed, ///< a call got no answer
     not_serving, ///< it refused a call because it is not the head of an open group
 };
 
 /// How this host learned of an exclusion.
 enum class exclusion_source {
-    entry, ///< the runner's entry on the platform
-    call,  ///< the outcome of a call of this host
+    entry,  ///< the runner's entry on the platform
+    answer, ///< an answer of the runner to this host
+    call,   ///< the outcome of a call of this host
 };
 
 } // namespace savoryrelay::coordination
@@ -31,6 +33,7 @@
     using r = savoryrelay::coordination::exclusion_reason;
     static constexpr std::array rows{
         enum_name<r>{r::draining, "draining"},
+        enum_name<r>{r::leaving, "leaving"},
         enum_name<r>{r::call_failed, "call_failed"},
         enum_name<r>{r::not_serving, "not_serving"},
     };
@@ -41,6 +44,7 @@
     using s = savoryrelay::coordination::exclusion_source;
     static constexpr std::array rows{
         enum_name<s>{s::entry, "entry"},
+        enum_name<s>{s::answer, "answer"},
         enum_name<s>{s::call, "call"},
     };
 };
--- a/src/savoryrelay/state/serving/serving_call.h
+++ b/src/savoryrelay/state/serving/serving_call.h
@@ -33,6 +33,7 @@
     std::string request_id;         ///< request id that the endpoint echoes
     bool is_not_run = false;        ///< the endpoint reports that it has not run the request
     bool is_other_endpoint = false; ///< another runner now uses the address
+    bool is_leaving = false;        ///< the endpoint is about to stop
     std::string faulty_runner;      ///< member that the answering head cannot reach; empty: none
 };
 
--- a/src/savoryrelay/transport/http/short_exchange.cpp
+++ b/src/savoryrelay/transport/http/short_exchange.cpp
@@ -48,6 +48,9 @@
                                  target.address + ": " + failed.message()};
     }
     short_answer answer{connection->status(), {}, connection->fields()};
+    if (target.on_head) {
+        target.on_head(answer.status, answer.fields);
+    }
     std::vector<char> buffer(read_buffer_bytes);
     const auto deadline = std::chrono::steady_clock::now() + target.whole_answer_timeout;
     while (true) {
--- a/src/savoryrelay/transport/http/short_exchange.h
+++ b/src/savoryrelay/transport/http/short_exchange.h
@@ -21,6 +21,8 @@
     state::milliseconds answer_timeout{1'000}; ///< until the head, and for each further piece
     std::function<bool()> may_send{};          ///< asked once the connection is open; null: always
     state::milliseconds whole_answer_timeout{10'000}; ///< from the head until the end
+    /// Called with the head of the answer before its body is read; null: not called.
+    std::function<void(unsigned status, const http_fields& fields)> on_head{};
 };
 
 /// A complete answer.
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -50,6 +50,13 @@
 
 } // namespace
 
+state::answer_head serving_front::read_answer_head(const call_state& call) {
+    const auto& connection = *call.current->connection;
+    auto answer = m_dependencies.codec.decode_answer(connection.status(), connection.fields());
+    m_dependencies.report_answer(call.current->chosen.runner.record, answer);
+    return answer;
+}
+
 asio::awaitable<serving_front::attempt_result> serving_front::read_whole_answer(call_state& call) {
     attempt_result end;
     std::vector<char> buffer(read_buffer_bytes);
@@ -88,7 +95,7 @@
         }
         const auto status = call.current->connection->status();
         const auto fields = call.current->connection->fields();
-        const auto answer = m_dependencies.codec.decode_answer(status, fields);
+        const auto answer = read_answer_head(call);
         const bool is_own = belongs_to(answer, call.decoded.id);
         if (is_own && is_head(call.request)) {
             call.current->connection->skip_body();
@@ -174,8 +181,7 @@
         if (no_header) {
             co_return failed_with("no answer", no_header);
         }
-        if (belongs_to(m_dependencies.codec.decode_answer(connection.status(), connection.fields()),
-                       call.decoded.id)) {
+        if (belongs_to(read_answer_head(call), call.decoded.id)) {
             attempt.has_header = true;
             call.events.resume();
             if (is_head(call.request)) {
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -161,6 +161,13 @@
            !m_dependencies.crashes.is_quarantined(call.fingerprints, now);
 }
 
+bool serving_front::is_leaving(const call_state& call) const {
+    const auto& endpoint = call.current->chosen.runner.record;
+    const auto known = m_dependencies.fleet.find(endpoint.id);
+    return known && known->record.started_ms == endpoint.started_ms &&
+           known->is_leaving(m_dependencies.now());
+}
+
 asio::awaitable<serving_front::attempt_result> serving_front::try_endpoint(call_state& call) {
     auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
     auto& attempt = *call.current;
@@ -188,6 +195,13 @@
     if (call.caller_is_gone) {
         co_return end;
     }
+    if (is_leaving(call)) {
+        call.tried.erase(runner.id);
+        end.is_withdrawn = true;
+        end.outcome = attempt_outcome::not_run;
+        end.reason = "the endpoint leaves";
+        co_return end;
+    }
     if (!may_send(call)) {
         call.tried.erase(runner.id);
         end.outcome = attempt_outcome::not_run;
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -188,6 +188,12 @@
             continue;
         }
         const auto attempt = std::move(call.current);
+        if (end.is_withdrawn && !call.caller_is_gone) {
+            progress.withdraw_attempt();
+            --call.attempts;
+            call.may_have_run_at.erase(attempt->chosen.runner.record.id);
+            continue;
+        }
         progress.note(end.outcome, !end.endpoint_ended   ? endpoint_end::none
                                    : attempt->is_writing ? endpoint_end::during_answer
                                                          : endpoint_end::before_answer);
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -42,6 +42,9 @@
     /// Called when an endpoint did not answer, or when a head reports a member that it
     /// cannot reach. This and other entry hosts then check whether it is alive.
     std::function<void(const state::endpoint_id&)> report_suspect;
+    /// Called with the head of each answer before its body is read. Records what the endpoint
+    /// says of itself.
+    std::function<void(const state::runner_record&, const state::answer_head&)> report_answer;
     std::function<state::time_point()> now;
 };
 
@@ -78,12 +81,16 @@
     /// Counts and logs an attempt that has failed.
     void report_failed_attempt(const call_state& call, const open_attempt& attempt,
                                const attempt_result& end);
+    /// Decodes the head of the answer that the current attempt has read, and reports it.
+    state::answer_head read_answer_head(const call_state& call);
     /// Adds the call to the work of its model, once. A refused call is no work, and must not draw
     /// groups to its model.
     void report_work(call_state& call);
     /// Returns whether the request may still be sent to the chosen endpoint. The process may
     /// have been paused since the choice.
     [[nodiscard]] bool may_send(const call_state& call) const;
+    /// Returns whether the chosen endpoint has said since the choice that it leaves.
+    [[nodiscard]] bool is_leaving(const call_state& call) const;
     /// Connects to the endpoint, sends the request and relays the answer.
     boost::asio::awaitable<attempt_result> try_endpoint(call_state& call);
     /// Goes on with an attempt that was kept.
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -250,3 +250,57 @@
     CHECK(fleet.find(id)->last_model == "small");
     CHECK_FALSE(fleet.find(id)->record.membership);
 }
+
+TEST_CASE("only a new incarnation takes calls after one that said that it leaves") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    CHECK(fleet.note_leaving(id, 5, exclusion_source::answer, start));
+    CHECK_FALSE(fleet.note_leaving(id, 5, exclusion_source::answer, start));
+    CHECK_FALSE(fleet.find(id)->may_take_calls(start));
+    CHECK(fleet.find(id)->is_leaving(start));
+
+    // Neither an entry that says ready, nor a report, nor an observation undoes it.
+    fleet.apply_entry(entry(5), start + 1s);
+    fleet.apply_report(id, report(5, 1, "g"), start + 1s);
+    state::runner_observation observation;
+    observation.id = id;
+    observation.started_ms = 5;
+    observation.sequence = 2;
+    fleet.apply_observation(observation, start + 1s);
+    fleet.apply_removal(id, start + 2s);
+    fleet.apply_entry(entry(5), start + 3s);
+    CHECK_FALSE(fleet.find(id)->may_take_calls(start + 1h));
+
+    fleet.apply_entry(entry(6), start + 4s);
+    CHECK(fleet.find(id)->may_take_calls(start + 4s));
+    // A late answer of the earlier incarnation says nothing of the new one.
+    CHECK_FALSE(fleet.note_leaving(id, 5, exclusion_source::answer, start + 5s));
+    CHECK(fleet.find(id)->may_take_calls(start + 5s));
+}
+
+TEST_CASE("an old copy of the store does not bring back a runner that left and was forgotten") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    fleet.note_leaving(id, 5, exclusion_source::answer, start);
+    fleet.apply_removal(id, start);
+    const auto forgotten = start + fleet_table::forget_after + 1ms;
+    fleet.refresh(forgotten);
+    REQUIRE_FALSE(fleet.find(id));
+
+    fleet.apply_entry(entry(5), forgotten + 1s);
+    CHECK_FALSE(fleet.find(id)->may_take_calls(forgotten + 1s));
+    fleet.apply_entry(entry(6), forgotten + 2s);
+    CHECK(fleet.find(id)->may_take_calls(forgotten + 2s));
+}
+
+TEST_CASE("departed runners do not stay in memory") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    fleet.note_leaving(id, 5, exclusion_source::answer, start);
+    fleet.apply_removal(id, start);
+    const auto forgotten = start + fleet_table::forget_after + 1ms;
+    fleet.refresh(forgotten);
+    fleet.refresh(forgotten + fleet_table::departure_retention);
+    fleet.apply_entry(entry(5), forgotten + fleet_table::departure_retention);
+    CHECK(fleet.find(id)->may_take_calls(forgotten + fleet_table::departure_retention));
+}
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -248,6 +248,23 @@
     CHECK(retry_after_field(250ms).value == "0.25");
 }
 
+TEST_CASE("an answer with any status tells that its runner leaves") {
+    const auto is_leaving = [](unsigned status, const std::string& name, const std::string& value) {
+        transport::http_fields fields;
+        fields.push_back({name, value});
+        return decode_answer(status, fields).is_leaving;
+    };
+    for (const unsigned status : {200U, 202U, 421U, 429U, 500U, 503U}) {
+        CHECK(is_leaving(status, "Server-Leaving", "1"));
+    }
+    CHECK(is_leaving(200, "server-leaving", "1"));
+    for (const auto* value : {"0", "", "11", "yes"}) {
+        CHECK_FALSE(is_leaving(200, "Server-Leaving", value));
+    }
+    CHECK_FALSE(decode_answer(200, {}).is_leaving);
+    CHECK(decode_answer(200, {{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}).is_leaving);
+}
+
 TEST_CASE("orders carry the expected sequence, so a late copy has no effect") {
     state::runner_order order;
     order.kind = state::runner_order_kind::join;
--- a/tests/transport/serving_front_test.cpp
+++ b/tests/transport/serving_front_test.cpp
@@ -1,6 +1,6 @@
 // Tests which requests the serving front sends: none by a decision that a pause of the process
-// between the choice of an endpoint and the request has outlasted, and what it does with calls
-// whose prompt part is quarantined.
+// between the choice of an endpoint and the request has outlasted, none to an endpoint that leaves,
+// and what it does with calls whose prompt part is quarantined.
 #include "savoryrelay/transport/serving/serving_front.h"
 
 #include "savoryrelay/transport/http/http_server.h"
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <utility>
 
 using namespace savoryrelay;
 using namespace savoryrelay::tests;
@@ -67,12 +68,20 @@
                      least_time_left = std::min(least_time_left.load(), time_left);
                      const unsigned status = refusals-- > 0 ? 503 : 200;
                      runs += status == 200 ? 1 : 0;
+                     if (cuts_answers) {
+                         auto head = transport::content_type_field("text/plain");
+                         co_await writer.start(status, std::move(head));
+                         co_await writer.write("part");
+                         writer.abandon();
+                         co_return;
+                     }
                      transport::http_fields fields;
                      fields.push_back(
                          {request_id_name, transport::header_of(request, request_id_name)});
                      co_await writer.send(status, std::move(fields), "answer");
                  }) {}
 
+    std::atomic<bool> cuts_answers{false};
     std::atomic<int> refusals{0};
     std::atomic<int> runs{0};
     std::atomic<int> least_time_left{1'000'000};
@@ -138,6 +147,7 @@
             [this] { return configuration; },
             [this](const std::string&, double) { ++calls_in_work; },
             [](const state::endpoint_id&) {},
+            [this](const state::runner_record&, const state::answer_head&) { ++answers; },
             [this] { return now(); }});
         callers = std::make_unique<transport::http_server>(
             threads, "127.0.0.1", 0, transport::http_limits{},
@@ -166,6 +176,12 @@
         };
     }
 
+    /// Runs `run` once, after an endpoint has been chosen and before the request is sent.
+    void after_next_choice(std::function<void()> run) {
+        const std::scoped_lock lock(mutex);
+        at_cold_check = std::move(run);
+    }
+
     test_answer ask(const std::string& id, const std::string& path = "/book") {
         return fetch(std::to_string(callers->port()), http::verb::post, path, "x",
                      {{request_id_name, id}, {part_name, "dead01"}});
@@ -190,7 +206,9 @@
     std::atomic<int> calls_in_work{0};
     std::atomic<std::int64_t> skipped_ms{0};
     std::mutex mutex;
-    std::function<void()> at_choice = [] {}; // guarded by `mutex`
+    std::function<void()> at_choice = [] {};     // guarded by `mutex`
+    std::function<void()> at_cold_check = [] {}; // guarded by `mutex`
+    std::atomic<int> answers{0};                 // heads that were reported
     std::shared_ptr<const state::serving_configuration> configuration;
     coordination::fleet_table fleet;
     coordination::load_tracker loads;
@@ -211,7 +229,12 @@
                         return std::make_shared<const std::set<state::availability_zone_id>>();
                     },
                 .host_count = [] { return std::size_t{1}; },
-                .host_hashes = [] { return std::vector<std::uint64_t>{1}; },
+                .host_hashes =
+                    [this] {
+                        const std::scoped_lock lock(mutex);
+                        std::exchange(at_cold_check, [] {})();
+                        return std::vector<std::uint64_t>{1};
+                    },
                 .random = [] { return std::uint64_t{0}; }});
     transport::io_threads threads{1};
     std::deque<test_endpoint> endpoints;
@@ -277,3 +300,22 @@
     CHECK(fixture.ask("refused", "/ask").status == 503);
     CHECK(fixture.calls_in_work == 1);
 }
+
+TEST_CASE("a request is not sent to an endpoint that says that it leaves after it was chosen") {
+    front_fixture fixture(2, 0, 10); // no repeat is allowed
+    fixture.after_next_choice([&] {
+        fixture.fleet.note_leaving(state::endpoint_id("e0"), 0,
+                                   coordination::exclusion_source::answer, fixture.now());
+    });
+    CHECK(fixture.ask("moved").status == 200);
+    CHECK(fixture.endpoints[0].runs == 0);
+    CHECK(fixture.endpoints[1].runs == 1);
+    CHECK(fixture.answers == 1);
+}
+
+TEST_CASE("the head of an endpoint's answer that is cut later is reported") {
+    front_fixture fixture;
+    fixture.endpoints.front().cuts_answers = true;
+    CHECK(fixture.ask("cut").status == 502);
+    CHECK(fixture.answers == 1);
+}
--- a/tests/transport/short_exchange_test.cpp
+++ b/tests/transport/short_exchange_test.cpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace savoryrelay;
 using namespace std::chrono_literals;
@@ -78,3 +79,35 @@
     CHECK_FALSE(answer);
     peer.join();
 }
+
+TEST_CASE("the head of an answer that is cut later is reported") {
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::thread peer([&] {
+        auto socket = acceptor.accept();
+        boost::system::error_code ended;
+        std::string request;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", ended);
+        const std::string answer = "HTTP/1.1 503 Busy\r\nContent-Length: 9\r\nSaid: 1\r\n\r\npart";
+        asio::write(socket, asio::buffer(answer), ended);
+    });
+    transport::endpoint_pool pool;
+    transport::io_threads threads{1};
+    transport::exchange_target target{"127.0.0.1", acceptor.local_endpoint().port()};
+    std::vector<unsigned> statuses;
+    transport::http_fields reported;
+    target.on_head = [&](unsigned status, const transport::http_fields& fields) {
+        statuses.push_back(status);
+        reported = fields;
+    };
+    const transport::http_request request{boost::beast::http::verb::get, "/report", 11};
+    const auto answer =
+        asio::co_spawn(threads.context(0), transport::run_exchange(pool, target, request),
+                       asio::use_future)
+            .get();
+    peer.join();
+    CHECK_FALSE(answer);
+    CHECK(statuses == std::vector<unsigned>{503});
+    REQUIRE(reported.size() == 2);
+    CHECK(reported.back().name == "Said");
+}
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -26,7 +26,7 @@
 # Spellings of the platform, which only its adapter and the stand-ins may use.
 PLATFORM_SPELLINGS = re.compile(
     r"rows-tx|rows-get|rows-feed|Expect-Instance|Not-Executed|Token-Counts|Attempt-Id|Server-Seal|"
-    r"expected_rev\b|fencing_token"
+    r"Server-Leaving|expected_rev\b|fencing_token"
 )
 
 INCLUDE = re.compile(r'^\s*#\s*include\s*[<"]([^>"]+)[>"]')
