Tell the other hosts which runners said that they leave

Cause: a leaving that a runner said in an answer was known to the host that got the answer. Each other host sent it a call of its own before it knew.

Change: digests have a list of leaving runners. A host names a runner for 1.2 s in the datagrams of the crash notices, which go to its hub, between hubs and to members; each host passes on what is new to it.

--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -67,10 +67,10 @@
 
 peer_part::peer_part(transport::io_threads& threads, platform::store_client& store,
                      shared_state& shared, store_part& tables, group_part& groups,
-                     const protocol::edge_settings& settings, std::uint64_t incarnation,
-                     std::function<state::time_point()> now)
+                     runner_signals& signals, const protocol::edge_settings& settings,
+                     std::uint64_t incarnation, std::function<state::time_point()> now)
     : m_threads(threads), m_store(store), m_shared(shared), m_tables(tables), m_groups(groups),
-      m_settings(settings), m_incarnation(incarnation), m_now(std::move(now)),
+      m_signals(signals), m_settings(settings), m_incarnation(incarnation), m_now(std::move(now)),
       m_directory(shared.hosts),
       m_exchange(
           shared.hosts,
@@ -81,6 +81,8 @@
                           state::time_point at) { return m_shared.work.report(scope, at); },
            .observations = [this](state::time_point at) { return m_groups.observations(at); },
            .runners_to_confirm = [this] { return m_groups.runners_to_confirm(); },
+           .leaving_runners =
+               [this](state::time_point at) { return m_shared.fleet.recently_leaving(at); },
            .crash_notices =
                [this](state::time_point at) { return m_shared.crashes.due_notices(at); }}) {}
 
@@ -186,6 +188,7 @@
         m_tables.note_return_grace(digest.return_grace, now);
     }
     apply_observations(digest, now);
+    m_signals.note_peer_notices(digest.leaving_runners);
     for (const auto& notice : digest.crash_notices) {
         m_shared.crashes.apply(notice, now);
     }
--- a/src/edge/peer_part.h
+++ b/src/edge/peer_part.h
@@ -21,8 +21,9 @@
 class peer_part {
 public:
     peer_part(transport::io_threads& threads, platform::store_client& store, shared_state& shared,
-              store_part& tables, group_part& groups, const protocol::edge_settings& settings,
-              std::uint64_t incarnation, std::function<state::time_point()> now);
+              store_part& tables, group_part& groups, runner_signals& signals,
+              const protocol::edge_settings& settings, std::uint64_t incarnation,
+              std::function<state::time_point()> now);
 
     /// Binds the sockets and starts the exchange. Throws when an address cannot be bound.
     void start();
@@ -61,6 +62,7 @@
     shared_state& m_shared;
     store_part& m_tables;
     group_part& m_groups;
+    runner_signals& m_signals;
     const protocol::edge_settings m_settings;
     const std::uint64_t m_incarnation;
     std::function<state::time_point()> m_now;
--- a/src/edge/runner_signals.cpp
+++ b/src/edge/runner_signals.cpp
@@ -15,6 +15,12 @@
     }
 }
 
+void runner_signals::note_peer_notices(const std::vector<state::leaving_runner>& runners) {
+    for (const auto& runner : runners) {
+        note_leaving(runner.id, runner.started_ms, exclusion_source::peer, m_now());
+    }
+}
+
 void runner_signals::note_leaving(const state::endpoint_id& runner, std::uint64_t started_ms,
                                   exclusion_source source, state::time_point now) {
     if (!m_shared.fleet.note_leaving(runner, started_ms, source, now)) {
--- a/src/edge/runner_signals.h
+++ b/src/edge/runner_signals.h
@@ -7,6 +7,7 @@
 #include "savoryrelay/state/serving/serving_call.h"
 
 #include <functional>
+#include <vector>
 
 namespace savoryrelay::edge {
 
@@ -18,6 +19,8 @@
 
     /// Records the head of an answer of `runner` to this host.
     void note_answer(const state::runner_record& runner, const state::answer_head& answer);
+    /// Records that a peer announced leaving runners.
+    void note_peer_notices(const std::vector<state::leaving_runner>& runners);
 
 private:
     void note_leaving(const state::endpoint_id& runner, std::uint64_t started_ms,
--- a/src/savoryrelay/coordination/exchange/digest_exchange.cpp
+++ b/src/savoryrelay/coordination/exchange/digest_exchange.cpp
@@ -42,8 +42,9 @@
     // Members get notices in each round, so that a lost datagram delays them by one round.
     auto noticed = own;
     noticed.part = peer_digest::notices_only;
+    noticed.leaving_runners = m_sources.leaving_runners(now);
     noticed.crash_notices = m_sources.crash_notices(now);
-    if (!noticed.crash_notices.empty()) {
+    if (!noticed.leaving_runners.empty() || !noticed.crash_notices.empty()) {
         auto notified = receivers.hubs;
         notified.insert(notified.end(), receivers.members.begin(), receivers.members.end());
         outgoing.push_back({std::move(noticed), std::move(notified)});
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -256,6 +256,18 @@
     return is_new;
 }
 
+std::vector<state::leaving_runner> fleet_table::recently_leaving(state::time_point now) const {
+    std::vector<state::leaving_runner> all;
+    m_runners.for_each([&](const state::endpoint_id& id, const runner_view& runner) {
+        const auto leaving = runner.exclusions.find(exclusion_reason::leaving, now);
+        if (leaving && now - leaving->since < leaving_announced_for &&
+            all.size() < max_leaving_announced) {
+            all.push_back({id, runner.record.started_ms});
+        }
+    });
+    return all;
+}
+
 std::optional<runner_view> fleet_table::find(const state::endpoint_id& id) const {
     return m_runners.find(id);
 }
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -9,6 +9,7 @@
 #include "savoryrelay/state/serving/runner_record.h"
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -102,6 +103,11 @@
     /// A runner that said that it leaves is remembered for this long after its removal, so
     /// that an old copy of the store does not make it a candidate again.
     static constexpr state::milliseconds departure_retention{600'000};
+    /// A host tells the others of a leaving runner for this long, because datagrams get lost
+    /// and members leave a hub that has ended only after some time.
+    static constexpr state::milliseconds leaving_announced_for{1'200};
+    /// The most leaving runners that a host announces at a time.
+    static constexpr std::size_t max_leaving_announced = 64;
 
     fleet_table() : m_snapshot(fleet_snapshot{}) {}
 
@@ -137,6 +143,8 @@
     /// nor an observation undoes it. Returns whether this is new.
     bool note_leaving(const state::endpoint_id& id, std::uint64_t started_ms,
                       exclusion_source source, state::time_point now);
+    /// Returns the runners of which this host has learned lately that they leave.
+    [[nodiscard]] std::vector<state::leaving_runner> recently_leaving(state::time_point now) const;
 
     [[nodiscard]] std::optional<runner_view> find(const state::endpoint_id& id) const;
 
--- a/src/savoryrelay/coordination/serving/runner_exclusions.h
+++ b/src/savoryrelay/coordination/serving/runner_exclusions.h
@@ -23,6 +23,7 @@
 enum class exclusion_source {
     entry,  ///< the runner's entry on the platform
     answer, ///< an answer of the runner to this host
+    peer,   ///< another host, which had an answer of the runner
     call,   ///< the outcome of a call of this host
 };
 
@@ -45,6 +46,7 @@
     static constexpr std::array rows{
         enum_name<s>{s::entry, "entry"},
         enum_name<s>{s::answer, "answer"},
+        enum_name<s>{s::peer, "peer"},
         enum_name<s>{s::call, "call"},
     };
 };
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -173,6 +173,11 @@
     for (const auto& id : digest.runners_to_confirm) {
         out.text(id.value(), max_text_bytes);
     }
+    out.count(digest.leaving_runners.size(), max_digest_leaving);
+    for (const auto& runner : digest.leaving_runners) {
+        out.text(runner.id.value(), max_text_bytes);
+        out.number(runner.started_ms);
+    }
     out.count(digest.crash_notices.size(), max_digest_notices);
     for (const auto& notice : digest.crash_notices) {
         write_notice(out, notice);
@@ -201,6 +206,7 @@
     header.work.clear();
     header.observations.clear();
     header.runners_to_confirm.clear();
+    header.leaving_runners.clear();
     header.crash_notices.clear();
     return header;
 }
@@ -229,8 +235,12 @@
         part.observations = entries_of_part(digest.observations, i);
         all.push_back(std::move(part));
     }
-    for (std::size_t i = 0; i < part_count(digest.crash_notices.size(), max_digest_notices); ++i) {
+    const auto notice_parts =
+        std::max(part_count(digest.crash_notices.size(), max_digest_notices),
+                 part_count(digest.leaving_runners.size(), max_digest_leaving));
+    for (std::size_t i = 0; i < notice_parts; ++i) {
         auto part = without_lists(digest, state::peer_digest::notices_only);
+        part.leaving_runners = entries_of_part(digest.leaving_runners, i, max_digest_leaving);
         part.crash_notices = entries_of_part(digest.crash_notices, i, max_digest_notices);
         all.push_back(std::move(part));
     }
@@ -279,6 +289,10 @@
         for (auto remaining = in.count(max_digest_entries); remaining > 0; --remaining) {
             digest.runners_to_confirm.emplace_back(in.text(max_text_bytes));
         }
+        for (auto remaining = in.count(max_digest_leaving); remaining > 0; --remaining) {
+            state::endpoint_id id(in.text(max_text_bytes));
+            digest.leaving_runners.push_back({std::move(id), in.number<std::uint64_t>()});
+        }
         for (auto remaining = in.count(max_digest_notices); remaining > 0; --remaining) {
             digest.crash_notices.push_back(read_notice(in));
         }
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -60,6 +60,14 @@
     friend bool operator==(const runner_observation&, const runner_observation&) = default;
 };
 
+/// A runner that said in an answer that it is about to stop.
+struct leaving_runner {
+    endpoint_id id;
+    std::uint64_t started_ms = 0; ///< of the incarnation that leaves
+
+    friend bool operator==(const leaving_runner&, const leaving_runner&) = default;
+};
+
 /// The hosts whose calls the loads and the work of a digest include.
 enum class digest_scope {
     member,       ///< the sender alone; sent to the hub that it reports to
@@ -92,7 +100,7 @@
 struct peer_digest {
     /// Value of `part` in a datagram that carries only observations.
     static constexpr std::uint8_t observations_only = 255;
-    /// Value of `part` in a datagram that carries only crash notices.
+    /// Value of `part` in a datagram that carries only crash notices and leaving runners.
     static constexpr std::uint8_t notices_only = 254;
 
     host_entry host;               ///< the sender
@@ -121,6 +129,9 @@
     /// Sent by the controller: runners that did not answer it. The other hubs request
     /// reports from them too.
     std::vector<endpoint_id> runners_to_confirm;
+    /// Runners of which the sender has learned lately that they leave. Receivers pass on those
+    /// that are new to them.
+    std::vector<leaving_runner> leaving_runners;
     /// Notices that the sender made or received lately. Receivers pass on those that are
     /// new to them.
     std::vector<crash_notice> crash_notices;
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -255,7 +255,7 @@
     fleet_table fleet;
     fleet.apply_entry(entry(5), start);
     CHECK(fleet.note_leaving(id, 5, exclusion_source::answer, start));
-    CHECK_FALSE(fleet.note_leaving(id, 5, exclusion_source::answer, start));
+    CHECK_FALSE(fleet.note_leaving(id, 5, exclusion_source::peer, start));
     CHECK_FALSE(fleet.find(id)->may_take_calls(start));
     CHECK(fleet.find(id)->is_leaving(start));
 
@@ -304,3 +304,15 @@
     fleet.apply_entry(entry(5), forgotten + fleet_table::departure_retention);
     CHECK(fleet.find(id)->may_take_calls(forgotten + fleet_table::departure_retention));
 }
+
+TEST_CASE("a leaving runner is announced for a limited time") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    CHECK(fleet.recently_leaving(start).empty());
+    fleet.note_leaving(id, 5, exclusion_source::answer, start);
+    // Hearing it again must not prolong the announcement, or hosts would repeat it for ever.
+    fleet.note_leaving(id, 5, exclusion_source::peer, start + 1s);
+    const std::vector<state::leaving_runner> announced{{id, 5}};
+    CHECK(fleet.recently_leaving(start + 1s) == announced);
+    CHECK(fleet.recently_leaving(start + fleet_table::leaving_announced_for).empty());
+}
--- a/tests/process/leaving_runner_test.cpp
+++ b/tests/process/leaving_runner_test.cpp
@@ -112,6 +112,19 @@
     fixture.look_until_reached();
 }
 
+// Guards against hosts that each send a call before they know what another was told.
+TEST_CASE("edge: a host learns from another one that a runner leaves") {
+    const two_runner_fixture fixture(2);
+    fixture.store.control(R"({"down":true})");
+    fixture.plain.control(R"({"leaving":true})");
+    fixture.look_until_reached(0);
+    fixture.plain.control(R"({"leaving":false})");
+    wait_until([&] {
+        return fixture.metric(1, R"(savoryrelay_runners_leaving_total{source="peer"} )") == 1;
+    });
+    fixture.check_unused(1);
+}
+
 // Guards against a group that takes calls until the entry of its head says that it leaves.
 TEST_CASE("edge: a group whose head says that it leaves is replaced before the entry says so") {
     const edge_fixture fixture(1, 5);
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -40,6 +40,7 @@
         digest.runners_to_confirm.push_back(id);
         digest.crash_notices.push_back({state::crash_notice_kind::quarantined, ~std::uint64_t{i}, i,
                                         std::chrono::minutes(15), static_cast<std::uint8_t>(i)});
+        digest.leaving_runners.push_back({id, ~std::uint64_t{i}});
     }
     return digest;
 }
@@ -62,6 +63,7 @@
 TEST_CASE("a digest of any size is split into datagrams without losing entries") {
     for (const std::size_t entries : {0U, 1U, 12U, 13U, 40U, 41U, 256U}) {
         std::vector<state::crash_notice> notices;
+        std::vector<state::leaving_runner> leaving;
         std::size_t loads = 0;
         std::size_t observations = 0;
         std::size_t runners_to_confirm = 0;
@@ -81,6 +83,8 @@
             loads += read.value().loads.size();
             observations += read.value().observations.size();
             runners_to_confirm += read.value().runners_to_confirm.size();
+            leaving.insert(leaving.end(), read.value().leaving_runners.begin(),
+                           read.value().leaving_runners.end());
             notices.insert(notices.end(), read.value().crash_notices.begin(),
                            read.value().crash_notices.end());
         }
@@ -88,6 +92,7 @@
         CHECK(observations == entries);
         CHECK(runners_to_confirm == entries);
         CHECK(notices == make_digest(entries).crash_notices);
+        CHECK(leaving == make_digest(entries).leaving_runners);
     }
 }
 
@@ -117,6 +122,35 @@
     }
 }
 
+TEST_CASE("datagrams of leaving runners do not replace the loads that their sender reported") {
+    for (const std::size_t entries : {1U, 9U}) {
+        auto digest = make_digest(0);
+        digest.part = state::peer_digest::notices_only;
+        digest.leaving_runners = make_digest(entries).leaving_runners;
+        const auto parts = split_digest(digest);
+        CHECK(parts.size() == (entries + max_digest_leaving - 1) / max_digest_leaving);
+        for (const auto& part : parts) {
+            CHECK(part.part == state::peer_digest::notices_only);
+        }
+    }
+}
+
+TEST_CASE("a digest whose leaving runners are malformed is refused") {
+    state::peer_digest digest;
+    digest.leaving_runners = {{state::endpoint_id("r"), 7}};
+    const auto good = encode(digest);
+    REQUIRE(read_digest(good));
+    // The end of the datagram: the count of runners, the length and text of the id, the start
+    // time, and the count of crash notices.
+    constexpr std::size_t runner_bytes = 1 + 1 + 8;
+    auto too_many = good;
+    too_many[good.size() - 1 - runner_bytes - 1] = max_digest_leaving + 1;
+    CHECK_FALSE(read_digest(too_many));
+    CHECK_FALSE(read_digest(good.substr(0, good.size() - 2)));
+    digest.leaving_runners.resize(max_digest_leaving + 1);
+    CHECK_FALSE(state::collect([&] { return encode_digest(digest); }));
+}
+
 TEST_CASE("a crash notice is decoded as it was encoded, with its age within the limits") {
     struct age_case {
         state::milliseconds sent;
--- a/tests/support/exchange_simulation.h
+++ b/tests/support/exchange_simulation.h
@@ -95,6 +95,8 @@
                 .observations =
                     [](state::time_point) { return std::vector<state::runner_observation>{}; },
                 .runners_to_confirm = [] { return std::vector<state::endpoint_id>{}; },
+                .leaving_runners =
+                    [](state::time_point) { return std::vector<state::leaving_runner>{}; },
                 .crash_notices = [&each](state::time_point at) { return each.notices->due(at); }});
         for (const auto& other : hosts) {
             each.directory->add(other.entry);
