Send nothing to a runner during the pause that it asked for

Cause: Retry-After of a 503 was not read. A runner that refused a call with a pause got the next call of the host at once, or after the backoff of 250 ms for heads that left their group.

Change: the time excludes the runner for this host from the arrival of the answer's head on. Calls go to other runners; if all that could take a call have paused, it is refused at once (`all_paused`) with the time until the first pause ends. Report requests wait for the end of the pause, and one order at most is sent. Times above five minutes are cut to five, of several that differ the longest applies, and what is no number of seconds is no pause; these are counted and logged at most once in ten seconds.

The fuzz target was extended and not run.

--- a/fuzz/fuzz_call_headers.cpp
+++ b/fuzz/fuzz_call_headers.cpp
@@ -82,6 +82,8 @@
     }
     const auto head = platform::decode_answer(parser.get().result_int(), fields);
     require(head.is_not_run || !head.is_other_endpoint);
+    require(head.pause >= state::milliseconds(0) && head.pause <= platform::max_pause);
+    require(head.status == 503 || head.pause_field == state::pause_reading::absent);
     require(platform::select_caller_fields(fields).size() <= fields.size());
 }
 
--- a/src/ctl/explain_command.cpp
+++ b/src/ctl/explain_command.cpp
@@ -52,6 +52,10 @@
         return "refused, because calls with the same prompt part or content have crashed "
                "endpoints; the closed_by_endpoint lines with its fingerprints name them";
     }
+    if (reason == "all_paused") {
+        return "refused, the request has not run (all_paused): every endpoint that could take it "
+               "had asked the host for a pause; the runner_excluded lines name them";
+    }
     if (status == "503") {
         return "refused, the request has not run (" + reason +
                "): all_full means that every group of its model had a full batch, "
--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -174,7 +174,7 @@
         const auto runner = m_shared.fleet.find(id);
         const std::scoped_lock lock(m_mutex);
         auto& polled_at = m_confirmation_polled_at[id];
-        if (runner && now - polled_at >= confirmation_poll_interval) {
+        if (runner && !runner->paused_until(now) && now - polled_at >= confirmation_poll_interval) {
             polled_at = now;
             asio::co_spawn(m_threads.context(0), poll_for_controller(runner->record),
                            asio::detached);
@@ -275,7 +275,7 @@
             continue;
         }
         auto& poll = m_polls[runner.record.id];
-        if (poll.is_in_progress || now < poll.next) {
+        if (poll.is_in_progress || now < poll.next || runner.paused_until(now)) {
             continue;
         }
         poll.is_in_progress = true;
@@ -374,6 +374,9 @@
 
 asio::awaitable<void> group_part::send_order(state::runner_record runner,
                                              state::runner_order order) {
+    if (!m_shared.fleet.reserve_order(runner.id, m_now())) {
+        co_return;
+    }
     const auto ticket = state::collect([&] { return m_lease.begin_order(groups_lease, m_now()); });
     if (!ticket || ticket.value().fencing_number != order.fencing_number) {
         co_return;
--- a/src/edge/runner_signals.cpp
+++ b/src/edge/runner_signals.cpp
@@ -7,11 +7,42 @@
 
 using coordination::exclusion_reason;
 using coordination::exclusion_source;
+using state::milliseconds;
+using state::pause_reading;
+
+namespace {
+
+// A runner may send a damaged field with each answer.
+constexpr milliseconds damage_log_interval{10'000};
+
+} // namespace
 
 void runner_signals::note_answer(const state::runner_record& runner,
                                  const state::answer_head& answer) {
+    if (!answer.is_leaving && answer.pause_field == pause_reading::absent) {
+        return;
+    }
+    const auto now = m_now();
     if (answer.is_leaving) {
-        note_leaving(runner.id, runner.started_ms, exclusion_source::answer, m_now());
+        note_leaving(runner.id, runner.started_ms, exclusion_source::answer, now);
+    }
+    if (answer.pause_field == pause_reading::absent) {
+        return;
+    }
+    if (answer.pause_field != pause_reading::valid) {
+        note_damaged_pause(runner.id, answer, now);
+    }
+    if (m_shared.fleet.note_pause(runner.id, runner.started_ms, now, now + answer.pause)) {
+        m_shared.metrics
+            .counter_of("savoryrelay_runner_pauses_total", {{"endpoint", runner.service}})
+            .add();
+        transport::log_info(
+            "runner_excluded",
+            {{"runner", runner.id.value()},
+             {"reason", std::string(state::to_name(exclusion_reason::pause_requested))},
+             {"source", std::string(state::to_name(exclusion_source::answer))},
+             {"started_ms", std::to_string(runner.started_ms)},
+             {"for_ms", std::to_string(answer.pause.count())}});
     }
 }
 
@@ -37,4 +68,19 @@
                          {"for_ms", ""}});
 }
 
+void runner_signals::note_damaged_pause(const state::endpoint_id& runner,
+                                        const state::answer_head& answer, state::time_point now) {
+    const std::string reading(state::to_name(answer.pause_field));
+    m_shared.metrics.counter_of("savoryrelay_runner_pauses_damaged_total", {{"reading", reading}})
+        .add();
+    auto logged_at = m_damage_logged_at.load();
+    if (now - logged_at >= damage_log_interval &&
+        m_damage_logged_at.compare_exchange_strong(logged_at, now)) {
+        transport::log_warning("runner_pause_damaged",
+                               {{"runner", runner.value()},
+                                {"reading", reading},
+                                {"for_ms", std::to_string(answer.pause.count())}});
+    }
+}
+
 } // namespace savoryrelay::edge
--- a/src/edge/runner_signals.h
+++ b/src/edge/runner_signals.h
@@ -1,4 +1,5 @@
-// Records what runners say of themselves in the heads of their answers.
+// Records what runners say of themselves in the heads of their answers: that they leave, or
+// that they want a pause.
 #pragma once
 
 #include "shared_state.h"
@@ -6,6 +7,7 @@
 #include "savoryrelay/coordination/serving/runner_exclusions.h"
 #include "savoryrelay/state/serving/serving_call.h"
 
+#include <atomic>
 #include <functional>
 #include <vector>
 
@@ -25,9 +27,12 @@
 private:
     void note_leaving(const state::endpoint_id& runner, std::uint64_t started_ms,
                       coordination::exclusion_source source, state::time_point now);
+    void note_damaged_pause(const state::endpoint_id& runner, const state::answer_head& answer,
+                            state::time_point now);
 
     shared_state& m_shared;
     const std::function<state::time_point()> m_now;
+    std::atomic<state::time_point> m_damage_logged_at{state::time_point{}};
 };
 
 } // namespace savoryrelay::edge
--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -18,24 +18,54 @@
 
 } // namespace
 
-std::variant<selected_endpoint, selection_failure>
-endpoint_selector::select(const state::service_rule& service, const state::serving_call& call,
-                          const std::set<state::endpoint_id>& excluded,
-                          state::milliseconds time_left, state::time_point now) {
-    const auto fleet = m_fleet.snapshot();
+std::vector<const runner_view*>
+endpoint_selector::find_endpoints(const fleet_snapshot& fleet, const state::service_rule& service,
+                                  const state::serving_call& call) const {
     const auto out_of_service = m_hooks.zones_out_of_service();
     const auto* model = service.engine ? service.engine->find_model(call.model) : nullptr;
     std::vector<const runner_view*> runners;
-    for (const auto& runner : *fleet) {
+    for (const auto& runner : fleet) {
         const auto& record = runner.record;
         const bool serves = service.engine ? model != nullptr && record.is_open_head() &&
                                                  record.model == model->name
                                            : true;
-        if (record.service == service.name && serves && runner.may_take_calls(now) &&
-            !excluded.contains(record.id) && !out_of_service->contains(record.availability_zone)) {
+        if (record.service == service.name && serves &&
+            !out_of_service->contains(record.availability_zone)) {
             runners.push_back(&runner);
         }
     }
+    return runners;
+}
+
+std::optional<state::time_point> endpoint_selector::paused_until(const state::service_rule& service,
+                                                                 const state::serving_call& call,
+                                                                 state::time_point now) const {
+    const auto fleet = m_fleet.snapshot();
+    std::optional<state::time_point> first_end;
+    for (const auto* runner : find_endpoints(*fleet, service, call)) {
+        const auto known = m_fleet.find(runner->record.id);
+        if (!known || !known->is_listed(now) || known->is_leaving(now) || known->silent_since) {
+            continue;
+        }
+        const auto end = known->paused_until(now);
+        if (!end) {
+            return std::nullopt;
+        }
+        first_end = std::min(first_end.value_or(*end), *end);
+    }
+    return first_end;
+}
+
+std::variant<selected_endpoint, selection_failure>
+endpoint_selector::select(const state::service_rule& service, const state::serving_call& call,
+                          const std::set<state::endpoint_id>& excluded,
+                          state::milliseconds time_left, state::time_point now) {
+    const auto fleet = m_fleet.snapshot();
+    const auto* model = service.engine ? service.engine->find_model(call.model) : nullptr;
+    auto runners = find_endpoints(*fleet, service, call);
+    std::erase_if(runners, [&](const auto* runner) {
+        return !runner->may_take_calls(now) || excluded.contains(runner->record.id);
+    });
     bool is_cold_limit_reached = false;
     while (!runners.empty()) {
         auto selected = service.engine
@@ -44,7 +74,7 @@
         if (auto* endpoint = std::get_if<selected_endpoint>(&selected)) {
             // The snapshot may be older than what the endpoint has said.
             const auto known = m_fleet.find(endpoint->runner.record.id);
-            const bool is_unwanted = !known || known->is_leaving(now);
+            const bool is_unwanted = !known || known->wants_no_calls(now);
             if (is_unwanted || !admit_cold_call(service, endpoint->runner, now)) {
                 is_cold_limit_reached = is_cold_limit_reached || !is_unwanted;
                 std::erase_if(runners, [&](const auto* each) {
@@ -56,7 +86,11 @@
         }
         return selected;
     }
-    return is_cold_limit_reached ? selection_failure::all_full : selection_failure::none_in_service;
+    if (is_cold_limit_reached) {
+        return selection_failure::all_full;
+    }
+    return paused_until(service, call, now) ? selection_failure::all_paused
+                                            : selection_failure::none_in_service;
 }
 
 std::variant<selected_endpoint, selection_failure>
--- a/src/savoryrelay/coordination/serving/endpoint_selector.h
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -36,6 +37,7 @@
 /// Why no endpoint was selected.
 enum class selection_failure {
     none_in_service, ///< no endpoint is available for this call
+    all_paused,      ///< every endpoint for this call has asked this host for a pause
     all_full,        ///< every available endpoint is at its limit of calls
     too_late,        ///< the chosen endpoint is predicted to answer after the deadline
 };
@@ -47,6 +49,7 @@
     using f = savoryrelay::coordination::selection_failure;
     static constexpr std::array rows{
         enum_name<f>{f::none_in_service, "none_in_service"},
+        enum_name<f>{f::all_paused, "all_paused"},
         enum_name<f>{f::all_full, "all_full"},
         enum_name<f>{f::too_late, "too_late"},
     };
@@ -81,8 +84,18 @@
     select(const state::service_rule& service, const state::serving_call& call,
            const std::set<state::endpoint_id>& excluded, state::milliseconds time_left,
            state::time_point now);
+    /// Returns when the first pause of an endpoint of `service` ends. Returns nothing if an
+    /// endpoint that could take the call is not paused, or if there is none.
+    [[nodiscard]] std::optional<state::time_point> paused_until(const state::service_rule& service,
+                                                                const state::serving_call& call,
+                                                                state::time_point now) const;
 
 private:
+    /// Returns the endpoints that are known to serve calls like `call`, whether or not they may
+    /// take one now.
+    [[nodiscard]] std::vector<const runner_view*>
+    find_endpoints(const fleet_snapshot& fleet, const state::service_rule& service,
+                   const state::serving_call& call) const;
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
     select_group(const state::service_rule& service, const state::model_rule& model,
                  const state::serving_call& call, const std::vector<const runner_view*>& heads,
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -17,6 +17,7 @@
     runner.silent_since.reset();
     runner.reported_at.reset();
     runner.exclusions.clear();
+    runner.has_order_in_pause = false;
     runner.refusal_backoff = state::milliseconds(0);
     runner.is_order_in_progress = false;
     runner.awaits_report_since.reset();
@@ -220,6 +221,9 @@
             runner.exclusions.contains(exclusion_reason::call_failed, now)) {
             return; // the call was sent before the backoff began
         }
+        if (runner.paused_until(now)) {
+            return; // the runner has set the length of its pause itself
+        }
         runner.refusal_backoff =
             std::clamp(2 * runner.refusal_backoff, min_refusal_backoff, max_refusal_backoff);
         runner.exclusions.add(exclusion_reason::not_serving, exclusion_source::call, now,
@@ -256,6 +260,31 @@
     return is_new;
 }
 
+bool fleet_table::note_pause(const state::endpoint_id& id, std::uint64_t started_ms,
+                             state::time_point now, state::time_point until) {
+    bool is_new = false;
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        if (runner.record.started_ms != started_ms) {
+            return;
+        }
+        is_new = runner.exclusions.add(exclusion_reason::pause_requested, exclusion_source::answer,
+                                       now, until);
+        runner.has_order_in_pause = runner.has_order_in_pause && !is_new;
+        m_is_changed = true;
+    });
+    return is_new;
+}
+
+bool fleet_table::reserve_order(const state::endpoint_id& id, state::time_point now) {
+    bool is_reserved = true;
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        if (runner.paused_until(now)) {
+            is_reserved = !std::exchange(runner.has_order_in_pause, true);
+        }
+    });
+    return is_reserved;
+}
+
 std::vector<state::leaving_runner> fleet_table::recently_leaving(state::time_point now) const {
     std::vector<state::leaving_runner> all;
     m_runners.for_each([&](const state::endpoint_id& id, const runner_view& runner) {
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -38,6 +38,7 @@
     state::time_point cold_until{};                ///< until then, the rate of its calls is limited
     runner_exclusions exclusions;                  ///< of this incarnation
     state::milliseconds refusal_backoff{0};        ///< last backoff; 0 after an answer
+    bool has_order_in_pause = false;               ///< an order was sent in the last pause
     std::optional<state::time_point> last_head_at; ///< when it was last seen as a group's head
     bool is_order_in_progress = false;
     std::string last_model; ///< of the last group in which this incarnation was ready
@@ -74,6 +75,16 @@
         return exclusions.contains(exclusion_reason::draining, now) ||
                exclusions.contains(exclusion_reason::leaving, now);
     }
+    /// Returns when the pause ends that the runner has asked this host for; empty if there is
+    /// none.
+    [[nodiscard]] std::optional<state::time_point> paused_until(state::time_point now) const {
+        const auto pause = exclusions.find(exclusion_reason::pause_requested, now);
+        return pause ? std::optional(pause->until) : std::nullopt;
+    }
+    /// Returns whether the runner has said that it wants no calls of this host.
+    [[nodiscard]] bool wants_no_calls(state::time_point now) const {
+        return is_leaving(now) || paused_until(now);
+    }
     /// Returns whether the runner may receive calls at `now`. Does not check its
     /// group or zone.
     [[nodiscard]] bool may_take_calls(state::time_point now) const {
@@ -143,6 +154,13 @@
     /// nor an observation undoes it. Returns whether this is new.
     bool note_leaving(const state::endpoint_id& id, std::uint64_t started_ms,
                       exclusion_source source, state::time_point now);
+    /// Records that the runner's incarnation `started_ms` asked this host for a pause until
+    /// `until`. Returns whether a pause begins.
+    bool note_pause(const state::endpoint_id& id, std::uint64_t started_ms, state::time_point now,
+                    state::time_point until);
+    /// Returns whether an order may be sent to the runner, and counts it. In a pause, only the
+    /// first one may be.
+    bool reserve_order(const state::endpoint_id& id, state::time_point now);
     /// Returns the runners of which this host has learned lately that they leave.
     [[nodiscard]] std::vector<state::leaving_runner> recently_leaving(state::time_point now) const;
 
--- a/src/savoryrelay/coordination/serving/runner_exclusions.h
+++ b/src/savoryrelay/coordination/serving/runner_exclusions.h
@@ -13,10 +13,11 @@
 
 /// Why a runner gets no new calls from this host.
 enum class exclusion_reason {
-    draining,    ///< its entry says that it is about to stop
-    leaving,     ///< it said in an answer that it is about to stop
-    call_failed, ///< a call got no answer
-    not_serving, ///< it refused a call because it is not the head of an open group
+    draining,        ///< its entry says that it is about to stop
+    leaving,         ///< it said in an answer that it is about to stop
+    pause_requested, ///< it refused a request and asked for a pause
+    call_failed,     ///< a call got no answer
+    not_serving,     ///< it refused a call because it is not the head of an open group
 };
 
 /// How this host learned of an exclusion.
@@ -35,6 +36,7 @@
     static constexpr std::array rows{
         enum_name<r>{r::draining, "draining"},
         enum_name<r>{r::leaving, "leaving"},
+        enum_name<r>{r::pause_requested, "pause_requested"},
         enum_name<r>{r::call_failed, "call_failed"},
         enum_name<r>{r::not_serving, "not_serving"},
     };
--- a/src/savoryrelay/state/serving/serving_call.h
+++ b/src/savoryrelay/state/serving/serving_call.h
@@ -1,9 +1,11 @@
 // The parts of a caller's request and an endpoint's answer on which decisions depend.
 #pragma once
 
+#include "savoryrelay/state/core/enum_names.h"
 #include "savoryrelay/state/core/identifier.h"
 #include "savoryrelay/state/core/time.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,6 +29,25 @@
     std::vector<std::string> shared_prompt_parts;
 };
 
+/// What was read of the pause for which an endpoint that refuses a request may ask.
+enum class pause_reading {
+    absent,      ///< the answer asks for none
+    valid,       ///< one time within the limit
+    too_long,    ///< cut to the limit
+    conflicting, ///< several times that differ; the longest that can be read applies
+    unreadable,  ///< no time; there is no pause
+};
+
+template <>
+struct enum_table<pause_reading> {
+    using p = pause_reading;
+    static constexpr std::array rows{
+        enum_name<p>{p::absent, "absent"},         enum_name<p>{p::valid, "valid"},
+        enum_name<p>{p::too_long, "too_long"},     enum_name<p>{p::conflicting, "conflicting"},
+        enum_name<p>{p::unreadable, "unreadable"},
+    };
+};
+
 /// Data from the status line and header fields of an endpoint's answer.
 struct answer_head {
     unsigned status = 0;
@@ -34,7 +55,10 @@
     bool is_not_run = false;        ///< the endpoint reports that it has not run the request
     bool is_other_endpoint = false; ///< another runner now uses the address
     bool is_leaving = false;        ///< the endpoint is about to stop
-    std::string faulty_runner;      ///< member that the answering head cannot reach; empty: none
+    /// Time for which the endpoint wants no requests from this host; 0: none.
+    milliseconds pause{0};
+    pause_reading pause_field = pause_reading::absent;
+    std::string faulty_runner; ///< member that the answering head cannot reach; empty: none
 };
 
 } // namespace savoryrelay::state
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -76,9 +76,18 @@
                                                        time_until(call.deadline, now), now);
         const bool is_found = std::holds_alternative<selected_endpoint>(selected) &&
                               (!has_begun || progress.reserve_attempt());
-        if (is_found || now >= std::min(queue_deadline, call.deadline) || call.caller_is_gone) {
+        const auto wait_end = std::min(queue_deadline, call.deadline);
+        if (is_found || now >= wait_end || call.caller_is_gone) {
             co_return selected;
         }
+        const auto* none = std::get_if<coordination::selection_failure>(&selected);
+        if (none != nullptr && *none == coordination::selection_failure::all_paused && !has_begun) {
+            const auto paused_until =
+                m_dependencies.selector.paused_until(*call.service, call.decoded, now);
+            if (paused_until && *paused_until >= wait_end) {
+                co_return selected;
+            }
+        }
         co_await pause_for(has_begun ? interrupted_poll_interval : queue_poll_interval);
         if (has_begun) {
             excluded = &call.may_have_run_at; // an endpoint that refused may serve by now
@@ -161,11 +170,11 @@
            !m_dependencies.crashes.is_quarantined(call.fingerprints, now);
 }
 
-bool serving_front::is_leaving(const call_state& call) const {
+bool serving_front::is_unwanted(const call_state& call) const {
     const auto& endpoint = call.current->chosen.runner.record;
     const auto known = m_dependencies.fleet.find(endpoint.id);
     return known && known->record.started_ms == endpoint.started_ms &&
-           known->is_leaving(m_dependencies.now());
+           known->wants_no_calls(m_dependencies.now());
 }
 
 asio::awaitable<serving_front::attempt_result> serving_front::try_endpoint(call_state& call) {
@@ -195,11 +204,11 @@
     if (call.caller_is_gone) {
         co_return end;
     }
-    if (is_leaving(call)) {
+    if (is_unwanted(call)) {
         call.tried.erase(runner.id);
         end.is_withdrawn = true;
         end.outcome = attempt_outcome::not_run;
-        end.reason = "the endpoint leaves";
+        end.reason = "the endpoint wants no calls";
         co_return end;
     }
     if (!may_send(call)) {
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -107,7 +107,7 @@
 struct serving_front::attempt_result {
     coordination::attempt_outcome outcome = coordination::attempt_outcome::lost;
     bool is_kept = false;            // the endpoint is silent; the attempt has not ended
-    bool is_withdrawn = false;       // not sent, because the endpoint leaves
+    bool is_withdrawn = false;       // not sent, because the endpoint wants no calls
     bool endpoint_ended = false;     // the connection was reset: the endpoint's process has ended
     bool closed_by_endpoint = false; // the connection ended before the answer was complete
     bool has_request_id = true;      // false: the endpoint rejected the request without its id
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -133,7 +133,7 @@
     call.progress = &progress;
     std::optional<attempt_result> failure;
     std::string reason;
-    auto retry_after = retry_after_refusal;
+    std::optional<milliseconds> retry_after; // of a quarantined call
     while (true) {
         const auto now = m_dependencies.now();
         if (call.caller_is_gone) {
@@ -155,7 +155,7 @@
             }
             if (const auto time_left = m_dependencies.crashes.accept(call.fingerprints, now)) {
                 reason = state::properties_of(state::failure_kind::request_quarantined).name;
-                retry_after = *time_left;
+                retry_after = time_left;
                 break;
             }
             report_work(call);
@@ -226,7 +226,8 @@
         co_return;
     }
 
-    co_await answer_without_success(call, std::move(failure), std::move(reason), retry_after);
+    co_await answer_without_success(call, std::move(failure), std::move(reason),
+                                    retry_after.value_or(refusal_time(call)));
 }
 
 asio::awaitable<void> serving_front::answer_without_success(call_state& call,
@@ -256,6 +257,16 @@
     co_await refuse(call, is_late ? status_timeout : status_bad_gateway, reason, milliseconds(0));
 }
 
+milliseconds serving_front::refusal_time(const call_state& call) const {
+    const auto now = m_dependencies.now();
+    const auto paused_until =
+        m_dependencies.selector.paused_until(*call.service, call.decoded, now);
+    if (!paused_until) {
+        return retry_after_refusal;
+    }
+    return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(*paused_until - now));
+}
+
 void serving_front::report_work(call_state& call) {
     const auto& engine = call.service->engine;
     const auto* model = engine ? engine->find_model(call.decoded.model) : nullptr;
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -83,14 +83,16 @@
                                const attempt_result& end);
     /// Decodes the head of the answer that the current attempt has read, and reports it.
     state::answer_head read_answer_head(const call_state& call);
+    /// Returns how long the caller of a refused call is told to wait.
+    [[nodiscard]] state::milliseconds refusal_time(const call_state& call) const;
     /// Adds the call to the work of its model, once. A refused call is no work, and must not draw
     /// groups to its model.
     void report_work(call_state& call);
     /// Returns whether the request may still be sent to the chosen endpoint. The process may
     /// have been paused since the choice.
     [[nodiscard]] bool may_send(const call_state& call) const;
-    /// Returns whether the chosen endpoint has said since the choice that it leaves.
-    [[nodiscard]] bool is_leaving(const call_state& call) const;
+    /// Returns whether the chosen endpoint has said since the choice that it wants no calls.
+    [[nodiscard]] bool is_unwanted(const call_state& call) const;
     /// Connects to the endpoint, sends the request and relays the answer.
     boost::asio::awaitable<attempt_result> try_endpoint(call_state& call);
     /// Goes on with an attempt that was kept.
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -316,3 +316,42 @@
     CHECK(fleet.recently_leaving(start + 1s) == announced);
     CHECK(fleet.recently_leaving(start + fleet_table::leaving_announced_for).empty());
 }
+
+TEST_CASE("a requested pause ends calls until its end and is not shortened") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    CHECK(fleet.note_pause(id, 5, start, start + 2s));
+    CHECK_FALSE(fleet.note_pause(id, 5, start + 1s, start + 1500ms));
+    CHECK_FALSE(fleet.note_pause(id, 4, start + 1s, start + 1h));
+    CHECK_FALSE(fleet.find(id)->may_take_calls(start + 1999ms));
+    CHECK(fleet.find(id)->paused_until(start) == start + 2s);
+    CHECK(fleet.find(id)->may_take_calls(start + 2s));
+    CHECK_FALSE(fleet.note_pause(id, 5, start + 3s, start + 3s)); // asked for no time
+    CHECK(fleet.find(id)->may_take_calls(start + 3s));
+    CHECK(fleet.note_pause(id, 5, start + 4s, start + 5s));
+    fleet.apply_entry(entry(6), start + 4s);
+    CHECK(fleet.find(id)->may_take_calls(start + 4s));
+}
+
+TEST_CASE("a refusal that asks for a pause does not lengthen the backoff") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    fleet.note_pause(id, 5, start, start + 100ms);
+    fleet.note_refusal(id, start);
+    CHECK(fleet.find(id)->may_take_calls(start + 100ms));
+    fleet.note_refusal(id, start + 200ms);
+    CHECK(backoff_end(fleet, start + 200ms) == start + 200ms + fleet_table::min_refusal_backoff);
+}
+
+TEST_CASE("one order may be sent in each pause") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    CHECK(fleet.reserve_order(id, start));
+    CHECK(fleet.reserve_order(id, start));
+    fleet.note_pause(id, 5, start, start + 1s);
+    CHECK(fleet.reserve_order(id, start));
+    CHECK_FALSE(fleet.reserve_order(id, start + 999ms));
+    CHECK(fleet.reserve_order(id, start + 1s));
+    fleet.note_pause(id, 5, start + 2s, start + 3s);
+    CHECK(fleet.reserve_order(id, start + 2s));
+}
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -265,6 +265,72 @@
     CHECK(decode_answer(200, {{"Server-Leaving", "0"}, {"Server-Leaving", "1"}}).is_leaving);
 }
 
+TEST_CASE("the pause that a runner asks for is read within bounds") {
+    using state::pause_reading;
+    struct pause_case {
+        std::vector<std::string> values;
+        pause_reading reading;
+        state::milliseconds pause;
+    };
+    const std::string many_digits(400, '9');
+    const std::vector<pause_case> cases{
+        {{}, pause_reading::absent, 0ms},
+        {{"2"}, pause_reading::valid, 2s},
+        {{"0"}, pause_reading::valid, 0ms},
+        {{"0.25"}, pause_reading::valid, 250ms},
+        {{"0.0001"}, pause_reading::valid, 1ms},
+        {{"2", "2"}, pause_reading::valid, 2s},
+        {{"300"}, pause_reading::valid, 5min},
+        {{"300.1"}, pause_reading::too_long, 5min},
+        {{"86400"}, pause_reading::too_long, 5min},
+        {{many_digits}, pause_reading::too_long, 5min},
+        {{"1", "3", "2"}, pause_reading::conflicting, 3s},
+        {{"soon", "3"}, pause_reading::conflicting, 3s},
+        {{"1", "86400"}, pause_reading::conflicting, 5min},
+        {{""}, pause_reading::unreadable, 0ms},
+        {{"-1"}, pause_reading::unreadable, 0ms},
+        {{"-0"}, pause_reading::unreadable, 0ms},
+        {{"soon"}, pause_reading::unreadable, 0ms},
+        {{"2s"}, pause_reading::unreadable, 0ms},
+        {{"1, 2"}, pause_reading::unreadable, 0ms},
+        {{"1e3"}, pause_reading::unreadable, 0ms},
+        {{"inf"}, pause_reading::unreadable, 0ms},
+        {{"nan"}, pause_reading::unreadable, 0ms},
+        {{"Fri, 04 Dec 2026 10:00:00 GMT"}, pause_reading::unreadable, 0ms},
+    };
+    for (const auto& each : cases) {
+        transport::http_fields fields;
+        for (const auto& value : each.values) {
+            fields.push_back({"Retry-After", value});
+        }
+        CAPTURE(each.values);
+        const auto head = decode_answer(503, fields);
+        CHECK(head.pause_field == each.reading);
+        CHECK(head.pause == each.pause);
+        // Only a refusal with this status asks for a pause.
+        for (const unsigned status : {200U, 429U, 500U}) {
+            CHECK(decode_answer(status, fields).pause_field == pause_reading::absent);
+            CHECK(decode_answer(status, fields).pause == 0ms);
+        }
+    }
+}
+
+TEST_CASE("no text makes a pause negative or longer than its bound") {
+    CHECK(rc::check("pauses are bounded", [] {
+        transport::http_fields fields;
+        const auto count = *rc::gen::inRange(0, 4);
+        for (int i = 0; i < count; ++i) {
+            const auto text = *rc::gen::oneOf(
+                rc::gen::arbitrary<std::string>(),
+                rc::gen::container<std::string>(rc::gen::elementOf(std::string("0123456789.-+e"))));
+            fields.push_back({"Retry-After", text});
+        }
+        const auto head = decode_answer(503, fields);
+        RC_ASSERT(head.pause >= 0ms);
+        RC_ASSERT(head.pause <= 5min);
+    }));
+}
+
 TEST_CASE("orders carry the expected sequence, so a late copy has no effect") {
     state::runner_order order;
     order.kind = state::runner_order_kind::join;
--- a/tests/process/explain_test.cpp
+++ b/tests/process/explain_test.cpp
@@ -10,6 +10,7 @@
     R"(2026-01-16 06:37:40.777205 level=info event=order runner=i-a1 order=open group=g1-1 epoch=1 model= sequence=1 result=accepted detail="202 " took_ms=0
 2026-01-16 06:37:48.326358 level=info event=order runner=i-a1 order=close_now group=g1-1 epoch=1 model= sequence=2 result=accepted detail="202 " took_ms=18
 2026-01-16 06:38:02.755174 level=info event=call_ended id=refused1 route=r-1 status=503 reason=all_full endpoint= attempts=0 predicted_ms=0 first_ms= total_ms=101 configuration=2
+2026-01-16 06:38:04.004569 level=info event=call_ended id=paused1 route=r-1 status=503 reason=all_paused endpoint=i-a1 attempts=1 predicted_ms=0 first_ms= total_ms=3 configuration=2
 )";
 constexpr auto host_b =
     R"(2026-01-16 06:37:48.291544 level=info event=attempt_failed id=cut1 endpoint=i-a1 outcome=lost reason="no answer: Operation canceled"
@@ -34,6 +35,7 @@
     const explain_fixture fixture;
     CHECK(fixture.cause("cut1").find("broke off") != std::string::npos);
     CHECK(fixture.cause("refused1").find("has not run (all_full)") != std::string::npos);
+    CHECK(fixture.cause("paused1").find("asked the host for a pause") != std::string::npos);
     CHECK(fixture.cause("book1").find("it may have run") != std::string::npos);
 
     child_process lines("savoryrelayctl", {"explain", "cut1", fixture.b, fixture.a});
--- a/tests/process/leaving_runner_test.cpp
+++ b/tests/process/leaving_runner_test.cpp
@@ -1,9 +1,10 @@
-// Tests what a host does with runners that say in their answers that they leave. Calls are counted
-// at the runner.
+// Tests what a host does with what runners say in their answers: that they leave, and that they
+// want a pause. Each is counted at the runner.
 #include "edge_fixture.h"
 
 #include <atomic>
 #include <chrono>
+#include <cmath>
 #include <functional>
 #include <optional>
 #include <thread>
@@ -16,6 +17,10 @@
 using test_clock = std::chrono::steady_clock;
 
 constexpr auto poll_interval = 5ms;
+// After this time, the rules count the requests of a host to a runner that it has told of a
+// pause, and allow two of them.
+constexpr auto pause_grace = 500ms;
+constexpr int allowed_in_pause = 2;
 
 void wait_until(const std::function<bool()>& condition) {
     const auto limit = test_clock::now() + 10s;
@@ -144,3 +149,92 @@
     }
     CHECK(fixture.runs(runner) == runs);
 }
+
+// Guards against a host that goes on sending calls to a runner that asked for a pause.
+TEST_CASE("edge: a runner that asks for a pause in a burst gets no requests until its end") {
+    const two_runner_fixture fixture;
+    constexpr auto pause = 2'000ms;
+    fixture.plain.control(R"({"pause_calls":"2"})");
+    std::atomic<bool> is_over{false};
+    std::atomic<int> unanswered{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 6; ++i) {
+        callers.emplace_back([&] {
+            while (!is_over) {
+                unanswered += fixture.look().status == 200 ? 0 : 1;
+            }
+        });
+    }
+    wait_until([&] { return two_runner_fixture::requests(fixture.plain) > 0; });
+    const auto asked_at = test_clock::now();
+    std::this_thread::sleep_until(asked_at + pause_grace);
+    const auto before = two_runner_fixture::requests(fixture.plain);
+    std::this_thread::sleep_until(asked_at + pause - 100ms);
+    const auto after = two_runner_fixture::requests(fixture.plain);
+    fixture.plain.control(R"({"pause_calls":""})");
+    // It gets calls again afterwards.
+    wait_until([&] { return two_runner_fixture::requests(fixture.plain) > after; });
+    const auto used_again_at = test_clock::now();
+    is_over = true;
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    CHECK(after - before <= allowed_in_pause);
+    CHECK(unanswered == 0);
+    CHECK(used_again_at - asked_at < pause + 1s);
+}
+
+// Guards against report requests and orders to a runner that wants nothing from the host.
+TEST_CASE("edge: the head of a group that asks for a pause gets no reports and orders either") {
+    const edge_fixture fixture(1, 2);
+    const auto body = fixture.ask_until_served().body;
+    const auto& head = *fixture.models.at(std::stoul(body.substr(body.find("data: m") + 7, 1)));
+    constexpr auto pause = 3'000ms;
+    head.control(R"({"pause_calls":"3"})");
+    CHECK(fixture.ask("paused").status == 503);
+    const auto asked_at = test_clock::now();
+    std::this_thread::sleep_until(asked_at + pause_grace);
+    const auto before = two_runner_fixture::requests(head);
+    std::this_thread::sleep_until(asked_at + pause - 100ms);
+    CHECK(two_runner_fixture::requests(head) - before <= allowed_in_pause);
+    head.control(R"({"pause_calls":""})");
+    CHECK(fixture.ask_until_served().status == 200);
+}
+
+// Guards against calls that wait, or come back too early, although no runner can take them.
+TEST_CASE("edge: a call that only a paused runner could take is refused with the pause's end") {
+    const edge_fixture fixture(1, 0);
+    wait_until([&] {
+        return fetch(fixture.hosts[0]->callers, http::verb::get, "/look/1", {},
+                     edge_fixture::headers("first"))
+                   .status == 200;
+    });
+    constexpr double pause_s = 2.5;
+    fixture.plain.control(R"({"pause_calls":"2.5"})");
+    const auto before = two_runner_fixture::requests(fixture.plain);
+    for (const auto* id : {"refused", "next"}) {
+        const auto sent_at = test_clock::now();
+        const auto answer = fetch(fixture.hosts[0]->callers, http::verb::get, "/look/1", {},
+                                  edge_fixture::headers(id));
+        CAPTURE(id, answer.body, answer.retry_after);
+        CHECK(answer.status == 503);
+        REQUIRE_FALSE(answer.retry_after.empty());
+        CHECK(std::stod(answer.retry_after) <= pause_s);
+        CHECK(std::stod(answer.retry_after) > pause_s - 1);
+        CHECK(test_clock::now() - sent_at < 500ms);
+    }
+    CHECK(two_runner_fixture::requests(fixture.plain) == before + 1);
+}
+
+// Guards against a damaged field that keeps a runner out, or a reader that fails on it.
+TEST_CASE("edge: a pause that cannot be read keeps no runner out and is counted") {
+    const two_runner_fixture fixture;
+    for (const auto* text : {"-5", "soon", "1e9"}) {
+        fixture.plain.control(std::string(R"({"pause_calls":")") + text + R"("})");
+        fixture.look_until_reached();
+    }
+    fixture.plain.control(R"({"pause_calls":""})");
+    fixture.look_until_reached();
+    CHECK(fixture.metric(0, R"(savoryrelay_runner_pauses_damaged_total{reading="unreadable"} )") >=
+          3);
+}
--- a/tests/transport/serving_front_test.cpp
+++ b/tests/transport/serving_front_test.cpp
@@ -1,6 +1,6 @@
 // Tests which requests the serving front sends: none by a decision that a pause of the process
-// between the choice of an endpoint and the request has outlasted, none to an endpoint that leaves,
-// and what it does with calls whose prompt part is quarantined.
+// between the choice of an endpoint and the request has outlasted, none to an endpoint that wants
+// none, and what it does with calls whose prompt part is quarantined.
 #include "savoryrelay/transport/serving/serving_front.h"
 
 #include "savoryrelay/transport/http/http_server.h"
@@ -138,8 +138,8 @@
             metrics,
             {decode_call, make_endpoint_request, decode_answer,
              [](const transport::http_fields&) { return transport::http_fields(); },
-             [](state::milliseconds) {
-                 return transport::http_field{"Retry-After", "1"};
+             [](state::milliseconds span) {
+                 return transport::http_field{"Retry-After", std::to_string(span.count())};
              },
              [](const state::request_id& id) {
                  return transport::http_field{request_id_name, id.value()};
@@ -313,6 +313,39 @@
     CHECK(fixture.answers == 1);
 }
 
+TEST_CASE("a request is not sent to an endpoint that asks for a pause after it was chosen") {
+    front_fixture fixture(2, 0, 10); // no repeat is allowed
+    fixture.after_next_choice([&] {
+        const auto now = fixture.now();
+        fixture.fleet.note_pause(state::endpoint_id("e0"), 0, now, now + 10s);
+    });
+    CHECK(fixture.ask("moved").status == 200);
+    CHECK(fixture.endpoints[0].runs == 0);
+    CHECK(fixture.endpoints[1].runs == 1);
+}
+
+TEST_CASE("a call is refused at once with the end of the pause if all endpoints have paused") {
+    front_fixture fixture(2);
+    const auto now = fixture.now();
+    fixture.fleet.note_pause(state::endpoint_id("e0"), 0, now, now + 20s);
+    fixture.fleet.note_pause(state::endpoint_id("e1"), 0, now, now + 10s);
+    const auto answer = fixture.ask("refused");
+    CHECK(fixture.now() - now < 60ms); // the route lets calls wait for longer
+    CHECK(answer.status == 503);
+    CHECK(answer.body.find("all_paused") != std::string::npos);
+    const auto retry_after = std::stoi(answer.retry_after);
+    CHECK(retry_after > 9'000);
+    CHECK(retry_after <= 10'000);
+    CHECK(fixture.runs() == 0);
+}
+
+TEST_CASE("a pause that ends while a call may wait does not refuse the call") {
+    front_fixture fixture;
+    const auto now = fixture.now();
+    fixture.fleet.note_pause(state::endpoint_id("e0"), 0, now, now + 30ms);
+    CHECK(fixture.ask("waits").status == 200);
+}
+
 TEST_CASE("the head of an endpoint's answer that is cut later is reported") {
     front_fixture fixture;
     fixture.endpoints.front().cuts_answers = true;
