--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -1,7 +1,6 @@
 // Maintains the lease, requests reports from runners and sends them orders.
 #include "group_part.h"
 
-#include "platform/runner_client.h"
 #include "savoryrelay/coordination/serving/runner_observations.h"
 #include "savoryrelay/protocol/lease/lease_text.h"
 #include "savoryrelay/transport/process/control_loop.h"
@@ -72,9 +71,10 @@
 } // namespace
 
 group_part::group_part(transport::io_threads& threads, platform::store_client& store,
-                       shared_state& shared, const protocol::edge_settings& settings,
-                       std::uint64_t incarnation, std::function<state::time_point()> now)
-    : m_threads(threads), m_shared(shared), m_host(settings.host),
+                       shared_state& shared, runner_signals& signals,
+                       const protocol::edge_settings& settings, std::uint64_t incarnation,
+                       std::function<state::time_point()> now)
+    : m_threads(threads), m_shared(shared), m_signals(signals), m_host(settings.host),
       m_is_first_start(settings.is_first_start), m_processor_share(settings.processor_share),
       m_now(std::move(now)), m_lease(lease_times, state::member_id(m_host.value()), incarnation,
                                      {.platform = store.lease_hooks(lease_table, m_host.value()),
@@ -176,7 +176,7 @@
         const auto runner = m_shared.fleet.find(id);
         const std::scoped_lock lock(m_mutex);
         auto& polled_at = m_confirmation_polled_at[id];
-        if (runner && now - polled_at >= confirmation_poll_interval) {
+        if (runner && !runner->paused_until(now) && now - polled_at >= confirmation_poll_interval) {
             polled_at = now;
             asio::co_spawn(m_threads.context(0), poll_for_controller(runner->record),
                            asio::detached);
@@ -184,8 +184,14 @@
     }
 }
 
+platform::answer_head_hook group_part::signal_hook(const state::runner_record& runner) {
+    return
+        [this, runner](const state::answer_head& answer) { m_signals.note_answer(runner, answer); };
+}
+
 asio::awaitable<void> group_part::poll_for_controller(state::runner_record runner) {
-    const auto report = co_await platform::fetch_report(m_pool, runner, report_timeout);
+    const auto report =
+        co_await platform::fetch_report(m_pool, runner, report_timeout, signal_hook(runner));
     if (!report) {
         co_return;
     }
@@ -273,7 +279,7 @@
             continue;
         }
         auto& poll = m_polls[runner.record.id];
-        if (poll.is_in_progress || now < poll.next) {
+        if (poll.is_in_progress || now < poll.next || runner.paused_until(now)) {
             continue;
         }
         poll.is_in_progress = true;
@@ -282,7 +288,8 @@
 }
 
 asio::awaitable<void> group_part::poll_runner(state::runner_record runner) {
-    const auto report = co_await platform::fetch_report(m_pool, runner, report_timeout);
+    const auto report =
+        co_await platform::fetch_report(m_pool, runner, report_timeout, signal_hook(runner));
     const auto now = m_now();
     auto& poll = m_polls[runner.id];
     poll.is_in_progress = false;
@@ -378,15 +385,19 @@
 
 asio::awaitable<void> group_part::send_order(state::runner_record runner,
                                              state::runner_order order) {
+    if (!m_shared.fleet.reserve_order(runner.id, m_now())) {
+        co_return;
+    }
     const auto ticket = state::collect([&] { return m_lease.begin_order(groups_lease, m_now()); });
     if (!ticket || ticket.value().fencing_number != order.fencing_number) {
         co_return;
     }
     const auto sent_at = m_now();
-    const auto answer =
-        co_await platform::send_order(m_pool, runner, order, lease_times.order_timeout, [this] {
-            return m_lease.phase(groups_lease, m_now()) == state::lease_phase::holding;
-        });
+    const auto may_send = [this] {
+        return m_lease.phase(groups_lease, m_now()) == state::lease_phase::holding;
+    };
+    const auto answer = co_await platform::send_order(
+        m_pool, runner, order, lease_times.order_timeout, may_send, signal_hook(runner));
     const auto result = answer.result;
     const auto now = m_now();
     const auto end = result == state::runner_order_result::unknown
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -2,6 +2,7 @@
 #include "savoryrelay/coordination/serving/fleet_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace savoryrelay::coordination {
 namespace {
@@ -13,11 +14,11 @@
     runner.record.sequence = 0;
     runner.record.membership.reset();
     runner.record.model.clear();
-    runner.record.is_draining = false;
     runner.silent_since.reset();
     runner.reported_at.reset();
     runner.own_report_at.reset();
-    runner.avoided_until = {};
+    runner.exclusions.clear();
+    runner.has_order_in_pause = false;
     runner.refusal_backoff = state::milliseconds(0);
     runner.is_order_in_progress = false;
     runner.awaits_report_since.reset();
@@ -35,6 +36,13 @@
     }
 }
 
+bool is_forgotten(const runner_view& runner, state::time_point now) {
+    const auto answered = runner.answered_at.value_or(state::time_point{});
+    return !runner.has_entry && runner.unlisted_from &&
+           now - *runner.unlisted_from > fleet_table::forget_after &&
+           now - answered > fleet_table::forget_after;
+}
+
 // Returns whether the observation repeats what is known of a runner that answers.
 bool is_known(const runner_view& runner, const state::runner_observation& observation) {
     const auto& record = runner.record;
@@ -47,6 +55,7 @@
 } // namespace
 
 void fleet_table::apply_entry(const state::runner_record& entry, state::time_point now) {
+    const auto departed = m_departures.find(entry.id);
     m_runners.update(entry.id, [&](runner_view& runner) {
         const bool is_new = runner.record.id.empty();
         if (!is_new && entry.started_ms < runner.record.started_ms) {
@@ -60,7 +69,14 @@
         runner.cold_until = std::max(runner.cold_until, now + entry.cold_remaining);
         const auto known = runner.record;
         runner.record = entry;
-        runner.record.is_draining = entry.is_draining || (!is_new && known.is_draining);
+        if (entry.is_draining) {
+            runner.exclusions.add(exclusion_reason::draining, exclusion_source::entry, now,
+                                  runner_exclusion::no_end);
+        }
+        if (is_new && departed && departed->started_ms == entry.started_ms) {
+            runner.exclusions.add(exclusion_reason::leaving, exclusion_source::answer, now,
+                                  runner_exclusion::no_end);
+        }
 
         // Entries carry no sequence number of orders, and lag behind reports.
         runner.record.sequence = is_new ? 0 : known.sequence;
@@ -207,12 +223,17 @@
 
 void fleet_table::note_refusal(const state::endpoint_id& id, state::time_point now) {
     m_runners.update_existing(id, [&](runner_view& runner) {
-        if (now < runner.avoided_until) {
+        if (runner.exclusions.contains(exclusion_reason::not_serving, now) ||
+            runner.exclusions.contains(exclusion_reason::call_failed, now)) {
             return; // the call was sent before the backoff began
         }
+        if (runner.paused_until(now)) {
+            return; // the runner has set the length of its pause itself
+        }
         runner.refusal_backoff =
             std::clamp(2 * runner.refusal_backoff, min_refusal_backoff, max_refusal_backoff);
-        runner.avoided_until = now + runner.refusal_backoff;
+        runner.exclusions.add(exclusion_reason::not_serving, exclusion_source::call, now,
+                              now + runner.refusal_backoff);
     });
     m_is_changed = true;
 }
@@ -223,23 +244,87 @@
     m_is_changed = true;
 }
 
-void fleet_table::avoid(const state::endpoint_id& id, state::time_point until) {
+void fleet_table::avoid(const state::endpoint_id& id, state::time_point now,
+                        state::time_point until) {
     m_runners.update_existing(id, [&](runner_view& runner) {
-        runner.avoided_until = std::max(runner.avoided_until, until);
+        runner.exclusions.add(exclusion_reason::call_failed, exclusion_source::call, now, until);
     });
     m_is_changed = true;
 }
 
+bool fleet_table::note_leaving(const state::endpoint_id& id, std::uint64_t started_ms,
+                               exclusion_source source, state::time_point now) {
+    bool is_new = false;
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        is_new =
+            runner.record.started_ms == started_ms &&
+            runner.exclusions.add(exclusion_reason::leaving, source, now, runner_exclusion::no_end);
+    });
+    if (is_new) {
+        m_is_changed = true;
+    }
+    return is_new;
+}
+
+bool fleet_table::note_pause(const state::endpoint_id& id, std::uint64_t started_ms,
+                             state::time_point now, state::time_point until) {
+    bool is_new = false;
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        if (runner.record.started_ms != started_ms) {
+            return;
+        }
+        is_new = runner.exclusions.add(exclusion_reason::pause_requested, exclusion_source::answer,
+                                       now, until);
+        runner.has_order_in_pause = runner.has_order_in_pause && !is_new;
+        m_is_changed = true;
+    });
+    return is_new;
+}
+
+bool fleet_table::reserve_order(const state::endpoint_id& id, state::time_point now) {
+    bool is_reserved = true;
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        if (runner.paused_until(now)) {
+            is_reserved = !std::exchange(runner.has_order_in_pause, true);
+        }
+    });
+    return is_reserved;
+}
+
+std::vector<state::leaving_runner> fleet_table::recently_leaving(state::time_point now) const {
+    std::vector<state::leaving_runner> all;
+    m_runners.for_each([&](const state::endpoint_id& id, const runner_view& runner) {
+        const auto leaving = runner.exclusions.find(exclusion_reason::leaving, now);
+        if (leaving && now - leaving->since < leaving_announced_for &&
+            all.size() < max_leaving_announced) {
+            all.push_back({id, runner.record.started_ms});
+        }
+    });
+    return all;
+}
+
 std::optional<runner_view> fleet_table::find(const state::endpoint_id& id) const {
     return m_runners.find(id);
 }
 
-void fleet_table::refresh(state::time_point now) {
-    const auto removed = m_runners.erase_if([&](const auto&, const runner_view& runner) {
-        const auto answered = runner.answered_at.value_or(state::time_point{});
-        return !runner.has_entry && runner.unlisted_from &&
-               now - *runner.unlisted_from > forget_after && now - answered > forget_after;
+void fleet_table::remember_departures(state::time_point now) {
+    std::vector<std::pair<state::endpoint_id, departure>> departed;
+    m_runners.for_each([&](const state::endpoint_id& id, const runner_view& runner) {
+        if (is_forgotten(runner, now) && runner.is_leaving(now)) {
+            departed.push_back({id, {runner.record.started_ms, now + departure_retention}});
+        }
     });
+    for (const auto& [id, each] : departed) {
+        m_departures.update(id, [&each = each](departure& known) { known = each; });
+    }
+    m_departures.erase_if(
+        [&](const auto&, const departure& each) { return now >= each.forgotten_at; });
+}
+
+void fleet_table::refresh(state::time_point now) {
+    remember_departures(now);
+    const auto removed = m_runners.erase_if(
+        [&](const auto&, const runner_view& runner) { return is_forgotten(runner, now); });
     const bool is_changed = m_is_changed.exchange(false) || removed > 0;
     fleet_snapshot all;
     m_runners.update_each([&](const auto&, runner_view& runner) {
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -2,12 +2,14 @@
 // observations of other hosts, and whether they answer.
 #pragma once
 
+#include "savoryrelay/coordination/serving/runner_exclusions.h"
 #include "savoryrelay/state/core/sharded_map.h"
 #include "savoryrelay/state/core/snapshot_cell.h"
 #include "savoryrelay/state/serving/peer_digest.h"
 #include "savoryrelay/state/serving/runner_record.h"
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -42,8 +44,9 @@
     /// Until then, a peer's observation that the runner answers is valid.
     std::optional<state::time_point> peer_confirmed_until;
     state::time_point cold_until{};                ///< until then, the rate of its calls is limited
-    state::time_point avoided_until{};             ///< end of a pause after failed calls
+    runner_exclusions exclusions;                  ///< of this incarnation
     state::milliseconds refusal_backoff{0};        ///< last backoff; 0 after an answer
+    bool has_order_in_pause = false;               ///< an order was sent in the last pause
     std::optional<state::time_point> last_head_at; ///< when it was last seen as a group's head
     bool is_order_in_progress = false;
     std::string last_model; ///< of the last group in which this incarnation was ready
@@ -86,10 +89,25 @@
         return record.started_ms != started_ms || has_ended ||
                (serves_in_groups && is_state_reported(now) && !record.is_head());
     }
+    /// Returns whether the runner is about to stop.
+    [[nodiscard]] bool is_leaving(state::time_point now) const {
+        return exclusions.contains(exclusion_reason::draining, now) ||
+               exclusions.contains(exclusion_reason::leaving, now);
+    }
+    /// Returns when the pause ends that the runner has asked this host for; empty if there is
+    /// none.
+    [[nodiscard]] std::optional<state::time_point> paused_until(state::time_point now) const {
+        const auto pause = exclusions.find(exclusion_reason::pause_requested, now);
+        return pause ? std::optional(pause->until) : std::nullopt;
+    }
+    /// Returns whether the runner has said that it wants no calls of this host.
+    [[nodiscard]] bool wants_no_calls(state::time_point now) const {
+        return is_leaving(now) || paused_until(now);
+    }
     /// Returns whether the runner may receive calls at `now`. Does not check its
     /// group or zone.
     [[nodiscard]] bool may_take_calls(state::time_point now) const {
-        return is_listed(now) && !record.is_draining && !silent_since && now >= avoided_until;
+        return is_listed(now) && !silent_since && !exclusions.any(now);
     }
 };
 
@@ -112,6 +130,15 @@
     static constexpr state::milliseconds min_refusal_backoff{250};
     static constexpr state::milliseconds max_refusal_backoff{4'000};
 
+    /// A runner that said that it leaves is remembered for this long after its removal, so
+    /// that an old copy of the store does not make it a candidate again.
+    static constexpr state::milliseconds departure_retention{600'000};
+    /// A host tells the others of a leaving runner for this long, because datagrams get lost
+    /// and members leave a hub that has ended only after some time.
+    static constexpr state::milliseconds leaving_announced_for{1'200};
+    /// The most leaving runners that a host announces at a time.
+    static constexpr std::size_t max_leaving_announced = 64;
+
     fleet_table() : m_snapshot(fleet_snapshot{}) {}
 
     /// Applies a runner's entry that was read at `now`.
@@ -140,8 +167,22 @@
     /// Records that the runner refused a call because it is not the head of an open
     /// group, and starts a backoff.
     void note_refusal(const state::endpoint_id& id, state::time_point now);
-    /// Excludes the runner from new calls until `until`.
-    void avoid(const state::endpoint_id& id, state::time_point until);
+    /// Records that a call of this host failed. Excludes the runner from new calls until
+    /// `until`.
+    void avoid(const state::endpoint_id& id, state::time_point now, state::time_point until);
+    /// Records that the runner's incarnation `started_ms` said that it leaves. Neither an entry
+    /// nor an observation undoes it. Returns whether this is new.
+    bool note_leaving(const state::endpoint_id& id, std::uint64_t started_ms,
+                      exclusion_source source, state::time_point now);
+    /// Records that the runner's incarnation `started_ms` asked this host for a pause until
+    /// `until`. Returns whether a pause begins.
+    bool note_pause(const state::endpoint_id& id, std::uint64_t started_ms, state::time_point now,
+                    state::time_point until);
+    /// Returns whether an order may be sent to the runner, and counts it. In a pause, only the
+    /// first one may be.
+    bool reserve_order(const state::endpoint_id& id, state::time_point now);
+    /// Returns the runners of which this host has learned lately that they leave.
+    [[nodiscard]] std::vector<state::leaving_runner> recently_leaving(state::time_point now) const;
 
     [[nodiscard]] std::optional<runner_view> find(const state::endpoint_id& id) const;
 
@@ -154,7 +195,16 @@
     }
 
 private:
+    struct departure {
+        std::uint64_t started_ms = 0;
+        state::time_point forgotten_at{};
+    };
+
+    /// Remembers the leaving runners among those that `refresh` is about to remove.
+    void remember_departures(state::time_point now);
+
     state::sharded_map<state::endpoint_id, runner_view> m_runners;
+    state::sharded_map<state::endpoint_id, departure> m_departures; // of removed runners
     state::snapshot_cell<fleet_snapshot> m_snapshot;
     std::atomic<bool> m_is_changed{false}; // since the snapshot was built
 };
--- a/src/savoryrelay/coordination/serving/group_reconciler_step.h
+++ b/src/savoryrelay/coordination/serving/group_reconciler_step.h
@@ -45,7 +45,7 @@
         return runner.own_report_at && *runner.own_report_at >= input.holder_since;
     }
     [[nodiscard]] bool is_usable(const runner_view& runner) const {
-        return runner.is_listed(now) && !runner.record.is_draining && !runner.silent_since &&
+        return runner.is_listed(now) && !runner.is_leaving(now) && !runner.silent_since &&
                has_fresh_report(runner) && has_reported_here(runner) &&
                !input.zones_out_of_service.contains(runner.record.availability_zone);
     }
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -42,6 +42,12 @@
     return value;
 }
 
+state::time_point backoff_end(const fleet_table& fleet, state::time_point now) {
+    const auto backoff = fleet.find(id)->exclusions.find(exclusion_reason::not_serving, now);
+    REQUIRE(backoff);
+    return backoff->until;
+}
+
 } // namespace
 
 TEST_CASE(
@@ -225,12 +231,12 @@
     fleet.apply_entry(entry(5), start);
     const auto backoff_after = [&](state::time_point at) {
         fleet.note_refusal(id, at);
-        return fleet.find(id)->avoided_until - at;
+        return backoff_end(fleet, at) - at;
     };
     CHECK(backoff_after(start) == fleet_table::min_refusal_backoff);
     // A refusal during the backoff does not extend it: the call was sent before it began.
     fleet.note_refusal(id, start + 10ms);
-    CHECK(fleet.find(id)->avoided_until == start + fleet_table::min_refusal_backoff);
+    CHECK(backoff_end(fleet, start + 10ms) == start + fleet_table::min_refusal_backoff);
     CHECK(backoff_after(start + 1s) == 2 * fleet_table::min_refusal_backoff);
     CHECK(backoff_after(start + 10s) == 4 * fleet_table::min_refusal_backoff);
     for (int i = 2; i < 10; ++i) {
@@ -288,3 +294,108 @@
     CHECK(fleet.find(id)->last_model == "small");
     CHECK_FALSE(fleet.find(id)->record.membership);
 }
+
+TEST_CASE("only a new incarnation takes calls after one that said that it leaves") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    CHECK(fleet.note_leaving(id, 5, exclusion_source::answer, start));
+    CHECK_FALSE(fleet.note_leaving(id, 5, exclusion_source::peer, start));
+    CHECK_FALSE(fleet.find(id)->may_take_calls(start));
+    CHECK(fleet.find(id)->is_leaving(start));
+
+    // Neither an entry that says ready, nor a report, nor an observation undoes it.
+    fleet.apply_entry(entry(5), start + 1s);
+    fleet.apply_report(id, report(5, 1, "g"), start + 1s);
+    state::runner_observation observation;
+    observation.id = id;
+    observation.started_ms = 5;
+    observation.sequence = 2;
+    fleet.apply_observation(observation, start + 1s);
+    fleet.apply_removal(id, start + 2s);
+    fleet.apply_entry(entry(5), start + 3s);
+    CHECK_FALSE(fleet.find(id)->may_take_calls(start + 1h));
+
+    fleet.apply_entry(entry(6), start + 4s);
+    CHECK(fleet.find(id)->may_take_calls(start + 4s));
+    // A late answer of the earlier incarnation says nothing of the new one.
+    CHECK_FALSE(fleet.note_leaving(id, 5, exclusion_source::answer, start + 5s));
+    CHECK(fleet.find(id)->may_take_calls(start + 5s));
+}
+
+TEST_CASE("an old copy of the store does not bring back a runner that left and was forgotten") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    fleet.note_leaving(id, 5, exclusion_source::answer, start);
+    fleet.apply_removal(id, start);
+    const auto forgotten = start + fleet_table::forget_after + 1ms;
+    fleet.refresh(forgotten);
+    REQUIRE_FALSE(fleet.find(id));
+
+    fleet.apply_entry(entry(5), forgotten + 1s);
+    CHECK_FALSE(fleet.find(id)->may_take_calls(forgotten + 1s));
+    fleet.apply_entry(entry(6), forgotten + 2s);
+    CHECK(fleet.find(id)->may_take_calls(forgotten + 2s));
+}
+
+TEST_CASE("departed runners do not stay in memory") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    fleet.note_leaving(id, 5, exclusion_source::answer, start);
+    fleet.apply_removal(id, start);
+    const auto forgotten = start + fleet_table::forget_after + 1ms;
+    fleet.refresh(forgotten);
+    fleet.refresh(forgotten + fleet_table::departure_retention);
+    fleet.apply_entry(entry(5), forgotten + fleet_table::departure_retention);
+    CHECK(fleet.find(id)->may_take_calls(forgotten + fleet_table::departure_retention));
+}
+
+TEST_CASE("a leaving runner is announced for a limited time") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    CHECK(fleet.recently_leaving(start).empty());
+    fleet.note_leaving(id, 5, exclusion_source::answer, start);
+    // Hearing it again must not prolong the announcement, or hosts would repeat it for ever.
+    fleet.note_leaving(id, 5, exclusion_source::peer, start + 1s);
+    const std::vector<state::leaving_runner> announced{{id, 5}};
+    CHECK(fleet.recently_leaving(start + 1s) == announced);
+    CHECK(fleet.recently_leaving(start + fleet_table::leaving_announced_for).empty());
+}
+
+TEST_CASE("a requested pause ends calls until its end and is not shortened") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    CHECK(fleet.note_pause(id, 5, start, start + 2s));
+    CHECK_FALSE(fleet.note_pause(id, 5, start + 1s, start + 1500ms));
+    CHECK_FALSE(fleet.note_pause(id, 4, start + 1s, start + 1h));
+    CHECK_FALSE(fleet.find(id)->may_take_calls(start + 1999ms));
+    CHECK(fleet.find(id)->paused_until(start) == start + 2s);
+    CHECK(fleet.find(id)->may_take_calls(start + 2s));
+    CHECK_FALSE(fleet.note_pause(id, 5, start + 3s, start + 3s)); // asked for no time
+    CHECK(fleet.find(id)->may_take_calls(start + 3s));
+    CHECK(fleet.note_pause(id, 5, start + 4s, start + 5s));
+    fleet.apply_entry(entry(6), start + 4s);
+    CHECK(fleet.find(id)->may_take_calls(start + 4s));
+}
+
+TEST_CASE("a refusal that asks for a pause does not lengthen the backoff") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    fleet.note_pause(id, 5, start, start + 100ms);
+    fleet.note_refusal(id, start);
+    CHECK(fleet.find(id)->may_take_calls(start + 100ms));
+    fleet.note_refusal(id, start + 200ms);
+    CHECK(backoff_end(fleet, start + 200ms) == start + 200ms + fleet_table::min_refusal_backoff);
+}
+
+TEST_CASE("one order may be sent in each pause") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    CHECK(fleet.reserve_order(id, start));
+    CHECK(fleet.reserve_order(id, start));
+    fleet.note_pause(id, 5, start, start + 1s);
+    CHECK(fleet.reserve_order(id, start));
+    CHECK_FALSE(fleet.reserve_order(id, start + 999ms));
+    CHECK(fleet.reserve_order(id, start + 1s));
+    fleet.note_pause(id, 5, start + 2s, start + 3s);
+    CHECK(fleet.reserve_order(id, start + 2s));
+}
