--- a/src/savoryrelay/state/platform/store_version.h
+++ b/src/savoryrelay/state/platform/store_version.h
@@ -16,7 +16,11 @@
     std::uint64_t era = 0; ///< increases with each restore, as the store states it; 0: none stated
     std::uint64_t number = 0; ///< increases with each transaction of an era; 0: before the first
 
-    friend constexpr auto operator<=>(const store_version&, const store_version&) = default;
+    friend constexpr bool operator==(const store_version&, const store_version&) = default;
+    friend constexpr std::strong_ordering operator<=>(const store_version& left,
+                                                      const store_version& right) {
+        return left.era != right.era ? left.era <=> right.era : left.number <=> right.number;
+    }
 };
 
 } // namespace savoryrelay::state
