--- a/tests/support/exchange_simulation.h
+++ b/tests/support/exchange_simulation.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -29,6 +30,7 @@
 class exchange_simulation {
 public:
     static constexpr state::milliseconds round{100};
+    static constexpr state::milliseconds restore_grace{2'200};
 
     struct host {
         state::host_entry entry;
@@ -40,6 +42,8 @@
         std::unique_ptr<coordination::digest_exchange> exchange;
         std::unique_ptr<state::table_mirror> rows;
         std::uint64_t configuration_version = 0;
+        std::uint64_t known_era = 0;
+        std::optional<state::time_point> confirm_at; // set while a restore is recent
         std::unique_ptr<coordination::crash_notice_schedule> notices;
         /// Kind, fingerprint and crash of the notices that the host made or received.
         std::set<std::tuple<state::crash_notice_kind, state::request_fingerprint, std::uint64_t>>
@@ -240,6 +244,15 @@
         if (each.exchange->is_store_reader()) {
             each.rows->apply_image(store->changes_since(each.rows->synced_version()));
         }
+        // Each host confirms its rows by a read of the store after the grace of a restore.
+        const auto era = each.rows->synced_version().era;
+        if (std::exchange(each.known_era, era) != era) {
+            each.confirm_at = now + restore_grace;
+        }
+        if (each.confirm_at && now >= *each.confirm_at) {
+            each.confirm_at.reset();
+            each.rows->apply_image(store->image());
+        }
         const auto source = each.directory->best_source(coordination::shared_table::operators, now);
         if (source && source->version > each.rows->synced_version()) {
             const auto* peer = m_by_address.at(coordination::to_text(source->address));
