Withhold an endpoint's refusal of a call that it may have run

What callers saw: an endpoint made a booking and answered 503 without Not-Executed.

Cause: whether a call has run was decided by the endpoint's statement, and which status its caller gets by the number alone, at another place. Nothing compared the two, so each 408, 429 and 503 made the promise, on plain calls and on streams that did not begin.

Change: judge_answer decides what a complete answer means. An answer whose status promises what the endpoint did not state is withheld: the attempt counts as one that may have run, another endpoint is tried if the call may be repeated, and otherwise the caller gets 502 or 504 of the host's own, without the receipt.

--- a/src/savoryrelay/coordination/serving/call_progress.cpp
+++ b/src/savoryrelay/coordination/serving/call_progress.cpp
@@ -33,6 +33,7 @@
         ++m_refusals;
         break;
     case attempt_outcome::failed:
+    case attempt_outcome::withheld:
     case attempt_outcome::lost:
         m_may_have_run = true;
         m_runs += end == endpoint_end::during_answer ? 0 : 1;
--- a/src/savoryrelay/coordination/serving/call_progress.h
+++ b/src/savoryrelay/coordination/serving/call_progress.h
@@ -20,6 +20,7 @@
     delivered,   ///< the caller has received the whole answer
     not_run,     ///< the endpoint did not run the call and will not run it
     failed,      ///< the endpoint ran it and answered with a failure
+    withheld,    ///< it may have run, and the endpoint's answer must not reach the caller
     lost,        ///< the call may have run, but no complete answer was received
     caller_gone, ///< the caller closed the connection
 };
@@ -66,9 +67,9 @@
 struct savoryrelay::state::enum_table<savoryrelay::coordination::attempt_outcome> {
     using o = savoryrelay::coordination::attempt_outcome;
     static constexpr std::array rows{
-        enum_name<o>{o::delivered, "delivered"},     enum_name<o>{o::not_run, "not_run"},
-        enum_name<o>{o::failed, "failed"},           enum_name<o>{o::lost, "lost"},
-        enum_name<o>{o::caller_gone, "caller_gone"},
+        enum_name<o>{o::delivered, "delivered"}, enum_name<o>{o::not_run, "not_run"},
+        enum_name<o>{o::failed, "failed"},       enum_name<o>{o::withheld, "withheld"},
+        enum_name<o>{o::lost, "lost"},           enum_name<o>{o::caller_gone, "caller_gone"},
     };
 };
 
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -1,5 +1,6 @@
 // Relays an endpoint's answer to the caller: answers of plain services as a
 // whole, and event streams event by event.
+#include "savoryrelay/coordination/serving/answer_verdict.h"
 #include "savoryrelay/transport/serving/call_state.h"
 
 #include <boost/asio/use_awaitable.hpp>
@@ -19,7 +20,6 @@
 namespace {
 
 constexpr unsigned status_ok = 200;
-constexpr unsigned status_server_error = 500;
 
 constexpr std::size_t read_buffer_bytes = 16 * 1024;
 // The answer of a plain service is read completely before any of it is sent to
@@ -43,6 +43,19 @@
     return answer.request_id == request.value() || (answer.is_not_run && answer.request_id.empty());
 }
 
+std::string reason_of(attempt_outcome outcome, unsigned status) {
+    const auto number = std::to_string(status);
+    switch (outcome) {
+    case attempt_outcome::not_run:
+        return "refused with " + number;
+    case attempt_outcome::withheld:
+        return "answer withheld: status " + number +
+               " without a statement that the call did not run";
+    default:
+        return "status " + number;
+    }
+}
+
 bool is_head(const http_request& request) {
     return request.method() == boost::beast::http::verb::head;
 }
@@ -114,14 +127,9 @@
             end.fields.push_back({"Content-Length", length});
         }
         end.has_request_id = !answer.request_id.empty();
-        if (answer.is_not_run) {
-            end.outcome = attempt_outcome::not_run;
-            end.reason = "refused with " + std::to_string(status);
-            co_return end;
-        }
-        if (status >= status_server_error) {
-            end.outcome = attempt_outcome::failed;
-            end.reason = "status " + std::to_string(status);
+        end.outcome = coordination::judge_answer(answer);
+        if (end.outcome != attempt_outcome::delivered) {
+            end.reason = reason_of(end.outcome, status);
             co_return end;
         }
         call.status = status;
@@ -209,8 +217,11 @@
         end.status = status;
         end.has_request_id = !answer.request_id.empty();
         end.fields = m_dependencies.codec.select_caller_fields(fields);
-        end.outcome = answer.is_not_run ? attempt_outcome::not_run : attempt_outcome::failed;
-        end.reason = "status " + std::to_string(status);
+        end.outcome = coordination::judge_answer(answer);
+        if (end.outcome == attempt_outcome::delivered) {
+            end.outcome = attempt_outcome::failed; // no stream, so another endpoint is tried first
+        }
+        end.reason = reason_of(end.outcome, status);
         if (end.outcome == attempt_outcome::not_run && !answer.faulty_runner.empty()) {
             m_dependencies.report_suspect(state::endpoint_id(answer.faulty_runner));
         }
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -304,7 +304,8 @@
     }
     // A stream that fails before its first event shows nothing.
     if (call.route->kind != state::call_kind::streaming &&
-        (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed)) {
+        (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
+         end.outcome == attempt_outcome::withheld)) {
         m_dependencies.crashes.record_answer(call.fingerprints, m_dependencies.now());
     }
     if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
