Count crashes within an answer, and clear a call by whole answers only

What callers saw: a prompt part crashed each runner just behind the first event of its answer.

Cause: an answer that had begun was taken for an answer. A connection that ended was asked after only before the first event, and the first event cleared the call's fingerprints for 10 s.

Change: a connection that ends before the answer is whole is asked after, whatever has been sent, also that of a call kept at a silent endpoint. Only an answer that one endpoint has sent from its start to its end clears fingerprints: a stream that is resumed behind the event at which its first endpoint crashed may end before the second one would crash. An answer without a length ends with its connection, as a crash does, and clears only if the endpoint still accepts connections.

--- a/src/savoryrelay/coordination/retry/crash_suspects.h
+++ b/src/savoryrelay/coordination/retry/crash_suspects.h
@@ -100,7 +100,7 @@
     std::vector<call_fingerprint> record_crash(std::uint64_t crash,
                                                std::vector<call_fingerprint> fingerprints,
                                                state::time_point at);
-    /// Records that an endpoint began to answer a request with the fingerprint at `at`, which
+    /// Records that an endpoint answered a request with the fingerprint completely at `at`, which
     /// shows that the fingerprint crashes no endpoint. Returns whether it was a suspect for
     /// which this is new.
     bool record_answer(request_fingerprint fingerprint, state::time_point at);
--- a/src/savoryrelay/coordination/retry/crash_watch.h
+++ b/src/savoryrelay/coordination/retry/crash_watch.h
@@ -48,11 +48,12 @@
     crash_watch(crash_settings settings, crash_hooks hooks)
         : m_retention(settings.retention), m_suspects(settings, std::move(hooks)) {}
 
-    /// Records that an endpoint crashed before it began to answer a call with these
-    /// fingerprints, which are in the order of `fingerprints_of`.
+    /// Records that an endpoint crashed before it had answered a call with these fingerprints
+    /// completely. They are in the order of `fingerprints_of`.
     void record_crash(const state::endpoint_id& endpoint, std::uint64_t started_ms,
                       const std::vector<request_fingerprint>& fingerprints, state::time_point now);
-    /// Records that an endpoint began to answer a call with these fingerprints.
+    /// Records that an endpoint answered a call with these fingerprints completely. A part of an
+    /// answer shows nothing, because endpoints may crash while they write.
     void record_answer(const std::vector<request_fingerprint>& fingerprints, state::time_point now);
     /// Applies a notice of a peer, unless it is older than the retention of suspects. What
     /// is new to this host is passed on.
--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -185,6 +185,10 @@
            m_buffer.size() == 0;
 }
 
+bool endpoint_connection::ends_answer_by_closing() const {
+    return !m_skips_body && m_parser && m_parser->need_eof();
+}
+
 void endpoint_connection::expect_another_answer() {
     reset_parser();
 }
@@ -211,16 +215,26 @@
         std::chrono::duration<double>(limit) * share) {
         return false;
     }
+    return peek() == input_state::none;
+}
+
+endpoint_connection::input_state endpoint_connection::peek() {
     char byte = 0;
     const auto received =
         ::recv(m_stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (received > 0) {
+        return input_state::bytes;
+    }
+    const bool is_open = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return is_open ? input_state::none : input_state::closed;
 }
 
 bool endpoint_connection::has_unread_bytes() {
-    char byte = 0;
-    return ::recv(m_stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >
-           0;
+    return peek() == input_state::bytes;
+}
+
+bool endpoint_connection::is_closed_by_peer() {
+    return m_stream.socket().is_open() && peek() == input_state::closed;
 }
 
 void endpoint_connection::close() {
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -66,6 +66,9 @@
     /// Returns true if the answer is complete and the connection may carry another
     /// request.
     [[nodiscard]] bool reusable() const;
+    /// Returns true if the answer has neither a length nor chunks, so that the end of the
+    /// connection is its end. Call it only after `read_header`.
+    [[nodiscard]] bool ends_answer_by_closing() const;
     /// Prepares to read the next answer on the connection. Called after reading an
     /// answer that belonged to an earlier request.
     void expect_another_answer();
@@ -82,6 +85,8 @@
     [[nodiscard]] bool usable_when_idle(state::time_point now, double share);
     /// Returns true if bytes of the peer have arrived that were not read.
     [[nodiscard]] bool has_unread_bytes();
+    /// Returns true if the peer has closed or reset the connection and all it sent was read.
+    [[nodiscard]] bool is_closed_by_peer();
     /// Closes the connection at once.
     void close();
 
@@ -89,6 +94,10 @@
     // Assumed if the peer's answer has no keep-alive timeout.
     static constexpr state::milliseconds default_keep_alive_timeout{4'000};
 
+    /// What can be read from the socket without waiting.
+    enum class input_state { none, bytes, closed };
+
+    [[nodiscard]] input_state peek();
     void reset_parser();
 
     boost::beast::tcp_stream m_stream;
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -283,7 +283,6 @@
                 call.decoded.model, attempt.chosen.uncorrected_first_event_ms,
                 static_cast<double>(time_until(m_dependencies.now(), attempt.sent_at).count()));
             m_dependencies.loads.note_first_event(runner.id, call.decoded.prompt_tokens);
-            m_dependencies.crashes.record_answer(call.fingerprints, m_dependencies.now());
         }
         if (!call.writer.started()) {
             call.status = status;
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -176,10 +176,21 @@
         if (attempt->is_writing) {
             call.broke_off.push_back(attempt->chosen.runner.record);
         }
+        if (attempt->connection->is_closed_by_peer()) {
+            call.closed_while_kept.push_back(attempt->chosen.runner.record);
+        }
         report_failed_attempt(call, *attempt, end);
     }
 }
 
+asio::awaitable<void> serving_front::report_kept_closes(call_state& call) {
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    for (const auto& endpoint : std::exchange(call.closed_while_kept, {})) {
+        const bool still_accepts = co_await accepts_connection(context, endpoint);
+        report_close(call, endpoint, still_accepts);
+    }
+}
+
 asio::awaitable<void> serving_front::discount_ended_endpoints(call_state& call) {
     auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
     for (const auto& endpoint : std::exchange(call.broke_off, {})) {
@@ -253,6 +264,7 @@
     added_values.endpoint = runner.id;
     added_values.customer = call.customer;
     added_values.last_event = call.last_event;
+    attempt.is_continued = call.last_event || call.decoded.last_event;
     if (call.decoded.deadline) {
         added_values.time_left =
             time_until(call.arrived + *call.decoded.deadline, m_dependencies.now());
@@ -283,6 +295,39 @@
     co_return end;
 }
 
+asio::awaitable<void> serving_front::record_crash_evidence(call_state& call,
+                                                           const attempt_result& end,
+                                                           asio::io_context& context) {
+    auto& attempt = *call.current;
+    const auto& runner = attempt.chosen.runner.record;
+    if (end.outcome == attempt_outcome::lost) {
+        if (end.closed_by_endpoint) {
+            const bool still_accepts = co_await keeps_accepting(context, runner);
+            report_close(call, runner, still_accepts);
+        }
+        co_return;
+    }
+    // An answer without a length ends with its connection, which a crash ends too.
+    const bool is_delivered = end.outcome == attempt_outcome::delivered;
+    if (is_delivered && attempt.connection->ends_answer_by_closing()) {
+        const bool still_accepts = co_await accepts_connection(context, runner);
+        if (!still_accepts) {
+            if (!is_unwanted(call)) {
+                report_close(call, runner, still_accepts);
+            }
+            co_return;
+        }
+    }
+    // A failure of a stream comes before its first event, and of a continued answer another
+    // endpoint wrote the rest. Neither shows that the call crashes no endpoint.
+    const bool is_failure =
+        end.outcome == attempt_outcome::failed || end.outcome == attempt_outcome::withheld;
+    const bool is_stream = call.route->kind == state::call_kind::streaming;
+    if ((is_delivered || (is_failure && !is_stream)) && !attempt.is_continued) {
+        m_dependencies.crashes.record_answer(call.fingerprints, m_dependencies.now());
+    }
+}
+
 asio::awaitable<void> serving_front::conclude_attempt(call_state& call, const attempt_result& end,
                                                       asio::io_context& context) {
     auto& attempt = *call.current;
@@ -297,16 +342,9 @@
     }
     if (end.outcome == attempt_outcome::lost && !call.caller_is_gone) {
         avoid(runner.id);
-        if (end.closed_by_endpoint && !attempt.is_writing) {
-            const bool still_accepts = co_await keeps_accepting(context, runner);
-            report_close(call, runner, still_accepts);
-        }
     }
-    // A stream that fails before its first event shows nothing.
-    if (call.route->kind != state::call_kind::streaming &&
-        (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
-         end.outcome == attempt_outcome::withheld)) {
-        m_dependencies.crashes.record_answer(call.fingerprints, m_dependencies.now());
+    if (!call.caller_is_gone) {
+        co_await record_crash_evidence(call, end, context);
     }
     if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
         end.outcome == attempt_outcome::not_run) {
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -52,6 +52,7 @@
     std::optional<counted_call> counted; // set while the endpoint may work on the call
     state::time_point sent_at{};
     bool has_header = false;              // the header of a stream was read
+    bool is_continued = false;            // the answer begins after an event that the caller has
     protocol::event_splitter kept_events; // the call's splitter while the attempt is kept
 };
 
@@ -83,6 +84,8 @@
     /// Endpoints that closed the connection while they answered. They count towards the
     /// attempts of the call, unless their processes have ended.
     std::vector<state::runner_record> broke_off;
+    /// Endpoints that closed the connections of kept attempts, which were then given up.
+    std::vector<state::runner_record> closed_while_kept;
     std::set<state::endpoint_id> may_have_run_at;    // those of `tried` that did not refuse
     coordination::call_progress* progress = nullptr; // set while attempts run
     /// Selected before the call turned away from the current attempt.
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -122,6 +122,7 @@
     call.caller_is_gone = writer.is_caller_gone(); // while the configuration was awaited
     co_await run_attempts(call);
     writer.on_caller_gone(nullptr);
+    co_await report_kept_closes(call);
     report_end(call);
 }
 
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -78,6 +78,8 @@
     bool return_to_kept_attempt(call_state& call);
     /// Ends the kept attempts and closes their connections.
     void end_kept_attempts(call_state& call);
+    /// Reports the endpoints that closed the connections of kept attempts of a call that has ended.
+    boost::asio::awaitable<void> report_kept_closes(call_state& call);
     /// Discounts the attempts of a call whose endpoints have ended while they answered.
     boost::asio::awaitable<void> discount_ended_endpoints(call_state& call);
     /// Counts and logs an attempt that has failed.
@@ -103,6 +105,10 @@
     /// that can be used again.
     boost::asio::awaitable<void> conclude_attempt(call_state& call, const attempt_result& end,
                                                   boost::asio::io_context& context);
+    /// Records whether the endpoint crashed while it worked on the call, or whether its answer
+    /// shows that the call crashes none.
+    boost::asio::awaitable<void> record_crash_evidence(call_state& call, const attempt_result& end,
+                                                       boost::asio::io_context& context);
     /// Makes calls avoid an endpoint that did not answer, and has it checked.
     void avoid(const state::endpoint_id& endpoint);
     /// Reads the whole answer of a call that does not stream, then sends it to the caller.
@@ -119,8 +125,8 @@
                                                         state::milliseconds retry_after);
     boost::asio::awaitable<void> refuse(call_state& call, unsigned status, std::string reason,
                                         state::milliseconds retry_after);
-    /// Counts and logs that the endpoint closed the connection before it answered the call,
-    /// and records a crash unless the endpoint still accepts connections.
+    /// Counts and logs that the endpoint closed the connection before it had answered the call
+    /// completely, and records a crash unless the endpoint still accepts connections.
     void report_close(const call_state& call, const state::runner_record& endpoint,
                       bool still_accepts);
     /// Counts and logs a call that has ended.
--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace savoryrelay::standin {
@@ -162,6 +163,13 @@
            (!body->empty() && request.body() == *body);
 }
 
+void runner_standin::crash() const {
+    if (m_switches.crash_closes) {
+        std::_Exit(EXIT_FAILURE);
+    }
+    crash_process();
+}
+
 asio::awaitable<void> runner_standin::stream(const transport::http_request& request,
                                              transport::response_writer& writer) {
     auto fields = answer_fields("text/event-stream");
@@ -171,11 +179,12 @@
         co_return;
     }
     const auto last_event = transport::header_of(request, "Last-Event-Id");
-    for (int event = last_event.empty() ? 0 : std::stoi(last_event) + 1; event < max_events;
-         ++event) {
+    const int first_event = last_event.empty() ? 0 : std::stoi(last_event) + 1;
+    for (int event = first_event; event < max_events; ++event) {
         co_await pause_for(state::milliseconds(m_switches.token_ms));
-        if (crashes_on(request)) {
-            crash_process();
+        const auto events_sent = static_cast<std::uint32_t>(event - first_event);
+        if (crashes_on(request) && events_sent >= m_switches.crash_after_events) {
+            crash();
         }
         if (const auto limit = m_switches.break_after_tokens.load();
             limit > 0 && event >= static_cast<int>(limit)) {
@@ -269,7 +278,7 @@
         co_return;
     }
     if (crashes_on(request)) {
-        crash_process();
+        crash();
     }
     if (m_switches.lose_replies > 0) {
         --m_switches.lose_replies;
--- a/src/standin/runner_standin.h
+++ b/src/standin/runner_standin.h
@@ -27,7 +27,7 @@
     /// still connected) and GET /orders (received orders and the status of their answers,
     /// oldest first), and handles any other request as a call. A call with a model gets a
     /// stream of `max_events` events; a call without a model gets a short body. A call that the
-    /// switches name crashes the process when its first event or its body is due.
+    /// switches name crashes the process when its body or one of its events is due.
     boost::asio::awaitable<void> handle(transport::http_request request,
                                         transport::response_writer& writer);
 
@@ -43,6 +43,7 @@
     [[nodiscard]] unsigned receive_order(const std::string& body);
     [[nodiscard]] unsigned apply_order(const std::string& body); // called with m_mutex locked
     [[nodiscard]] bool crashes_on(const transport::http_request& request) const;
+    [[noreturn]] void crash() const;
     boost::asio::awaitable<void> stream(const transport::http_request& request,
                                         transport::response_writer& writer);
 
--- a/src/standin/standin_control.cpp
+++ b/src/standin/standin_control.cpp
@@ -40,6 +40,8 @@
         {"cross_answers", flag(switches.cross_answers)},
         {"reset_connections", flag(switches.reset_connections)},
         {"crash_on_part", text_value(switches.crash_on_part)},
+        {"crash_after_events", number(switches.crash_after_events)},
+        {"crash_closes", flag(switches.crash_closes)},
         {"crash_on_body", text_value(switches.crash_on_body)},
         {"die", [](const json::value&) { std::_Exit(EXIT_FAILURE); }},
     };
--- a/src/standin/standin_control.h
+++ b/src/standin/standin_control.h
@@ -32,6 +32,9 @@
     state::snapshot_cell<std::string> crash_on_part{
         std::string{}}; ///< part of a prompt, other than the last, that crashes the runner; empty:
                         ///< none
+    std::atomic<std::uint32_t> crash_after_events{0}; ///< events that a runner sends before it
+                                                      ///< crashes on a call with a model
+    std::atomic<bool> crash_closes{false}; ///< a crash closes the connections, without a reset
     state::snapshot_cell<std::string> crash_on_body{
         std::string{}}; ///< body of a call that crashes the runner; empty: none
 };
--- a/tests/process/crashing_prompt_test.cpp
+++ b/tests/process/crashing_prompt_test.cpp
@@ -1,6 +1,7 @@
 // Tests requests that crash the endpoints that run them: the hosts refuse these requests
 // after few crashes, and no others.
 #include "edge_fixture.h"
+#include "support/scripted_endpoint.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -273,6 +274,56 @@
     });
 }
 
+TEST_CASE("edge: a part that crashes endpoints behind their first event is refused by every host") {
+    // Guards against a first event that clears the part of suspicion.
+    crash_fixture fixture(R"({"crash_on_part":"dead01","crash_after_events":1})");
+    constexpr std::size_t crash_count = 5;
+    check_refused_after(fixture, crash_count, [&](std::size_t host) {
+        return fixture.ask_with_part(host, crashing_part);
+    });
+}
+
+TEST_CASE("edge: a part that crashes endpoints within their streams is refused by every host") {
+    // As above, with several events and connections that are closed, not reset.
+    crash_fixture fixture(
+        R"({"crash_on_part":"dead01","crash_after_events":5,"crash_closes":true})");
+    constexpr std::size_t crash_count = 5;
+    check_refused_after(fixture, crash_count, [&](std::size_t host) {
+        return fixture.ask_with_part(host, crashing_part);
+    });
+}
+
+TEST_CASE("edge: a part that ends endpoints with their answers is refused") {
+    // Guards against an answer without a length that a crash ends, taken for a proof.
+    edge_fixture fixture;
+    fixture.hosts[0]->wait_until_ready();
+    scripted_endpoint endpoint([](const std::string& head) {
+        return "HTTP/1.1 200 OK\r\nAttempt-Id: " + field_of(head, "Attempt-Id") +
+               "\r\nServer-Seal: s1\r\nContent-Type: text/event-stream\r\n\r\nid: 0\ndata: x\n\n";
+    });
+    endpoint.ends_with_answer = true;
+    constexpr int max_crashes = 5;
+    int calls = 0;
+    test_answer answer;
+    for (int crash = 0; crash <= max_crashes && !is_quarantined(answer); ++crash) {
+        fixture.write_entry("p1", "orders", endpoint.port, "", "ready",
+                            static_cast<std::uint64_t>(crash) + 2);
+        std::this_thread::sleep_for(200ms); // until the host knows the new start time
+        const auto limit = test_clock::now() + 5s;
+        while (endpoint.requests == crash && !is_quarantined(answer)) {
+            REQUIRE(test_clock::now() < limit);
+            auto headers = edge_fixture::headers("u" + std::to_string(++calls));
+            headers.emplace_back("Prompt-Prefix", "c0ffee:40,dead01:40,f" + std::to_string(calls));
+            answer = fetch(fixture.hosts[0]->callers, http::verb::post, "/feed/1", "x", headers);
+        }
+        if (endpoint.requests > crash) {
+            endpoint.restart();
+        }
+    }
+    CHECK(is_quarantined(answer));
+    CHECK(endpoint.requests <= max_crashes);
+}
+
 TEST_CASE("edge: a request that crashes the endpoints that run it is refused by every host") {
     crash_fixture fixture(R"({"crash_on_body":"poison"})");
     constexpr std::size_t crash_count = 3;
@@ -280,9 +331,12 @@
                         [&](std::size_t host) { return fixture.ask_with_body(host, "poison"); });
 }
 
-TEST_CASE("edge: calls that share a caller and parts with a crashing prompt are served") {
+namespace {
+
+// Sends sound calls beside crashing ones, whose endpoints have the switches `switches`.
+void check_sound_calls_served(const std::string& switches) {
     constexpr std::size_t crash_count = 5;
-    crash_fixture fixture(R"({"crash_on_part":"dead01","token_ms":20})");
+    crash_fixture fixture(switches);
     sound_callers callers(fixture);
     const double share_before = callers.begun_share(fixture, 1'500ms);
     REQUIRE(share_before > 0);
@@ -309,6 +363,16 @@
     CHECK(callers.quarantined() == 0);
 }
 
+} // namespace
+
+TEST_CASE("edge: calls that share a caller and parts with a crashing prompt are served") {
+    check_sound_calls_served(R"({"crash_on_part":"dead01","token_ms":20})");
+}
+
+TEST_CASE("edge: calls beside a prompt that crashes endpoints behind the first event are served") {
+    check_sound_calls_served(R"({"crash_on_part":"dead01","crash_after_events":1,"token_ms":20})");
+}
+
 TEST_CASE("edge: endpoints that reset connections again and again don't quarantine") {
     // Six groups and a spare. One after the other resets its calls before their first event.
     constexpr std::size_t many_models = 13;
--- a/tests/support/scripted_endpoint.h
+++ b/tests/support/scripted_endpoint.h
@@ -31,31 +31,47 @@
 public:
     using answer_hook = std::function<std::string(const std::string& head)>;
 
-    explicit scripted_endpoint(answer_hook answer) : m_answer(std::move(answer)) {
+    explicit scripted_endpoint(answer_hook answer) : m_answer(std::move(answer)) { start(0); }
+    scripted_endpoint(const scripted_endpoint&) = delete;
+    scripted_endpoint& operator=(const scripted_endpoint&) = delete;
+    ~scripted_endpoint() { stop(); }
+
+    /// Listens on the same port again after `ends_with_answer` has taken effect.
+    void restart() {
+        stop();
+        start(static_cast<std::uint16_t>(std::stoi(port)));
+    }
+
+    std::string port;
+    std::atomic<int> requests{0}; ///< requests whose head has arrived
+    /// Refuses connections from the next answer on, as a process that ends with it.
+    std::atomic<bool> ends_with_answer{false};
+
+private:
+    void start(std::uint16_t wanted_port) {
         m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int reuse = 1;
+        ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(wanted_port);
         socklen_t size = sizeof(address);
         REQUIRE(::bind(m_listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
         REQUIRE(::listen(m_listener, 16) == 0);
         REQUIRE(::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
         port = std::to_string(ntohs(address.sin_port));
+        m_is_stopping = false;
         m_thread = std::thread([this] { serve(); });
     }
-    scripted_endpoint(const scripted_endpoint&) = delete;
-    scripted_endpoint& operator=(const scripted_endpoint&) = delete;
-    ~scripted_endpoint() {
+
+    void stop() {
         m_is_stopping = true;
         ::shutdown(m_listener, SHUT_RDWR);
         m_thread.join();
         ::close(m_listener);
     }
 
-    std::string port;
-    std::atomic<int> requests{0}; ///< requests whose head has arrived
-
-private:
     void serve() {
         while (!m_is_stopping) {
             const int connection = ::accept(m_listener, nullptr, nullptr);
@@ -84,6 +100,10 @@
             }
         }
         const auto bytes = m_answer(head);
+        if (ends_with_answer) {
+            m_is_stopping = true;
+            ::shutdown(m_listener, SHUT_RDWR); // refuses connections from now on
+        }
         ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
 
