End a stream at its deadline however steadily its bytes come

What callers saw: a runner sent text in paragraphs without end as the body of a stream.

Cause: the end of an answer depended on an endpoint that stops sending. The deadline was compared with the time only after a read had timed out or completed no event, and whatever stood before an empty line was taken for an event, so that text began the answer, counted as progress and reached the caller.

Change: reading_limit is asked before each read; what has arrived by the deadline is relayed for 100 ms more, also by a process that was paused beyond it. Comments are judged as silence. relay_stream is split into its steps.

--- a/src/savoryrelay/coordination/retry/silence.cpp
+++ b/src/savoryrelay/coordination/retry/silence.cpp
@@ -1,4 +1,5 @@
-// Orders the reasons to leave a silent endpoint, and measures the time without progress.
+// Orders the reasons to leave a silent endpoint, and measures the times without progress and
+// after the deadline.
 #include "savoryrelay/coordination/retry/silence.h"
 
 namespace savoryrelay::coordination {
@@ -21,4 +22,12 @@
     return now - *m_began_at >= limit;
 }
 
+bool reading_limit::is_over(state::time_point now) {
+    if (now < m_deadline) {
+        return false;
+    }
+    m_late_since = m_late_since.value_or(now);
+    return now - *m_late_since >= late_reading_time;
+}
+
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/retry/silence.h
+++ b/src/savoryrelay/coordination/retry/silence.h
@@ -1,4 +1,5 @@
-// Decides what a call does while its endpoint is silent or sends bytes without progress.
+// Decides what a call does while its endpoint is silent or sends bytes without progress, and
+// until when an answer is read.
 #pragma once
 
 #include "savoryrelay/state/core/enum_names.h"
@@ -66,4 +67,22 @@
     state::time_point m_last_piece_at{};         // meaningful while m_began_at is set
 };
 
+/// Ends the reading of an answer at its deadline, however steadily its bytes arrive. What has
+/// arrived by then is still read, also by a process that was paused beyond the deadline. Not
+/// thread-safe.
+class reading_limit {
+public:
+    explicit reading_limit(state::time_point deadline) : m_deadline(deadline) {}
+
+    /// Returns whether the answer is no longer read. Call it before each read.
+    [[nodiscard]] bool is_over(state::time_point now);
+
+private:
+    /// Time for which bytes that have arrived by the deadline are read after it.
+    static constexpr state::milliseconds late_reading_time{100};
+
+    const state::time_point m_deadline;
+    std::optional<state::time_point> m_late_since; // time of the first read after the deadline
+};
+
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/protocol/event_stream/event_splitter.cpp
+++ b/src/savoryrelay/protocol/event_stream/event_splitter.cpp
@@ -1,6 +1,7 @@
 // Finds the boundaries, the token numbers and the final event of an event stream.
 #include "savoryrelay/protocol/event_stream/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 
@@ -23,6 +24,17 @@
     return false;
 }
 
+// Returns whether each line of the event is empty or a comment.
+bool is_comment(std::string_view event) {
+    while (!event.empty()) {
+        if (event.front() != ':' && event.front() != '\n') {
+            return false;
+        }
+        event.remove_prefix(std::min(event.find('\n'), event.size() - 1) + 1);
+    }
+    return true;
+}
+
 std::optional<std::uint64_t> token_number(std::string_view event) {
     // Other fields of the event may come before its number.
     while (!event.starts_with(id_field)) {
@@ -44,10 +56,9 @@
 } // namespace
 
 state::result<void> event_splitter::append(std::string_view bytes) {
-    if (m_is_ready_taken) {
-        m_ready.clear();
-        m_is_ready_taken = false;
-    }
+    m_ready.erase(0, m_taken_size);
+    m_events_size -= std::min(m_events_size, m_taken_size);
+    m_taken_size = 0;
     m_pending.append(bytes);
 
     // Process every complete event and keep the rest for the next call.
@@ -59,10 +70,10 @@
         begin = next;
     }
     m_pending.erase(0, begin);
-    if (m_pending.size() > max_event_bytes) {
+    if (m_ready.size() - m_events_size + m_pending.size() > max_event_bytes) {
         return state::fail(state::failure_kind::message_damaged,
-                           "an event of the engine exceeds " + std::to_string(max_event_bytes) +
-                               " bytes");
+                           "more than " + std::to_string(max_event_bytes) +
+                               " bytes of the stream hold no event");
     }
     return {};
 }
@@ -77,23 +88,34 @@
         }
         m_next_token = *number + 1;
         ++m_tokens;
-        ++m_new_events;
     } else if (has_data(event)) {
         m_finished = event.starts_with(final_event);
-        ++m_new_events;
+    } else {
+        m_comments += is_comment(event) ? 1 : 0;
+        m_ready.append(event);
+        return;
     }
+    ++m_new_events;
     m_ready.append(event);
+    m_events_size = m_ready.size();
 }
 
 std::string_view event_splitter::take() {
-    m_is_ready_taken = true;
-    return m_ready;
+    m_taken_size = m_events_size;
+    return std::string_view(m_ready).substr(0, m_events_size);
+}
+
+std::string_view event_splitter::take_rest() {
+    const auto begin = m_taken_size;
+    m_taken_size = m_ready.size();
+    return std::string_view(m_ready).substr(begin);
 }
 
 void event_splitter::resume() {
     m_pending.clear();
     m_ready.clear();
-    m_is_ready_taken = false;
+    m_taken_size = 0;
+    m_events_size = 0;
 }
 
 } // namespace savoryrelay::protocol
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -36,6 +36,8 @@
 // Interval of the check whether a call leaves an endpoint that has exceeded its limit.
 constexpr milliseconds silence_check_interval{200};
 constexpr int max_mismatched_answers = 3;
+// A read that only the deadline of its call limits.
+constexpr milliseconds max_read_time = milliseconds::max();
 
 // Answers to earlier requests may still arrive on a connection. Each answer carries the id
 // of its request, except that an endpoint may reject a request without its id.
@@ -62,6 +64,20 @@
 
 } // namespace
 
+milliseconds serving_front::bounded_by_deadline(const call_state& call, milliseconds span) const {
+    const auto left = time_until(call.deadline, m_dependencies.now());
+    return std::max(milliseconds(1), std::min(span, left));
+}
+
+serving_front::stream_limits serving_front::stream_limits_of(const call_state& call) {
+    const auto predicted =
+        milliseconds(static_cast<std::int64_t>(2 * call.current->chosen.predicted_first_event_ms));
+    const auto gap =
+        std::chrono::duration_cast<milliseconds>(call.route->event_gap_target * event_gap_factor);
+    return {std::max(predicted, call.route->first_answer_target) + first_event_margin,
+            std::max(min_event_gap_limit, gap)};
+}
+
 state::answer_head serving_front::read_answer_head(const call_state& call) {
     const auto& connection = *call.current->connection;
     auto answer = m_dependencies.codec.decode_answer(connection.status(), connection.fields());
@@ -72,19 +88,16 @@
 asio::awaitable<serving_front::attempt_result> serving_front::read_whole_answer(call_state& call) {
     attempt_result end;
     std::vector<char> buffer(read_buffer_bytes);
+    coordination::reading_limit reading(call.deadline);
     while (true) {
-        // An answer without end delivers bytes at any time, so no read may start late.
-        const auto left = time_until(call.deadline, m_dependencies.now());
-        if (left <= milliseconds(0)) {
+        if (reading.is_over(m_dependencies.now())) {
             end.reason = "answer is not whole at the deadline";
             co_return end;
         }
-        const auto [failed, size] =
-            co_await call.current->connection->read_some(asio::buffer(buffer), left);
+        const auto [failed, size] = co_await call.current->connection->read_some(
+            asio::buffer(buffer), bounded_by_deadline(call, max_read_time));
         if (failed || end.body.size() + size > max_whole_answer_bytes) {
-            end.reason = "answer is not whole: " + failed.message();
-            end.endpoint_ended = failed == asio::error::connection_reset;
-            end.closed_by_endpoint = is_closed_by_peer(failed);
+            end.set_failed("answer is not whole", failed);
             co_return end;
         }
         if (size == 0) {
@@ -98,11 +111,9 @@
 asio::awaitable<serving_front::attempt_result> serving_front::relay_answer(call_state& call) {
     for (int i = 0; i <= max_mismatched_answers; ++i) {
         if (const auto failed = co_await call.current->connection->read_header(
-                std::max(milliseconds(1), time_until(call.deadline, m_dependencies.now())))) {
+                bounded_by_deadline(call, max_read_time))) {
             attempt_result end;
-            end.reason = "no answer: " + failed.message();
-            end.endpoint_ended = failed == asio::error::connection_reset;
-            end.closed_by_endpoint = is_closed_by_peer(failed);
+            end.set_failed("no answer", failed);
             co_return end;
         }
         const auto status = call.current->connection->status();
@@ -144,36 +155,14 @@
     co_return end;
 }
 
-asio::awaitable<serving_front::attempt_result> serving_front::relay_stream(call_state& call,
-                                                                           bool is_resumed) {
+asio::awaitable<std::optional<serving_front::attempt_result>>
+serving_front::read_stream_header(call_state& call, milliseconds first_limit) {
     attempt_result end;
     auto& attempt = *call.current;
     auto& connection = *attempt.connection;
-    const auto& runner = attempt.chosen.runner.record;
-    const auto failed_with = [&](std::string reason, const error_code& failed) {
-        end.reason = std::move(reason) + ": " + failed.message();
-        end.endpoint_ended = failed == asio::error::connection_reset;
-        end.closed_by_endpoint = is_closed_by_peer(failed);
-        return end;
-    };
-    const auto bounded_by_deadline = [&](milliseconds span) {
-        return std::clamp(
-            span, milliseconds(1),
-            std::max(milliseconds(1), time_until(call.deadline, m_dependencies.now())));
-    };
-    const auto first_limit =
-        std::max(
-            milliseconds(static_cast<std::int64_t>(2 * attempt.chosen.predicted_first_event_ms)),
-            call.route->first_answer_target) +
-        first_event_margin;
-    const auto gap_limit = std::max(
-        min_event_gap_limit,
-        std::chrono::duration_cast<milliseconds>(call.route->event_gap_target * event_gap_factor));
-
     for (int skipped = 0; !attempt.has_header; ++skipped) {
-        auto no_header = co_await connection.read_header(
-            bounded_by_deadline(is_resumed ? silence_check_interval : first_limit));
-        while (no_header == asio::error::operation_aborted) {
+        auto failed = co_await connection.read_header(bounded_by_deadline(call, first_limit));
+        while (failed == asio::error::operation_aborted) {
             const auto step = handle_silence(call);
             if (step == silence_step::hand_over) {
                 end.is_kept = true;
@@ -182,11 +171,12 @@
             if (step == silence_step::give_up) {
                 break;
             }
-            no_header =
-                co_await connection.read_header(bounded_by_deadline(silence_check_interval));
+            failed =
+                co_await connection.read_header(bounded_by_deadline(call, silence_check_interval));
         }
-        if (no_header) {
-            co_return failed_with("no answer", no_header);
+        if (failed) {
+            end.set_failed("no answer", failed);
+            co_return end;
         }
         if (belongs_to(read_answer_head(call), call.decoded.id)) {
             attempt.has_header = true;
@@ -206,110 +196,155 @@
         }
         connection.expect_another_answer();
     }
-    const auto status = connection.status();
-    const auto fields = connection.fields();
-    const auto answer = m_dependencies.codec.decode_answer(status, fields);
-    if (status != status_ok || answer.is_not_run) {
-        end = co_await read_whole_answer(call);
-        if (end.outcome != attempt_outcome::delivered) {
-            co_return end;
-        }
-        end.status = status;
-        end.has_request_id = !answer.request_id.empty();
-        end.fields = m_dependencies.codec.select_caller_fields(fields);
-        end.outcome = coordination::judge_answer(answer);
-        if (end.outcome == attempt_outcome::delivered) {
-            end.outcome = attempt_outcome::failed; // no stream, so another endpoint is tried first
-        }
-        end.reason = reason_of(end.outcome, status);
-        if (end.outcome == attempt_outcome::not_run && !answer.faulty_runner.empty()) {
-            m_dependencies.report_suspect(state::endpoint_id(answer.faulty_runner));
-        }
+    co_return std::nullopt;
+}
+
+asio::awaitable<serving_front::attempt_result>
+serving_front::read_stream_failure(call_state& call, const state::answer_head& answer) {
+    const auto fields = call.current->connection->fields();
+    auto end = co_await read_whole_answer(call);
+    if (end.outcome != attempt_outcome::delivered) {
         co_return end;
     }
+    end.status = answer.status;
+    end.has_request_id = !answer.request_id.empty();
+    end.fields = m_dependencies.codec.select_caller_fields(fields);
+    end.outcome = coordination::judge_answer(answer);
+    if (end.outcome == attempt_outcome::delivered) {
+        end.outcome = attempt_outcome::failed; // no stream, so another endpoint is tried first
+    }
+    end.reason = reason_of(end.outcome, answer.status);
+    if (end.outcome == attempt_outcome::not_run && !answer.faulty_runner.empty()) {
+        m_dependencies.report_suspect(state::endpoint_id(answer.faulty_runner));
+    }
+    co_return end;
+}
+
+void serving_front::note_first_event(call_state& call) {
+    auto& attempt = *call.current;
+    attempt.is_writing = true;
+    m_dependencies.correction.learn(
+        call.decoded.model, attempt.chosen.uncorrected_first_event_ms,
+        static_cast<double>(time_until(m_dependencies.now(), attempt.sent_at).count()));
+    m_dependencies.loads.note_first_event(attempt.chosen.runner.record.id,
+                                          call.decoded.prompt_tokens);
+}
+
+asio::awaitable<error_code> serving_front::relay_events(call_state& call,
+                                                        const http_fields& fields) {
+    if (!call.writer.started()) {
+        call.status = status_ok;
+        call.first_byte = m_dependencies.now();
+        auto selected = m_dependencies.codec.select_caller_fields(fields);
+        if (const auto failed = co_await call.writer.start(status_ok, std::move(selected))) {
+            co_return failed;
+        }
+    }
+    call.interrupted_at.reset();
+    call.progress->note_answer_begun();
+    if (call.events.next_token() > 0) {
+        call.last_event = call.events.next_token() - 1;
+    }
+    const auto events = call.events.take();
+    const auto failed = co_await call.writer.write(events);
+    co_return failed;
+}
+
+asio::awaitable<serving_front::attempt_result> serving_front::relay_stream(call_state& call,
+                                                                           bool is_resumed) {
+    attempt_result end;
+    auto& attempt = *call.current;
+    auto& connection = *attempt.connection;
+    const auto limits = stream_limits_of(call);
+    const auto first_limit = is_resumed ? silence_check_interval : limits.first_event;
+    if (auto no_header = co_await read_stream_header(call, first_limit)) {
+        co_return std::move(*no_header);
+    }
+    const auto fields = connection.fields();
+    const auto answer = m_dependencies.codec.decode_answer(connection.status(), fields);
+    if (answer.status != status_ok || answer.is_not_run) {
+        co_return co_await read_stream_failure(call, answer);
+    }
 
     // Relay each event once it is complete. The answer's header is sent together
     // with the first event, so that until then the answer of another endpoint can
     // replace this one.
     std::vector<char> buffer(read_buffer_bytes);
     coordination::trickle_detector trickle(silence_check_interval);
-    auto check_at = m_dependencies.now() + (is_resumed ? silence_check_interval : first_limit);
+    coordination::reading_limit reading(call.deadline);
+    auto check_at = m_dependencies.now() + first_limit;
     while (true) {
-        const auto left = bounded_by_deadline(time_until(check_at, m_dependencies.now()));
+        if (reading.is_over(m_dependencies.now())) {
+            end.reason = attempt.is_writing ? "stream is not whole at the deadline" : "no event";
+            co_return end;
+        }
+        const auto left = bounded_by_deadline(call, time_until(check_at, m_dependencies.now()));
         const auto [failed, size] = co_await connection.read_some(asio::buffer(buffer), left);
-        if (failed == asio::error::operation_aborted) {
-            const auto step = handle_silence(call);
-            if (step == silence_step::hand_over) {
-                end.is_kept = true;
+        const auto now = m_dependencies.now();
+        bool is_silent = failed == asio::error::operation_aborted;
+        if (!failed && size == 0) {
+            break;
+        }
+        if (!failed) {
+            m_dependencies.fleet.note_answer(attempt.chosen.runner.record.id, now);
+            const auto events_before = call.events.new_events();
+            const auto comments_before = call.events.comments();
+            const std::string_view received(buffer.data(), size);
+            const auto appended = state::collect([&] { return call.events.append(received); });
+            if (!appended) {
+                end.reason = appended.error().message();
                 co_return end;
             }
-            if (step == silence_step::wait) {
-                check_at = m_dependencies.now() + silence_check_interval;
+            if (call.events.new_events() > events_before) {
+                end_kept_attempts(call);
+                if (!attempt.is_writing) {
+                    note_first_event(call);
+                }
+                if (co_await relay_events(call, fields)) {
+                    call.caller_is_gone = true;
+                    co_return end;
+                }
+                // A caller that reads slowly has held up the stream until now.
+                trickle.note_event();
+                check_at = m_dependencies.now() + limits.event_gap;
                 continue;
             }
-        }
-        if (failed) {
-            co_return failed_with(attempt.is_writing ? "stream broke off" : "no event", failed);
-        }
-        if (size == 0) {
-            if (call.events.has_partial_event()) {
-                end.reason = "the last event is not whole";
-                co_return end;
-            }
-            break;
-        }
-        m_dependencies.fleet.note_answer(runner.id, m_dependencies.now());
-        const std::string_view received(buffer.data(), size);
-        const auto appended = state::collect([&] { return call.events.append(received); });
-        if (!appended) {
-            end.reason = appended.error().message();
-            co_return end;
-        }
-        const auto ready = call.events.take();
-        if (ready.empty()) {
-            // Unlike silence, bytes that complete no event come from a faulty endpoint.
-            const auto now = m_dependencies.now();
-            if (trickle.note_piece(now, attempt.is_writing ? gap_limit : first_limit) ||
-                now >= call.deadline) {
+            // Unlike silence and comments, bytes that complete no event come from a faulty
+            // endpoint.
+            const bool is_comment = call.events.comments() > comments_before;
+            const auto trickle_limit = attempt.is_writing ? limits.event_gap : limits.first_event;
+            if (!is_comment && trickle.note_piece(now, trickle_limit)) {
                 end.reason = attempt.is_writing ? "stream made no progress" : "no event";
                 co_return end;
             }
-            continue;
-        }
-        end_kept_attempts(call);
-        if (!attempt.is_writing) {
-            attempt.is_writing = true;
-            m_dependencies.correction.learn(
-                call.decoded.model, attempt.chosen.uncorrected_first_event_ms,
-                static_cast<double>(time_until(m_dependencies.now(), attempt.sent_at).count()));
-            m_dependencies.loads.note_first_event(runner.id, call.decoded.prompt_tokens);
-        }
-        if (!call.writer.started()) {
-            call.status = status;
-            call.first_byte = m_dependencies.now();
-            if (co_await call.writer.start(status,
-                                           m_dependencies.codec.select_caller_fields(fields))) {
-                call.caller_is_gone = true;
-                co_return end;
+            is_silent = now >= check_at;
+            if (!is_silent) {
+                continue;
             }
         }
-        call.interrupted_at.reset();
-        call.progress->note_answer_begun();
-        if (call.events.next_token() > 0) {
-            call.last_event = call.events.next_token() - 1;
+        const auto step = is_silent ? handle_silence(call) : silence_step::give_up;
+        if (step == silence_step::hand_over) {
+            end.is_kept = true;
+            co_return end;
         }
-        if (co_await call.writer.write(ready)) {
-            call.caller_is_gone = true;
+        if (step == silence_step::give_up) {
+            end.set_failed(attempt.is_writing ? "stream broke off" : "no event",
+                           failed ? failed : asio::error::operation_aborted);
             co_return end;
         }
-        // A caller that reads slowly has held up the stream until now.
-        trickle.note_event();
-        check_at = m_dependencies.now() + gap_limit;
+        check_at = now + silence_check_interval;
+    }
+    if (call.events.has_partial_event()) {
+        end.reason = "the last event is not whole";
+        co_return end;
     }
     end_kept_attempts(call);
     if (!call.writer.started()) {
-        call.status = status;
-        co_await call.writer.start(status, m_dependencies.codec.select_caller_fields(fields));
+        call.status = status_ok;
+        co_await call.writer.start(status_ok, m_dependencies.codec.select_caller_fields(fields));
+    }
+    if (const auto rest = call.events.take_rest(); !rest.empty()) {
+        co_await call.writer.write(rest);
     }
     if (co_await call.writer.finish()) {
         call.writer.abandon();
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -275,9 +275,7 @@
     attempt.counted.emplace(m_dependencies.loads, runner.id, call.decoded.prompt_tokens,
                             attempt.is_writing);
     if (const auto failed = co_await attempt.connection->send(request, send_timeout)) {
-        end.reason = "send: " + failed.message();
-        end.endpoint_ended = failed == asio::error::connection_reset;
-        end.closed_by_endpoint = is_closed_by_peer(failed);
+        end.set_failed("send", failed);
     } else if (call.route->kind == state::call_kind::streaming) {
         attempt.sent_at = m_dependencies.now();
         end = co_await relay_stream(call, false);
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -5,6 +5,8 @@
 #include "savoryrelay/protocol/event_stream/event_splitter.h"
 #include "savoryrelay/transport/serving/serving_front.h"
 
+#include <boost/asio/error.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -123,6 +125,19 @@
     unsigned status = 0;
     http_fields fields;
     std::string body;
+
+    /// Sets what the failure of an operation on the connection shows.
+    void set_failed(const std::string& what, const boost::system::error_code& failed) {
+        reason = what + ": " + failed.message();
+        endpoint_ended = failed == boost::asio::error::connection_reset;
+        closed_by_endpoint = is_closed_by_peer(failed);
+    }
+};
+
+/// Times after which a silent endpoint of a stream is left if another one can take the call.
+struct serving_front::stream_limits {
+    state::milliseconds first_event; ///< from the request to the first event
+    state::milliseconds event_gap;   ///< between two events
 };
 
 } // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -60,6 +60,7 @@
     struct call_state;
     struct attempt_result;
     struct open_attempt;
+    struct stream_limits;
 
     /// Tries endpoints until one delivers the answer or no further attempt is
     /// allowed, and sends the final answer.
@@ -115,6 +116,24 @@
     boost::asio::awaitable<attempt_result> relay_answer(call_state& call);
     /// Relays an event stream, from its start or from where the attempt was kept.
     boost::asio::awaitable<attempt_result> relay_stream(call_state& call, bool is_resumed);
+    /// Reads the header of a stream unless it was read. Returns the result of the attempt if it
+    /// ends with that or is kept.
+    boost::asio::awaitable<std::optional<attempt_result>>
+    read_stream_header(call_state& call, state::milliseconds first_limit);
+    /// Reads the rest of an answer that is no stream.
+    boost::asio::awaitable<attempt_result> read_stream_failure(call_state& call,
+                                                               const state::answer_head& answer);
+    /// Records the time to the first event of the current attempt.
+    void note_first_event(call_state& call);
+    /// Sends the events that are complete to the caller, with the answer's header before the first
+    /// of them.
+    boost::asio::awaitable<boost::system::error_code> relay_events(call_state& call,
+                                                                   const http_fields& fields);
+    [[nodiscard]] static stream_limits stream_limits_of(const call_state& call);
+    /// Returns `span`, or the time until the call's deadline if that is shorter, but at least
+    /// 1 ms: what has arrived is read after the deadline.
+    [[nodiscard]] state::milliseconds bounded_by_deadline(const call_state& call,
+                                                          state::milliseconds span) const;
     /// Reads the body of the answer whose header was read last.
     boost::asio::awaitable<attempt_result> read_whole_answer(call_state& call);
     /// Answers a call of which no attempt succeeded, or cuts a stream that has begun. `failure`
--- a/tests/coordination/serving/call_progress_test.cpp
+++ b/tests/coordination/serving/call_progress_test.cpp
@@ -256,3 +256,19 @@
         RC_ASSERT((progress.execution() == execution_outcome::not_run) == (runs == 0));
     }));
 }
+
+TEST_CASE("an answer is read until its deadline, and what has arrived by then for a short time") {
+    // Guards against bytes without end that outlast the deadline, and against a process that was
+    // paused beyond it and drops an answer that is there.
+    const time_point deadline{std::chrono::hours(1)};
+    coordination::reading_limit reading(deadline);
+    CHECK_FALSE(reading.is_over(deadline - milliseconds(1)));
+    CHECK_FALSE(reading.is_over(deadline));
+    CHECK_FALSE(reading.is_over(deadline + milliseconds(50)));
+    CHECK(reading.is_over(deadline + milliseconds(100)));
+
+    coordination::reading_limit after_pause(deadline);
+    const auto woken = deadline + std::chrono::seconds(5);
+    CHECK_FALSE(after_pause.is_over(woken));
+    CHECK(after_pause.is_over(woken + milliseconds(100)));
+}
--- a/tests/process/endless_answer_test.cpp
+++ b/tests/process/endless_answer_test.cpp
@@ -102,6 +102,25 @@
             first = stream_head;
             filler = "id: 0\ndata: x\n\n";
             pause = 1ms;
+        } else if (has("/paragraphs ")) {
+            first = stream_head;
+            filler.clear();
+            for (int line = 0; line < 1'000; ++line) {
+                filler += "a line of a log file\n\n";
+            }
+        } else if (has("/late-paragraphs ")) {
+            first = stream_head + "id: 0\ndata: x\n\n";
+            filler = "a line of a log file\n\n";
+        } else if (has("/data ")) {
+            first = stream_head;
+            filler.clear();
+            for (int event = 0; event < 1'000; ++event) {
+                filler += "data: x\n\n";
+            }
+        } else if (has("/comments ")) {
+            first = stream_head + "id: 0\ndata: x\n\n";
+            filler = ": alive\n\n";
+            pause = 20ms;
         } else if (has("/unframed ")) {
             send_text(connection, stream_head + "id: 0\ndata: x\n\nid: 1\ndata: y\n\n");
             return;
@@ -206,6 +225,22 @@
     CHECK_FALSE(answer.is_complete);
 }
 
+TEST_CASE("edge: a stream of bytes without end ends in time and reaches no caller") {
+    // Guards against blank lines that are taken for events, and events that hide the deadline.
+    faulty_fixture fixture;
+    test_answer answer;
+    CHECK(fixture.call("/feed/paragraphs", answer) < 1'500ms);
+    CHECK(answer.status == 502);
+    CHECK(fixture.call("/feed/late-paragraphs", answer) < 1'500ms);
+    CHECK_FALSE(answer.is_complete);
+    CHECK(answer.body == "id: 0\ndata: x\n\n");
+    // Events, or comments that keep the connection alive, last until the deadline.
+    CHECK(fixture.call("/feed/data", answer) < 2'500ms);
+    CHECK_FALSE(answer.is_complete);
+    CHECK(fixture.call("/feed/comments", answer) < 2'500ms);
+    CHECK_FALSE(answer.is_complete);
+}
+
 TEST_CASE("edge: an answer to HEAD is not awaited until its deadline for a body") {
     faulty_fixture fixture;
     for (const std::string path : {"/look/1", "/feed/1"}) {
