Withhold a success without the endpoint's receipt or own body

What callers saw: a runner spoilt one byte of an answer's head, in the name of the field with its receipt.

Cause: an answer was accepted by what the host needs of it, its id and its framing. Of the marks that make a success count, the receipt and the absence of a content encoding were not decoded.

Change: answer_head holds both, and judge_answer withholds a success without a receipt, with an empty one or two that differ, or with an encoded body. Streams are judged at the head, before their first event is relayed, also where they go on at another endpoint. A Connection field that lists the receipt no longer removes it.

--- a/src/savoryrelay/coordination/serving/answer_verdict.cpp
+++ b/src/savoryrelay/coordination/serving/answer_verdict.cpp
@@ -7,6 +7,8 @@
 namespace savoryrelay::coordination {
 namespace {
 
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_multiple_choices = 300;
 constexpr unsigned status_request_timeout = 408;
 constexpr unsigned status_misdirected_request = 421;
 constexpr unsigned status_too_many_requests = 429;
@@ -23,15 +25,22 @@
            not_run_statuses.end();
 }
 
-attempt_outcome judge_answer(const state::answer_head& answer) {
+answer_verdict judge_answer(const state::answer_head& answer) {
     if (answer.is_not_run) {
-        return attempt_outcome::not_run;
+        return {attempt_outcome::not_run};
     }
     if (promises_not_run(answer.status)) {
-        return attempt_outcome::withheld;
+        return {attempt_outcome::withheld, answer_defect::unproved_refusal};
     }
-    return answer.status >= status_server_error ? attempt_outcome::failed
-                                                : attempt_outcome::delivered;
+    const bool is_success = answer.status >= status_ok && answer.status < status_multiple_choices;
+    if (is_success && !answer.has_receipt) {
+        return {attempt_outcome::withheld, answer_defect::no_receipt};
+    }
+    if (is_success && answer.is_encoded) {
+        return {attempt_outcome::withheld, answer_defect::encoded_body};
+    }
+    return {answer.status >= status_server_error ? attempt_outcome::failed
+                                                 : attempt_outcome::delivered};
 }
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/state/serving/serving_call.h
+++ b/src/savoryrelay/state/serving/serving_call.h
@@ -54,6 +54,8 @@
     std::string request_id;         ///< request id that the endpoint echoes
     bool is_not_run = false;        ///< the endpoint reports that it has not run the request
     bool is_other_endpoint = false; ///< another runner now uses the address
+    bool has_receipt = false;       ///< the endpoint's receipt reaches the caller with the answer
+    bool is_encoded = false;        ///< the body is not the one that the endpoint made
     bool is_leaving = false;        ///< the endpoint is about to stop
     /// Time for which the endpoint wants no requests from this host; 0: none.
     milliseconds pause{0};
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -45,17 +45,13 @@
     return answer.request_id == request.value() || (answer.is_not_run && answer.request_id.empty());
 }
 
-std::string reason_of(attempt_outcome outcome, unsigned status) {
+std::string reason_of(const coordination::answer_verdict& verdict, unsigned status) {
     const auto number = std::to_string(status);
-    switch (outcome) {
-    case attempt_outcome::not_run:
-        return "refused with " + number;
-    case attempt_outcome::withheld:
-        return "answer withheld: status " + number +
-               " without a statement that the call did not run";
-    default:
-        return "status " + number;
+    if (verdict.outcome == attempt_outcome::withheld) {
+        return "answer withheld: status " + number + ", " +
+               std::string(state::to_name(verdict.defect));
     }
+    return (verdict.outcome == attempt_outcome::not_run ? "refused with " : "status ") + number;
 }
 
 bool is_head(const http_request& request) {
@@ -138,9 +134,10 @@
             end.fields.push_back({"Content-Length", length});
         }
         end.has_request_id = !answer.request_id.empty();
-        end.outcome = coordination::judge_answer(answer);
+        const auto verdict = coordination::judge_answer(answer);
+        end.outcome = verdict.outcome;
         if (end.outcome != attempt_outcome::delivered) {
-            end.reason = reason_of(end.outcome, status);
+            end.reason = reason_of(verdict, status);
             co_return end;
         }
         call.status = status;
@@ -209,11 +206,12 @@
     end.status = answer.status;
     end.has_request_id = !answer.request_id.empty();
     end.fields = m_dependencies.codec.select_caller_fields(fields);
-    end.outcome = coordination::judge_answer(answer);
-    if (end.outcome == attempt_outcome::delivered) {
-        end.outcome = attempt_outcome::failed; // no stream, so another endpoint is tried first
+    auto verdict = coordination::judge_answer(answer);
+    if (verdict.outcome == attempt_outcome::delivered) {
+        verdict.outcome = attempt_outcome::failed; // no stream, so another endpoint is tried first
     }
-    end.reason = reason_of(end.outcome, answer.status);
+    end.outcome = verdict.outcome;
+    end.reason = reason_of(verdict, answer.status);
     if (end.outcome == attempt_outcome::not_run && !answer.faulty_runner.empty()) {
         m_dependencies.report_suspect(state::endpoint_id(answer.faulty_runner));
     }
@@ -265,6 +263,12 @@
     if (answer.status != status_ok || answer.is_not_run) {
         co_return co_await read_stream_failure(call, answer);
     }
+    if (const auto verdict = coordination::judge_answer(answer);
+        verdict.outcome == attempt_outcome::withheld) {
+        end.outcome = verdict.outcome;
+        end.reason = reason_of(verdict, answer.status);
+        co_return end;
+    }
 
     // Relay each event once it is complete. The answer's header is sent together
     // with the first event, so that until then the answer of another endpoint can
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -424,3 +424,23 @@
     const auto nameless = row_of("i-1", R"({"sequence":7})");
     CHECK(compare_runner_entries(nameless, nameless) == std::partial_ordering::unordered);
 }
+
+TEST_CASE("an answer has a receipt if one reaches the caller") {
+    const auto head_of = [](const transport::http_fields& fields) {
+        return decode_answer(200, fields);
+    };
+    CHECK(head_of({{"server-seal", "s1"}}).has_receipt);
+    CHECK(head_of({{"Server-Seal", "s1"}, {"Server-Seal", "s1"}}).has_receipt);
+    CHECK_FALSE(head_of({}).has_receipt);
+    CHECK_FALSE(head_of({{"Server-Seam", "s1"}}).has_receipt);
+    CHECK_FALSE(head_of({{"Server-Seal", ""}}).has_receipt);
+    CHECK_FALSE(head_of({{"Server-Seal", "s1"}, {"Server-Seal", "s2"}}).has_receipt);
+    const transport::http_fields listed{
+        {"Connection", "Server-Seal, X-Hop"}, {"Server-Seal", "s1"}, {"X-Hop", "1"}};
+    CHECK(head_of(listed).has_receipt);
+    const auto kept = select_caller_fields(listed);
+    REQUIRE(kept.size() == 1);
+    CHECK(kept.front().name == "Server-Seal");
+    CHECK(head_of({{"Content-Encoding", "identity"}}).is_encoded);
+    CHECK_FALSE(head_of({{"Content-Type", "text/plain"}}).is_encoded);
+}
--- a/tests/process/endpoint_answer_test.cpp
+++ b/tests/process/endpoint_answer_test.cpp
@@ -1,22 +1,35 @@
-// Tests what callers get for answers that an endpoint may send though they promise or prove
-// something that is not true: refusals of calls that have run.
+// Tests what callers get for answers of an endpoint that must not reach them: refusals of calls
+// that have run, and successes without a receipt or with another body.
 #include "edge_fixture.h"
 #include "support/kept_connection.h"
 #include "support/scripted_endpoint.h"
 
+#include <algorithm>
+#include <map>
 #include <string>
 
 using namespace savoryrelay::tests;
 
 namespace {
 
-// Answers each call with the head lines in its path: "/look/<status>" with a receipt, and
-// "/look/<status>/not-run" with the statement that the call did not run.
+// Header fields in place of the receipt, by the end of the path.
+const std::map<std::string, std::string> spoilt_heads{
+    {"none", ""},
+    {"spoilt", "Server-Seam: s1\r\n"},
+    {"empty", "Server-Seal: \r\n"},
+    {"two", "Server-Seal: s1\r\nServer-Seal: s2\r\n"},
+    {"encoded", "Server-Seal: s1\r\nContent-Encoding: gzip\r\n"},
+};
+
+// Answers each call by its path: "/look/<status>" with a receipt, "/look/<status>/not-run" also
+// with the statement that the call did not run, and others with what `spoilt_heads` lists.
 std::string scripted_answer(const std::string& head) {
     const auto path_at = head.find("/", head.find("/", head.find(' ')) + 1) + 1;
     const auto path = head.substr(path_at, head.find(' ', path_at) - path_at);
     std::string answer = "HTTP/1.1 " + path.substr(0, 3) + " X\r\nConnection: close\r\n";
-    answer += "Attempt-Id: " + field_of(head, "Attempt-Id") + "\r\nServer-Seal: s1\r\n";
+    answer += "Attempt-Id: " + field_of(head, "Attempt-Id") + "\r\n";
+    const auto spoilt = spoilt_heads.find(path.substr(std::min<std::size_t>(path.size(), 4)));
+    answer += spoilt == spoilt_heads.end() ? "Server-Seal: s1\r\n" : spoilt->second;
     if (path.ends_with("/not-run")) {
         answer += "Not-Executed: 1\r\n";
     }
@@ -32,9 +45,9 @@
         }
     }
 
-    kept_answer call(const std::string& path) {
+    kept_answer call(const std::string& path, http::verb method = http::verb::post) {
         kept_connection caller(hosts[0]->callers);
-        return caller.fetch(http::verb::post, path, "booking",
+        return caller.fetch(method, path, method == http::verb::post ? "booking" : "",
                             headers("s" + std::to_string(m_calls++)));
     }
 
@@ -79,3 +92,19 @@
         CHECK_FALSE(answer.retry_after.empty());
     }
 }
+
+TEST_CASE("edge: a success without the endpoint's receipt or body does not reach the caller") {
+    // Guards against a success that does not count, after which no caller asks again.
+    scripted_fixture fixture;
+    for (const auto& [name, fields] : spoilt_heads) {
+        for (const std::string path : {"/book/200/", "/look/200/", "/look/201/", "/feed/200/"}) {
+            CAPTURE(path, name);
+            const auto answer = fixture.call(path + name);
+            CHECK(answer.status == 502);
+            CHECK(answer.seal.empty());
+        }
+        CAPTURE(name);
+        CHECK(fixture.call("/look/200/" + name, http::verb::get).status == 502);
+        CHECK(fixture.call("/look/204/" + name, http::verb::head).status == 502);
+    }
+}
--- a/tests/transport/serving_front_test.cpp
+++ b/tests/transport/serving_front_test.cpp
@@ -49,6 +49,7 @@
     state::answer_head head;
     head.status = status;
     head.is_not_run = status == 503;
+    head.has_receipt = true;
     for (const auto& field : fields) {
         if (field.name == request_id_name) {
             head.request_id = field.value;
