Wait until the engine has counted a request before a drain test reads it

What was seen: "an endpoint receives no new calls once its drain is in force" failed once beside other runs (0 == 1, operators_test.cpp:216).

Cause: the engine stand-in counts a request after it has sent the last event. That event ends the caller's answer, so the test can read the count before it rises.

Change: the test waits, for 5 s at most, until the count is there. The values that it asks for are unchanged; more requests than those still fail it.

--- a/tests/process/operators_test.cpp
+++ b/tests/process/operators_test.cpp
@@ -13,6 +13,7 @@
 #include <openssl/pem.h>
 
 #include <algorithm>
+#include <chrono>
 #include <map>
 #include <memory>
 
@@ -95,6 +96,18 @@
             .to_number<std::uint64_t>();
     }
 
+    /// Returns the number of completed requests once it is `count`, or after a time limit. The
+    /// engine counts a request after it has sent the last event, which ends the call.
+    [[nodiscard]] static std::uint64_t wait_for_completed(const standin_process& engine,
+                                                          std::uint64_t count) {
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        auto completed = completed_by(engine);
+        while (completed < count && std::chrono::steady_clock::now() < limit) {
+            completed = completed_by(engine);
+        }
+        return completed;
+    }
+
     [[nodiscard]] std::string write_configuration() const {
         const auto endpoint_row = [](const std::string& id, const std::string& deployment,
                                      const std::string& endpoint_port) {
@@ -203,7 +216,7 @@
         CHECK(relay.complete() == 200);
     }
     CHECK(operators_fixture::completed_by(relay.engine_1) == before);
-    CHECK(operators_fixture::completed_by(relay.engine_2) == 20);
+    CHECK(operators_fixture::wait_for_completed(relay.engine_2, 20) == 20);
     relay.start_ctl({"status"})->read_until("engine-1 model zone-a cold drained");
 
     relay.change({"drain", "availability_zone", "zone-a"});
@@ -213,7 +226,7 @@
     relay.change({"return", "endpoint", "engine-1"});
     relay.change({"drain", "endpoint", "engine-2"});
     CHECK(relay.complete() == 200);
-    CHECK(operators_fixture::completed_by(relay.engine_1) == before + 1);
+    CHECK(operators_fixture::wait_for_completed(relay.engine_1, before + 1) == before + 1);
     CHECK(relay.ctl({"drain", "endpoint", "engine-9", "--operator=alice"}) == exit_refused);
 }
 
