--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -248,6 +248,28 @@
     co_return failed;
 }
 
+asio::awaitable<serving_front::attempt_result>
+serving_front::finish_stream(call_state& call, const http_fields& fields) {
+    attempt_result end;
+    if (call.events.has_partial_event()) {
+        end.reason = "the last event is not whole";
+        co_return end;
+    }
+    end_kept_attempts(call);
+    if (!call.writer.started()) {
+        call.status = status_ok;
+        auto selected = m_dependencies.codec.select_caller_fields(fields);
+        co_await call.writer.start(status_ok, std::move(selected));
+    }
+    const auto rest = call.events.take_rest();
+    co_await call.writer.write(rest);
+    if (co_await call.writer.finish()) {
+        call.writer.abandon();
+    }
+    end.outcome = attempt_outcome::delivered;
+    co_return end;
+}
+
 asio::awaitable<serving_front::attempt_result> serving_front::relay_stream(call_state& call,
                                                                            bool is_resumed) {
     attempt_result end;
@@ -285,10 +307,14 @@
         const auto left = bounded_by_deadline(call, time_until(check_at, m_dependencies.now()));
         const auto [failed, size] = co_await connection.read_some(asio::buffer(buffer), left);
         const auto now = m_dependencies.now();
-        bool is_silent = failed == asio::error::operation_aborted;
         if (!failed && size == 0) {
             break;
         }
+        bool is_silent = failed == asio::error::operation_aborted;
+        if (failed && !is_silent) {
+            end.set_failed(attempt.is_writing ? "stream broke off" : "no event", failed);
+            co_return end;
+        }
         if (!failed) {
             m_dependencies.fleet.note_answer(attempt.chosen.runner.record.id, now);
             const auto events_before = call.events.new_events();
@@ -322,39 +348,23 @@
                 co_return end;
             }
             is_silent = now >= check_at;
-            if (!is_silent) {
-                continue;
-            }
         }
-        const auto step = is_silent ? handle_silence(call) : silence_step::give_up;
+        if (!is_silent) {
+            continue;
+        }
+        const auto step = handle_silence(call);
         if (step == silence_step::hand_over) {
             end.is_kept = true;
             co_return end;
         }
         if (step == silence_step::give_up) {
             end.set_failed(attempt.is_writing ? "stream broke off" : "no event",
-                           failed ? failed : asio::error::operation_aborted);
+                           asio::error::operation_aborted);
             co_return end;
         }
         check_at = now + silence_check_interval;
     }
-    if (call.events.has_partial_event()) {
-        end.reason = "the last event is not whole";
-        co_return end;
-    }
-    end_kept_attempts(call);
-    if (!call.writer.started()) {
-        call.status = status_ok;
-        co_await call.writer.start(status_ok, m_dependencies.codec.select_caller_fields(fields));
-    }
-    if (const auto rest = call.events.take_rest(); !rest.empty()) {
-        co_await call.writer.write(rest);
-    }
-    if (co_await call.writer.finish()) {
-        call.writer.abandon();
-    }
-    end.outcome = attempt_outcome::delivered;
-    co_return end;
+    co_return co_await finish_stream(call, fields);
 }
 
 } // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -129,6 +129,9 @@
     /// of them.
     boost::asio::awaitable<boost::system::error_code> relay_events(call_state& call,
                                                                    const http_fields& fields);
+    /// Ends the caller's answer after a stream whose end was read.
+    boost::asio::awaitable<attempt_result> finish_stream(call_state& call,
+                                                         const http_fields& fields);
     [[nodiscard]] static stream_limits stream_limits_of(const call_state& call);
     /// Returns `span`, or the time until the call's deadline if that is shorter, but at least
     /// 1 ms: what has arrived is read after the deadline.
