Restart a test's endpoint only after the host has asked after it

Cause: the test started its endpoint again at once, so the host's probe after the end of the answer sometimes found the next process, and took the answer for a whole one.

Change: the endpoint is down for 200 ms.

--- a/tests/process/crashing_prompt_test.cpp
+++ b/tests/process/crashing_prompt_test.cpp
@@ -317,6 +317,8 @@
             answer = fetch(fixture.hosts[0]->callers, http::verb::post, "/feed/1", "x", headers);
         }
         if (endpoint.requests > crash) {
+            // The host asks after the endpoint once it has the answer's end.
+            std::this_thread::sleep_for(200ms);
             endpoint.restart();
         }
     }
