--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -246,9 +246,7 @@
     if (end.outcome == attempt_outcome::lost && !call.caller_is_gone) {
         avoid(runner.id);
     }
-    if (!call.caller_is_gone) {
-        co_await record_crash_evidence(call, end, context);
-    }
+    co_await record_crash_evidence(call, end, context);
     if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
         end.outcome == attempt_outcome::not_run) {
         // A late copy of an answer without an id could not be told from the next answer.
