Keep the list of refusing statuses inside the verdict on answers

promises_not_run was declared in the header and called by judge_answer alone; it is local now. A comment on connections that the host closed for a caller that has gone says so plainly. No behaviour changes: the cases of answer_verdict_test.cpp and endpoint_answer_test.cpp, the one of endpoints that end with their answers, and the layer and coroutine checks pass.

--- a/src/savoryrelay/coordination/serving/answer_verdict.cpp
+++ b/src/savoryrelay/coordination/serving/answer_verdict.cpp
@@ -18,13 +18,15 @@
 constexpr std::array not_run_statuses{status_request_timeout, status_misdirected_request,
                                       status_too_many_requests, status_unavailable};
 
-} // namespace
-
+// Returns whether an answer with this status tells its caller that the call has not run and
+// never will. Callers then repeat calls that may run only once.
 bool promises_not_run(unsigned status) {
     return std::find(not_run_statuses.begin(), not_run_statuses.end(), status) !=
            not_run_statuses.end();
 }
 
+} // namespace
+
 answer_verdict judge_answer(const state::answer_head& answer) {
     if (answer.is_not_run) {
         return {attempt_outcome::not_run};
--- a/src/savoryrelay/coordination/serving/answer_verdict.h
+++ b/src/savoryrelay/coordination/serving/answer_verdict.h
@@ -10,10 +10,6 @@
 
 namespace savoryrelay::coordination {
 
-/// Returns whether an answer with this status tells its caller that the call has not run and
-/// never will. Callers then repeat calls that may run only once.
-[[nodiscard]] bool promises_not_run(unsigned status);
-
 /// Why an endpoint's answer must not reach the caller.
 enum class answer_defect {
     none,
--- a/src/savoryrelay/transport/serving/ended_endpoints.cpp
+++ b/src/savoryrelay/transport/serving/ended_endpoints.cpp
@@ -66,7 +66,7 @@
     auto& attempt = *call.current;
     const auto& runner = attempt.chosen.runner.record;
     if (end.outcome == attempt_outcome::lost) {
-        // The end of a connection that the caller's leave closed shows nothing.
+        // The host itself closes the connection when the caller is gone.
         if (end.closed_by_endpoint && !call.caller_is_gone) {
             const bool still_accepts = co_await keeps_accepting(context, runner);
             report_close(call, runner, still_accepts);
