State demand by urgency, and what answers still need, in the digests

Hosts know of each other how many calls are in flight at a group and a 3 s average of the work of each model.

The digest of a host now has, for each model, the demand of the last second by urgency, and for each endpoint the answer tokens that its calls are expected to be sent. A forwarded request can carry a rank by its urgency, and no longer one that its caller chose. Nothing decides by these yet; the admission and the placing of calls will. All hosts are restarted together, because the format of the digests has changed.

coordination_tests, protocol_tests and platform_tests pass.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -90,8 +90,8 @@
       m_front({m_shared.fleet, m_shared.loads, m_selector, m_shared.correction, m_shared.repeats,
                m_shared.crashes, m_shared.metrics, platform::make_serving_codec(),
                [this] { return m_shared.configuration.load(); },
-               [this](const std::string& model, double work_ms) {
-                   m_shared.work.note(model, work_ms, read_clock());
+               [this](const std::string& model, state::call_urgency urgency, double work_ms) {
+                   m_shared.work.note(model, urgency, work_ms, read_clock());
                },
                [this](const state::endpoint_id& id) { m_groups.report_suspect(id); },
                [this](const state::runner_record& runner, const state::answer_head& answer) {
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -40,6 +40,7 @@
     out.number(static_cast<std::uint16_t>(std::min(entry.load.writing, max_counter)));
     out.number(static_cast<std::uint16_t>(std::min(entry.load.waiting, max_counter)));
     write_amount(out, entry.load.waiting_prompt_tokens);
+    write_amount(out, entry.load.remaining_answer_tokens);
 }
 
 state::endpoint_load_entry read_load(bounded_reader& in) {
@@ -48,6 +49,7 @@
     entry.load.writing = in.number<std::uint16_t>();
     entry.load.waiting = in.number<std::uint16_t>();
     entry.load.waiting_prompt_tokens = read_amount(in);
+    entry.load.remaining_answer_tokens = read_amount(in);
     return entry;
 }
 
@@ -164,6 +166,9 @@
     for (const auto& entry : digest.work) {
         out.text(entry.model, max_text_bytes);
         write_amount(out, entry.groups);
+        for (const double amount : entry.demand) {
+            write_amount(out, amount);
+        }
     }
     out.count(digest.observations.size(), max_digest_entries);
     for (const auto& observation : digest.observations) {
@@ -280,8 +285,13 @@
             digest.loads.push_back(read_load(in));
         }
         for (auto remaining = in.count(max_digest_entries); remaining > 0; --remaining) {
-            auto model = in.text(max_text_bytes);
-            digest.work.push_back({std::move(model), read_amount(in)});
+            state::model_work entry;
+            entry.model = in.text(max_text_bytes);
+            entry.groups = read_amount(in);
+            for (double& amount : entry.demand) {
+                amount = read_amount(in);
+            }
+            digest.work.push_back(std::move(entry));
         }
         for (auto remaining = in.count(max_digest_entries); remaining > 0; --remaining) {
             digest.observations.push_back(read_observation(in));
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -4,6 +4,7 @@
 #include "savoryrelay/state/core/enum_names.h"
 #include "savoryrelay/state/member/member.h"
 #include "savoryrelay/state/platform/store_version.h"
+#include "savoryrelay/state/serving/call_urgency.h"
 #include "savoryrelay/state/serving/crash_notice.h"
 #include "savoryrelay/state/serving/runner_record.h"
 
@@ -19,11 +20,14 @@
     std::uint32_t writing = 0;        ///< streams whose first event was received
     std::uint32_t waiting = 0;        ///< calls that wait for their first event
     double waiting_prompt_tokens = 0; ///< prompt tokens of the waiting calls
+    /// Answer tokens that the calls are expected to be sent from now on.
+    double remaining_answer_tokens = 0;
 
     endpoint_load& operator+=(const endpoint_load& other) {
         writing += other.writing;
         waiting += other.waiting;
         waiting_prompt_tokens += other.waiting_prompt_tokens;
+        remaining_answer_tokens += other.remaining_answer_tokens;
         return *this;
     }
     /// Takes `other` off, down to 0: the two may have been counted at different times.
@@ -31,6 +35,8 @@
         writing -= std::min(writing, other.writing);
         waiting -= std::min(waiting, other.waiting);
         waiting_prompt_tokens = std::max(0.0, waiting_prompt_tokens - other.waiting_prompt_tokens);
+        remaining_answer_tokens =
+            std::max(0.0, remaining_answer_tokens - other.remaining_answer_tokens);
         return *this;
     }
 };
@@ -45,6 +51,9 @@
 struct model_work {
     std::string model;
     double groups = 0; ///< groups that this work would keep busy
+    /// The same by the urgency of the calls, measured over a shorter time. Includes the calls
+    /// that were refused for want of capacity.
+    urgency_amounts demand{};
 };
 
 /// The state of a runner as the sender of a digest observed it.
--- a/src/savoryrelay/state/serving/serving_call.h
+++ b/src/savoryrelay/state/serving/serving_call.h
@@ -4,6 +4,7 @@
 #include "savoryrelay/state/core/enum_names.h"
 #include "savoryrelay/state/core/identifier.h"
 #include "savoryrelay/state/core/time.h"
+#include "savoryrelay/state/serving/call_urgency.h"
 
 #include <array>
 #include <cstdint>
@@ -27,6 +28,7 @@
     double expected_answer_tokens = 0; ///< the caller's estimate; 0: none
     /// The parts of the prompt that other calls may share, in their order.
     std::vector<std::string> shared_prompt_parts;
+    call_urgency urgency = call_urgency::normal;
 };
 
 /// What was read of the pause for which an endpoint that refuses a request may ask.
--- a/src/savoryrelay/transport/serving/serving_codec.h
+++ b/src/savoryrelay/transport/serving/serving_codec.h
@@ -17,6 +17,8 @@
     std::string customer;        ///< empty if the call has no customer
     std::optional<state::milliseconds> time_left;
     std::optional<std::uint64_t> last_event; ///< the stream must resume after this event
+    /// Order in which the endpoint begins the requests that wait there; empty: its usual one.
+    std::optional<state::call_urgency> urgency;
 };
 
 /// Encoding and decoding of the header fields of one HTTP interface.
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -282,7 +282,7 @@
     const auto& engine = call.service->engine;
     const auto* model = engine ? engine->find_model(call.decoded.model) : nullptr;
     if (model != nullptr && !std::exchange(call.is_work_reported, true)) {
-        m_dependencies.report_work(model->name,
+        m_dependencies.report_work(model->name, call.decoded.urgency,
                                    coordination::call_work_ms(*engine, *model, call.decoded));
     }
 }
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -38,7 +38,7 @@
     std::function<std::shared_ptr<const state::serving_configuration>()> configuration;
     /// Called when a call for `model` arrives that will occupy a group for `work_ms`
     /// milliseconds.
-    std::function<void(const std::string& model, double work_ms)> report_work;
+    std::function<void(const std::string& model, state::call_urgency, double work_ms)> report_work;
     /// Called when an endpoint did not answer, or when a head reports a member that it
     /// cannot reach. This and other entry hosts then check whether it is alive.
     std::function<void(const state::endpoint_id&)> report_suspect;
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -217,13 +217,35 @@
     auto now = start;
     for (int i = 0; i < 2'000; ++i) {
         now += 20ms;
-        meter.note("m", 10, now); // keeps half a group busy
+        meter.note("m", state::call_urgency::normal, 10, now); // keeps half a group busy
     }
     meter.apply_peer("h2", state::digest_scope::hub, {{"m", 1.5}}, now);
     CHECK(meter.all(now).at("m") == Approx(2.0).epsilon(0.05));
     CHECK(meter.all(now + work_meter::peer_work_age + 1ms).at("m") < 0.5);
 }
 
+TEST_CASE("the demand by urgency follows a burst within a second") {
+    // Guards admission against the average by which groups are divided, which lags by seconds.
+    work_meter meter;
+    auto now = start;
+    const auto send_for = [&](std::chrono::milliseconds span, state::call_urgency urgency) {
+        for (const auto end = now + span; now < end; now += 10ms) {
+            meter.note("m", urgency, 20, now); // keeps two groups busy
+        }
+    };
+    send_for(5s, state::call_urgency::normal);
+    send_for(1400ms, state::call_urgency::late);
+    const auto own = meter.demand("m", now);
+    CHECK(state::amount_of(own, state::call_urgency::late) == Approx(1.5).epsilon(0.05));
+    CHECK(state::amount_of(own, state::call_urgency::normal) == Approx(0.5).epsilon(0.05));
+    CHECK(meter.demand("other", now) == state::urgency_amounts{});
+
+    meter.apply_peer("h2", state::digest_scope::hub, {{"m", 1, {3, 0, 0, 0}}}, now);
+    CHECK(state::amount_of(meter.demand("m", now), state::call_urgency::urgent) == Approx(3));
+    CHECK(meter.report(state::digest_scope::fleet, now).front().demand.front() == Approx(3));
+    CHECK(meter.report(state::digest_scope::member, now).front().demand.front() == Approx(0));
+}
+
 TEST_CASE("the backoff of a runner grows with each refusal") {
     // Guards against repeated calls to heads that have left their groups; there were
     // 1,285 of them on tadyang-relay scale-1.
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -223,6 +223,24 @@
     CHECK(transport::header_of(make_endpoint_request(make_request(), values), "Tenant").empty());
 }
 
+TEST_CASE("the rank of a forwarded request is the system's, and falls with its urgency") {
+    auto request = make_request();
+    request.set("Request-Urgency", "0");
+    const auto rank_of = [&](std::optional<state::call_urgency> urgency) {
+        transport::endpoint_request_values values;
+        values.urgency = urgency;
+        return transport::header_of(make_endpoint_request(request, values), "Request-Urgency");
+    };
+    CHECK(rank_of(std::nullopt).empty());
+    std::string before;
+    for (const auto& row : state::enum_table<state::call_urgency>::rows) {
+        const auto rank = rank_of(row.value);
+        CHECK(rank.size() == 1);
+        CHECK(rank > before);
+        before = rank;
+    }
+}
+
 TEST_CASE("the parts of a prompt are read in order, without the last one") {
     const auto parts_of = [](const std::string& value) {
         transport::http_request request{boost::beast::http::verb::post, "/ask/1", 11};
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -96,6 +96,17 @@
     }
 }
 
+TEST_CASE("the demand and the remaining answers of a digest are decoded as they were encoded") {
+    auto digest = make_digest(0);
+    digest.loads.push_back({state::endpoint_id("i-1"), {1, 2, 300, 4'000}});
+    digest.work.push_back({"gold", 1.5, {0.25, 1, 2, 4}});
+    const auto read = read_digest(encode(digest));
+    REQUIRE(read);
+    CHECK(read->loads.front().load.remaining_answer_tokens == 4'000);
+    CHECK(read->work.front().groups == 1.5);
+    CHECK(read->work.front().demand == state::urgency_amounts{0.25, 1, 2, 4});
+}
+
 TEST_CASE("datagrams of observations do not replace the loads that their sender reported") {
     for (const std::size_t entries : {1U, 13U}) {
         auto digest = make_digest(0);
