--- a/tests/transport/serving_front_test.cpp
+++ b/tests/transport/serving_front_test.cpp
@@ -146,7 +146,7 @@
                  return transport::http_field{request_id_name, id.value()};
              }},
             [this] { return configuration; },
-            [this](const std::string&, double) { ++calls_in_work; },
+            [this](const std::string&, state::call_urgency, double) { ++calls_in_work; },
             [](const state::endpoint_id&) {},
             [this](const state::runner_record&, const state::answer_head&) { ++answers; },
             [this] { return now(); }});
