Show where a host would send a call, without sending it

Operators see after a call where it went (explain), not where one would go now. savoryrelayctl placement asks a running entry host on its metrics address: the answer has the endpoint that the selector would choose, or the reason of the refusal, and for each endpoint of the service the verdict, the calls in flight and the predicted times. The selection is the one of real calls; only the limit of a cold endpoint is neither looked at nor counted.

Tests: the explained endpoint is the one that a sent call gets; reasons of refusals; round trip and damage of the question (found on the way: '+' was read back as a space); the command against a running host, whose runners count no further call.

--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -5,6 +5,7 @@
 #include "drain_command.h"
 #include "explain_command.h"
 #include "init_command.h"
+#include "placement_command.h"
 #include "status_command.h"
 
 #include <algorithm>
@@ -27,6 +28,8 @@
     command_row{"drain", "take an endpoint or an availability zone out of service", run_drain},
     command_row{"explain", "explain the outcome of a request from logs", run_explain},
     command_row{"init", "generate settings and configuration from answers", run_init},
+    command_row{"placement", "show where a host would send a call now, without sending it",
+                run_placement},
     command_row{"return", "bring an endpoint or an availability zone back", run_return},
     command_row{"status", "show members, endpoints and open requests", run_status},
 };
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -5,6 +5,8 @@
 #include "state_gauges.h"
 
 #include "platform/call_headers.h"
+#include "savoryrelay/protocol/operators/operator_messages.h"
+#include "savoryrelay/protocol/placement/placement_messages.h"
 #include "savoryrelay/transport/process/log.h"
 
 #include <chrono>
@@ -22,6 +24,7 @@
 namespace {
 
 constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_unavailable = 503;
 
 // Time between the stop request and the close of the callers' listener, in which the
@@ -87,6 +90,8 @@
                   .host_count = [this] { return m_shared.host_count.load(); },
                   .host_hashes = [this] { return m_shared.hosts.name_hashes(); },
                   .random = make_random(m_incarnation)}),
+      m_explainer(m_shared.fleet, m_shared.loads, m_selector, m_shared.own_host.name,
+                  [this] { return m_shared.zones_out_of_service.load(); }),
       m_front({m_shared.fleet, m_shared.loads, m_selector, m_shared.correction, m_shared.repeats,
                m_shared.crashes, m_shared.metrics, platform::make_serving_codec(),
                [this] { return m_shared.configuration.load(); },
@@ -128,15 +133,10 @@
                                                              transport::response_writer& writer) {
         return answer_readiness(std::move(request), writer);
     });
-    m_metrics_server =
-        listen(m_settings.metrics,
-               [this](transport::http_request,
-                      transport::response_writer& writer) -> asio::awaitable<void> {
-                   set_state_gauges(m_shared, m_groups.is_controller(), read_clock());
-                   const auto text = m_shared.metrics.to_prometheus();
-                   co_await writer.send(
-                       status_ok, transport::content_type_field("text/plain; version=0.0.4"), text);
-               });
+    m_metrics_server = listen(m_settings.metrics, [this](transport::http_request request,
+                                                         transport::response_writer& writer) {
+        return answer_operator(std::move(request), writer);
+    });
     m_tables.start();
     m_groups.start();
     m_peers.start();
@@ -144,6 +144,36 @@
              {{"host", m_settings.host.value()}, {"incarnation", std::to_string(m_incarnation)}});
 }
 
+asio::awaitable<void> edge_host::answer_operator(transport::http_request request,
+                                                 transport::response_writer& writer) {
+    const std::string_view target(request.target().data(), request.target().size());
+    if (target.substr(0, target.find('?')) == protocol::placement_path) {
+        co_await answer_placement(request, writer);
+        co_return;
+    }
+    set_state_gauges(m_shared, m_groups.is_controller(), read_clock());
+    const auto text = m_shared.metrics.to_prometheus();
+    co_await writer.send(status_ok, transport::content_type_field("text/plain; version=0.0.4"),
+                         text);
+}
+
+asio::awaitable<void> edge_host::answer_placement(const transport::http_request& request,
+                                                  transport::response_writer& writer) {
+    const auto call = state::collect([&] {
+        return protocol::decode_placement_query({request.target().data(), request.target().size()});
+    });
+    const auto fields = transport::content_type_field("application/json");
+    if (!call) {
+        co_await writer.send(status_bad_request, fields,
+                             protocol::encode_operator_failure(call.error()));
+        co_return;
+    }
+    const auto report =
+        m_explainer.explain(*m_shared.configuration.load(), call.value(), read_clock());
+    const auto text = protocol::encode_placement(report);
+    co_await writer.send(status_ok, fields, text);
+}
+
 asio::awaitable<void> edge_host::answer_readiness(transport::http_request,
                                                   transport::response_writer& writer) {
     const bool is_ready = !m_is_stopping && m_shared.configuration.load()->version > 0;
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -7,6 +7,7 @@
 #include "shared_state.h"
 #include "store_part.h"
 
+#include "savoryrelay/coordination/serving/placement_explainer.h"
 #include "savoryrelay/protocol/settings/edge_settings.h"
 #include "savoryrelay/transport/http/http_server.h"
 #include "savoryrelay/transport/process/signals.h"
@@ -32,6 +33,11 @@
     void run(transport::process_signals& signals);
 
 private:
+    /// Answers the operators' questions: metrics, and where a call would go.
+    boost::asio::awaitable<void> answer_operator(transport::http_request request,
+                                                 transport::response_writer& writer);
+    boost::asio::awaitable<void> answer_placement(const transport::http_request& request,
+                                                  transport::response_writer& writer);
     boost::asio::awaitable<void> answer_readiness(transport::http_request request,
                                                   transport::response_writer& writer);
     void finish_open_calls();
@@ -47,6 +53,7 @@
     group_part m_groups;
     peer_part m_peers;
     coordination::endpoint_selector m_selector;
+    coordination::placement_explainer m_explainer;
     transport::serving_front m_front;
     std::unique_ptr<transport::http_server> m_caller_server;
     std::unique_ptr<transport::http_server> m_readiness_server;
--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -56,10 +56,44 @@
     return first_end;
 }
 
+std::uint32_t call_limit_of(const state::runner_record& runner,
+                            const state::service_rule& service) {
+    constexpr std::uint32_t calls_per_slot = 2; // of a service without an engine
+    return service.engine ? service.engine->slots : std::max(1U, runner.slots) * calls_per_slot;
+}
+
 std::variant<selected_endpoint, selection_failure>
 endpoint_selector::select(const state::service_rule& service, const state::serving_call& call,
                           const std::set<state::endpoint_id>& excluded,
                           state::milliseconds time_left, state::time_point now) {
+    return select_admitted(service, call, excluded, time_left, now, [&](const runner_view& runner) {
+        return admit_cold_call(service, runner, now);
+    });
+}
+
+std::variant<selected_endpoint, selection_failure>
+endpoint_selector::preview(const state::service_rule& service, const state::route_rule& route,
+                           const state::serving_call& call, state::time_point now) const {
+    auto time_left = call.deadline.value_or(state::max_duration);
+    if (route.timeout.count() > 0) {
+        time_left = std::min(time_left, route.timeout);
+    }
+    return select_admitted(service, call, {}, time_left, now,
+                           [](const runner_view&) { return true; });
+}
+
+group_prediction endpoint_selector::predict_at(const state::engine_rule& engine,
+                                               const state::model_rule& model,
+                                               const runner_view& head,
+                                               const state::endpoint_load& load,
+                                               const state::serving_call& call) const {
+    return predict(engine, model, make_candidate(head, load), call);
+}
+
+std::variant<selected_endpoint, selection_failure> endpoint_selector::select_admitted(
+    const state::service_rule& service, const state::serving_call& call,
+    const std::set<state::endpoint_id>& excluded, state::milliseconds time_left,
+    state::time_point now, const admit_cold_hook& admit_cold) const {
     const auto fleet = m_fleet.snapshot();
     const auto* model = service.engine ? service.engine->find_model(call.model) : nullptr;
     auto runners = find_endpoints(*fleet, service, call);
@@ -70,12 +104,12 @@
     while (!runners.empty()) {
         auto selected = service.engine
                             ? select_group(service, *model, call, runners, time_left, now)
-                            : select_least_loaded(runners, now);
+                            : select_least_loaded(service, runners, now);
         if (auto* endpoint = std::get_if<selected_endpoint>(&selected)) {
             // The snapshot may be older than what the endpoint has said.
             const auto known = m_fleet.find(endpoint->runner.record.id);
             const bool is_unwanted = !known || known->wants_no_calls(now);
-            if (is_unwanted || !admit_cold_call(service, endpoint->runner, now)) {
+            if (is_unwanted || !admit_cold(endpoint->runner)) {
                 is_cold_limit_reached = is_cold_limit_reached || !is_unwanted;
                 std::erase_if(runners, [&](const auto* each) {
                     return each->record.id == endpoint->runner.record.id;
@@ -127,21 +161,27 @@
     std::vector<group_candidate> candidates;
     candidates.reserve(heads.size());
     for (const auto* head : heads) {
-        group_candidate candidate;
-        candidate.head = head->record.id;
-        candidate.time_factor = head->time_factor;
-        candidate.zone_round_trip_ms =
-            head->record.availability_zone == m_own_host.availability_zone ? 0 : zone_round_trip_ms;
-        if (const auto load = loads.find(head->record.id); load != loads.end()) {
-            candidate.load = load->second;
-        }
-        candidates.push_back(std::move(candidate));
+        const auto load = loads.find(head->record.id);
+        candidates.push_back(
+            make_candidate(*head, load == loads.end() ? state::endpoint_load{} : load->second));
     }
     return m_hooks.choose(engine, model, candidates, call);
 }
 
+group_candidate endpoint_selector::make_candidate(const runner_view& head,
+                                                  const state::endpoint_load& load) const {
+    group_candidate candidate;
+    candidate.head = head.record.id;
+    candidate.time_factor = head.time_factor;
+    candidate.zone_round_trip_ms =
+        head.record.availability_zone == m_own_host.availability_zone ? 0 : zone_round_trip_ms;
+    candidate.load = load;
+    return candidate;
+}
+
 std::variant<selected_endpoint, selection_failure>
-endpoint_selector::select_least_loaded(const std::vector<const runner_view*>& runners,
+endpoint_selector::select_least_loaded(const state::service_rule& service,
+                                       const std::vector<const runner_view*>& runners,
                                        state::time_point now) const {
     const auto loads = m_loads.all(now);
     const runner_view* best = nullptr;
@@ -159,7 +199,7 @@
             (in_flight + 1) / slots +
             (runner->record.availability_zone == m_own_host.availability_zone ? 0
                                                                               : other_zone_cost);
-        if (in_flight >= slots * 2) {
+        if (in_flight >= call_limit_of(runner->record, service)) {
             some_full = true;
             continue;
         }
--- a/src/savoryrelay/coordination/serving/endpoint_selector.h
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -70,6 +70,10 @@
     choose_group_hook choose = choose_group;
 };
 
+/// Returns how many calls an endpoint of `service` may have in flight.
+[[nodiscard]] std::uint32_t call_limit_of(const state::runner_record& runner,
+                                          const state::service_rule& service);
+
 /// Selects endpoints for the calls of all services. Thread-safe.
 class endpoint_selector {
 public:
@@ -84,6 +88,17 @@
     select(const state::service_rule& service, const state::serving_call& call,
            const std::set<state::endpoint_id>& excluded, state::milliseconds time_left,
            state::time_point now);
+    /// Returns what `select` would return for a call of `route` that arrives now, without counting
+    /// a call against the limit of a cold endpoint.
+    [[nodiscard]] std::variant<selected_endpoint, selection_failure>
+    preview(const state::service_rule& service, const state::route_rule& route,
+            const state::serving_call& call, state::time_point now) const;
+    /// Returns the times that are predicted for `call` if `head` takes it.
+    [[nodiscard]] group_prediction predict_at(const state::engine_rule& engine,
+                                              const state::model_rule& model,
+                                              const runner_view& head,
+                                              const state::endpoint_load& load,
+                                              const state::serving_call& call) const;
     /// Returns when the first pause of an endpoint of `service` ends. Returns nothing if an
     /// endpoint that could take the call is not paused, or if there is none.
     [[nodiscard]] std::optional<state::time_point> paused_until(const state::service_rule& service,
@@ -91,6 +106,16 @@
                                                                 state::time_point now) const;
 
 private:
+    /// Returns whether a cold endpoint may take one more call.
+    using admit_cold_hook = std::function<bool(const runner_view&)>;
+
+    [[nodiscard]] std::variant<selected_endpoint, selection_failure>
+    select_admitted(const state::service_rule& service, const state::serving_call& call,
+                    const std::set<state::endpoint_id>& excluded, state::milliseconds time_left,
+                    state::time_point now, const admit_cold_hook& admit_cold) const;
+    /// Returns a head and what is known of its group as a candidate for a call.
+    [[nodiscard]] group_candidate make_candidate(const runner_view& head,
+                                                 const state::endpoint_load& load) const;
     /// Returns the endpoints that are known to serve calls like `call`, whether or not they may
     /// take one now.
     [[nodiscard]] std::vector<const runner_view*>
@@ -101,7 +126,8 @@
                  const state::serving_call& call, const std::vector<const runner_view*>& heads,
                  state::milliseconds time_left, state::time_point now) const;
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
-    select_least_loaded(const std::vector<const runner_view*>& runners,
+    select_least_loaded(const state::service_rule& service,
+                        const std::vector<const runner_view*>& runners,
                         state::time_point now) const;
     /// Compares the predictions of `heads`. Returns nothing if all their batches are full.
     [[nodiscard]] std::optional<group_choice>
