Test crowds of clients that don't behave, and read the machine's limits

Nothing bounds what a process holds for its clients in sum. The tests start an entry host on a machine of 96 MB, or of 300 descriptors, and crowds at the callers' path, a path without a route, with an unknown key, at readiness, metrics and the peers' tables. The process must live, stay under 90 MB and 300 descriptors, and answer an ordinary call beside the crowd.

The settings get limits.memory_mb and limits.max_fds, which have no effect yet.

--- a/src/savoryrelay/protocol/settings/edge_settings.cpp
+++ b/src/savoryrelay/protocol/settings/edge_settings.cpp
@@ -19,6 +19,11 @@
 constexpr double max_processor_share = 1'024;
 constexpr double max_leave_ms = 60'000;
 constexpr double ms_per_s = 1'000;
+// Less leaves nothing for callers.
+constexpr std::uint64_t min_memory_mb = 80;
+constexpr std::uint64_t max_memory_mb = 1'000'000;
+constexpr std::uint64_t min_descriptors = 256;
+constexpr std::uint64_t max_descriptors = 10'000'000;
 
 // Reads a field of the form "address:port".
 network_address read_socket_address(yaml_fields& fields, std::string_view name) {
@@ -62,6 +67,18 @@
     return fields.finish();
 }
 
+state::result<void> read_limits(yaml_fields fields, edge_settings& settings) {
+    settings.memory_mb = fields.number("memory_mb", 0, 0, max_memory_mb);
+    settings.max_descriptors = fields.number("max_fds", 0, 0, max_descriptors);
+    if (settings.memory_mb != 0 && settings.memory_mb < min_memory_mb) {
+        fields.add_problem("'limits.memory_mb' is below " + std::to_string(min_memory_mb));
+    }
+    if (settings.max_descriptors != 0 && settings.max_descriptors < min_descriptors) {
+        fields.add_problem("'limits.max_fds' is below " + std::to_string(min_descriptors));
+    }
+    return fields.finish();
+}
+
 } // namespace
 
 state::result<edge_settings> read_edge_settings(const std::string& text) {
@@ -77,6 +94,7 @@
     settings.metrics = read_socket_address(fields, "metrics");
     BOOST_LEAF_CHECK(read_peers(fields.mapping("peers"), settings));
     BOOST_LEAF_CHECK(read_bounds(fields.mapping("bounds"), settings));
+    BOOST_LEAF_CHECK(read_limits(fields.mapping("limits"), settings));
     settings.is_first_start = fields.flag("first_start", false);
     settings.processor_share =
         fields.real("processor_share", settings.processor_share, 0.01, max_processor_share);
--- a/src/savoryrelay/protocol/settings/edge_settings.h
+++ b/src/savoryrelay/protocol/settings/edge_settings.h
@@ -34,6 +34,8 @@
     state::milliseconds repeat_window{10'000};
     double processor_share = 1;     ///< processor cores that this host may use
     std::uint32_t call_threads = 1; ///< threads that serve calls
+    std::uint64_t memory_mb = 0;    ///< memory that the process may use, in 10^6 bytes; 0: no limit
+    std::uint64_t max_descriptors = 0; ///< descriptors that the process may open; 0: no limit
 };
 
 /// Reads and checks YAML settings. Fails with `invalid_settings` and the name of the
--- a/tests/process/edge_fixture.h
+++ b/tests/process/edge_fixture.h
@@ -50,7 +50,9 @@
     std::vector<std::unique_ptr<standin_process>> models;
     standin_process plain{{"runner", "--id=p1"}};
     std::vector<std::unique_ptr<edge_process>> hosts;
-    std::string peer_port = free_port(); ///< the same on all hosts
+    std::string peer_port = free_port();     ///< the same on all hosts
+    std::string configuration_limits = "{}"; ///< JSON, of the configurations written later
+    std::string extra_settings;              ///< YAML, of the hosts started later
 
     explicit edge_fixture(std::size_t host_count = 1, std::size_t model_count = 3) {
         for (std::size_t i = 0; i < model_count; ++i) {
@@ -87,7 +89,7 @@
                 "\nreadiness: 127.0.0.1:" + host.readiness +
                 "\nmetrics: 127.0.0.1:" + host.metrics + "\nstore: 127.0.0.1:" + store.port +
                 "\npeers: {address: " + host.peer_address + ", port: " + peer_port + ", seeds: '" +
-                seeds + "'}\n");
+                seeds + "'}\n" + extra_settings);
         host.process = std::make_unique<child_process>(
             "savoryrelay_edge", std::vector<std::string>{"--settings=" + path});
         host.process->read_until("event=started");
@@ -141,7 +143,8 @@
  "services":[{"name":"model","engine":{"slots":8,"step_ms":5,"read_per_s":46000,"chunk":2048,
   "stride":5,"loads_per_s":50,"loads_at_once":6,"usual":{"prompt":100,"answer":8},
   "models":[{"name":"gold","size":2,"share":1,"pace":1,"load_s":1,"warmup_s":1}]}},
-  {"name":"orders"}],"limits":{},"tenants":[{"name":"workshop","api_keys":[")" +
+  {"name":"orders"}],"limits":)" +
+                      configuration_limits + R"(,"tenants":[{"name":"workshop","api_keys":[")" +
                       key + R"("]}]})");
     }
 
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -51,6 +51,8 @@
         ::close(m_output);
     }
 
+    [[nodiscard]] pid_t id() const { return m_pid; }
+
     void send(int signal) const {
         if (!m_status) {
             ::kill(m_pid, signal);
