Bound the memory and the descriptors that clients take

Each connection had limits, their sum had none: 160 bodies of 1 MiB less a byte took 184 MB, wherever they were sent, and 600 idle connections as many descriptors.

One account of a process now counts what each connection holds: its fields, its body with the copy that goes to the endpoint, its answer. It grants up to the machine's limits.memory_mb less what the process needs; large requests leave a quarter to small ones. What is not granted stays unread in the socket. Connections that hold most for longest then close, as 503 that has not run where the request has not been passed on; a request that is served stays. A listener with its part of limits.max_fds closes connections that are idle, or whose request has not arrived, for the longest time. A body above 64 KiB that has no route or an unknown key is answered by its head, as at readiness, metrics and the peers' tables. An answer is read from the endpoint only when there is memory for it.

Without the settings nothing is limited.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -16,6 +16,7 @@
 namespace savoryrelay::edge {
 
 namespace asio = boost::asio;
+using coordination::listener;
 using state::milliseconds;
 using transport::log_info;
 
@@ -76,11 +77,12 @@
                 m_settings.processor_share},
                {m_settings.repeat_ratio, m_settings.repeat_burst, m_settings.repeat_window},
                m_settings.leave_limit, make_crash_hooks()),
+      m_account(coordination::limits_of_machine(m_settings.memory_mb, m_settings.max_descriptors)),
       m_threads(1 + m_settings.call_threads),
       m_store(m_threads, {m_settings.store.address, m_settings.store.port}),
       m_signals(m_shared, read_clock), m_tables(m_threads, m_store, m_shared, read_clock),
       m_groups(m_threads, m_store, m_shared, m_signals, m_settings, m_incarnation, read_clock),
-      m_peers(m_threads, m_store, m_shared, m_tables, m_groups, m_signals, m_settings,
+      m_peers(m_threads, m_account, m_store, m_shared, m_tables, m_groups, m_signals, m_settings,
               m_incarnation, read_clock),
       m_selector(m_shared.fleet, m_shared.loads, m_shared.correction, m_shared.own_host,
                  {.zones_out_of_service = [this] { return m_shared.zones_out_of_service.load(); },
@@ -107,14 +109,20 @@
 
 void edge_host::start() {
     const auto listen = [this](const protocol::network_address& address,
-                               transport::request_handler handler) {
+                               coordination::listener from, transport::request_handler handler,
+                               transport::head_handler answer_head) {
         return std::make_unique<transport::http_server>(
-            m_threads, address.address, address.port, transport::http_limits{}, std::move(handler));
+            m_threads, address.address, address.port, transport::http_limits{}, std::move(handler),
+            transport::server_accounting{&m_account, from, std::move(answer_head)});
     };
-    m_caller_server = listen(m_settings.callers, [this](transport::http_request request,
-                                                        transport::response_writer& writer) {
-        return m_front.handle(std::move(request), writer);
-    });
+    m_caller_server = listen(
+        m_settings.callers, listener::callers,
+        [this](transport::http_request request, transport::response_writer& writer) {
+            return m_front.handle(std::move(request), writer);
+        },
+        [this](const transport::http_request& head, transport::response_writer& writer) {
+            return m_front.answer_head(head, writer);
+        });
     m_caller_server->set_limits_hook([this] {
         const auto limits = m_shared.configuration.load()->limits;
         transport::http_limits server_limits;
@@ -124,19 +132,20 @@
         server_limits.request_timeout = request_timeout;
         return server_limits;
     });
-    m_readiness_server = listen(m_settings.readiness, [this](transport::http_request request,
-                                                             transport::response_writer& writer) {
-        return answer_readiness(std::move(request), writer);
-    });
+    const auto serve_without_body = [&](const protocol::network_address& address, listener from,
+                                        const transport::request_handler& handler) {
+        return listen(address, from, handler, transport::answer_without_body(handler));
+    };
+    m_readiness_server = serve_without_body(
+        m_settings.readiness, listener::readiness,
+        [this](transport::http_request request, transport::response_writer& writer) {
+            return answer_readiness(std::move(request), writer);
+        });
     m_metrics_server =
-        listen(m_settings.metrics,
-               [this](transport::http_request,
-                      transport::response_writer& writer) -> asio::awaitable<void> {
-                   set_state_gauges(m_shared, m_groups.is_controller(), read_clock());
-                   const auto text = m_shared.metrics.to_prometheus();
-                   co_await writer.send(
-                       status_ok, transport::content_type_field("text/plain; version=0.0.4"), text);
-               });
+        serve_without_body(m_settings.metrics, listener::metrics,
+                           [this](transport::http_request, transport::response_writer& writer) {
+                               return answer_metrics(writer);
+                           });
     m_tables.start();
     m_groups.start();
     m_peers.start();
@@ -151,6 +160,14 @@
                          transport::content_type_field("text/plain"), is_ready ? "ready" : "");
 }
 
+asio::awaitable<void> edge_host::answer_metrics(transport::response_writer& writer) {
+    set_state_gauges(m_shared, m_groups.is_controller(), read_clock());
+    set_account_gauges(m_shared.metrics, m_account);
+    const auto text = m_shared.metrics.to_prometheus();
+    co_await writer.send(status_ok, transport::content_type_field("text/plain; version=0.0.4"),
+                         text);
+}
+
 void edge_host::run(transport::process_signals& signals) {
     while (signals.next() == transport::signal_action::reload) {
         log_info("reload", {{"outcome", "settings_take_effect_at_the_next_start"}});
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -7,6 +7,7 @@
 #include "shared_state.h"
 #include "store_part.h"
 
+#include "savoryrelay/coordination/memory/memory_account.h"
 #include "savoryrelay/protocol/settings/edge_settings.h"
 #include "savoryrelay/transport/http/http_server.h"
 #include "savoryrelay/transport/process/signals.h"
@@ -34,12 +35,14 @@
 private:
     boost::asio::awaitable<void> answer_readiness(transport::http_request request,
                                                   transport::response_writer& writer);
+    boost::asio::awaitable<void> answer_metrics(transport::response_writer& writer);
     void finish_open_calls();
 
     const protocol::edge_settings m_settings;
     const std::uint64_t m_incarnation;
     std::atomic<bool> m_is_stopping{false}; // not ready for further calls
     shared_state m_shared;
+    coordination::memory_account m_account; // outlives the connections, which the threads own
     transport::io_threads m_threads;
     platform::store_client m_store;
     runner_signals m_signals;
--- a/src/edge/main.cpp
+++ b/src/edge/main.cpp
@@ -6,6 +6,8 @@
 
 #include <docopt.h>
 
+#include <malloc.h>
+
 #include <cstdlib>
 #include <iostream>
 
@@ -52,6 +54,11 @@
         return EXIT_SUCCESS;
     }
 
+    if (settings.value().memory_mb > 0) {
+        // Larger blocks return to the system when they are freed.
+        constexpr int mapped_block_bytes = 128 * 1024;
+        ::mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
+    }
     // Signals are blocked before any thread starts, so that all threads inherit the mask.
     transport::process_signals signals;
     transport::start_log();
--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -67,13 +67,14 @@
 
 } // namespace
 
-peer_part::peer_part(transport::io_threads& threads, platform::store_client& store,
-                     shared_state& shared, store_part& tables, group_part& groups,
-                     runner_signals& signals, const protocol::edge_settings& settings,
-                     std::uint64_t incarnation, std::function<state::time_point()> now)
-    : m_threads(threads), m_store(store), m_shared(shared), m_tables(tables), m_groups(groups),
-      m_signals(signals), m_settings(settings), m_incarnation(incarnation), m_now(std::move(now)),
-      m_directory(shared.hosts),
+peer_part::peer_part(transport::io_threads& threads, coordination::memory_account& account,
+                     platform::store_client& store, shared_state& shared, store_part& tables,
+                     group_part& groups, runner_signals& signals,
+                     const protocol::edge_settings& settings, std::uint64_t incarnation,
+                     std::function<state::time_point()> now)
+    : m_threads(threads), m_account(account), m_store(store), m_shared(shared), m_tables(tables),
+      m_groups(groups), m_signals(signals), m_settings(settings), m_incarnation(incarnation),
+      m_now(std::move(now)), m_directory(shared.hosts),
       m_exchange(
           shared.hosts,
           {.describe = [this](peer_digest& digest, state::time_point at) { describe(digest, at); },
@@ -93,11 +94,14 @@
         m_directory.add({"", {seed.address, seed.port}, {}, 0});
     }
     const auto& local = m_settings.peers;
+    const transport::request_handler handler = [this](transport::http_request request,
+                                                      transport::response_writer& writer) {
+        return answer_table(std::move(request), writer);
+    };
     m_server = std::make_unique<transport::http_server>(
-        m_threads, local.address, local.port, transport::http_limits{},
-        [this](transport::http_request request, transport::response_writer& writer) {
-            return answer_table(std::move(request), writer);
-        });
+        m_threads, local.address, local.port, transport::http_limits{}, handler,
+        transport::server_accounting{&m_account, coordination::listener::peers,
+                                     transport::answer_without_body(handler)});
     m_endpoint = std::make_unique<transport::datagram_endpoint>(
         state::member_address{local.address, local.port},
         transport::datagram_hooks{[this](std::string_view datagram) { receive(datagram); }});
--- a/src/edge/peer_part.h
+++ b/src/edge/peer_part.h
@@ -7,6 +7,7 @@
 #include "store_part.h"
 
 #include "savoryrelay/coordination/exchange/digest_exchange.h"
+#include "savoryrelay/coordination/memory/memory_account.h"
 #include "savoryrelay/protocol/settings/edge_settings.h"
 #include "savoryrelay/transport/datagram/datagram_endpoint.h"
 #include "savoryrelay/transport/http/endpoint_pool.h"
@@ -20,10 +21,10 @@
 /// Exchanges digests and tables with the other entry hosts.
 class peer_part {
 public:
-    peer_part(transport::io_threads& threads, platform::store_client& store, shared_state& shared,
-              store_part& tables, group_part& groups, runner_signals& signals,
-              const protocol::edge_settings& settings, std::uint64_t incarnation,
-              std::function<state::time_point()> now);
+    peer_part(transport::io_threads& threads, coordination::memory_account& account,
+              platform::store_client& store, shared_state& shared, store_part& tables,
+              group_part& groups, runner_signals& signals, const protocol::edge_settings& settings,
+              std::uint64_t incarnation, std::function<state::time_point()> now);
 
     /// Binds the sockets and starts the exchange. Throws when an address cannot be bound.
     void start();
@@ -58,6 +59,7 @@
     [[nodiscard]] state::table_mirror& mirror_of(coordination::shared_table table);
 
     transport::io_threads& m_threads;
+    coordination::memory_account& m_account;
     platform::store_client& m_store;
     shared_state& m_shared;
     store_part& m_tables;
--- a/src/edge/state_gauges.cpp
+++ b/src/edge/state_gauges.cpp
@@ -68,4 +68,20 @@
     set("savoryrelay_calls_writing", writing);
 }
 
+void set_account_gauges(state::metrics& metrics, const coordination::memory_account& account) {
+    const auto set = [&](const std::string& name, auto value,
+                         const state::metric_labels& labels = {}) {
+        metrics.gauge_of(name, labels).set(static_cast<std::int64_t>(value));
+    };
+    set("savoryrelay_client_memory_bytes", account.held_bytes());
+    set("savoryrelay_client_memory_budget_bytes", account.budget_bytes());
+    set("savoryrelay_connections_closed", account.evicted_for_memory(), {{"reason", "memory"}});
+    set("savoryrelay_connections_closed", account.evicted_for_descriptors(),
+        {{"reason", "descriptors"}});
+    for (const auto& row : state::enum_table<coordination::listener>::rows) {
+        set("savoryrelay_connections", account.connections(row.value),
+            {{"listener", std::string(row.name)}});
+    }
+}
+
 } // namespace savoryrelay::edge
--- a/src/edge/state_gauges.h
+++ b/src/edge/state_gauges.h
@@ -3,10 +3,15 @@
 
 #include "shared_state.h"
 
+#include "savoryrelay/coordination/memory/memory_account.h"
+
 namespace savoryrelay::edge {
 
 /// Sets the gauges of the configuration, the store, hosts, runners, groups and the calls in
 /// flight.
 void set_state_gauges(shared_state& shared, bool is_controller, state::time_point now);
 
+/// Sets the gauges of the memory and the connections held for clients.
+void set_account_gauges(state::metrics& metrics, const coordination::memory_account& account);
+
 } // namespace savoryrelay::edge
--- a/src/savoryrelay/transport/http/http_server.cpp
+++ b/src/savoryrelay/transport/http/http_server.cpp
@@ -1,6 +1,7 @@
 // Accepts connections, reads requests within the limits and answers them in order.
 #include "savoryrelay/transport/http/http_server.h"
 
+#include "savoryrelay/transport/http/body_reader.h"
 #include "savoryrelay/transport/http/progress_watchdog.h"
 #include "savoryrelay/transport/process/control_loop.h"
 #include "savoryrelay/transport/process/log.h"
@@ -36,6 +37,7 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
+using coordination::holder_phase;
 
 namespace {
 
@@ -49,6 +51,14 @@
 // Time after which the server accepts again when it could not, for want of descriptors.
 constexpr state::milliseconds accept_retry_interval{50};
 
+// A connection whose request needed a larger buffer gives it back before the next one.
+constexpr std::size_t max_idle_buffer_bytes = 16 * 1024;
+// Time in which the peer of a connection that is refused for memory may read the answer.
+constexpr state::milliseconds refusal_read_time{1'000};
+
+constexpr std::string_view memory_error_text =
+    R"({"error":{"kind":"overloaded","message":"overloaded: the host has no memory for the request; repeat it later"}})";
+
 constexpr std::string_view handler_error_text =
     R"({"error":{"kind":"internal","message":"internal: the server failed while it handled the request; the request may have run"}})";
 
@@ -71,16 +81,30 @@
 
 } // namespace
 
+head_handler answer_without_body(request_handler handler) {
+    return [handler = std::move(handler)](const http_request& head,
+                                          response_writer& writer) -> asio::awaitable<bool> {
+        co_await handler(head, writer);
+        co_return true;
+    };
+}
+
 /// One accepted connection. Runs on the thread of its socket.
 class http_server::connection : public std::enable_shared_from_this<connection> {
 public:
     connection(http_server& server, std::uint64_t id, tcp::socket socket)
         : m_server(server), m_id(id), m_stream(std::move(socket)),
-          m_watchdog(m_stream.get_executor(), [this] { m_stream.cancel(); }) {}
+          m_watchdog(m_stream.get_executor(), [this] { m_stream.cancel(); }),
+          m_memory(server.m_accounting.account) {}
 
     asio::awaitable<void> run() {
         const auto self = shared_from_this();
         error_code ignored;
+        m_memory.open(m_server.m_accounting.from, [weak = weak_from_this()] {
+            if (const auto open = weak.lock()) {
+                asio::post(open->m_stream.get_executor(), [open] { open->evict(); });
+            }
+        });
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
         bool is_open = true;
         while (is_open) {
@@ -89,7 +113,8 @@
                 is_open = co_await serve_request();
             }
         }
-        const bool was_unread = has_unread_bytes();
+        // Many connections close at once when memory or descriptors are short.
+        const bool was_unread = !m_memory.is_evicted() && has_unread_bytes();
         if (was_unread) {
             log_warning(
                 "connection_closed_unread",
@@ -98,7 +123,7 @@
         }
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         // A smaller rest is on its way by now.
-        if (was_unread || unacknowledged_bytes() > max_written_bytes) {
+        if (was_unread || (!m_memory.is_evicted() && unacknowledged_bytes() > max_written_bytes)) {
             co_await wait_until_answer_received();
         }
         // A pending wait of detect_caller_gone would keep the socket open.
@@ -116,6 +141,12 @@
     }
 
 private:
+    /// Ends what the connection waits for, so that it closes.
+    void evict() {
+        m_memory.note_evicted();
+        m_stream.cancel();
+    }
+
     /// Returns whether the peer has sent bytes that were not read, perhaps a request.
     [[nodiscard]] bool has_unread_bytes() {
         char byte = 0;
@@ -141,7 +172,7 @@
     asio::awaitable<void> wait_until_answer_received() {
         auto last = m_has_write_failed ? 0 : unacknowledged_bytes();
         auto progress_at = std::chrono::steady_clock::now();
-        while (last > 0 &&
+        while (last > 0 && !m_memory.is_evicted() &&
                std::chrono::steady_clock::now() - progress_at < m_limits.write_timeout) {
             co_await pause_for(acknowledgement_check_interval);
             const auto left = unacknowledged_bytes();
@@ -183,10 +214,10 @@
             m_watchdog.disarm();
             // The limit may have been raised during the wait.
         } while (failed == asio::error::operation_aborted && !m_server.m_stopping.load() &&
-                 time_left() > state::milliseconds(0));
+                 !m_memory.is_evicted() && time_left() > state::milliseconds(0));
         m_idle = false;
         // A request may have arrived just before the wait was ended.
-        co_return !failed || has_unread_bytes();
+        co_return !m_memory.is_evicted() && (!failed || has_unread_bytes());
     }
 
     /// Reads and answers one request. Returns false if the connection must be closed.
@@ -206,22 +237,94 @@
 
     asio::awaitable<bool> read_and_answer() {
         m_limits = m_server.limits();
-        http::request_parser<http::string_body> parser;
+        m_memory.enter(holder_phase::receiving);
+        m_stream.expires_after(m_limits.request_timeout);
+        http_request request;
+        const auto end = co_await read_request(request);
+        if (end != body_end::complete) {
+            m_memory.hold(0);
+            if (end == body_end::no_memory) {
+                co_await refuse_for_memory();
+            } else if (end == body_end::answered) {
+                co_await discard_remaining_input(m_limits.request_timeout);
+            }
+            co_return false;
+        }
+        const bool may_continue = co_await answer(std::move(request));
+        if (m_buffer.size() == 0 && m_buffer.capacity() > max_idle_buffer_bytes) {
+            m_buffer = beast::flat_buffer(max_buffered_bytes);
+        }
+        m_memory.hold(0);
+        co_return m_memory.enter(holder_phase::idle) && may_continue;
+    }
+
+    /// Reads a request as far as the account lends memory for it. Answers what cannot be
+    /// read and what needs no body.
+    asio::awaitable<body_end> read_request(http_request& request) {
+        request_parser parser;
         parser.header_limit(std::min(m_limits.header_bytes, max_buffered_bytes));
         parser.body_limit(m_limits.body_bytes);
-        m_stream.expires_after(m_limits.request_timeout);
         const auto [failed, size] =
-            co_await http::async_read(m_stream, m_buffer, parser, use_tuple);
+            co_await http::async_read_header(m_stream, m_buffer, parser, use_tuple);
         if (failed) {
             co_await answer_read_error(failed);
+            co_return body_end::failed;
+        }
+        std::string body;
+        body_reader reader(m_stream, m_buffer, parser, m_memory);
+        const auto [end, error] = co_await reader.read(
+            body, [this, &parser]() { return answer_head(parser.get().base()); });
+        if (error) {
+            std::string().swap(body);
+            m_memory.hold(0);
+            co_await answer_read_error(error);
+        }
+        if (end == body_end::complete) {
+            request = http_request(std::move(parser.release().base()));
+            request.body() = std::move(body);
+        }
+        co_return end;
+    }
+
+    /// Answers a request without its body. Returns false if the body is needed.
+    asio::awaitable<bool> answer_head(const http::request_header<>& head) {
+        if (!m_server.m_accounting.answer_head) {
             co_return false;
         }
+        const http_request request(head);
+        response_writer writer(
+            [this](std::array<asio::const_buffer, 3> buffers) { return write_all(buffers); }, false,
+            request.method() != http::verb::head);
+        m_stream.expires_never();
+        const bool is_answered = co_await m_server.m_accounting.answer_head(request, writer);
+        m_stream.expires_after(m_limits.request_timeout);
+        co_return is_answered;
+    }
+
+    /// Tells the peer that its request has not run and may be repeated.
+    asio::awaitable<void> refuse_for_memory() {
+        constexpr unsigned status_unavailable = 503;
+        response_writer writer(
+            [this](std::array<asio::const_buffer, 3> buffers) { return write_all(buffers); }, false,
+            true);
+        auto fields = content_type_field("application/json");
+        fields.push_back({"Savoryrelay-Outcome", "not-run"});
+        fields.push_back({"Retry-After", "1"});
+        m_stream.expires_never();
+        const auto failed =
+            co_await writer.send(status_unavailable, std::move(fields), memory_error_text);
+        if (!failed) {
+            co_await discard_remaining_input(refusal_read_time);
+        }
+    }
 
-        auto request = parser.release();
+    asio::awaitable<bool> answer(http_request request) {
         response_writer writer(
             [this](std::array<asio::const_buffer, 3> buffers) { return write_all(buffers); },
             request.keep_alive() && !m_server.m_stopping.load() && !m_server.m_closing.load(),
             request.method() != http::verb::head);
+        writer.set_borrow_hook(
+            [this](std::size_t bytes) { return m_memory.borrow_further(bytes); });
         m_stream.expires_never();
         m_writer = &writer;
         // The caller may have gone while the process was paused.
@@ -246,13 +349,20 @@
 
     /// Sends all buffers. The time limit starts again with each part that the peer takes.
     asio::awaitable<error_code> write_all(std::array<asio::const_buffer, 3> buffers) {
-        const auto next_part_limit = [this](const error_code& failed, std::size_t) {
+        const bool is_large = asio::buffer_size(buffers) > max_written_bytes;
+        const auto next_part_limit = [this, is_large](const error_code& failed, std::size_t) {
             m_watchdog.extend(m_limits.write_timeout);
+            if (is_large) {
+                m_memory.enter(holder_phase::sending);
+            }
             return failed ? std::size_t{0} : std::size_t{max_written_bytes};
         };
         const auto [error, written] =
             co_await asio::async_write(m_stream, buffers, next_part_limit, use_tuple);
         m_watchdog.disarm();
+        if (is_large) {
+            m_memory.enter(holder_phase::serving);
+        }
         m_has_write_failed = m_has_write_failed || error;
         co_return error;
     }
@@ -329,17 +439,17 @@
         auto fields = content_type_field("application/json");
         fields.push_back({"Savoryrelay-Outcome", "not-run"});
         co_await writer.send(status, std::move(fields), read_error_text(status));
-        co_await discard_remaining_input();
+        co_await discard_remaining_input(m_limits.request_timeout);
     }
 
     /// Reads and discards the rest of the peer's data. Closing a socket with unread
     /// data resets the connection, and the peer would not receive the refusal.
-    asio::awaitable<void> discard_remaining_input() {
+    asio::awaitable<void> discard_remaining_input(state::milliseconds limit) {
         error_code ignored;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-        m_buffer.clear();
+        m_buffer = beast::flat_buffer(max_buffered_bytes);
         std::size_t discarded = 0;
-        m_stream.expires_after(m_limits.request_timeout);
+        m_stream.expires_after(limit);
         while (discarded < max_discarded_bytes) {
             const auto [failed, size] = co_await m_stream.async_read_some(
                 m_buffer.prepare(discard_buffer_bytes), use_tuple);
@@ -355,6 +465,7 @@
     std::uint64_t m_id;
     beast::tcp_stream m_stream;
     progress_watchdog m_watchdog; // cancels an idle wait or a write at its time limit
+    connection_memory m_memory;
     beast::flat_buffer m_buffer{max_buffered_bytes};
     response_writer* m_writer = nullptr; // writer of the current request, or null
     bool m_caller_wait_pending = false;  // a wait of detect_caller_gone is pending
@@ -363,9 +474,9 @@
 };
 
 http_server::http_server(io_threads& threads, const std::string& address, std::uint16_t port,
-                         http_limits limits, request_handler handler)
+                         http_limits limits, request_handler handler, server_accounting accounting)
     : m_threads(threads), m_limits(limits), m_handler(std::move(handler)),
-      m_acceptor(threads.context(0)) {
+      m_accounting(std::move(accounting)), m_acceptor(threads.context(0)) {
     const tcp::endpoint local(asio::ip::make_address(address), port);
     m_acceptor.open(local.protocol());
     m_acceptor.set_option(asio::socket_base::reuse_address(true));
--- a/src/savoryrelay/transport/http/http_server.h
+++ b/src/savoryrelay/transport/http/http_server.h
@@ -2,6 +2,7 @@
 // streams, and the cxxtools server buffers each answer as a whole.
 #pragma once
 
+#include "savoryrelay/coordination/memory/memory_account.h"
 #include "savoryrelay/state/core/time.h"
 #include "savoryrelay/transport/http/http_message.h"
 #include "savoryrelay/transport/http/response_writer.h"
@@ -35,6 +36,22 @@
 /// answer that has begun, and closes the connection.
 using request_handler = std::function<boost::asio::awaitable<void>(http_request, response_writer&)>;
 
+/// Answers a request of which only the head has arrived, if its body is not needed. Returns
+/// whether it has answered.
+using head_handler =
+    std::function<boost::asio::awaitable<bool>(const http_request& head, response_writer&)>;
+
+/// What a server shares with others of the process, and decides before a body has arrived.
+struct server_accounting {
+    coordination::memory_account* account = nullptr; ///< outlives the server; null: no limits
+    coordination::listener from = coordination::listener::callers;
+    /// Called for a request whose body is larger than `max_unasked_body_bytes`.
+    head_handler answer_head;
+};
+
+/// Returns a hook that answers every request with `handler` and an empty body.
+[[nodiscard]] head_handler answer_without_body(request_handler handler);
+
 /// Accepts connections and passes each request to the handler. Requests of one
 /// connection are answered in order. All members may be called from any thread.
 class http_server {
@@ -42,7 +59,7 @@
     /// Listens on `address`:`port`; port 0 selects any free port. Throws
     /// boost::system::system_error when the address cannot be bound.
     http_server(io_threads& threads, const std::string& address, std::uint16_t port,
-                http_limits limits, request_handler handler);
+                http_limits limits, request_handler handler, server_accounting accounting = {});
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
@@ -84,6 +101,7 @@
     http_limits m_limits;
     std::function<http_limits()> m_limits_hook;
     request_handler m_handler;
+    server_accounting m_accounting;
     boost::asio::ip::tcp::acceptor m_acceptor; // used on the first thread only
     std::uint16_t m_port = 0;
     std::atomic<bool> m_stopping{false};
--- a/src/savoryrelay/transport/http/response_writer.cpp
+++ b/src/savoryrelay/transport/http/response_writer.cpp
@@ -27,6 +27,13 @@
     return text;
 }
 
+asio::awaitable<bool> response_writer::borrow(std::size_t bytes) {
+    if (!m_borrow) {
+        co_return true;
+    }
+    co_return co_await m_borrow(bytes);
+}
+
 asio::awaitable<error_code> response_writer::send(unsigned status, http_fields fields,
                                                   std::string_view body) {
     assert(!m_started);
--- a/src/savoryrelay/transport/http/response_writer.h
+++ b/src/savoryrelay/transport/http/response_writer.h
@@ -8,6 +8,7 @@
 #include <boost/system/error_code.hpp>
 
 #include <array>
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -20,6 +21,9 @@
 using send_buffers_hook = std::function<boost::asio::awaitable<boost::system::error_code>(
     std::array<boost::asio::const_buffer, 3>)>;
 
+/// Accounts for an answer of this size in bytes. Returns false if there is no memory for it.
+using borrow_bytes_hook = std::function<boost::asio::awaitable<bool>(std::size_t)>;
+
 /// Writes the answer to one request. Call exactly one of `send` and `start`, once.
 class response_writer {
 public:
@@ -47,6 +51,12 @@
         }
     }
 
+    /// Sets the hook of `borrow`.
+    void set_borrow_hook(borrow_bytes_hook borrow) { m_borrow = std::move(borrow); }
+    /// Waits until the process has memory for an answer of `bytes` bytes. Returns false if it has
+    /// none in time.
+    boost::asio::awaitable<bool> borrow(std::size_t bytes);
+
     /// Makes the connection close after the answer. If the last chunk of a chunked
     /// answer is missing, the caller recognises the answer as incomplete.
     void abandon() { m_keep_alive = false; }
@@ -65,6 +75,7 @@
                                           const std::string& framing) const;
 
     send_buffers_hook m_send_buffers;
+    borrow_bytes_hook m_borrow; // empty: memory is not accounted for
     bool m_keep_alive;
     const bool m_has_body; // if false, nothing is sent after the header
     bool m_started = false;
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <string_view>
 #include <vector>
 
@@ -25,6 +26,8 @@
 // The answer of a plain service is read completely before any of it is sent to
 // the caller, so that the call can be repeated if the answer breaks off.
 constexpr std::size_t max_whole_answer_bytes = 16 * 1024 * 1024;
+// An answer in a buffer of this size is part of what is held for each connection.
+constexpr std::size_t unlent_answer_bytes = 2 * read_buffer_bytes;
 // Time limits of streams. If an endpoint exceeds one, the call goes to another
 // group if one can take it. The limit of the first event is `first_event_margin` plus the larger of
 // twice the predicted time and the route's target. The limit of the pause between
@@ -54,6 +57,17 @@
     return (verdict.outcome == attempt_outcome::not_run ? "refused with " : "status ") + number;
 }
 
+// Returns the length of the body that the fields state, or 0.
+std::size_t stated_length(const http_fields& fields) {
+    std::size_t length = 0;
+    for (const auto& field : fields) {
+        if (boost::beast::iequals(field.name, "Content-Length")) {
+            std::from_chars(field.value.data(), field.value.data() + field.value.size(), length);
+        }
+    }
+    return std::min(length, max_whole_answer_bytes);
+}
+
 bool is_head(const http_request& request) {
     return request.method() == boost::beast::http::verb::head;
 }
@@ -85,7 +99,24 @@
     attempt_result end;
     std::vector<char> buffer(read_buffer_bytes);
     coordination::reading_limit reading(call.deadline);
+    // Room for the length that the answer states, or for twice what has arrived.
+    const auto stated =
+        is_head(call.request) ? 0 : stated_length(call.current->connection->fields());
+    std::size_t lent = 0;
     while (true) {
+        if (end.body.size() + buffer.size() > lent && end.body.size() < max_whole_answer_bytes) {
+            const auto room = std::min(max_whole_answer_bytes + buffer.size(),
+                                       std::max(stated + buffer.size(), 2 * end.body.size()));
+            if (room > unlent_answer_bytes) {
+                const bool is_lent = co_await call.writer.borrow(room - lent);
+                if (!is_lent) {
+                    end.reason = "no memory for the answer";
+                    co_return end;
+                }
+            }
+            lent = room;
+            end.body.reserve(room);
+        }
         if (reading.is_over(m_dependencies.now())) {
             end.reason = "answer is not whole at the deadline";
             co_return end;
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -65,19 +65,10 @@
         co_await refuse(call, status_unavailable, "no_configuration", retry_after_no_configuration);
         co_return;
     }
-    call.route = call.configuration->find_route(call.decoded.host, call.decoded.path);
-    if (call.route == nullptr) {
-        co_await refuse(call, status_not_found, "no_route", milliseconds(0));
+    const bool is_authorized = co_await authorize(call);
+    if (!is_authorized) {
         co_return;
     }
-    if (!call.route->is_public && !call.configuration->customers.empty()) {
-        const auto* customer = call.configuration->find_customer(call.decoded.key);
-        if (customer == nullptr) {
-            co_await refuse(call, status_unauthorized, "unknown_key", milliseconds(0));
-            co_return;
-        }
-        call.customer = customer->id.value();
-    }
 
     // Choose one of the route's services by a hash of the call's id, so that a
     // repeated call gets the same service.
@@ -126,6 +117,36 @@
     report_end(call);
 }
 
+asio::awaitable<bool> serving_front::answer_head(const http_request& head,
+                                                 response_writer& writer) {
+    call_state call(head, writer);
+    call.arrived = m_dependencies.now();
+    call.decoded = m_dependencies.codec.decode_call(call.request);
+    call.configuration = m_dependencies.configuration();
+    if (call.configuration->version == 0) {
+        co_return false; // the whole request waits for the configuration
+    }
+    const bool is_authorized = co_await authorize(call);
+    co_return !is_authorized;
+}
+
+asio::awaitable<bool> serving_front::authorize(call_state& call) {
+    call.route = call.configuration->find_route(call.decoded.host, call.decoded.path);
+    if (call.route == nullptr) {
+        co_await refuse(call, status_not_found, "no_route", milliseconds(0));
+        co_return false;
+    }
+    if (!call.route->is_public && !call.configuration->customers.empty()) {
+        const auto* customer = call.configuration->find_customer(call.decoded.key);
+        if (customer == nullptr) {
+            co_await refuse(call, status_unauthorized, "unknown_key", milliseconds(0));
+            co_return false;
+        }
+        call.customer = customer->id.value();
+    }
+    co_return true;
+}
+
 asio::awaitable<void> serving_front::run_attempts(call_state& call) {
     m_dependencies.repeats.note_call(call.service->name, call.arrived);
     coordination::call_progress progress(*call.route, [&] {
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -55,6 +55,9 @@
 
     /// Answers one request.
     boost::asio::awaitable<void> handle(http_request request, response_writer& writer);
+    /// Answers a request of which only the head has arrived, if it has no route or an unknown
+    /// key. Returns whether it has answered.
+    boost::asio::awaitable<bool> answer_head(const http_request& head, response_writer& writer);
 
 private:
     struct call_state;
@@ -62,6 +65,8 @@
     struct open_attempt;
     struct stream_limits;
 
+    /// Finds the route and the customer of the call, or refuses it. Returns whether it found them.
+    boost::asio::awaitable<bool> authorize(call_state& call);
     /// Tries endpoints until one delivers the answer or no further attempt is
     /// allowed, and sends the final answer.
     boost::asio::awaitable<void> run_attempts(call_state& call);
