--- a/src/savoryrelay/coordination/memory/memory_account.cpp
+++ b/src/savoryrelay/coordination/memory/memory_account.cpp
@@ -17,10 +17,12 @@
 constexpr std::uint64_t file_descriptors = 200;
 constexpr std::array<double, listener_count> descriptor_shares{0.625, 0.03125, 0.03125, 0.0625};
 
-// A connection that holds no more than this may use the whole budget, others `large_share` of
-// it, so that large requests leave room for ordinary ones.
+// A connection that holds more than `small_holder_bytes` may use `large_share` of the budget,
+// other callers `callers_share`. Large requests leave room for ordinary ones, and callers for
+// readiness, metrics and peers.
 constexpr std::uint64_t small_holder_bytes = 128 * 1024;
 constexpr double large_share = 0.75;
+constexpr double callers_share = 0.95;
 // Part of the budget that a search for memory frees, and the interval between searches. They
 // bound the work of the searches.
 constexpr double freed_share = 1.0 / 16;
@@ -85,7 +87,8 @@
     {
         auto& part = shard_of(id);
         const std::scoped_lock lock(part.mutex);
-        auto& holder = part.holders.at(id).state;
+        auto& found = part.holders.at(id);
+        auto& holder = found.state;
         is_evicted = holder.is_evicted;
         if (bytes <= holder.bytes) {
             m_held -= holder.bytes - bytes;
@@ -94,10 +97,7 @@
         }
         further = bytes - holder.bytes;
         const auto budget = m_limits.budget_bytes;
-        const auto usable =
-            bytes <= small_holder_bytes
-                ? budget
-                : static_cast<std::uint64_t>(static_cast<double>(budget) * large_share);
+        const auto usable = usable_bytes(found.from, bytes);
         // Reserves before it compares, because other shards grant at the same time.
         const auto before = m_held.fetch_add(further);
         if (!is_evicted && (budget == 0 || before + further <= usable)) {
@@ -113,6 +113,13 @@
     return loan::must_wait;
 }
 
+std::uint64_t memory_account::usable_bytes(listener from, std::uint64_t bytes) const {
+    const double share = bytes > small_holder_bytes  ? large_share
+                         : from == listener::callers ? callers_share
+                                                     : 1;
+    return static_cast<std::uint64_t>(static_cast<double>(m_limits.budget_bytes) * share);
+}
+
 bool memory_account::enter(holder_id id, holder_phase phase, state::time_point now) {
     auto& part = shard_of(id);
     const std::scoped_lock lock(part.mutex);
--- a/src/savoryrelay/coordination/memory/memory_account.h
+++ b/src/savoryrelay/coordination/memory/memory_account.h
@@ -36,7 +36,7 @@
     refused,   ///< the connection is to be closed
 };
 
-inline constexpr state::milliseconds loan_retry_interval{50};
+inline constexpr state::milliseconds loan_retry_interval{100};
 
 /// Counts what each connection holds. Thread-safe; holders are spread over shards.
 class memory_account {
@@ -84,6 +84,8 @@
     /// Closes the connections that `choose` returns, of `from` or of all listeners. Returns
     /// their number.
     std::size_t evict(const listener* from, const chooser& choose);
+    /// Returns the part of the budget that a connection with `bytes` may use.
+    [[nodiscard]] std::uint64_t usable_bytes(listener from, std::uint64_t bytes) const;
     void evict_for_memory(std::uint64_t bytes, state::time_point now);
 
     const account_limits m_limits;
--- a/src/savoryrelay/transport/http/body_reader.cpp
+++ b/src/savoryrelay/transport/http/body_reader.cpp
@@ -20,6 +20,8 @@
 
 // Size of a stored field beside its name and value, with its share of the allocator.
 constexpr std::uint64_t field_bytes = 96;
+// A larger head does not wait for memory.
+constexpr std::uint64_t max_waiting_head_bytes = 16 * 1024;
 // First size of a body of unknown length.
 constexpr std::size_t first_body_bytes = 1024;
 
@@ -64,10 +66,17 @@
 
 asio::awaitable<body_result> body_reader::read(std::string& body,
                                                std::function<asio::awaitable<bool>()> answer_head) {
-    // The fields are stored already, so that a wait for memory would not bound them.
     m_head_bytes = stored_bytes(m_parser.get().base());
-    if (!m_memory.hold(m_head_bytes + m_buffer.capacity())) {
-        co_return body_result{body_end::no_memory, {}};
+    const auto head_bytes = m_head_bytes + m_buffer.capacity();
+    if (!m_memory.hold(head_bytes)) {
+        // The fields are stored already; many heads that wait would take what is not lent.
+        bool is_lent = head_bytes <= max_waiting_head_bytes;
+        if (is_lent) {
+            is_lent = co_await m_memory.borrow(head_bytes);
+        }
+        if (!is_lent) {
+            co_return body_result{body_end::no_memory, {}};
+        }
     }
     std::size_t filled = 0;
     bool is_asked = false;
