--- a/src/savoryrelay/coordination/memory/memory_account.h
+++ b/src/savoryrelay/coordination/memory/memory_account.h
@@ -44,6 +44,7 @@
     using holder_id = std::uint64_t;
 
     explicit memory_account(account_limits limits) : m_limits(limits) {}
+    ~memory_account() = default;
     memory_account(const memory_account&) = delete;
     memory_account& operator=(const memory_account&) = delete;
 
--- a/tests/transport/accounted_server_test.cpp
+++ b/tests/transport/accounted_server_test.cpp
@@ -59,7 +59,7 @@
 
 TEST_CASE("bodies of any size within the budget arrive whole") {
     const accounted_server fixture;
-    for (const std::size_t size : {0, 1, 1'023, 65'536, 65'537, 300'000, 1'000'000}) {
+    for (const std::size_t size : {0U, 1U, 1'023U, 65'536U, 65'537U, 300'000U, 1'000'000U}) {
         const auto answer = fixture.post("/", size);
         CHECK(answer.status == 200);
         CHECK(answer.body == std::to_string(size));
