Reset a connection that is given up with unacknowledged bytes

An attempt that was given up closed its connection in the ordinary way, so the kernel went on sending what a partition had held up: the request reached a runner seconds after another runner had answered it, or after its zone had been evacuated. endpoint_connection::close, which now runs at its destruction too, resets the connection if the peer has not acknowledged all bytes. It is the only place where connections to runners and the store end, so reports, orders and store calls that were given up do not arrive late either. A connection with nothing unacknowledged closes as before.

The new case of endpoint_connection_test.cpp fails without the change, closed and destroyed alike, and passes with it.

--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -10,6 +10,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -237,8 +239,19 @@
     return m_stream.socket().is_open() && peek() == input_state::closed;
 }
 
+bool endpoint_connection::has_unacknowledged_bytes() {
+    int bytes = 0;
+    return ::ioctl(m_stream.socket().native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 void endpoint_connection::close() {
+    if (!m_stream.socket().is_open()) {
+        return;
+    }
     error_code ignored;
+    if (has_unacknowledged_bytes()) {
+        m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     m_stream.socket().close(ignored);
 }
 
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -33,6 +33,9 @@
 public:
     explicit endpoint_connection(boost::asio::io_context& context)
         : m_stream(context), m_watchdog(context.get_executor(), [this] { m_stream.cancel(); }) {}
+    endpoint_connection(const endpoint_connection&) = delete;
+    endpoint_connection& operator=(const endpoint_connection&) = delete;
+    ~endpoint_connection() { close(); }
 
     /// Connects to an IP address. Sets TCP keepalive and a TCP user timeout, which
     /// detect a peer that can no longer be reached.
@@ -87,7 +90,8 @@
     [[nodiscard]] bool has_unread_bytes();
     /// Returns true if the peer has closed or reset the connection and all it sent was read.
     [[nodiscard]] bool is_closed_by_peer();
-    /// Closes the connection at once.
+    /// Closes the connection at once. Resets it if the peer has not acknowledged all bytes, so
+    /// that a request that was given up does not reach the peer later.
     void close();
 
 private:
@@ -98,6 +102,7 @@
     enum class input_state { none, bytes, closed };
 
     [[nodiscard]] input_state peek();
+    [[nodiscard]] bool has_unacknowledged_bytes();
     void reset_parser();
 
     boost::beast::tcp_stream m_stream;
--- a/tests/transport/endpoint_connection_test.cpp
+++ b/tests/transport/endpoint_connection_test.cpp
@@ -1,9 +1,11 @@
-// Tests the client side of an exchange with answers that break the limits of HTTP fields.
+// Tests the client side of an exchange: answers that break the limits of HTTP fields, and
+// requests that are given up.
 #include "savoryrelay/transport/http/endpoint_connection.h"
 #include "savoryrelay/transport/process/io_threads.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
@@ -74,8 +76,57 @@
     }
 }
 
+/// Sends a request that its peer does not read, and gives it up. Destroys the connection
+/// if `destroys`, or else closes it first. Returns the error of the send.
+asio::awaitable<error_code> give_up_request(asio::io_context& context, std::uint16_t port,
+                                            std::size_t body_bytes, bool destroys) {
+    constexpr state::milliseconds short_timeout{200};
+    transport::endpoint_connection connection(context);
+    if (const auto failed = co_await connection.connect("127.0.0.1", port, step_timeout)) {
+        co_return failed;
+    }
+    transport::http_request request{boost::beast::http::verb::post, "/", 11};
+    request.body().assign(body_bytes, 'x');
+    request.prepare_payload();
+    const auto failed = co_await connection.send(request, short_timeout);
+    if (!failed) {
+        co_await connection.read_header(short_timeout); // the peer acknowledges meanwhile
+    }
+    if (!destroys) {
+        connection.close();
+    }
+    co_return failed;
+}
+
 } // namespace
 
+TEST_CASE("a request that is given up before its peer has acknowledged it is not sent later") {
+    constexpr std::size_t larger_than_socket_buffers = 64 * 1024 * 1024;
+    const bool destroys = GENERATE(false, true);
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    transport::io_threads threads{1};
+    const auto give_up = [&](std::size_t body_bytes) {
+        return asio::co_spawn(threads.context(0),
+                              give_up_request(threads.context(0), acceptor.local_endpoint().port(),
+                                              body_bytes, destroys),
+                              asio::use_future)
+            .get();
+    };
+    error_code ended;
+    std::string received;
+
+    CHECK(give_up(larger_than_socket_buffers) == asio::error::operation_aborted);
+    auto reset = acceptor.accept();
+    asio::read(reset, asio::dynamic_buffer(received), ended);
+    CHECK(ended == asio::error::connection_reset);
+
+    CHECK_FALSE(give_up(1));
+    auto closed = acceptor.accept();
+    asio::read(closed, asio::dynamic_buffer(received), ended);
+    CHECK(ended == asio::error::eof);
+}
+
 TEST_CASE("an answer with a trailer field above 64 KiB is an error and does not end the process") {
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::string filler(100 * 1024, 'x');
