Let another host of the zone read a store that refuses the reader

One host of each zone reads the tables of the store. A reader whose calls were refused kept its role, and no other host read until its own copy was 3 to 5 s old: a changed configuration came into force that much later. A host now says in its digests that it has lost the store, for 5 s after a refused call or while a call stays unanswered for 0.5 s beyond its wait, and the first hub of the zone that has not lost the store reads it. Where all have, the first hub goes on to try, so one host of each zone polls as before. The digests have a new field, so all hosts are restarted together.

exchange_test.cpp has a case in which the readers of all zones are refused: it fails with the choice of before and passes with this one; the other cases of the exchange and of the codec of digests pass.

--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -136,6 +136,7 @@
     digest.runners_version = m_shared.runners.newest_row_version();
     digest.configuration_version = m_shared.configuration.load()->version;
     digest.tables_age = m_tables.age(now);
+    digest.has_lost_store = m_tables.has_lost_store(now);
     digest.return_grace = m_tables.return_grace(now);
     digest.is_controller = m_groups.is_controller();
     digest.controller_age = m_groups.controller_age(now);
--- a/src/edge/store_part.cpp
+++ b/src/edge/store_part.cpp
@@ -49,6 +49,22 @@
 // A host that follows the store copies from peers after this time without an answer: a
 // call that hangs fails only at its time-out.
 constexpr milliseconds contact_duration{1'000};
+// A host that the store has refused leaves reading it to another host of its zone for this long.
+constexpr milliseconds lost_store_duration{5'000};
+// A call to a feed is answered within its wait and this long.
+constexpr milliseconds max_answer_delay{500};
+
+/// Counts a call to the store while it waits for its answer.
+class pending_call {
+public:
+    explicit pending_call(std::atomic<int>& count) : m_count(count) { ++m_count; }
+    pending_call(const pending_call&) = delete;
+    pending_call& operator=(const pending_call&) = delete;
+    ~pending_call() { --m_count; }
+
+private:
+    std::atomic<int>& m_count;
+};
 
 } // namespace
 
@@ -82,6 +98,13 @@
            now - m_contact_at.load() < contact_duration;
 }
 
+bool store_part::has_lost_store(state::time_point now) const {
+    const auto since = std::max(m_contact_at.load(), m_call_began_at.load());
+    const bool is_unanswered =
+        m_pending_calls > 0 && now - since > operators_feed_wait + max_answer_delay;
+    return is_unanswered || now < m_store_lost_until.load();
+}
+
 void store_part::note_current(state::time_point at) {
     if (at > m_current_at.load()) {
         m_current_at = at;
@@ -108,6 +131,7 @@
     const auto now = m_now();
     m_shared.is_store_reachable = succeeded;
     if (!succeeded) {
+        m_store_lost_until = now + lost_store_duration;
         if (!m_failing_since) {
             m_failing_since = now;
             log_warning("store_lost", {{"detail", detail}});
@@ -116,6 +140,7 @@
     }
     m_contact_at = now;
     m_current_at = now;
+    m_store_lost_until = state::time_point{};
     if (m_failing_since) {
         const auto outage = now - *m_failing_since;
         if (outage >= min_outage) {
@@ -155,6 +180,8 @@
             co_await pause_for(follow_check_interval);
             continue;
         }
+        const pending_call pending(m_pending_calls);
+        m_call_began_at = m_now();
         // The feed does not tell that the version it is asked for is one of an earlier era.
         if (must_read_all || must_confirm || m_store.era() > held.era) {
             auto image = co_await m_store.read_table(table);
--- a/src/edge/store_part.h
+++ b/src/edge/store_part.h
@@ -34,6 +34,9 @@
     /// Returns whether this host needs no copies from peers: it follows the store, which
     /// has answered recently.
     [[nodiscard]] bool is_in_contact(state::time_point now) const;
+    /// Returns whether the store has refused a recent call of this host or leaves one without an
+    /// answer. Another host of the zone then reads it.
+    [[nodiscard]] bool has_lost_store(state::time_point now) const;
     /// Records that the copies were current at `at`, according to a peer.
     void note_current(state::time_point at);
     /// Records that a peer expects entries to return for another `left`.
@@ -71,6 +74,9 @@
     // Written by the control context and by the thread that receives digests.
     std::atomic<state::time_point> m_current_at{state::time_point{}};
     std::atomic<state::time_point> m_contact_at{state::time_point{}}; // last answer of the store
+    std::atomic<state::time_point> m_call_began_at{state::time_point{}};
+    std::atomic<int> m_pending_calls{0};
+    std::atomic<state::time_point> m_store_lost_until{state::time_point{}};
     std::atomic<state::time_point> m_grace_end{state::time_point{}};
 };
 
--- a/src/savoryrelay/coordination/exchange/digest_exchange.cpp
+++ b/src/savoryrelay/coordination/exchange/digest_exchange.cpp
@@ -10,12 +10,13 @@
 
 std::vector<outgoing_digest> digest_exchange::next_round(state::time_point now) {
     ++m_round;
+    peer_digest own;
+    m_sources.describe(own, now);
+    m_hosts.set_store_lost(own.has_lost_store);
     auto receivers = m_hosts.next_receivers(now);
     m_is_store_reader = receivers.is_store_reader;
     std::vector<outgoing_digest> outgoing;
 
-    peer_digest own;
-    m_sources.describe(own, now);
     own.scope = receivers.is_hub ? digest_scope::hub : digest_scope::member;
     own.host_count = static_cast<std::uint32_t>(m_hosts.member_count(now));
 
--- a/src/savoryrelay/coordination/exchange/exchange_plan.cpp
+++ b/src/savoryrelay/coordination/exchange/exchange_plan.cpp
@@ -49,7 +49,9 @@
         if (zone == own.entry.availability_zone) {
             roles.is_hub = std::find(hubs.begin(), hubs.end(), &own) != hubs.end() ||
                            silent >= max_silent_hubs;
-            roles.is_store_reader = hubs.front() == &own;
+            const auto reader = std::find_if(hubs.begin(), hubs.end(),
+                                             [](const auto* hub) { return !hub->has_lost_store; });
+            roles.is_store_reader = (reader == hubs.end() ? hubs.front() : *reader) == &own;
             if (!roles.is_hub) {
                 roles.reports_to = hubs[own.name_hash % hubs.size()]->entry.address;
             }
--- a/src/savoryrelay/coordination/exchange/exchange_plan.h
+++ b/src/savoryrelay/coordination/exchange/exchange_plan.h
@@ -27,14 +27,15 @@
 struct hub_candidate {
     state::host_entry entry;
     std::uint64_t name_hash = 0;
-    bool is_silent = false; ///< it does not answer this host
+    bool is_silent = false;      ///< it does not answer this host
+    bool has_lost_store = false; ///< the store refuses its calls or does not answer
 };
 
 /// The roles of the hosts as one host sees them.
 struct exchange_roles {
     bool is_hub = false; ///< the host itself is a hub
     /// The host follows the tables of the store and passes the changes on: the first hub of
-    /// each zone.
+    /// each zone that has not lost the store, or the first one if all have.
     bool is_store_reader = false;
     std::optional<state::member_address> reports_to; ///< the hub of a member
     std::vector<state::member_address> hubs;         ///< the other hubs, of all zones
--- a/src/savoryrelay/coordination/exchange/host_directory.cpp
+++ b/src/savoryrelay/coordination/exchange/host_directory.cpp
@@ -49,6 +49,13 @@
     }
 }
 
+void host_directory::set_store_lost(bool is_lost) {
+    const std::scoped_lock lock(m_mutex);
+    if (std::exchange(m_own.has_lost_store, is_lost) != is_lost) {
+        m_roles_expire_at = {};
+    }
+}
+
 bool host_directory::apply(const state::peer_digest& digest, state::time_point now) {
     if (digest.host.address == m_own.entry.address || digest.host.name == m_own.entry.name) {
         return false;
@@ -90,6 +97,9 @@
     known.runners_version = digest.runners_version;
     known.configuration_version = digest.configuration_version;
     known.tables_current_at = now - digest.tables_age;
+    if (std::exchange(known.has_lost_store, digest.has_lost_store) != digest.has_lost_store) {
+        m_roles_expire_at = {};
+    }
     return true;
 }
 
@@ -105,7 +115,8 @@
     std::vector<hub_candidate> candidates;
     candidates.reserve(m_hosts.size());
     for (const auto& [key, host] : m_hosts) {
-        candidates.push_back({host.entry, host.name_hash, is_silent(host, now)});
+        candidates.push_back(
+            {host.entry, host.name_hash, is_silent(host, now), host.has_lost_store});
     }
     m_roles = choose_roles(m_own, candidates);
     m_roles_expire_at = now + roles_duration;
--- a/src/savoryrelay/coordination/exchange/host_directory.h
+++ b/src/savoryrelay/coordination/exchange/host_directory.h
@@ -57,6 +57,8 @@
 
     /// Adds a host, or completes what is known of it.
     void add(const state::host_entry& entry);
+    /// Records whether this host has lost the store.
+    void set_store_lost(bool is_lost);
     /// Records a digest. Returns false if it comes from this host or from an earlier
     /// process of its sender.
     bool apply(const state::peer_digest& digest, state::time_point now);
@@ -98,6 +100,7 @@
         state::store_version runners_version;
         std::uint64_t configuration_version = 0;
         state::time_point tables_current_at{};
+        bool has_lost_store = false;
         state::digest_scope scope = state::digest_scope::member;
         std::size_t counted_hosts = 0; // by a hub, among the hosts of `scope`
     };
@@ -106,8 +109,8 @@
     void update_roles(state::time_point now);
     void await(const std::vector<state::member_address>& addresses, state::time_point now);
 
-    const hub_candidate m_own;
-    mutable std::mutex m_mutex;                // guards the members below
+    mutable std::mutex m_mutex; // guards the members below
+    hub_candidate m_own;
     std::map<std::string, known_host> m_hosts; // by "address:port"
     exchange_roles m_roles;
     state::time_point m_roles_expire_at{};
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -151,6 +151,7 @@
     out.number(digest.configuration_version);
     write_time(out, digest.tables_age);
     write_time(out, digest.return_grace);
+    out.number(static_cast<std::uint8_t>(digest.has_lost_store));
     out.number(static_cast<std::uint8_t>(digest.is_controller));
     write_time(out, digest.controller_age);
     out.number(digest.host_count);
@@ -275,6 +276,7 @@
         digest.configuration_version = in.number<std::uint64_t>();
         digest.tables_age = read_time(in);
         digest.return_grace = read_time(in);
+        digest.has_lost_store = in.number<std::uint8_t>() != 0;
         digest.is_controller = in.number<std::uint8_t>() != 0;
         digest.controller_age = read_time(in);
         digest.host_count = in.number<std::uint32_t>();
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -126,6 +126,7 @@
     milliseconds tables_age{0};
     /// Time left in which entries that lapsed during an outage of the store may return.
     milliseconds return_grace{0};
+    bool has_lost_store = false;    ///< the store refuses the sender's calls or does not answer
     bool is_controller = false;     ///< the sender holds the lease on the groups
     milliseconds controller_age{0}; ///< time since the sender heard the controller
     std::uint32_t host_count = 1;   ///< entry hosts that the sender knows of
--- a/tests/coordination/exchange/exchange_test.cpp
+++ b/tests/coordination/exchange/exchange_test.cpp
@@ -203,6 +203,27 @@
     }
 }
 
+TEST_CASE("exchange: another host of each zone reads the store when it refuses the readers") {
+    exchange_simulation simulation(1, {}, 3, 27);
+    simulation.advance(10);
+    for (auto& host : simulation.hosts) {
+        host.is_refused = host.exchange->is_store_reader();
+    }
+    simulation.store->apply_changes({{"config", "v2", at(9), false}}, at(9));
+    simulation.advance(10);
+    CHECK(simulation.store_readers() == 3);
+    for (const auto& host : simulation.hosts) {
+        CHECK(host.rows->newest_row_version() == at(9));
+        CHECK_FALSE((host.is_refused && host.exchange->is_store_reader()));
+    }
+    // One host of each zone goes on to try where the store refuses all.
+    for (auto& host : simulation.hosts) {
+        host.is_refused = true;
+    }
+    simulation.advance(10);
+    CHECK(simulation.store_readers() == 3);
+}
+
 TEST_CASE("exchange: rows of a restored store reach all hosts, and none returns the rows before") {
     CHECK(rc::check("restored store", [] {
         const auto seed = *rc::gen::arbitrary<std::uint64_t>();
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -28,6 +28,7 @@
     digest.controller_age = std::chrono::minutes(10);
     digest.host_count = 295;
     digest.incarnation = 7;
+    digest.has_lost_store = true;
     digest.is_controller = true;
     for (std::size_t i = 0; i < entries; ++i) {
         const auto id = state::endpoint_id("i-" + std::to_string(1'000'000 + i));
@@ -79,6 +80,7 @@
             CHECK(read.value().tables_age == state::milliseconds(150));
             CHECK(read.value().controller_age > std::chrono::minutes(1));
             CHECK(read.value().host_count == 295);
+            CHECK(read.value().has_lost_store);
             CHECK(read.value().is_controller);
             loads += read.value().loads.size();
             observations += read.value().observations.size();
--- a/tests/support/exchange_simulation.h
+++ b/tests/support/exchange_simulation.h
@@ -37,6 +37,7 @@
         std::uint64_t incarnation = 1;
         bool is_up = true;
         bool is_cut_off = false;
+        bool is_refused = false; ///< by the store
         std::unique_ptr<coordination::host_directory> directory;
         std::unique_ptr<coordination::load_tracker> loads;
         std::unique_ptr<coordination::digest_exchange> exchange;
@@ -89,6 +90,7 @@
                     [&each](state::peer_digest& digest, state::time_point) {
                         digest.host = each.entry;
                         digest.incarnation = each.incarnation;
+                        digest.has_lost_store = each.is_refused;
                         digest.operators_version = each.rows->newest_row_version();
                         digest.configuration_version = each.configuration_version;
                     },
@@ -241,7 +243,7 @@
         if (each.is_cut_off) {
             return;
         }
-        if (each.exchange->is_store_reader()) {
+        if (each.exchange->is_store_reader() && !each.is_refused) {
             each.rows->apply_image(store->changes_since(each.rows->synced_version()));
         }
         // Each host confirms its rows by a read of the store after the grace of a restore.
