Require keys where the list of customers is empty

A configuration whose list of customers is empty let every key in, as one without the list does. The new case of codecs_test.cpp covers the list, the empty list and none; platform_tests pass.

--- a/src/savoryrelay/state/serving/serving_configuration.h
+++ b/src/savoryrelay/state/serving/serving_configuration.h
@@ -124,7 +124,9 @@
     std::vector<route_rule> routes;
     std::map<std::string, service_rule> services;
     caller_limits limits;
-    std::vector<customer_rule> customers; ///< empty: calls need no key
+    /// Calls need the key of a customer, except on public routes.
+    bool requires_keys = false;
+    std::vector<customer_rule> customers;
 
     /// Builds the indexes of routes and keys.
     void index();
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -70,7 +70,7 @@
         co_await refuse(call, status_not_found, "no_route", milliseconds(0));
         co_return;
     }
-    if (!call.route->is_public && !call.configuration->customers.empty()) {
+    if (!call.route->is_public && call.configuration->requires_keys) {
         const auto* customer = call.configuration->find_customer(call.decoded.key);
         if (customer == nullptr) {
             co_await refuse(call, status_unauthorized, "unknown_key", milliseconds(0));
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -70,6 +70,20 @@
     CHECK(value.find_customer("k2")->id.value() == "t1");
 }
 
+TEST_CASE("a configuration with a list of customers requires keys, also if the list is empty") {
+    const auto requires_keys = [](const std::string& customers) {
+        const auto read = state::collect([&] {
+            return decode_configuration(R"({"version":1,"routes":[],"services":[])" + customers +
+                                        "}");
+        });
+        REQUIRE(read);
+        return read.value().requires_keys;
+    };
+    CHECK(requires_keys(R"(,"tenants":[{"name":"t1","api_keys":["k1"]}])"));
+    CHECK(requires_keys(R"(,"tenants":[])"));
+    CHECK_FALSE(requires_keys(""));
+}
+
 TEST_CASE("the sequence of a runner's entry is not read as its count of orders") {
     const auto read =
         state::collect([] { return decode_runner_entry(state::endpoint_id("i-1"), entry); });
