--- a/src/savoryrelay/coordination/serving/placement_explainer.cpp
+++ b/src/savoryrelay/coordination/serving/placement_explainer.cpp
@@ -24,7 +24,7 @@
         return report;
     }
     report.route = route->name;
-    if (!route->is_public && !configuration.customers.empty()) {
+    if (!route->is_public && configuration.requires_keys) {
         const auto* customer = configuration.find_customer(call.key);
         if (customer == nullptr) {
             report.refusal = "unknown_key";
--- a/tests/coordination/serving/placement_explainer_test.cpp
+++ b/tests/coordination/serving/placement_explainer_test.cpp
@@ -30,6 +30,7 @@
     route.kind = state::call_kind::streaming;
     route.services = {{"model", 1}};
     configuration.routes = {route};
+    configuration.requires_keys = true;
     configuration.customers = {{state::customer_id("workshop"), {"k1"}, std::nullopt}};
     configuration.index();
     return configuration;
