Report the longest pause of each stream

A stream counts as late when one of its pauses exceeds the route's target, and no log line or metric showed pauses. call_ended gets longest_gap_ms and longest_gap_begin_ms, and the histogram savoryrelay_event_gap_seconds holds the longest pause of each stream.

--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -361,6 +361,7 @@
                 if (!attempt.is_writing) {
                     note_first_event(call);
                 }
+                call.timing.note_event(now);
                 if (co_await relay_events(call, fields)) {
                     call.caller_is_gone = true;
                     co_return end;
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -2,6 +2,7 @@
 // the front's own sources.
 #pragma once
 
+#include "savoryrelay/coordination/serving/stream_timing.h"
 #include "savoryrelay/protocol/event_stream/event_splitter.h"
 #include "savoryrelay/transport/serving/serving_front.h"
 
@@ -99,6 +100,7 @@
     std::string reason;
     std::string endpoint;
     std::optional<state::time_point> first_byte;
+    coordination::stream_timing timing;
     double predicted_ms = 0;
 
     void close_connections() {
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -349,6 +349,15 @@
             .record(seconds(*call.first_byte));
     }
     m_dependencies.metrics.latency_of("savoryrelay_call_seconds", labels).record(seconds(now));
+    std::string longest_gap_ms;
+    std::string longest_gap_begin_ms;
+    if (const auto gap = call.timing.longest_gap()) {
+        m_dependencies.metrics.latency_of("savoryrelay_event_gap_seconds", labels)
+            .record(std::chrono::duration<double>(*gap).count());
+        longest_gap_ms = std::to_string(std::chrono::duration_cast<milliseconds>(*gap).count());
+        longest_gap_begin_ms =
+            std::to_string(time_until(call.timing.longest_gap_begin(), call.arrived).count());
+    }
     log_info("call_ended",
              {{"id", call.decoded.id.value()},
               {"route", call.route == nullptr ? "" : call.route->name},
@@ -360,6 +369,8 @@
               {"first_ms", call.first_byte
                                ? std::to_string(time_until(*call.first_byte, call.arrived).count())
                                : ""},
+              {"longest_gap_ms", longest_gap_ms},
+              {"longest_gap_begin_ms", longest_gap_begin_ms},
               {"total_ms", std::to_string(time_until(now, call.arrived).count())},
               {"configuration", std::to_string(call.configuration->version)}});
 }
