Admit calls to model groups by demand, supply and urgency

Where demand exceeds capacity, calls were served late instead of refused: groups were sent more than their batches hold, and a call was compared with its deadline only. Each host now computes the admitted share of the calls of a model from the loads and the demand of the fleet, by urgency, and places admitted calls within their target.

Built; not measured yet.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -87,6 +87,13 @@
                   .host_count = [this] { return m_shared.host_count.load(); },
                   .host_hashes = [this] { return m_shared.hosts.name_hashes(); },
                   .random = make_random(m_incarnation)}),
+      m_admission(
+          {.supply =
+               [this](const state::service_rule& service, const state::model_rule& model,
+                      state::time_point now) { return m_selector.supply(service, model, now); },
+           .demand = [this](const std::string& model,
+                            state::time_point now) { return m_shared.work.demand(model, now); },
+           .random = make_random(m_incarnation)}),
       m_front({m_shared.fleet, m_shared.loads, m_selector, m_shared.correction, m_shared.repeats,
                m_shared.crashes, m_shared.metrics, platform::make_serving_codec(),
                [this] { return m_shared.configuration.load(); },
@@ -97,7 +104,7 @@
                [this](const state::runner_record& runner, const state::answer_head& answer) {
                    m_signals.note_answer(runner, answer);
                },
-               read_clock}) {}
+               read_clock, &m_admission}) {}
 
 edge_host::~edge_host() {
     m_groups.stop(); // waits for a call to the store, which needs the threads
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -47,6 +47,7 @@
     group_part m_groups;
     peer_part m_peers;
     coordination::endpoint_selector m_selector;
+    coordination::serving_admission m_admission;
     transport::serving_front m_front;
     std::unique_ptr<transport::http_server> m_caller_server;
     std::unique_ptr<transport::http_server> m_readiness_server;
--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -15,14 +15,20 @@
 // The limit of a cold endpoint counts the calls that arrive within a second. The window is
 // longer, because calls may be under way for different times.
 constexpr std::chrono::milliseconds cold_window{1'250};
+// A call whose prompt takes most of its limits by itself may take this much longer than at an
+// idle group, so that long calls are served beside short ones.
+constexpr double idle_tolerance = 1.5;
+// Samples that are compared for a call with limits. Comparing all groups would send the calls of
+// all hosts to the few that seem free.
+constexpr int draws_within_limits = 3;
 
 } // namespace
 
 std::vector<const runner_view*>
 endpoint_selector::find_endpoints(const fleet_snapshot& fleet, const state::service_rule& service,
-                                  const state::serving_call& call) const {
+                                  const std::string& model_name) const {
     const auto out_of_service = m_hooks.zones_out_of_service();
-    const auto* model = service.engine ? service.engine->find_model(call.model) : nullptr;
+    const auto* model = service.engine ? service.engine->find_model(model_name) : nullptr;
     std::vector<const runner_view*> runners;
     for (const auto& runner : fleet) {
         const auto& record = runner.record;
@@ -42,7 +48,7 @@
                                                                  state::time_point now) const {
     const auto fleet = m_fleet.snapshot();
     std::optional<state::time_point> first_end;
-    for (const auto* runner : find_endpoints(*fleet, service, call)) {
+    for (const auto* runner : find_endpoints(*fleet, service, call.model)) {
         const auto known = m_fleet.find(runner->record.id);
         if (!known || !known->is_listed(now) || known->is_leaving(now) || known->silent_since) {
             continue;
@@ -59,17 +65,18 @@
 std::variant<selected_endpoint, selection_failure>
 endpoint_selector::select(const state::service_rule& service, const state::serving_call& call,
                           const std::set<state::endpoint_id>& excluded,
-                          state::milliseconds time_left, state::time_point now) {
+                          state::milliseconds time_left, state::time_point now,
+                          const std::optional<placement_limits>& limits) {
     const auto fleet = m_fleet.snapshot();
     const auto* model = service.engine ? service.engine->find_model(call.model) : nullptr;
-    auto runners = find_endpoints(*fleet, service, call);
+    auto runners = find_endpoints(*fleet, service, call.model);
     std::erase_if(runners, [&](const auto* runner) {
         return !runner->may_take_calls(now) || excluded.contains(runner->record.id);
     });
     bool is_cold_limit_reached = false;
     while (!runners.empty()) {
         auto selected = service.engine
-                            ? select_group(service, *model, call, runners, time_left, now)
+                            ? select_group(service, *model, call, runners, time_left, now, limits)
                             : select_least_loaded(runners, now);
         if (auto* endpoint = std::get_if<selected_endpoint>(&selected)) {
             // The snapshot may be older than what the endpoint has said.
@@ -97,20 +104,44 @@
 endpoint_selector::select_group(const state::service_rule& service, const state::model_rule& model,
                                 const state::serving_call& call,
                                 const std::vector<const runner_view*>& heads,
-                                state::milliseconds time_left, state::time_point now) const {
+                                state::milliseconds time_left, state::time_point now,
+                                const std::optional<placement_limits>& limits) const {
     const auto loads = m_loads.all(now);
     const auto& engine = *service.engine;
-    auto sampled = sample_heads(heads, m_own_host.name, m_own_host.availability_zone,
-                                m_hooks.host_count(), m_hooks.random);
-    auto choice = choose(engine, model, call, sampled, loads);
-    if (!choice && sampled.size() < heads.size()) {
-        choice = choose(engine, model, call, heads, loads);
+    const auto idle = predict(engine, model, {}, call);
+    const auto corrected_ms = [&](const group_prediction& prediction) {
+        return std::max(1.0, prediction.first_event_ms + m_correction.correction_ms(model.name));
+    };
+    const auto is_within = [&](const group_choice& choice) {
+        const auto& expected = choice.prediction;
+        return corrected_ms(expected) <=
+                   std::max(limits->first_event_ms, idle_tolerance * corrected_ms(idle)) &&
+               (limits->event_gap_ms <= 0 ||
+                expected.event_gap_ms <=
+                    std::max(limits->event_gap_ms, idle_tolerance * idle.event_gap_ms));
+    };
+    std::optional<group_choice> choice;
+    const int draws = limits ? draws_within_limits : 1;
+    for (int draw = 0; draw < draws; ++draw) {
+        const auto sampled = sample_heads(heads, m_own_host.name, m_own_host.availability_zone,
+                                          m_hooks.host_count(), m_hooks.random);
+        choice = choose(engine, model, call, sampled, loads);
+        if (limits && (!choice || !is_within(*choice))) {
+            choice.reset();
+            if (sampled.size() == heads.size()) {
+                break;
+            }
+            continue;
+        }
+        if (!choice && sampled.size() < heads.size()) {
+            choice = choose(engine, model, call, heads, loads);
+        }
+        break;
     }
     if (!choice) {
-        return selection_failure::all_full;
+        return limits ? selection_failure::shortage : selection_failure::all_full;
     }
-    const double predicted =
-        std::max(1.0, choice->prediction.first_event_ms + m_correction.correction_ms(model.name));
+    const double predicted = corrected_ms(choice->prediction);
     if (predicted > static_cast<double>(time_left.count())) {
         return selection_failure::too_late;
     }
@@ -120,10 +151,18 @@
     return selected_endpoint{**head, predicted, choice->prediction.first_event_ms};
 }
 
-std::optional<group_choice> endpoint_selector::choose(
-    const state::engine_rule& engine, const state::model_rule& model,
-    const state::serving_call& call, const std::vector<const runner_view*>& heads,
-    const std::unordered_map<state::endpoint_id, state::endpoint_load>& loads) const {
+model_supply endpoint_selector::supply(const state::service_rule& service,
+                                       const state::model_rule& model,
+                                       state::time_point now) const {
+    const auto fleet = m_fleet.snapshot();
+    auto heads = find_endpoints(*fleet, service, model.name);
+    std::erase_if(heads, [&](const auto* head) { return !head->may_take_calls(now); });
+    return measure_supply(*service.engine, model, make_candidates(heads, m_loads.all(now)));
+}
+
+std::vector<group_candidate>
+endpoint_selector::make_candidates(const std::vector<const runner_view*>& heads,
+                                   const loads_by_endpoint& loads) const {
     std::vector<group_candidate> candidates;
     candidates.reserve(heads.size());
     for (const auto* head : heads) {
@@ -137,7 +176,15 @@
         }
         candidates.push_back(std::move(candidate));
     }
-    return m_hooks.choose(engine, model, candidates, call);
+    return candidates;
+}
+
+std::optional<group_choice> endpoint_selector::choose(const state::engine_rule& engine,
+                                                      const state::model_rule& model,
+                                                      const state::serving_call& call,
+                                                      const std::vector<const runner_view*>& heads,
+                                                      const loads_by_endpoint& loads) const {
+    return m_hooks.choose(engine, model, make_candidates(heads, loads), call);
 }
 
 std::variant<selected_endpoint, selection_failure>
--- a/src/savoryrelay/coordination/serving/endpoint_selector.h
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -1,6 +1,7 @@
 // Selects the endpoint of a call from this host's view of the fleet.
 #pragma once
 
+#include "savoryrelay/coordination/admission/admission_plan.h"
 #include "savoryrelay/coordination/serving/fleet_table.h"
 #include "savoryrelay/coordination/serving/group_choice.h"
 #include "savoryrelay/coordination/serving/group_sample.h"
@@ -40,6 +41,13 @@
     all_paused,      ///< every endpoint for this call has asked this host for a pause
     all_full,        ///< every available endpoint is at its limit of calls
     too_late,        ///< the chosen endpoint is predicted to answer after the deadline
+    shortage,        ///< none of the compared groups is predicted to be within the limits
+};
+
+/// The times within which a call must be placed while its model is short of capacity.
+struct placement_limits {
+    double first_event_ms = 0; ///< until the first event, from now
+    double event_gap_ms = 0;   ///< between events; 0: none
 };
 
 } // namespace savoryrelay::coordination
@@ -52,6 +60,7 @@
         enum_name<f>{f::all_paused, "all_paused"},
         enum_name<f>{f::all_full, "all_full"},
         enum_name<f>{f::too_late, "too_late"},
+        enum_name<f>{f::shortage, "shortage"},
     };
 };
 
@@ -79,11 +88,15 @@
         : m_fleet(fleet), m_loads(loads), m_correction(correction), m_own_host(std::move(own_host)),
           m_hooks(std::move(hooks)) {}
 
-    /// Selects an endpoint of `service` that is not among `excluded`.
+    /// Selects an endpoint of `service` that is not among `excluded`. With `limits`, a group
+    /// must be predicted to keep them, unless an idle one would not.
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
     select(const state::service_rule& service, const state::serving_call& call,
            const std::set<state::endpoint_id>& excluded, state::milliseconds time_left,
-           state::time_point now);
+           state::time_point now, const std::optional<placement_limits>& limits = std::nullopt);
+    /// Returns what the groups of a model that take calls can serve.
+    [[nodiscard]] model_supply supply(const state::service_rule& service,
+                                      const state::model_rule& model, state::time_point now) const;
     /// Returns when the first pause of an endpoint of `service` ends. Returns nothing if an
     /// endpoint that could take the call is not paused, or if there is none.
     [[nodiscard]] std::optional<state::time_point> paused_until(const state::service_rule& service,
@@ -91,23 +104,30 @@
                                                                 state::time_point now) const;
 
 private:
-    /// Returns the endpoints that are known to serve calls like `call`, whether or not they may
-    /// take one now.
-    [[nodiscard]] std::vector<const runner_view*>
-    find_endpoints(const fleet_snapshot& fleet, const state::service_rule& service,
-                   const state::serving_call& call) const;
+    using loads_by_endpoint = std::unordered_map<state::endpoint_id, state::endpoint_load>;
+
+    /// Returns the endpoints that are known to serve calls for `model`, whether or not they may
+    /// take one now. Ignores the model if the service has no engine.
+    [[nodiscard]] std::vector<const runner_view*> find_endpoints(const fleet_snapshot& fleet,
+                                                                 const state::service_rule& service,
+                                                                 const std::string& model) const;
+    [[nodiscard]] std::vector<group_candidate>
+    make_candidates(const std::vector<const runner_view*>& heads,
+                    const loads_by_endpoint& loads) const;
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
     select_group(const state::service_rule& service, const state::model_rule& model,
                  const state::serving_call& call, const std::vector<const runner_view*>& heads,
-                 state::milliseconds time_left, state::time_point now) const;
+                 state::milliseconds time_left, state::time_point now,
+                 const std::optional<placement_limits>& limits) const;
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
     select_least_loaded(const std::vector<const runner_view*>& runners,
                         state::time_point now) const;
     /// Compares the predictions of `heads`. Returns nothing if all their batches are full.
-    [[nodiscard]] std::optional<group_choice>
-    choose(const state::engine_rule& engine, const state::model_rule& model,
-           const state::serving_call& call, const std::vector<const runner_view*>& heads,
-           const std::unordered_map<state::endpoint_id, state::endpoint_load>& loads) const;
+    [[nodiscard]] std::optional<group_choice> choose(const state::engine_rule& engine,
+                                                     const state::model_rule& model,
+                                                     const state::serving_call& call,
+                                                     const std::vector<const runner_view*>& heads,
+                                                     const loads_by_endpoint& loads) const;
     /// Counts a call to a cold endpoint against this host's share of the endpoint's
     /// call limit. Returns false when the share of the last second is used up.
     bool admit_cold_call(const state::service_rule& service, const runner_view& runner,
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -50,15 +50,17 @@
     const auto* excluded = &call.tried;
     while (true) {
         const auto now = m_dependencies.now();
+        const auto limits = placement_limits_of(call);
         auto selected = m_dependencies.selector.select(*call.service, call.decoded, *excluded,
-                                                       time_until(call.deadline, now), now);
+                                                       time_until(call.deadline, now), now, limits);
         const bool is_found = std::holds_alternative<selected_endpoint>(selected) &&
                               (!has_begun || progress.reserve_attempt());
         const auto wait_end = std::min(queue_deadline, call.deadline);
-        if (is_found || now >= wait_end || call.caller_is_gone) {
+        const auto* none = std::get_if<coordination::selection_failure>(&selected);
+        const bool is_short = none != nullptr && *none == coordination::selection_failure::shortage;
+        if (is_found || is_short || now >= wait_end || call.caller_is_gone) {
             co_return selected;
         }
-        const auto* none = std::get_if<coordination::selection_failure>(&selected);
         if (none != nullptr && *none == coordination::selection_failure::all_paused && !has_begun) {
             const auto paused_until =
                 m_dependencies.selector.paused_until(*call.service, call.decoded, now);
@@ -202,6 +204,9 @@
     added_values.endpoint = runner.id;
     added_values.customer = call.customer;
     added_values.last_event = call.last_event;
+    if (call.model != nullptr) {
+        added_values.urgency = call.decoded.urgency;
+    }
     attempt.is_continued = call.last_event || call.decoded.last_event;
     if (call.decoded.deadline) {
         added_values.time_left =
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -69,7 +69,9 @@
     std::shared_ptr<const state::serving_configuration> configuration;
     const state::route_rule* route = nullptr;
     const state::service_rule* service = nullptr;
+    const state::model_rule* model = nullptr; // null: the call needs no model
     std::string customer;
+    std::optional<std::uint32_t> customer_priority; // overrides that of the route
     std::vector<coordination::request_fingerprint> fingerprints;
     state::time_point arrived{};
     state::time_point deadline{};
@@ -78,7 +80,8 @@
     /// Attempts at silent endpoints, which are kept until another endpoint sends an event.
     std::vector<std::unique_ptr<open_attempt>> kept;
     protocol::event_splitter events;
-    bool is_work_reported = false;           // the model's work includes the call
+    bool is_work_reported = false; // the model's work includes the call
+    bool is_admitted = false;
     std::optional<std::uint64_t> last_event; // number of the last event sent to the caller
     /// When the stream was interrupted after its last event; empty while it runs.
     std::optional<state::time_point> interrupted_at;
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -77,6 +77,7 @@
             co_return;
         }
         call.customer = customer->id.value();
+        call.customer_priority = customer->priority;
     }
 
     // Choose one of the route's services by a hash of the call's id, so that a
@@ -104,6 +105,9 @@
         co_return;
     }
     call.service = &found->second;
+    call.model =
+        call.service->engine ? call.service->engine->find_model(call.decoded.model) : nullptr;
+    set_urgency(call);
     call.fingerprints =
         coordination::fingerprints_of(call.decoded, call.customer, call.request.body());
 
@@ -167,6 +171,10 @@
                 break;
             }
             report_work(call);
+            if (!admit(call)) {
+                reason = state::to_name(coordination::admission_refusal_reason::shortage);
+                break;
+            }
             auto selected = co_await wait_for_endpoint(call);
             if (call.caller_is_gone) {
                 break;
@@ -273,17 +281,18 @@
     const auto paused_until =
         m_dependencies.selector.paused_until(*call.service, call.decoded, now);
     if (!paused_until) {
-        return retry_after_refusal;
+        return call.model != nullptr && m_dependencies.admission != nullptr
+                   ? m_dependencies.admission->retry_after(*call.service, *call.model, now)
+                   : retry_after_refusal;
     }
     return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(*paused_until - now));
 }
 
 void serving_front::report_work(call_state& call) {
-    const auto& engine = call.service->engine;
-    const auto* model = engine ? engine->find_model(call.decoded.model) : nullptr;
-    if (model != nullptr && !std::exchange(call.is_work_reported, true)) {
-        m_dependencies.report_work(model->name, call.decoded.urgency,
-                                   coordination::call_work_ms(*engine, *model, call.decoded));
+    if (call.model != nullptr && !std::exchange(call.is_work_reported, true)) {
+        m_dependencies.report_work(
+            call.model->name, call.decoded.urgency,
+            coordination::call_work_ms(*call.service->engine, *call.model, call.decoded));
     }
 }
 
@@ -333,6 +342,7 @@
               {"route", call.route == nullptr ? "" : call.route->name},
               {"status", std::to_string(call.status)},
               {"reason", call.reason},
+              {"urgency", std::string(state::to_name(call.decoded.urgency))},
               {"endpoint", call.endpoint},
               {"attempts", std::to_string(call.attempts)},
               {"predicted_ms", std::to_string(static_cast<int>(call.predicted_ms))},
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -2,6 +2,7 @@
 // the customer, sends the call to an endpoint and relays its answer.
 #pragma once
 
+#include "savoryrelay/coordination/admission/serving_admission.h"
 #include "savoryrelay/coordination/retry/crash_watch.h"
 #include "savoryrelay/coordination/serving/call_progress.h"
 #include "savoryrelay/coordination/serving/endpoint_selector.h"
@@ -46,6 +47,8 @@
     /// says of itself.
     std::function<void(const state::runner_record&, const state::answer_head&)> report_answer;
     std::function<state::time_point()> now;
+    /// Admits calls to the groups of models; null: all are admitted.
+    coordination::serving_admission* admission = nullptr;
 };
 
 /// Serves callers' requests. Thread-safe.
@@ -88,6 +91,15 @@
                                const attempt_result& end);
     /// Decodes the head of the answer that the current attempt has read, and reports it.
     state::answer_head read_answer_head(const call_state& call);
+    /// Sets the urgency of a call that arrives.
+    void set_urgency(call_state& call);
+    /// Returns whether the call is admitted, and counts that. A call is admitted once; its repeats
+    /// and resumed streams always are.
+    bool admit(call_state& call);
+    /// Returns the limits within which a call must be placed while its model is short of
+    /// capacity; empty if there are none.
+    [[nodiscard]] std::optional<coordination::placement_limits>
+    placement_limits_of(const call_state& call) const;
     /// Returns how long the caller of a refused call is told to wait.
     [[nodiscard]] state::milliseconds refusal_time(const call_state& call) const;
     /// Adds the call to the work of its model, once. A refused call is no work, and must not draw
