Tell returning callers by deadlines below the spread of first ones

The deadlines of first attempts differ by up to 15 %, so the time that a caller has spent is counted only beyond that.

--- a/src/savoryrelay/coordination/admission/admission_plan.cpp
+++ b/src/savoryrelay/coordination/admission/admission_plan.cpp
@@ -4,12 +4,12 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <numeric>
 
 namespace savoryrelay::coordination {
 namespace {
 
-// Prompts that wait at a group, in chunks. Each chunk delays the first event of all that wait
-// and adds to the pauses of the running streams.
+// Beyond this backlog of prompts, free places in the batches are no sign of free capacity.
 constexpr double max_waiting_chunks = 3;
 // Bounds of the factor by which the admitted rate answers a deviation of the occupancy. Above,
 // the occupancy would swing, as the answer comes after `load_delay`.
@@ -44,9 +44,9 @@
     }
     const double slots = std::max(1U, engine.slots);
     if (supply.groups > 0) {
-        supply.occupancy = std::max(calls / (supply.groups * slots),
-                                    waiting_tokens / (supply.groups * max_waiting_chunks *
-                                                      std::max(1U, engine.chunk_tokens)));
+        supply.occupancy = calls / (supply.groups * slots);
+        supply.waiting_chunks =
+            waiting_tokens / (supply.groups * std::max(1U, engine.chunk_tokens));
     }
     // Without a prompt, the work of a call is its share of a full batch.
     supply.call_duration_ms = slots * call_work_ms(engine, model, {});
@@ -55,13 +55,18 @@
 
 admission_plan plan_admission(const model_supply& supply, const state::urgency_amounts& demand) {
     admission_plan plan;
+    plan.supply = supply;
+    plan.demand = std::accumulate(demand.begin(), demand.end(), 0.0);
     if (supply.groups <= 0) {
         return plan; // placement says that no group is open
     }
     const double gain = std::clamp(
         supply.call_duration_ms / static_cast<double>(load_delay.count()), min_gain, max_gain);
-    const double rate =
-        supply.groups * std::max(min_rate, 1 + gain * (target_occupancy - supply.occupancy));
+    double rate = std::max(min_rate, 1 + gain * (target_occupancy - supply.occupancy));
+    if (supply.waiting_chunks > max_waiting_chunks) {
+        rate = std::min(rate, 1.0);
+    }
+    rate *= supply.groups;
 
     double in_time = 0;
     for (const auto urgency : in_time_urgencies) {
@@ -81,7 +86,7 @@
         late > 0   ? std::clamp(left / late, 0.0, 1.0)
         : left > 0 ? 1
                    : 0;
-    plan.shortage = std::max(1.0, (in_time + late) / rate);
+    plan.shortage = std::max(1.0, plan.demand / rate);
     return plan;
 }
 
--- a/src/savoryrelay/coordination/admission/admission_plan.h
+++ b/src/savoryrelay/coordination/admission/admission_plan.h
@@ -14,7 +14,8 @@
 /// What the groups of one model can take, as one host sees it.
 struct model_supply {
     double groups = 0;         ///< open groups, each divided by its slowdown factor
-    double occupancy = 0;      ///< what the groups have been sent over what they take in time
+    double occupancy = 0;      ///< calls in flight over the places of the groups
+    double waiting_chunks = 0; ///< prompts that wait at a group, in chunks
     double call_duration_ms{}; ///< of a usual answer in a full batch
 };
 
@@ -22,6 +23,8 @@
 struct admission_plan {
     state::urgency_amounts fractions{1, 1, 1, 1}; ///< 0 to 1, by urgency
     double shortage = 1;                          ///< demand over the admitted rate; at least 1
+    model_supply supply;
+    double demand = 0; ///< of all urgencies, in groups kept busy
 
     /// Returns whether calls are refused that could still be in time.
     [[nodiscard]] bool is_short() const;
@@ -29,7 +32,7 @@
 
 /// The occupancy that admission settles below; the rest absorbs the uneven placement of calls by
 /// hosts that see late loads.
-inline constexpr double target_occupancy = 0.8;
+inline constexpr double target_occupancy = 0.88;
 /// Age of the loads when a decision by them takes effect: the intervals of the digests and the
 /// time until an admitted call counts.
 inline constexpr state::milliseconds load_delay{500};
--- a/src/savoryrelay/coordination/admission/serving_admission.cpp
+++ b/src/savoryrelay/coordination/admission/serving_admission.cpp
@@ -14,8 +14,8 @@
 // The usual deadline of a route falls by this share in a second, so that it follows callers
 // that send shorter ones.
 constexpr double deadline_decay_per_s = 0.01;
-// Deadlines that differ by less are taken for the same.
-constexpr milliseconds deadline_accuracy{50};
+// The first deadlines of a route's callers differ by up to this share.
+constexpr double deadline_spread = 0.15;
 // Time until a moderate shortage has passed, by which callers are told to come back.
 constexpr milliseconds usual_retry_after{1'000};
 
@@ -34,8 +34,8 @@
         usual.at = now;
         return usual.ms;
     });
-    const milliseconds spent(static_cast<std::int64_t>(usual_ms - deadline_ms));
-    return spent > deadline_accuracy ? spent : milliseconds(0);
+    const double spent_ms = (1 - deadline_spread) * usual_ms - deadline_ms;
+    return milliseconds(static_cast<std::int64_t>(std::max(0.0, spent_ms)));
 }
 
 call_urgency serving_admission::urgency_of(const state::route_rule& route,
--- a/src/savoryrelay/coordination/admission/serving_admission.h
+++ b/src/savoryrelay/coordination/admission/serving_admission.h
@@ -87,8 +87,8 @@
         double ms = 0;
         state::time_point at{};
     };
-    /// Returns the time that the caller has spent before this call: a caller that comes back
-    /// after a refusal has less time left than the route's callers usually have.
+    /// Returns the time that the caller has spent at least before this call: one that comes back
+    /// after a refusal has less time left than the route's callers have at first.
     state::milliseconds time_spent(const state::route_rule& route, const state::serving_call& call,
                                    state::time_point now);
     /// Returns a random number from 0 to 1.
--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -139,7 +139,7 @@
         break;
     }
     if (!choice) {
-        return limits ? selection_failure::shortage : selection_failure::all_full;
+        return limits ? selection_failure::none_in_time : selection_failure::all_full;
     }
     const double predicted = corrected_ms(choice->prediction);
     if (predicted > static_cast<double>(time_left.count())) {
--- a/src/savoryrelay/coordination/serving/endpoint_selector.h
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -41,7 +41,7 @@
     all_paused,      ///< every endpoint for this call has asked this host for a pause
     all_full,        ///< every available endpoint is at its limit of calls
     too_late,        ///< the chosen endpoint is predicted to answer after the deadline
-    shortage,        ///< none of the compared groups is predicted to be within the limits
+    none_in_time,    ///< none of the compared groups is predicted to be within the limits
 };
 
 /// The times within which a call must be placed while its model is short of capacity.
@@ -60,7 +60,7 @@
         enum_name<f>{f::all_paused, "all_paused"},
         enum_name<f>{f::all_full, "all_full"},
         enum_name<f>{f::too_late, "too_late"},
-        enum_name<f>{f::shortage, "shortage"},
+        enum_name<f>{f::none_in_time, "none_in_time"},
     };
 };
 
