Admit by the trend of the occupancy, and late calls only beside spare capacity

The loads that hosts see are up to 0.4 s old: with the rate following the occupancy alone, a burst was answered late and its end too, and returning callers filled the groups at once. The occupancy is extrapolated by its trend, the rate is bounded, late calls get no more than 0.9 of the capacity, and the demand of a host that has ended expires after 0.6 s instead of 3 s, with a half-life of 300 ms. Gauges show the plan of each model.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -140,6 +140,7 @@
                [this](transport::http_request,
                       transport::response_writer& writer) -> asio::awaitable<void> {
                    set_state_gauges(m_shared, m_groups.is_controller(), read_clock());
+                   set_admission_gauges(m_shared, m_admission, read_clock());
                    const auto text = m_shared.metrics.to_prometheus();
                    co_await writer.send(
                        status_ok, transport::content_type_field("text/plain; version=0.0.4"), text);
--- a/src/edge/state_gauges.cpp
+++ b/src/edge/state_gauges.cpp
@@ -1,6 +1,7 @@
 // Copies the shared state into gauges.
 #include "state_gauges.h"
 
+#include <cmath>
 #include <map>
 #include <string>
 #include <utility>
@@ -68,4 +69,32 @@
     set("savoryrelay_calls_writing", writing);
 }
 
+void set_admission_gauges(shared_state& shared, coordination::serving_admission& admission,
+                          state::time_point now) {
+    const auto set_percent = [&](const std::string& name, double share,
+                                 const state::metric_labels& labels) {
+        constexpr double percent = 100;
+        shared.metrics.gauge_of(name, labels).set(std::llround(share * percent));
+    };
+    const auto configuration = shared.configuration.load();
+    for (const auto& [name, service] : configuration->services) {
+        if (!service.engine) {
+            continue;
+        }
+        for (const auto& model : service.engine->models) {
+            const auto plan = admission.plan_of(service, model, now);
+            for (const auto& row : state::enum_table<state::call_urgency>::rows) {
+                set_percent("savoryrelay_admitted_percent",
+                            state::amount_of(plan.fractions, row.value),
+                            {{"model", model.name}, {"urgency", std::string(row.name)}});
+            }
+            set_percent("savoryrelay_model_occupancy_percent", plan.supply.occupancy,
+                        {{"model", model.name}});
+            set_percent("savoryrelay_model_demand_percent",
+                        plan.supply.groups > 0 ? plan.demand / plan.supply.groups : 0,
+                        {{"model", model.name}});
+        }
+    }
+}
+
 } // namespace savoryrelay::edge
--- a/src/edge/state_gauges.h
+++ b/src/edge/state_gauges.h
@@ -3,10 +3,15 @@
 
 #include "shared_state.h"
 
+#include "savoryrelay/coordination/admission/serving_admission.h"
+
 namespace savoryrelay::edge {
 
 /// Sets the gauges of the configuration, the store, hosts, runners, groups and the calls in
 /// flight.
 void set_state_gauges(shared_state& shared, bool is_controller, state::time_point now);
+/// Sets the gauges of the admission of calls to each model.
+void set_admission_gauges(shared_state& shared, coordination::serving_admission& admission,
+                          state::time_point now);
 
 } // namespace savoryrelay::edge
--- a/src/savoryrelay/coordination/admission/admission_plan.cpp
+++ b/src/savoryrelay/coordination/admission/admission_plan.cpp
@@ -14,10 +14,15 @@
 // Bounds of the factor by which the admitted rate answers a deviation of the occupancy. Above,
 // the occupancy would swing, as the answer comes after `load_delay`.
 constexpr double min_gain = 1;
-constexpr double max_gain = 3;
+constexpr double max_gain = 2.5;
 // The admitted rate never falls below this share of the capacity, so that the measurements
 // that end a shortage go on.
-constexpr double min_rate = 0.1;
+constexpr double min_rate = 0.4;
+// Bound of the admitted rate, in shares of the capacity, that allows for estimates of the work
+// which are too high.
+constexpr double max_rate = 1.25;
+// The same with late calls.
+constexpr double late_rate = 0.9;
 // An urgency that is in time is admitted at least at this share of the mean of all. The rest
 // goes to the more urgent calls.
 constexpr double floor_share = 0.4;
@@ -62,11 +67,9 @@
     }
     const double gain = std::clamp(
         supply.call_duration_ms / static_cast<double>(load_delay.count()), min_gain, max_gain);
-    double rate = std::max(min_rate, 1 + gain * (target_occupancy - supply.occupancy));
-    if (supply.waiting_chunks > max_waiting_chunks) {
-        rate = std::min(rate, 1.0);
-    }
-    rate *= supply.groups;
+    const double answer = std::max(min_rate, 1 + gain * (target_occupancy - supply.occupancy));
+    const bool has_backlog = supply.waiting_chunks > max_waiting_chunks;
+    const double rate = supply.groups * std::min(has_backlog ? 1 : max_rate, answer);
 
     double in_time = 0;
     for (const auto urgency : in_time_urgencies) {
@@ -82,6 +85,8 @@
             served < rest ? floor + (1 - floor) * served / rest : 1;
     }
     const double late = state::amount_of(demand, state::call_urgency::late);
+    // Free places are refilled by calls in time. The late ones of a shortage come all at once.
+    left = std::min(left, supply.groups * std::min(late_rate, answer) - in_time);
     state::amount_of(plan.fractions, state::call_urgency::late) =
         late > 0   ? std::clamp(left / late, 0.0, 1.0)
         : left > 0 ? 1
--- a/src/savoryrelay/coordination/admission/admission_plan.h
+++ b/src/savoryrelay/coordination/admission/admission_plan.h
@@ -32,7 +32,7 @@
 
 /// The occupancy that admission settles below; the rest absorbs the uneven placement of calls by
 /// hosts that see late loads.
-inline constexpr double target_occupancy = 0.88;
+inline constexpr double target_occupancy = 0.84;
 /// Age of the loads when a decision by them takes effect: the intervals of the digests and the
 /// time until an admitted call counts.
 inline constexpr state::milliseconds load_delay{500};
--- a/src/savoryrelay/coordination/admission/serving_admission.cpp
+++ b/src/savoryrelay/coordination/admission/serving_admission.cpp
@@ -17,7 +17,9 @@
 // The first deadlines of a route's callers differ by up to this share.
 constexpr double deadline_spread = 0.15;
 // Time until a moderate shortage has passed, by which callers are told to come back.
-constexpr milliseconds usual_retry_after{1'000};
+constexpr milliseconds usual_retry_after{1'500};
+// Bound of the change that is expected of the occupancy.
+constexpr double max_rise = 0.5;
 
 } // namespace
 
@@ -64,10 +66,27 @@
         known && known->at && now - *known->at < plan_lifetime) {
         return known->plan;
     }
-    const auto plan =
-        plan_admission(m_hooks.supply(service, model, now), m_hooks.demand(model.name, now));
-    m_plans.update(key, [&](known_plan& known) { known = {plan, now}; });
-    return plan;
+    auto supply = m_hooks.supply(service, model, now);
+    const auto demand = m_hooks.demand(model.name, now);
+    return m_plans.update(key, [&](known_plan& known) {
+        supply.occupancy = expect_occupancy(known, supply.occupancy, now);
+        known.plan = plan_admission(supply, demand);
+        return known.plan;
+    });
+}
+
+double serving_admission::expect_occupancy(known_plan& known, double occupancy,
+                                           state::time_point now) {
+    const double trend_ms = static_cast<double>(trend_time.count());
+    const double age_ms =
+        known.at ? std::chrono::duration<double, std::milli>(now - *known.at).count() : trend_ms;
+    const double weight = known.at ? 1 - std::exp(-age_ms / trend_ms) : 1;
+    known.mean_occupancy += weight * (occupancy - known.mean_occupancy);
+    known.at = now;
+    // An exponential mean follows a steady trend at the distance of its time constant.
+    const double rise =
+        (occupancy - known.mean_occupancy) * static_cast<double>(load_delay.count()) / trend_ms;
+    return std::max(0.0, occupancy + std::clamp(rise, -max_rise, max_rise));
 }
 
 bool serving_admission::admit(const admission_call& call, state::time_point now) {
--- a/src/savoryrelay/coordination/admission/serving_admission.h
+++ b/src/savoryrelay/coordination/admission/serving_admission.h
@@ -55,6 +55,8 @@
 public:
     /// A plan is used for this long. Digests arrive less often.
     static constexpr state::milliseconds plan_lifetime{50};
+    /// Time over which the trend of the occupancy is measured.
+    static constexpr state::milliseconds trend_time{300};
     /// Bounds of the time after which the callers of refused calls are told to come back.
     static constexpr state::milliseconds min_retry_after{300};
     static constexpr state::milliseconds max_retry_after{3'000};
@@ -81,8 +83,11 @@
 private:
     struct known_plan {
         admission_plan plan;
+        double mean_occupancy = 0; // of the last `trend_time`
         std::optional<state::time_point> at;
     };
+    /// Returns what the occupancy will be when a decision takes effect, if its trend goes on.
+    static double expect_occupancy(known_plan& known, double occupancy, state::time_point now);
     struct usual_deadline {
         double ms = 0;
         state::time_point at{};
--- a/src/savoryrelay/coordination/serving/work_meter.cpp
+++ b/src/savoryrelay/coordination/serving/work_meter.cpp
@@ -17,8 +17,11 @@
     return decayed_sum * std::numbers::ln2 / to_ms(half_life);
 }
 
-void add(state::model_work& sum, const state::model_work& work) {
+void add(state::model_work& sum, const state::model_work& work, bool has_demand) {
     sum.groups += work.groups;
+    if (!has_demand) {
+        return;
+    }
     for (std::size_t i = 0; i < sum.demand.size(); ++i) {
         sum.demand.at(i) += work.demand.at(i);
     }
@@ -85,13 +88,13 @@
 std::map<std::string, state::model_work> work_meter::sum(state::time_point now,
                                                          bool members_only) const {
     std::map<std::string, state::model_work> work;
-    const auto count = [&](const state::model_work& entry) {
+    const auto count = [&](const state::model_work& entry, bool has_demand) {
         auto& total = work[entry.model];
         total.model = entry.model;
-        add(total, entry);
+        add(total, entry, has_demand);
     };
     for (const auto& entry : own(now)) {
-        count(entry);
+        count(entry, true);
     }
     const std::scoped_lock lock(m_mutex);
     for (const auto& [peer, reported] : m_peers) {
@@ -100,7 +103,7 @@
             continue;
         }
         for (const auto& entry : reported.work) {
-            count(entry);
+            count(entry, now - reported.at <= peer_demand_age);
         }
     }
     return work;
--- a/src/savoryrelay/coordination/serving/work_meter.h
+++ b/src/savoryrelay/coordination/serving/work_meter.h
@@ -18,9 +18,12 @@
     /// Work counts half after this time.
     static constexpr state::milliseconds half_life{3'000};
     /// Demand counts half after this time.
-    static constexpr state::milliseconds demand_half_life{700};
+    static constexpr state::milliseconds demand_half_life{300};
     /// The work of a host expires when it has sent no digest for this long.
     static constexpr state::milliseconds peer_work_age{3'000};
+    /// The demand of a host expires earlier: a host that moves to another hub would be counted
+    /// twice, and one that has ended gets no calls.
+    static constexpr state::milliseconds peer_demand_age{600};
 
     /// Records a call that keeps a group of `model` busy for `work_ms`.
     void note(const std::string& model, state::call_urgency urgency, double work_ms,
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -337,10 +337,6 @@
             .record(seconds(*call.first_byte));
     }
     m_dependencies.metrics.latency_of("savoryrelay_call_seconds", labels).record(seconds(now));
-    coordination::admission_plan plan;
-    if (call.model != nullptr && m_dependencies.admission != nullptr) {
-        plan = m_dependencies.admission->plan_of(*call.service, *call.model, now);
-    }
     log_info("call_ended",
              {{"id", call.decoded.id.value()},
               {"route", call.route == nullptr ? "" : call.route->name},
@@ -348,13 +344,6 @@
               {"reason", call.reason},
               {"urgency", std::string(state::to_name(call.decoded.urgency))},
               {"endpoint", call.endpoint},
-              {"model", call.decoded.model},
-              {"deadline_ms", call.decoded.deadline ? std::to_string(call.decoded.deadline->count()) : ""},
-              {"groups", std::to_string(plan.supply.groups)},
-              {"occ", std::to_string(plan.supply.occupancy)},
-              {"demand", std::to_string(plan.demand)},
-              {"fu", std::to_string(plan.fractions[0])},
-              {"fl", std::to_string(plan.fractions[3])},
               {"attempts", std::to_string(call.attempts)},
               {"predicted_ms", std::to_string(static_cast<int>(call.predicted_ms))},
               {"first_ms", call.first_byte
