--- a/src/savoryrelay/coordination/admission/serving_admission.cpp
+++ b/src/savoryrelay/coordination/admission/serving_admission.cpp
@@ -100,7 +100,9 @@
                                             const state::model_rule& model, state::time_point now) {
     const auto shortage = plan_of(service, model, now).shortage;
     const auto usual = static_cast<double>(usual_retry_after.count());
-    const auto spread = milliseconds(static_cast<std::int64_t>(usual * shortage * (0.5 + draw())));
+    const double longest = static_cast<double>(max_retry_after.count()) / 1.5;
+    const auto spread = milliseconds(
+        static_cast<std::int64_t>(std::min(usual * shortage, longest) * (0.5 + draw())));
     return std::clamp(spread, min_retry_after, max_retry_after);
 }
 
