--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -94,6 +94,13 @@
                   .random = make_random(m_incarnation)}),
       m_explainer(m_shared.fleet, m_shared.loads, m_selector, m_shared.own_host.name,
                   [this] { return m_shared.zones_out_of_service.load(); }),
+      m_admission(
+          {.supply =
+               [this](const state::service_rule& service, const state::model_rule& model,
+                      state::time_point now) { return m_selector.supply(service, model, now); },
+           .demand = [this](const std::string& model,
+                            state::time_point now) { return m_shared.work.demand(model, now); },
+           .random = make_random(m_incarnation)}),
       m_front({m_shared.fleet, m_shared.loads, m_selector, m_shared.correction, m_shared.repeats,
                m_shared.crashes, m_shared.metrics, platform::make_serving_codec(),
                [this] { return m_shared.configuration.load(); },
@@ -104,7 +111,7 @@
                [this](const state::runner_record& runner, const state::answer_head& answer) {
                    m_signals.note_answer(runner, answer);
                },
-               read_clock}) {}
+               read_clock, &m_admission}) {}
 
 edge_host::~edge_host() {
     m_groups.stop(); // waits for a call to the store, which needs the threads
@@ -194,6 +201,7 @@
 
 asio::awaitable<void> edge_host::answer_metrics(transport::response_writer& writer) {
     set_state_gauges(m_shared, m_groups.is_controller(), read_clock());
+    set_admission_gauges(m_shared, m_admission, read_clock());
     set_account_gauges(m_shared.metrics, m_account);
     const auto text = m_shared.metrics.to_prometheus();
     co_await writer.send(status_ok, transport::content_type_field("text/plain; version=0.0.4"),
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -57,6 +57,7 @@
     peer_part m_peers;
     coordination::endpoint_selector m_selector;
     coordination::placement_explainer m_explainer;
+    coordination::serving_admission m_admission;
     transport::serving_front m_front;
     std::unique_ptr<transport::http_server> m_caller_server;
     std::unique_ptr<transport::http_server> m_readiness_server;
