--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -57,7 +57,8 @@
                               (!has_begun || progress.reserve_attempt());
         const auto wait_end = std::min(queue_deadline, call.deadline);
         const auto* none = std::get_if<coordination::selection_failure>(&selected);
-        const bool is_short = none != nullptr && *none == coordination::selection_failure::none_in_time;
+        const bool is_short =
+            none != nullptr && *none == coordination::selection_failure::none_in_time;
         if (is_found || is_short || now >= wait_end || call.caller_is_gone) {
             co_return selected;
         }
