--- a/src/savoryrelay/coordination/serving/load_tracker.cpp
+++ b/src/savoryrelay/coordination/serving/load_tracker.cpp
@@ -1,26 +1,17 @@
 // Counts calls in flight.
 #include "savoryrelay/coordination/serving/load_tracker.h"
 
-#include <algorithm>
 #include <cassert>
 
 namespace savoryrelay::coordination {
 
-void load_tracker::begin_call(const state::endpoint_id& endpoint, double prompt_tokens,
-                              double answer_tokens) {
+void load_tracker::begin_call(const state::endpoint_id& endpoint, double prompt_tokens) {
     m_own.update(endpoint, [&](state::endpoint_load& load) {
         ++load.waiting;
-        load.remaining_answer_tokens += answer_tokens;
         load.waiting_prompt_tokens += prompt_tokens;
     });
 }
 
-void load_tracker::note_answer_tokens(const state::endpoint_id& endpoint, double tokens) {
-    m_own.update_existing(endpoint, [&](state::endpoint_load& load) {
-        load.remaining_answer_tokens = std::max(0.0, load.remaining_answer_tokens - tokens);
-    });
-}
-
 void load_tracker::note_first_event(const state::endpoint_id& endpoint, double prompt_tokens) {
     m_own.update(endpoint, [&](state::endpoint_load& load) {
         assert(load.waiting > 0);
@@ -31,9 +22,8 @@
 }
 
 void load_tracker::end_call(const state::endpoint_id& endpoint, double prompt_tokens,
-                            bool was_writing, double answer_tokens) {
+                            bool was_writing) {
     m_own.update(endpoint, [&](state::endpoint_load& load) {
-        load.remaining_answer_tokens = std::max(0.0, load.remaining_answer_tokens - answer_tokens);
         if (was_writing) {
             assert(load.writing > 0);
             --load.writing;
--- a/src/savoryrelay/coordination/serving/load_tracker.h
+++ b/src/savoryrelay/coordination/serving/load_tracker.h
@@ -20,17 +20,12 @@
     static constexpr state::milliseconds peer_load_age{1'000};
 
     /// Records that a call was sent to `endpoint` and waits for its first event.
-    /// `answer_tokens` is the expected length of its answer.
-    void begin_call(const state::endpoint_id& endpoint, double prompt_tokens,
-                    double answer_tokens = 0);
-    /// Records that the answer of a call in flight needs `tokens` fewer than before.
-    void note_answer_tokens(const state::endpoint_id& endpoint, double tokens);
+    void begin_call(const state::endpoint_id& endpoint, double prompt_tokens);
     /// Records that the first event of a call was received.
     void note_first_event(const state::endpoint_id& endpoint, double prompt_tokens);
     /// Records the end of a call. `was_writing` tells whether its first event was
-    /// received before, `answer_tokens` how many its answer still needed.
-    void end_call(const state::endpoint_id& endpoint, double prompt_tokens, bool was_writing,
-                  double answer_tokens = 0);
+    /// received before.
+    void end_call(const state::endpoint_id& endpoint, double prompt_tokens, bool was_writing);
 
     /// Replaces the loads from one part of a peer's digest. `source` names the host and
     /// the part. Loads of the scope `fleet` include those that this host reported last,
