Admit every call in small fleets, and let the test front end before its threads

Hosts of fleets of up to 20 compare all groups by loads that are hardly late, so nothing is gained there; their plan admits every call now, as their placing looks at every group. A test of its own.

The address sanitizer shows why: the fixture destroyed its threads before the front, whose idle connections then used a destroyed context. The programs declare the threads first; the fixture does so too now. No check changed.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -100,6 +100,7 @@
                       state::time_point now) { return m_selector.supply(service, model, now); },
            .demand = [this](const std::string& model,
                             state::time_point now) { return m_shared.work.demand(model, now); },
+           .host_count = [this] { return m_shared.host_count.load(); },
            .random = make_random(m_incarnation)}),
       m_front({m_shared.fleet, m_shared.loads, m_selector, m_shared.correction, m_shared.repeats,
                m_shared.crashes, m_shared.metrics, platform::make_serving_codec(),
--- a/src/savoryrelay/coordination/admission/serving_admission.cpp
+++ b/src/savoryrelay/coordination/admission/serving_admission.cpp
@@ -61,6 +61,9 @@
 
 admission_plan serving_admission::plan_of(const state::service_rule& service,
                                           const state::model_rule& model, state::time_point now) {
+    if (m_hooks.host_count() <= max_unsampled_hosts) {
+        return {};
+    }
     const auto key = service.name + '/' + model.name;
     if (const auto known = m_plans.find(key);
         known && known->at && now - *known->at < plan_lifetime) {
--- a/src/savoryrelay/coordination/admission/serving_admission.h
+++ b/src/savoryrelay/coordination/admission/serving_admission.h
@@ -47,6 +47,8 @@
         supply;
     /// Returns the demand of all hosts by urgency, in groups kept busy.
     std::function<state::urgency_amounts(const std::string& model, state::time_point now)> demand;
+    /// Returns the number of hosts, this one included.
+    std::function<std::size_t()> host_count;
     random_hook random;
 };
 
@@ -71,7 +73,8 @@
                                                  state::milliseconds waited, state::time_point now);
     /// Returns whether a call is admitted. To be asked once for each call.
     [[nodiscard]] bool admit(const admission_call& call, state::time_point now);
-    /// Returns the plan for a model, as computed at most `plan_lifetime` ago.
+    /// Returns the plan for a model, as computed at most `plan_lifetime` ago. Hosts of small fleets
+    /// compare all groups by loads that are hardly late, so their plan admits every call.
     [[nodiscard]] admission_plan plan_of(const state::service_rule& service,
                                          const state::model_rule& model, state::time_point now);
     /// Returns when the caller of a refused call should come back. The times are spread, so that
--- a/tests/coordination/admission/admission_load_test.cpp
+++ b/tests/coordination/admission/admission_load_test.cpp
@@ -105,6 +105,7 @@
                  return measure_supply(engine, model, known);
              },
          .demand = [&](const auto& name, auto at) { return work.demand(name, at); },
+         .host_count = [] { return std::size_t{74}; },
          .random = [&] { return random(); }});
 
     std::vector<second_outcome> seconds(static_cast<std::size_t>(length_ms / 1'000));
--- a/tests/coordination/admission/admission_plan_test.cpp
+++ b/tests/coordination/admission/admission_plan_test.cpp
@@ -26,13 +26,14 @@
     return state::amount_of(plan.fractions, urgency);
 }
 
-serving_admission make_admission() {
+serving_admission make_admission(std::size_t host_count = 74) {
     return serving_admission(
         {.supply = [](const auto&, const auto&, auto) { return supply_of(4, 1); },
          .demand =
              [](const auto&, auto) {
                  return state::urgency_amounts{0, 12, 0, 0};
              },
+         .host_count = [host_count] { return host_count; },
          .random = [random = std::mt19937_64(1)]() mutable { return random(); }});
 }
 
@@ -60,6 +61,13 @@
     CHECK(fraction_of(spare, call_urgency::late) == Approx(0.375));
 }
 
+TEST_CASE("shares: hosts of a small fleet, whose loads are hardly late, admit every call") {
+    const state::service_rule service;
+    const state::model_rule model;
+    CHECK(make_admission().plan_of(service, model, {}).is_short());
+    CHECK_FALSE(make_admission(8).plan_of(service, model, {}).is_short());
+}
+
 TEST_CASE("shares: the rate falls with the groups and with their occupancy") {
     const state::urgency_amounts demand{0, 12, 0, 0};
     const auto fraction = [&](double groups, double occupancy) {
--- a/tests/support/front_fixture.h
+++ b/tests/support/front_fixture.h
@@ -122,6 +122,8 @@
          .admit = [](const auto&, auto) { return state::result<void>{}; },
          .may_use_endpoint = [](const auto&, const auto&, auto) { return true; },
          .finished = [](const auto&, auto, auto) {}}};
+    // Outlives the front, whose idle connections use the threads' contexts.
+    transport::io_threads threads{1};
     transport::caller_front front{
         coordinator,
         configuration,
@@ -133,7 +135,6 @@
           }},
          [this](auto at) { return hooks.ready(at); },
          [this] { return hooks.now(); }}};
-    transport::io_threads threads{1};
     transport::http_server server{threads, "127.0.0.1", 0, {}, [this](auto request, auto& writer) {
                                       return front.handle(std::move(request), writer);
                                   }};
