Admit by urgency only where the operators rank the routes of a service

Admission also refused calls where all routes to a model have one priority. Now it decides only on services whose routes differ in priority.

--- a/src/savoryrelay/transport/serving/call_admission.cpp
+++ b/src/savoryrelay/transport/serving/call_admission.cpp
@@ -1,12 +1,29 @@
 // Admission of one call: its urgency, whether it is admitted, and the limits of its placement.
 #include "savoryrelay/transport/serving/call_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace savoryrelay::transport {
+namespace {
+
+/// Returns whether the operators rank the routes to the call's service. Without ranks, no call
+/// is to be refused for another one.
+bool has_ranked_routes(const state::serving_configuration& configuration,
+                       const state::route_rule& route, const std::string& service) {
+    return std::any_of(
+        configuration.routes.begin(), configuration.routes.end(), [&](const auto& other) {
+            return other.priority != route.priority && other.calls_model &&
+                   std::any_of(other.services.begin(), other.services.end(),
+                               [&](const auto& share) { return share.service == service; });
+        });
+}
+
+} // namespace
 
 void serving_front::set_urgency(call_state& call) {
     if (m_dependencies.admission != nullptr && call.model != nullptr) {
+        call.is_ranked = has_ranked_routes(*call.configuration, *call.route, call.service->name);
         const auto now = m_dependencies.now();
         call.decoded.urgency = m_dependencies.admission->urgency_of(
             *call.route, call.customer_priority, call.decoded, -time_until(call.arrived, now), now);
@@ -14,7 +31,7 @@
 }
 
 bool serving_front::admit(call_state& call) {
-    if (m_dependencies.admission == nullptr || call.model == nullptr ||
+    if (m_dependencies.admission == nullptr || !call.is_ranked ||
         std::exchange(call.is_admitted, true)) {
         return true;
     }
@@ -38,7 +55,7 @@
     const auto target = call.route->first_answer_target;
     const bool is_repeat = call.attempts > 0 || call.progress->has_answer_begun();
     const bool is_continued = call.last_event || call.decoded.last_event;
-    if (m_dependencies.admission == nullptr || call.model == nullptr || target.count() <= 0 ||
+    if (m_dependencies.admission == nullptr || !call.is_ranked || target.count() <= 0 ||
         is_repeat || is_continued || call.decoded.urgency == state::call_urgency::late) {
         return std::nullopt;
     }
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -82,6 +82,7 @@
     std::vector<std::unique_ptr<open_attempt>> kept;
     protocol::event_splitter events;
     bool is_work_reported = false; // the model's work includes the call
+    bool is_ranked = false;        // admission decides on the call; implies that it needs a model
     bool is_admitted = false;
     std::optional<std::uint64_t> last_event; // number of the last event sent to the caller
     /// When the stream was interrupted after its last event; empty while it runs.
