Log the address and the origin of the connection of failed attempts

Rules REFUSED and TWICE were broken in real processes. The log could not tell whether a refusal was read on a connection that had carried the same call before, so three of four hypotheses looked alike. Change: attempt_failed has address and connection (none, opened, reused).

--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -171,6 +171,8 @@
     attempt.connection = m_pool.take(context, runner.address, runner.port,
                                      call.route->may_run_again() ? endpoint_pool::default_idle_share
                                                                  : non_repeatable_idle_share);
+    attempt.origin =
+        attempt.connection == nullptr ? connection_origin::opened : connection_origin::reused;
     if (attempt.connection == nullptr) {
         attempt.connection = std::make_unique<endpoint_connection>(context);
         const auto failed = co_await attempt.connection->connect(
@@ -275,8 +277,11 @@
                     {{"endpoint", call.service->name},
                      {"outcome", std::string(state::to_name(end.outcome))}})
         .add();
+    const auto& runner = attempt.chosen.runner.record;
     log_info("attempt_failed", {{"id", call.decoded.id.value()},
-                                {"endpoint", attempt.chosen.runner.record.id.value()},
+                                {"endpoint", runner.id.value()},
+                                {"address", runner.address + ":" + std::to_string(runner.port)},
+                                {"connection", std::string(state::to_name(attempt.origin))},
                                 {"outcome", std::string(state::to_name(end.outcome))},
                                 {"reason", end.reason}});
 }
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -4,10 +4,12 @@
 
 #include "savoryrelay/coordination/serving/stream_timing.h"
 #include "savoryrelay/protocol/event_stream/event_splitter.h"
+#include "savoryrelay/state/core/enum_names.h"
 #include "savoryrelay/transport/serving/serving_front.h"
 
 #include <boost/asio/error.hpp>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -18,6 +20,27 @@
 
 namespace savoryrelay::transport {
 
+/// Where the connection of an attempt comes from.
+enum class connection_origin {
+    none,   ///< the attempt has none
+    opened, ///< opened for the attempt
+    reused, ///< it has carried other requests
+};
+
+} // namespace savoryrelay::transport
+
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::transport::connection_origin> {
+    using o = savoryrelay::transport::connection_origin;
+    static constexpr std::array rows{
+        enum_name<o>{o::none, "none"},
+        enum_name<o>{o::opened, "opened"},
+        enum_name<o>{o::reused, "reused"},
+    };
+};
+
+namespace savoryrelay::transport {
+
 /// Returns the time from `now` to `deadline`; negative after the deadline.
 inline state::milliseconds time_until(state::time_point deadline, state::time_point now) {
     return std::chrono::duration_cast<state::milliseconds>(deadline - now);
@@ -51,6 +74,7 @@
 
     coordination::selected_endpoint chosen;
     std::unique_ptr<endpoint_connection> connection;
+    connection_origin origin = connection_origin::none;
     bool is_writing = false;             // true after the first event was received
     std::optional<counted_call> counted; // set while the endpoint may work on the call
     state::time_point sent_at{};
