Never send a request again on a connection that has carried its refusal

What callers saw: calls that may run once were answered 503 and ran; callers who sent them again ran them twice (REFUSED, TWICE). Cause: an endpoint may send a refusal twice, the copy late, where the next answer on the connection is due. Answers are told apart by the id of their request. Idle connections are kept by address and the endpoints that a call has tried by id, so the next attempt at another id of the same address left on the connection on which the copy was still due, with the id that the copy bears. Change: a connection remembers the requests whose answers let their senders send them again, and the pool does not hand it out for one of them. After 32 such requests it is closed. It holds for refusals and failures, for any sender of the id, and for streams.

--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -184,7 +184,16 @@
 
 bool endpoint_connection::reusable() const {
     return !m_skips_body && m_parser && m_parser->is_done() && m_parser->keep_alive() &&
-           m_buffer.size() == 0;
+           m_buffer.size() == 0 && m_repeatable_requests.size() < max_repeatable_requests;
+}
+
+void endpoint_connection::note_repeatable(const state::request_id& request) {
+    m_repeatable_requests.push_back(request);
+}
+
+bool endpoint_connection::may_carry(const state::request_id& request) const {
+    return std::find(m_repeatable_requests.begin(), m_repeatable_requests.end(), request) ==
+           m_repeatable_requests.end();
 }
 
 bool endpoint_connection::ends_answer_by_closing() const {
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -3,6 +3,7 @@
 // connection turns out to be closed.
 #pragma once
 
+#include "savoryrelay/state/core/identifier.h"
 #include "savoryrelay/state/core/time.h"
 #include "savoryrelay/transport/http/http_message.h"
 #include "savoryrelay/transport/http/progress_watchdog.h"
@@ -22,6 +23,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace savoryrelay::transport {
 
@@ -66,8 +68,7 @@
     [[nodiscard]] std::string header(std::string_view name) const;
     /// Returns all header fields of the answer. Call it only after `read_header`.
     [[nodiscard]] http_fields fields() const;
-    /// Returns true if the answer is complete and the connection may carry another
-    /// request.
+    /// Returns true if the answer is complete and the connection may carry other requests.
     [[nodiscard]] bool reusable() const;
     /// Returns true if the answer has neither a length nor chunks, so that the end of the
     /// connection is its end. Call it only after `read_header`.
@@ -79,6 +80,12 @@
     /// Keep-Alive field of its last answer, or nothing if the answer does not say.
     [[nodiscard]] std::optional<state::milliseconds> keep_alive_timeout() const;
 
+    /// Records that the answer to `request` lets its sender send it again. The connection never
+    /// carries it again: a late copy of that answer has the same id as the next one.
+    void note_repeatable(const state::request_id& request);
+    /// Returns whether the connection may carry `request`.
+    [[nodiscard]] bool may_carry(const state::request_id& request) const;
+
     /// Marks the connection as idle since `now`.
     void set_idle_since(state::time_point now) { m_idle_since = now; }
     /// Returns true if an idle connection may still carry a request at `now`: the
@@ -97,6 +104,8 @@
 private:
     // Assumed if the peer's answer has no keep-alive timeout.
     static constexpr state::milliseconds default_keep_alive_timeout{4'000};
+    // A connection that has carried this many repeatable requests is not used again.
+    static constexpr std::size_t max_repeatable_requests = 32;
 
     /// What can be read from the socket without waiting.
     enum class input_state { none, bytes, closed };
@@ -110,6 +119,8 @@
     progress_watchdog m_watchdog; // cancels the pending operation when its time limit expires
     boost::beast::flat_buffer m_buffer{max_buffered_bytes};
     bool m_skips_body = false;
+    // Ids of requests that the connection must not carry again.
+    std::vector<state::request_id> m_repeatable_requests;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
 };
 
--- a/src/savoryrelay/transport/http/endpoint_pool.cpp
+++ b/src/savoryrelay/transport/http/endpoint_pool.cpp
@@ -1,7 +1,10 @@
 // Stores idle connections and hands them out again.
 #include "savoryrelay/transport/http/endpoint_pool.h"
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
+#include <utility>
 
 namespace savoryrelay::transport {
 
@@ -13,17 +16,21 @@
 
 std::unique_ptr<endpoint_connection> endpoint_pool::take(boost::asio::io_context& context,
                                                          const std::string& address,
-                                                         std::uint16_t port, double idle_share) {
+                                                         std::uint16_t port,
+                                                         const connection_use& use) {
     const auto now = std::chrono::steady_clock::now();
     while (true) {
         std::unique_ptr<endpoint_connection> taken;
         m_idle.update_existing(key_of(context, address, port), [&](auto& connections) {
-            if (!connections.empty()) {
-                taken = std::move(connections.back());
-                connections.pop_back();
+            const auto found =
+                std::find_if(connections.rbegin(), connections.rend(),
+                             [&](const auto& each) { return each->may_carry(use.request); });
+            if (found != connections.rend()) {
+                taken = std::move(*found);
+                connections.erase(std::next(found).base());
             }
         });
-        if (taken == nullptr || taken->usable_when_idle(now, idle_share)) {
+        if (taken == nullptr || taken->usable_when_idle(now, use.idle_share)) {
             return taken;
         }
     }
--- a/src/savoryrelay/transport/http/endpoint_pool.h
+++ b/src/savoryrelay/transport/http/endpoint_pool.h
@@ -14,6 +14,16 @@
 
 namespace savoryrelay::transport {
 
+/// What an idle connection is taken for.
+struct connection_use {
+    /// Fraction of the peer's keep-alive timeout during which an idle connection is
+    /// reused. The remainder is the time that a request needs to reach the peer.
+    static constexpr double default_idle_share = 0.8;
+
+    double idle_share = default_idle_share;
+    state::request_id request{}; ///< empty: a request without an id
+};
+
 /// Stores idle connections that may carry another request. A connection is returned
 /// only to the thread on which it was opened.
 class endpoint_pool {
@@ -21,15 +31,11 @@
     /// Maximum number of idle connections for one endpoint and thread.
     static constexpr std::size_t max_idle_connections = 32;
 
-    /// Fraction of the peer's keep-alive timeout during which an idle connection is
-    /// reused. The remainder is the time that a request needs to reach the peer.
-    static constexpr double default_idle_share = 0.8;
-
-    /// Removes and returns a connection that has been idle for at most `idle_share` of
-    /// its peer's keep-alive timeout. Returns null if there is none.
+    /// Removes and returns a connection that may carry the request of `use` and has been idle for
+    /// at most its share of the peer's keep-alive timeout. Returns null if there is none.
     std::unique_ptr<endpoint_connection> take(boost::asio::io_context& context,
                                               const std::string& address, std::uint16_t port,
-                                              double idle_share = default_idle_share);
+                                              const connection_use& use = {});
     /// Stores `connection`, which must be reusable, for a later request.
     void keep(boost::asio::io_context& context, const std::string& address, std::uint16_t port,
               std::unique_ptr<endpoint_connection> connection);
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -168,9 +168,11 @@
     attempt_result end;
 
     // Take or open a connection. The request cannot have run before it is sent.
-    attempt.connection = m_pool.take(context, runner.address, runner.port,
-                                     call.route->may_run_again() ? endpoint_pool::default_idle_share
-                                                                 : non_repeatable_idle_share);
+    attempt.connection =
+        m_pool.take(context, runner.address, runner.port,
+                    {.idle_share = call.route->may_run_again() ? connection_use::default_idle_share
+                                                               : non_repeatable_idle_share,
+                     .request = call.decoded.id});
     attempt.origin =
         attempt.connection == nullptr ? connection_origin::opened : connection_origin::reused;
     if (attempt.connection == nullptr) {
@@ -257,6 +259,9 @@
     co_await record_crash_evidence(call, end, context);
     if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed ||
         end.outcome == attempt_outcome::not_run) {
+        if (end.outcome != attempt_outcome::delivered) {
+            attempt.connection->note_repeatable(call.decoded.id);
+        }
         // A late copy of an answer without an id could not be told from the next answer.
         if (end.has_request_id && attempt.connection->reusable()) {
             m_pool.keep(context, runner.address, runner.port, std::move(attempt.connection));
--- a/tests/process/late_answer_test.cpp
+++ b/tests/process/late_answer_test.cpp
@@ -268,6 +268,47 @@
         return {};
     }
 
+    /// Waits until the host knows a second runner id at the endpoint's address: a request that is
+    /// rejected at one of them is sent to the other.
+    void add_runner_id() {
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        endpoint.set([](const auto&, const auto& id) { return rejection("503 Full", id); },
+                     own_only);
+        for (int attempts = 0; attempts < 2;) {
+            REQUIRE(std::chrono::steady_clock::now() < limit);
+            const int received_before = endpoint.received();
+            call("/look/1");
+            attempts = endpoint.received() - received_before;
+        }
+    }
+
+    /// Sends requests whose first attempt is rejected with `status`, and rejected once more by a
+    /// copy that comes in front of the answer to their second attempt. Returns how many were
+    /// served, each after two attempts.
+    int served_after_rejection(const std::string& path, const std::string& status) {
+        constexpr int requests = 10;
+        int served = 0;
+        for (int i = 0; i < requests; ++i) {
+            endpoint.set(own_answer, own_only);
+            call_until_served(path); // leaves an idle connection
+            int attempts = 0;
+            endpoint.set(
+                [&](const auto& called, const auto& id) {
+                    return attempts++ == 0 ? rejection(status, id) : own_answer(called, id);
+                },
+                [](const auto& previous, const auto& own) {
+                    const bool is_rejected = previous.find("Not-Executed") != std::string::npos;
+                    return is_rejected ? previous + own : own;
+                });
+            const auto result = call(path);
+            endpoint.set(own_answer, own_only);
+            CAPTURE(result.answer.status, attempts);
+            CHECK((attempts < 2 || is_served(result)));
+            served += attempts == 2 && is_served(result) ? 1 : 0;
+        }
+        return served;
+    }
+
     static std::string own_body(const std::string& path, const std::string& id) {
         return path == "/feed/1" ? stream_body(id) : "ran " + id;
     }
@@ -357,6 +398,19 @@
     }
 }
 
+TEST_CASE("edge: a second copy of a rejection doesn't reject the same request's next attempt") {
+    late_fixture fixture;
+    // A runner that came back under a new id, while the entry of its former id still stands.
+    fixture.write_entry("p2", "orders", fixture.endpoint.port, "");
+    fixture.add_runner_id();
+    for (const std::string path : {"/look/1", "/book/1"}) {
+        for (const std::string status : {"503 Service Unavailable", "421 Misdirected Request"}) {
+            INFO(path << " " << status);
+            CHECK(fixture.served_after_rejection(path, status) >= 3);
+        }
+    }
+}
+
 TEST_CASE("edge: a second copy of a rejection without an id doesn't reject the next request") {
     late_fixture fixture;
     const answer_hook rejects = [](const auto&, const auto&) {
