Send each order to a runner on a connection of its own

What operators saw: nothing yet; found when the cause of the copied refusals was looked for elsewhere. Cause: reports and orders share idle connections and carry no ids, so a late copy of a report's answer (200) was read as "the order is done", and one of another order's answer (202) as "accepted". Evidence: the new test, whose runner repeats its last answer in front of the next one, fails on the code before: an order that the runner refused with 409 counted as done. Change: an exchange chooses its connections; orders open one each and close it. A report may still be read once too late, as reports lag anyhow; its connection has unread bytes then and is dropped.

--- a/src/savoryrelay/transport/http/short_exchange.cpp
+++ b/src/savoryrelay/transport/http/short_exchange.cpp
@@ -23,7 +23,8 @@
 asio::awaitable<state::attempt<short_answer>>
 run_exchange(endpoint_pool& pool, exchange_target target, http_request request) {
     auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
-    auto connection = pool.take(context, target.address, target.port);
+    const bool is_pooled = target.connections == connection_choice::pooled;
+    auto connection = is_pooled ? pool.take(context, target.address, target.port) : nullptr;
     if (connection == nullptr) {
         connection = std::make_unique<endpoint_connection>(context);
         const auto failed =
@@ -66,7 +67,7 @@
         }
         answer.body.append(buffer.data(), size);
     }
-    if (connection->reusable()) {
+    if (is_pooled && connection->reusable()) {
         pool.keep(context, target.address, target.port, std::move(connection));
     }
     co_return answer;
