Leave out a plain service's endpoint after another one answered at its address

Cause: a refusal with 421 excluded the endpoint only in services with an engine, so each call tried the runner that was gone first and took a repeat from the shared budget for the second attempt, until that was used up. Change: a 421 of a plain service starts the same backoff, 0.25 s to 4 s. A choice is checked against all that the host knows of the endpoint, not only against its pauses and leaving.

--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -115,9 +115,9 @@
                             ? select_group(service, *model, call, runners, time_left, now, limits)
                             : select_least_loaded(service, runners, now);
         if (auto* endpoint = std::get_if<selected_endpoint>(&selected)) {
-            // The snapshot may be older than what the endpoint has said.
+            // The snapshot may be older than what this host has learned of the endpoint.
             const auto known = m_fleet.find(endpoint->runner.record.id);
-            const bool is_unwanted = !known || known->wants_no_calls(now);
+            const bool is_unwanted = !known || !known->may_take_calls(now);
             if (is_unwanted || !admit_cold(endpoint->runner)) {
                 is_cold_limit_reached = is_cold_limit_reached || !is_unwanted;
                 std::erase_if(runners, [&](const auto* each) {
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -123,10 +123,10 @@
     /// applied even though it counts fewer orders.
     static constexpr state::milliseconds max_report_lag{1'000};
 
-    /// A runner that refuses a call because it is not the head of an open group
-    /// gets no calls for this long. The time doubles with each further refusal up
-    /// to the maximum, because this host's view of the runner may stay wrong while
-    /// the host is isolated.
+    /// A runner that refuses a call because it is not the head of an open group, or because
+    /// another runner has its address, gets no calls for this long. The time doubles with each
+    /// further refusal up to the maximum, because this host's view of the runner may stay wrong
+    /// while the host is isolated.
     static constexpr state::milliseconds min_refusal_backoff{250};
     static constexpr state::milliseconds max_refusal_backoff{4'000};
 
@@ -165,7 +165,7 @@
     /// valid until `until`.
     void note_peer_confirmation(const state::endpoint_id& id, state::time_point until);
     /// Records that the runner refused a call because it is not the head of an open
-    /// group, and starts a backoff.
+    /// group or that another runner has its address, and starts a backoff.
     void note_refusal(const state::endpoint_id& id, state::time_point now);
     /// Records that a call of this host failed. Excludes the runner from new calls until
     /// `until`.
--- a/src/savoryrelay/coordination/serving/runner_exclusions.h
+++ b/src/savoryrelay/coordination/serving/runner_exclusions.h
@@ -17,7 +17,7 @@
     leaving,         ///< it said in an answer that it is about to stop
     pause_requested, ///< it refused a request and asked for a pause
     call_failed,     ///< a call got no answer
-    not_serving,     ///< it refused a call because it is not the head of an open group
+    not_serving,     ///< it is not the head of an open group, or another runner has its address
 };
 
 /// How this host learned of an exclusion.
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -165,6 +165,7 @@
             end.fields.push_back({"Content-Length", length});
         }
         end.has_request_id = !answer.request_id.empty();
+        end.is_other_endpoint = answer.is_other_endpoint;
         const auto verdict = coordination::judge_answer(answer);
         end.outcome = verdict.outcome;
         if (end.outcome != attempt_outcome::delivered) {
@@ -236,6 +237,7 @@
     }
     end.status = answer.status;
     end.has_request_id = !answer.request_id.empty();
+    end.is_other_endpoint = answer.is_other_endpoint;
     end.fields = m_dependencies.codec.select_caller_fields(fields);
     auto verdict = coordination::judge_answer(answer);
     if (verdict.outcome == attempt_outcome::delivered) {
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -149,6 +149,7 @@
     bool endpoint_ended = false;     // the connection was reset: the endpoint's process has ended
     bool closed_by_endpoint = false; // the connection ended before the answer was complete
     bool has_request_id = true;      // false: the endpoint rejected the request without its id
+    bool is_other_endpoint = false;  // the endpoint says that it is not the one that was meant
     std::string reason;
     // A complete answer that reports a failure. The caller receives it if no later
     // attempt succeeds.
