Keep no connection to a runner that has refused a report

What operators saw: nothing yet; found when the cause of the copied refusals was looked for elsewhere. Cause: idle connections are kept by address, and reports carry no ids. The 421 for the report of a runner that has ended left an idle connection, on which the report of the runner that has the address by now was fetched. A late copy of the 421 was read as its answer, so a sound runner counted as not answering; after two such answers it is silent and gets no calls. Evidence: the new test fails on the code before: the report of the second runner was refused.

--- a/src/savoryrelay/transport/http/short_exchange.cpp
+++ b/src/savoryrelay/transport/http/short_exchange.cpp
@@ -67,7 +67,8 @@
         }
         answer.body.append(buffer.data(), size);
     }
-    if (is_pooled && connection->reusable()) {
+    if (is_pooled && connection->reusable() &&
+        (!target.may_keep || target.may_keep(answer.status))) {
         pool.keep(context, target.address, target.port, std::move(connection));
     }
     co_return answer;
--- a/src/savoryrelay/transport/http/short_exchange.h
+++ b/src/savoryrelay/transport/http/short_exchange.h
@@ -47,6 +47,8 @@
     /// `own` if an answer must not be taken for that of another request: a peer may send an answer
     /// twice, and without ids a late copy looks like the answer to the next request.
     connection_choice connections = connection_choice::pooled;
+    /// Asked after the answer whether a pooled connection may carry other requests; null: always.
+    std::function<bool(unsigned status)> may_keep{};
 };
 
 /// A complete answer.
--- a/tests/platform/runner_client_test.cpp
+++ b/tests/platform/runner_client_test.cpp
@@ -1,4 +1,5 @@
-// Tests that the answer to an order is its own, beside a runner that sends answers twice.
+// Tests that the answers to orders and reports are their own, beside a runner that sends answers
+// twice.
 #include "platform/runner_client.h"
 
 #include "savoryrelay/transport/process/io_threads.h"
@@ -25,8 +26,8 @@
 
 constexpr state::milliseconds step_timeout{2'000};
 
-/// Answers reports with 200 and orders with 409. In front of an answer it sends the last one on
-/// the same connection again.
+/// Answers reports with 200 and orders with 409, and requests for another runner with 421. In
+/// front of an answer it sends the last one on the same connection again.
 class repeating_runner {
 public:
     repeating_runner() : m_thread([this] { accept_connections(); }) {}
@@ -73,11 +74,14 @@
                 return;
             }
             const bool is_report = received.starts_with("GET /report ");
+            const bool is_meant = received.find("\r\nExpect-Instance: r1\r\n") < size;
             received.erase(0, size);
             if (!is_report) {
                 received.clear(); // with the order's body, which came in the same piece
             }
-            const std::string own = is_report
+            const std::string own = !is_meant ? "HTTP/1.1 421 Misdirected Request\r\n"
+                                                "Content-Length: 0\r\n\r\n"
+                                    : is_report
                                         ? "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
                                         : "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n";
             asio::write(socket, asio::buffer(last + own), ended);
@@ -125,3 +129,22 @@
         threads.stop();
     }
 }
+
+TEST_CASE("a second copy of a report's refusal is not the answer to another runner's report") {
+    repeating_runner runner;
+    transport::io_threads threads{1};
+    transport::endpoint_pool pool;
+    const auto fetch_report = [&](const std::string& id) {
+        auto record = runner.record();
+        record.id = state::endpoint_id(id);
+        return asio::co_spawn(threads.context(0),
+                              platform::fetch_report(pool, record, step_timeout,
+                                                     [](const state::answer_head&) {}),
+                              asio::use_future)
+            .get();
+    };
+    // A runner that has ended, whose address r1 has by now.
+    CHECK_FALSE(fetch_report("r0"));
+    CHECK(fetch_report("r1"));
+    threads.stop();
+}
