Fetch each load report of an engine on a connection of its own

What operators saw: nothing yet; found when the cause of the copied refusals was looked for elsewhere. Cause: polls of an engine run on the socket threads in turn, and each thread keeps a connection. Reports carry no ids. A late copy of a thread's last report counts fewer completed requests than what another thread has read since, which was taken for a restart of the engine: it counted as cold, and the attempts that broke off there shortly before were recorded as its crash. Change: each poll opens a connection and closes it. It costs one connection a second for each member and engine; one thread for each engine would do with a kept one, as long as no polls overlap.

--- a/src/daemon/routing_part.cpp
+++ b/src/daemon/routing_part.cpp
@@ -32,9 +32,8 @@
 constexpr state::milliseconds poll_step_timeout{300};
 constexpr std::size_t max_report_bytes = 64 * 1024;
 
-// Broken attempts are kept until a crash is confirmed. That takes up to three
-// polls: the first one may find only that its pooled connection is closed, and the
-// next two are refused.
+// Broken attempts are kept until a crash is confirmed, which takes two refused polls or the
+// first report of the restarted process.
 constexpr state::milliseconds broken_attempt_retention{5'000};
 
 // Refused polls in a row after which an endpoint counts as crashed. A single
@@ -160,33 +159,30 @@
     auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
     const auto& endpoint = routes->endpoints.at(slot);
 
-    // A poll that fails on a pooled connection is not retried: the next poll opens
-    // a new connection.
-    auto connection = m_pool.take(context, endpoint.address, endpoint.port);
-    if (connection == nullptr) {
-        connection = std::make_unique<transport::endpoint_connection>(context);
-        const auto connect_error =
-            co_await connection->connect(endpoint.address, endpoint.port, poll_step_timeout);
-        if (connect_error) {
-            m_report_failures.add();
-            if (connect_error == boost::system::errc::connection_refused) {
-                const auto now = m_now();
-                m_catalog.mark_unreachable(*routes, slot, now);
-                const auto refused = m_refused_polls.update(
-                    endpoint.id, [](std::uint32_t& count) { return ++count; });
-                if (refused >= crash_refusal_threshold) {
-                    record_crash(endpoint.id, now);
-                }
+    // Reports carry no ids. On a connection that has carried one before, a late copy of it would
+    // be taken for the next one, whose count of completed requests is larger.
+    transport::endpoint_connection connection(context);
+    const auto connect_error =
+        co_await connection.connect(endpoint.address, endpoint.port, poll_step_timeout);
+    if (connect_error) {
+        m_report_failures.add();
+        if (connect_error == boost::system::errc::connection_refused) {
+            const auto now = m_now();
+            m_catalog.mark_unreachable(*routes, slot, now);
+            const auto refused =
+                m_refused_polls.update(endpoint.id, [](std::uint32_t& count) { return ++count; });
+            if (refused >= crash_refusal_threshold) {
+                record_crash(endpoint.id, now);
             }
-            co_return;
         }
+        co_return;
     }
     transport::http_request request{http::verb::get, "/engine/load", 11};
     request.set(http::field::host, endpoint.address);
-    request.keep_alive(true);
-    auto exchange_error = co_await connection->send(request, poll_step_timeout);
+    request.keep_alive(false);
+    auto exchange_error = co_await connection.send(request, poll_step_timeout);
     if (!exchange_error) {
-        exchange_error = co_await connection->read_header(poll_step_timeout);
+        exchange_error = co_await connection.read_header(poll_step_timeout);
     }
     if (exchange_error) {
         m_report_failures.add();
@@ -196,7 +192,7 @@
     std::array<char, 4096> buffer{};
     while (body.size() < max_report_bytes) {
         const auto [read_error, size] =
-            co_await connection->read_some(asio::buffer(buffer), poll_step_timeout);
+            co_await connection.read_some(asio::buffer(buffer), poll_step_timeout);
         if (read_error) {
             m_report_failures.add();
             co_return;
@@ -207,9 +203,6 @@
         body.append(buffer.data(), size);
     }
     handle_report(*routes, slot, body);
-    if (connection->reusable()) {
-        m_pool.keep(context, endpoint.address, endpoint.port, std::move(connection));
-    }
 }
 
 void routing_part::handle_report(const coordination::deployment_routes& routes, std::uint32_t slot,
--- a/src/daemon/routing_part.h
+++ b/src/daemon/routing_part.h
@@ -7,7 +7,6 @@
 #include "savoryrelay/state/core/sharded_map.h"
 #include "savoryrelay/state/core/snapshot_cell.h"
 #include "savoryrelay/state/metrics/metrics.h"
-#include "savoryrelay/transport/http/endpoint_pool.h"
 #include "savoryrelay/transport/process/io_threads.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -60,7 +59,6 @@
     coordination::crash_suspects m_suspects;
     coordination::broken_attempts m_broken;
 
-    transport::endpoint_pool m_pool;
     state::sharded_map<state::endpoint_id, std::uint64_t> m_completed_counts; // last reported value
     state::sharded_map<state::endpoint_id, std::uint32_t> m_refused_polls; // since the last report
     std::atomic<std::uint64_t> m_catalog_revision{0}; // revision that the catalog was built from
