End the backoff of a plain service's endpoint when it answers a call

What callers would see: an endpoint that has answered 421 five times in its life is left out for 4 s after each further one, however many calls it has served in between. Cause: the backoff of refusals doubles until the endpoint answers, but only streams recorded answers. Since plain services have the backoff too, theirs was never reset. Evidence: the new test fails on the code before: the backoff is 4000 ms after a served call. Change: a delivered answer and a failure that the endpoint reports are recorded for all calls.

--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -250,6 +250,9 @@
         co_return;
     }
     attempt.counted.reset();
+    if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed) {
+        m_dependencies.fleet.note_answer(runner.id, m_dependencies.now());
+    }
     // A plain service refuses calls for want of places too, which says nothing of the next call.
     if (end.outcome == attempt_outcome::not_run &&
         (call.service->engine || end.is_other_endpoint)) {
--- a/tests/transport/serving_front_test.cpp
+++ b/tests/transport/serving_front_test.cpp
@@ -353,3 +353,16 @@
     CHECK(fixture.ask("cut").status == 502);
     CHECK(fixture.answers == 1);
 }
+
+TEST_CASE("an answer of a plain service's endpoint ends the backoff of its refusals") {
+    front_fixture fixture;
+    const state::endpoint_id id("e0");
+    for (int i = 0; i < 5; ++i) {
+        fixture.fleet.note_refusal(id, fixture.now());
+        fixture.skipped_ms += coordination::fleet_table::max_refusal_backoff.count();
+    }
+    CHECK(fixture.fleet.find(id)->refusal_backoff ==
+          coordination::fleet_table::max_refusal_backoff);
+    CHECK(fixture.ask("served").status == 200);
+    CHECK(fixture.fleet.find(id)->refusal_backoff == 0ms);
+}
