--- a/tests/process/late_answer_test.cpp
+++ b/tests/process/late_answer_test.cpp
@@ -309,6 +309,29 @@
         return served;
     }
 
+    /// Sends requests that are rejected, and sends each again with its id: a copy of the rejection
+    /// comes in front of the answer to the next request on its connection. Returns how many were
+    /// served then.
+    int served_when_sent_again(const std::string& path) {
+        constexpr int requests = 10;
+        int served = 0;
+        for (int i = 0; i < requests; ++i) {
+            endpoint.set(own_answer, own_only);
+            call_until_served(path); // leaves an idle connection
+            endpoint.set([](const auto&,
+                            const auto& id) { return rejection("503 Service Unavailable", id); },
+                         own_only);
+            const auto rejected = call(path);
+            CHECK(rejected.answer.status == 503);
+            endpoint.set(own_answer, [](const auto& previous, const auto& own) {
+                const bool is_rejected = previous.find("Not-Executed") != std::string::npos;
+                return is_rejected ? previous + own : own;
+            });
+            served += is_served(call_once(path, rejected.id)) ? 1 : 0;
+        }
+        return served;
+    }
+
     static std::string own_body(const std::string& path, const std::string& id) {
         return path == "/feed/1" ? stream_body(id) : "ran " + id;
     }
@@ -321,9 +344,13 @@
     std::optional<kept_connection> callers; // one connection is served by one thread of the host
 
 private:
-    /// Sends one request and checks that what its caller sees is true.
+    /// Sends one request, with the next id or the given one, and checks that what its caller sees
+    /// is true.
     call_result call_once(const std::string& path) {
-        call_result result{"late-" + std::to_string(m_calls++), {}};
+        return call_once(path, "late-" + std::to_string(m_calls++));
+    }
+    call_result call_once(const std::string& path, const std::string& id) {
+        call_result result{id, {}};
         auto call_headers = headers(result.id);
         call_headers[3].second = "1500";
         result.answer = callers->fetch(path == "/look/1" ? http::verb::get : http::verb::post, path,
@@ -411,6 +438,14 @@
     }
 }
 
+TEST_CASE("edge: a second copy of a rejection doesn't reject a request that its caller repeats") {
+    late_fixture fixture;
+    for (const std::string path : paths) {
+        INFO(path);
+        CHECK(fixture.served_when_sent_again(path) == 10);
+    }
+}
+
 TEST_CASE("edge: a second copy of a rejection without an id doesn't reject the next request") {
     late_fixture fixture;
     const answer_hook rejects = [](const auto&, const auto&) {
