Leave out a plain service's endpoint only after two misdirected calls in a row

Cause: one 421 started the backoff. Where another runner has the address, each call is answered so. Change: the backoff starts with the second 421 without an answer of the endpoint in between.

--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -20,6 +20,7 @@
     runner.exclusions.clear();
     runner.has_order_in_pause = false;
     runner.refusal_backoff = state::milliseconds(0);
+    runner.is_misdirected = false;
     runner.is_order_in_progress = false;
     runner.awaits_report_since.reset();
     runner.time_factor = 1;
@@ -218,9 +219,19 @@
     m_runners.update_existing(id, [&](runner_view& runner) {
         runner.answered_at = now;
         runner.refusal_backoff = state::milliseconds(0);
+        runner.is_misdirected = false;
     });
 }
 
+void fleet_table::note_misdirected(const state::endpoint_id& id, state::time_point now) {
+    bool is_repeated = false;
+    m_runners.update_existing(
+        id, [&](runner_view& runner) { is_repeated = std::exchange(runner.is_misdirected, true); });
+    if (is_repeated) {
+        note_refusal(id, now);
+    }
+}
+
 void fleet_table::note_refusal(const state::endpoint_id& id, state::time_point now) {
     m_runners.update_existing(id, [&](runner_view& runner) {
         if (runner.exclusions.contains(exclusion_reason::not_serving, now) ||
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -43,9 +43,10 @@
     std::optional<state::time_point> silent_since;
     /// Until then, a peer's observation that the runner answers is valid.
     std::optional<state::time_point> peer_confirmed_until;
-    state::time_point cold_until{};                ///< until then, the rate of its calls is limited
-    runner_exclusions exclusions;                  ///< of this incarnation
-    state::milliseconds refusal_backoff{0};        ///< last backoff; 0 after an answer
+    state::time_point cold_until{};         ///< until then, the rate of its calls is limited
+    runner_exclusions exclusions;           ///< of this incarnation
+    state::milliseconds refusal_backoff{0}; ///< last backoff; 0 after an answer
+    bool is_misdirected = false; ///< since its last answer, another runner answered in its place
     bool has_order_in_pause = false;               ///< an order was sent in the last pause
     std::optional<state::time_point> last_head_at; ///< when it was last seen as a group's head
     bool is_order_in_progress = false;
@@ -123,8 +124,8 @@
     /// applied even though it counts fewer orders.
     static constexpr state::milliseconds max_report_lag{1'000};
 
-    /// A runner that refuses a call because it is not the head of an open group, or because
-    /// another runner has its address, gets no calls for this long. The time doubles with each
+    /// A runner that refuses a call because it is not the head of an open group, or at whose
+    /// address another one answers, gets no calls for this long. The time doubles with each
     /// further refusal up to the maximum, because this host's view of the runner may stay wrong
     /// while the host is isolated.
     static constexpr state::milliseconds min_refusal_backoff{250};
@@ -165,8 +166,11 @@
     /// valid until `until`.
     void note_peer_confirmation(const state::endpoint_id& id, state::time_point until);
     /// Records that the runner refused a call because it is not the head of an open
-    /// group or that another runner has its address, and starts a backoff.
+    /// group, and starts a backoff.
     void note_refusal(const state::endpoint_id& id, state::time_point now);
+    /// Records that another runner answered a call at the runner's address. Starts a backoff if
+    /// the runner has not answered since the last such call.
+    void note_misdirected(const state::endpoint_id& id, state::time_point now);
     /// Records that a call of this host failed. Excludes the runner from new calls until
     /// `until`.
     void avoid(const state::endpoint_id& id, state::time_point now, state::time_point until);
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -253,10 +253,10 @@
     if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed) {
         m_dependencies.fleet.note_answer(runner.id, m_dependencies.now());
     }
-    // A plain service refuses calls for want of places too, which says nothing of the next call.
-    if (end.outcome == attempt_outcome::not_run &&
-        (call.service->engine || end.is_other_endpoint)) {
+    if (end.outcome == attempt_outcome::not_run && call.service->engine) {
         m_dependencies.fleet.note_refusal(runner.id, m_dependencies.now());
+    } else if (end.is_other_endpoint) {
+        m_dependencies.fleet.note_misdirected(runner.id, m_dependencies.now());
     }
     if (end.outcome == attempt_outcome::lost && !call.caller_is_gone) {
         avoid(runner.id);
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -421,3 +421,22 @@
     fleet.note_pause(id, 5, start + 2s, start + 3s);
     CHECK(fleet.reserve_order(id, start + 2s));
 }
+
+TEST_CASE("a runner is left out after two misdirected calls without an answer between them") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    const auto is_left_out = [&](state::time_point now) {
+        return fleet.find(id)->exclusions.contains(exclusion_reason::not_serving, now);
+    };
+    fleet.note_misdirected(id, start);
+    CHECK_FALSE(is_left_out(start));
+    fleet.note_answer(id, start + 10ms);
+    fleet.note_misdirected(id, start + 20ms);
+    CHECK_FALSE(is_left_out(start + 20ms));
+    fleet.note_misdirected(id, start + 30ms);
+    CHECK(is_left_out(start + 30ms));
+    fleet.apply_entry(entry(6), start + 40ms); // it has started again
+    CHECK_FALSE(is_left_out(start + 40ms));
+    fleet.note_misdirected(id, start + 40ms);
+    CHECK_FALSE(is_left_out(start + 40ms));
+}
