Take the remaining answer tokens, which no host fills, out of the digests

Cause: endpoint_load::remaining_answer_tokens was always 0, yet each digest carried it and savoryrelayctl placement showed it as "left 0 tokens". Change: the field is gone from the digests, the command and the pages.

--- a/src/ctl/placement_command.cpp
+++ b/src/ctl/placement_command.cpp
@@ -101,8 +101,7 @@
         std::cout << "  " << to_text(row.at("endpoint")) << " "
                   << to_text(row.at("availability_zone")) << " " << to_text(row.at("verdict"))
                   << ": writing " << to_text(row.at("writing")) << ", waiting "
-                  << to_text(row.at("waiting")) << ", left "
-                  << to_whole(row.at("remaining_answer_tokens")) << " tokens, slowdown "
+                  << to_text(row.at("waiting")) << ", slowdown "
                   << to_text(row.at("time_factor")) << ", first event "
                   << to_whole(row.at("first_event_ms")) << " ms, gap "
                   << to_whole(row.at("event_gap_ms")) << " ms\n";
--- a/src/savoryrelay/protocol/placement/placement_messages.cpp
+++ b/src/savoryrelay/protocol/placement/placement_messages.cpp
@@ -62,7 +62,6 @@
             {"writing", candidate.load.writing},
             {"waiting", candidate.load.waiting},
             {"waiting_prompt_tokens", candidate.load.waiting_prompt_tokens},
-            {"remaining_answer_tokens", candidate.load.remaining_answer_tokens},
             {"time_factor", candidate.time_factor},
             {"first_event_ms", candidate.first_event_ms},
             {"event_gap_ms", candidate.event_gap_ms}};
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -40,7 +40,6 @@
     out.number(static_cast<std::uint16_t>(std::min(entry.load.writing, max_counter)));
     out.number(static_cast<std::uint16_t>(std::min(entry.load.waiting, max_counter)));
     write_amount(out, entry.load.waiting_prompt_tokens);
-    write_amount(out, entry.load.remaining_answer_tokens);
 }
 
 state::endpoint_load_entry read_load(bounded_reader& in) {
@@ -49,7 +48,6 @@
     entry.load.writing = in.number<std::uint16_t>();
     entry.load.waiting = in.number<std::uint16_t>();
     entry.load.waiting_prompt_tokens = read_amount(in);
-    entry.load.remaining_answer_tokens = read_amount(in);
     return entry;
 }
 
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -20,14 +20,11 @@
     std::uint32_t writing = 0;        ///< streams whose first event was received
     std::uint32_t waiting = 0;        ///< calls that wait for their first event
     double waiting_prompt_tokens = 0; ///< prompt tokens of the waiting calls
-    /// Answer tokens that the calls are expected to be sent from now on.
-    double remaining_answer_tokens = 0;
 
     endpoint_load& operator+=(const endpoint_load& other) {
         writing += other.writing;
         waiting += other.waiting;
         waiting_prompt_tokens += other.waiting_prompt_tokens;
-        remaining_answer_tokens += other.remaining_answer_tokens;
         return *this;
     }
     /// Takes `other` off, down to 0: the two may have been counted at different times.
@@ -35,8 +32,6 @@
         writing -= std::min(writing, other.writing);
         waiting -= std::min(waiting, other.waiting);
         waiting_prompt_tokens = std::max(0.0, waiting_prompt_tokens - other.waiting_prompt_tokens);
-        remaining_answer_tokens =
-            std::max(0.0, remaining_answer_tokens - other.remaining_answer_tokens);
         return *this;
     }
 };
