Keep the calls of all hosts within the rate that a runner names

Cause: a host knew the loads in flight at a runner but no rate that the runner takes from all hosts together. Change: the rate is decoded at the boundary, kept with the runner's incarnation, passed on to the other hosts, and ended by an answer without it to a call that was sent later. Each host adds the calls that it wants to send and sends to the digests, and sends the same share of what it wants, so that all hosts together keep to the rate; the share falls if more was sent. A host that hears fewer than half of the others takes only a part. A call that no endpoint can take within its rate is refused at once, all_limited, with a spread Retry-After. Admission counts a group for what its head takes.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -87,11 +87,24 @@
       m_groups(m_threads, m_store, m_shared, m_signals, m_settings, m_incarnation, read_clock),
       m_peers(m_threads, m_account, m_store, m_shared, m_tables, m_groups, m_signals, m_settings,
               m_incarnation, read_clock),
+      m_call_rates(
+          m_shared.loads,
+          {.host_count = [this] { return m_shared.host_count.load(); },
+           .heard_hosts = [this](state::time_point now) { return m_shared.hosts.heard_hosts(now); },
+           .host_hashes = [this] { return m_shared.hosts.name_hashes(); }}),
       m_selector(m_shared.fleet, m_shared.loads, m_shared.correction, m_shared.own_host,
                  {.zones_out_of_service = [this] { return m_shared.zones_out_of_service.load(); },
                   .host_count = [this] { return m_shared.host_count.load(); },
                   .host_hashes = [this] { return m_shared.hosts.name_hashes(); },
-                  .random = make_random(m_incarnation)}),
+                  .random = make_random(m_incarnation),
+                  .admit_limited =
+                      [this](const coordination::runner_view& runner, state::time_point now) {
+                          return m_call_rates.admit(runner, now);
+                      },
+                  .call_shortage =
+                      [this](const coordination::runner_view& runner, state::time_point now) {
+                          return m_call_rates.shortage(runner, now);
+                      }}),
       m_explainer(m_shared.fleet, m_shared.loads, m_selector, m_shared.own_host.name,
                   [this] { return m_shared.zones_out_of_service.load(); }),
       m_admission(
@@ -112,6 +125,10 @@
                [this](const state::runner_record& runner, const state::answer_head& answer) {
                    m_signals.note_answer(runner, answer);
                },
+               [this](const state::runner_record& runner, const state::answer_head& answer,
+                      state::time_point sent_at) {
+                   m_signals.note_call_rate(runner, answer, sent_at, true);
+               },
                read_clock, &m_admission}) {}
 
 edge_host::~edge_host() {
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -55,6 +55,7 @@
     store_part m_tables;
     group_part m_groups;
     peer_part m_peers;
+    coordination::call_rate_limiter m_call_rates;
     coordination::endpoint_selector m_selector;
     coordination::placement_explainer m_explainer;
     coordination::serving_admission m_admission;
--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -185,8 +185,10 @@
 }
 
 platform::answer_head_hook group_part::signal_hook(const state::runner_record& runner) {
-    return
-        [this, runner](const state::answer_head& answer) { m_signals.note_answer(runner, answer); };
+    return [this, runner, sent_at = m_now()](const state::answer_head& answer) {
+        m_signals.note_answer(runner, answer);
+        m_signals.note_call_rate(runner, answer, sent_at, false);
+    };
 }
 
 asio::awaitable<void> group_part::poll_for_controller(state::runner_record runner) {
--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -86,6 +86,8 @@
            .runners_to_confirm = [this] { return m_groups.runners_to_confirm(); },
            .leaving_runners =
                [this](state::time_point at) { return m_shared.fleet.recently_leaving(at); },
+           .call_rates =
+               [this](state::time_point at) { return m_shared.fleet.recent_call_rates(at); },
            .crash_notices =
                [this](state::time_point at) { return m_shared.crashes.due_notices(at); }}) {}
 
@@ -196,6 +198,7 @@
     }
     apply_observations(digest, now);
     m_signals.note_peer_notices(digest.leaving_runners);
+    m_signals.note_peer_notices(digest.call_rates);
     for (const auto& notice : digest.crash_notices) {
         m_shared.crashes.apply(notice, now);
     }
--- a/src/edge/runner_signals.cpp
+++ b/src/edge/runner_signals.cpp
@@ -46,6 +46,64 @@
     }
 }
 
+void runner_signals::note_call_rate(const state::runner_record& runner,
+                                    const state::answer_head& answer, state::time_point sent_at,
+                                    bool is_call) {
+    using state::call_rate_reading;
+    if (answer.is_other_endpoint) {
+        return; // the answer says nothing of this runner
+    }
+    const auto now = m_now();
+    switch (answer.call_rate_field) {
+    case call_rate_reading::valid:
+        break;
+    case call_rate_reading::absent: {
+        // An answer to a request that was sent before the limit was named is no sign of its end.
+        const auto known = m_shared.fleet.find(runner.id);
+        if (!is_call || !known || !known->call_rate.calls_per_s ||
+            sent_at <= known->call_rate.shown_at) {
+            return;
+        }
+        break;
+    }
+    case call_rate_reading::conflicting:
+    case call_rate_reading::unreadable:
+        m_shared.metrics
+            .counter_of("savoryrelay_runner_call_rates_damaged_total",
+                        {{"reading", std::string(state::to_name(answer.call_rate_field))}})
+            .add();
+        if (!answer.call_rate_limit) {
+            return;
+        }
+        break;
+    }
+    apply_call_rate({runner.id, runner.started_ms, answer.call_rate_limit, milliseconds(0)},
+                    exclusion_source::answer, now, now);
+}
+
+void runner_signals::apply_call_rate(const state::call_rate_notice& rate, exclusion_source source,
+                                     state::time_point shown_at, state::time_point now) {
+    if (!m_shared.fleet.note_call_rate(rate.id, rate.started_ms, rate.calls_per_s, source, shown_at,
+                                       now)) {
+        return;
+    }
+    const std::string source_name(state::to_name(source));
+    m_shared.metrics.counter_of("savoryrelay_runner_call_rates_total", {{"source", source_name}})
+        .add();
+    transport::log_info("runner_call_rate",
+                        {{"runner", rate.id.value()},
+                         {"calls_per_s", rate.calls_per_s ? std::to_string(*rate.calls_per_s) : ""},
+                         {"source", source_name},
+                         {"started_ms", std::to_string(rate.started_ms)}});
+}
+
+void runner_signals::note_peer_notices(const std::vector<state::call_rate_notice>& rates) {
+    const auto now = m_now();
+    for (const auto& rate : rates) {
+        apply_call_rate(rate, exclusion_source::peer, now - rate.age, now);
+    }
+}
+
 void runner_signals::note_peer_notices(const std::vector<state::leaving_runner>& runners) {
     for (const auto& runner : runners) {
         note_leaving(runner.id, runner.started_ms, exclusion_source::peer, m_now());
--- a/src/edge/runner_signals.h
+++ b/src/edge/runner_signals.h
@@ -1,5 +1,5 @@
-// Records what runners say of themselves in the heads of their answers: that they leave, or
-// that they want a pause.
+// Records what runners say of themselves in the heads of their answers: that they leave, that
+// they want a pause, or how many calls a second they take.
 #pragma once
 
 #include "shared_state.h"
@@ -21,12 +21,20 @@
 
     /// Records the head of an answer of `runner` to this host.
     void note_answer(const state::runner_record& runner, const state::answer_head& answer);
+    /// Records the rate of calls in the head of an answer of `runner` to a request that was sent at
+    /// `sent_at`. `is_call` is false for reports and orders, whose answers may leave the rate out.
+    void note_call_rate(const state::runner_record& runner, const state::answer_head& answer,
+                        state::time_point sent_at, bool is_call);
     /// Records that a peer announced leaving runners.
     void note_peer_notices(const std::vector<state::leaving_runner>& runners);
+    /// Records that a peer announced rates of calls.
+    void note_peer_notices(const std::vector<state::call_rate_notice>& rates);
 
 private:
     void note_leaving(const state::endpoint_id& runner, std::uint64_t started_ms,
                       coordination::exclusion_source source, state::time_point now);
+    void apply_call_rate(const state::call_rate_notice& rate, coordination::exclusion_source source,
+                         state::time_point shown_at, state::time_point now);
     void note_damaged_pause(const state::endpoint_id& runner, const state::answer_head& answer,
                             state::time_point now);
 
--- a/src/edge/state_gauges.cpp
+++ b/src/edge/state_gauges.cpp
@@ -27,11 +27,13 @@
     std::map<std::pair<std::string, std::string>, std::int64_t> groups;
     std::int64_t listed = 0;
     std::int64_t silent = 0;
+    std::int64_t limited = 0;
     std::map<coordination::exclusion_reason, std::int64_t> excluded;
     const auto fleet = shared.fleet.snapshot();
     for (const auto& runner : *fleet) {
         listed += runner.is_listed(now) ? 1 : 0;
         silent += runner.silent_since ? 1 : 0;
+        limited += runner.is_listed(now) && runner.call_rate.calls_per_s ? 1 : 0;
         for (const auto& row : state::enum_table<coordination::exclusion_reason>::rows) {
             excluded[row.value] +=
                 runner.is_listed(now) && runner.exclusions.contains(row.value, now) ? 1 : 0;
@@ -43,6 +45,7 @@
     }
     set("savoryrelay_runners_listed", listed);
     set("savoryrelay_runners_silent", silent);
+    set("savoryrelay_runners_limited", limited);
     for (const auto& row : state::enum_table<coordination::exclusion_reason>::rows) {
         set("savoryrelay_runners_excluded", excluded[row.value],
             {{"reason", std::string(row.name)}});
@@ -61,7 +64,7 @@
     }
     std::int64_t waiting = 0;
     std::int64_t writing = 0;
-    for (const auto& entry : shared.loads.own()) {
+    for (const auto& entry : shared.loads.own(now)) {
         waiting += entry.load.waiting;
         writing += entry.load.writing;
     }
--- a/src/savoryrelay/coordination/admission/admission_plan.cpp
+++ b/src/savoryrelay/coordination/admission/admission_plan.cpp
@@ -43,7 +43,7 @@
     double calls = 0;
     double waiting_tokens = 0;
     for (const auto& group : groups) {
-        supply.groups += 1 / std::max(1.0, group.time_factor);
+        supply.groups += std::min(1 / std::max(1.0, group.time_factor), group.usable_share);
         calls += group.load.writing + group.load.waiting;
         waiting_tokens += group.load.waiting_prompt_tokens;
     }
--- a/src/savoryrelay/coordination/admission/admission_plan.h
+++ b/src/savoryrelay/coordination/admission/admission_plan.h
@@ -13,7 +13,8 @@
 
 /// What the groups of one model can take, as one host sees it.
 struct model_supply {
-    double groups = 0;         ///< open groups, each divided by its slowdown factor
+    /// Open groups, each divided by its slowdown factor and counted for what its head takes.
+    double groups = 0;
     double occupancy = 0;      ///< calls in flight over the places of the groups
     double waiting_chunks = 0; ///< prompts that wait at a group, in chunks
     double call_duration_ms{}; ///< of a usual answer in a full batch
--- a/src/savoryrelay/coordination/exchange/digest_exchange.cpp
+++ b/src/savoryrelay/coordination/exchange/digest_exchange.cpp
@@ -19,12 +19,14 @@
 
     own.scope = receivers.is_hub ? digest_scope::hub : digest_scope::member;
     own.host_count = static_cast<std::uint32_t>(m_hosts.member_count(now));
+    own.heard_hosts = own.host_count;
 
     // Members learn what all hosts know, other hosts only that this one is there.
     if (receivers.is_hub && !receivers.members.empty() && m_round % rounds_per_fleet_digest == 0) {
         auto fleet = own;
         fleet.scope = digest_scope::fleet;
         fleet.host_count = static_cast<std::uint32_t>(m_hosts.host_count(now));
+        fleet.heard_hosts = static_cast<std::uint32_t>(m_hosts.heard_hosts(now));
         fleet.peers = m_hosts.sample(m_round, peers_per_digest);
         fleet.loads = m_sources.loads(digest_scope::fleet, now);
         fleet.work = m_sources.work(digest_scope::fleet, now);
@@ -44,8 +46,10 @@
     auto noticed = own;
     noticed.part = peer_digest::notices_only;
     noticed.leaving_runners = m_sources.leaving_runners(now);
+    noticed.call_rates = m_sources.call_rates(now);
     noticed.crash_notices = m_sources.crash_notices(now);
-    if (!noticed.leaving_runners.empty() || !noticed.crash_notices.empty()) {
+    if (!noticed.leaving_runners.empty() || !noticed.call_rates.empty() ||
+        !noticed.crash_notices.empty()) {
         auto notified = receivers.hubs;
         notified.insert(notified.end(), receivers.members.begin(), receivers.members.end());
         outgoing.push_back({std::move(noticed), std::move(notified)});
--- a/src/savoryrelay/coordination/exchange/digest_exchange.h
+++ b/src/savoryrelay/coordination/exchange/digest_exchange.h
@@ -25,6 +25,7 @@
     std::function<std::vector<state::runner_observation>(state::time_point now)> observations;
     std::function<std::vector<state::endpoint_id>()> runners_to_confirm;
     std::function<std::vector<state::leaving_runner>(state::time_point now)> leaving_runners;
+    std::function<std::vector<state::call_rate_notice>(state::time_point now)> call_rates;
     std::function<std::vector<state::crash_notice>(state::time_point now)> crash_notices;
 };
 
--- a/src/savoryrelay/coordination/exchange/host_directory.h
+++ b/src/savoryrelay/coordination/exchange/host_directory.h
@@ -78,6 +78,9 @@
     /// Returns the number of hosts, this one included, as this host or a hub that it hears
     /// has counted them.
     [[nodiscard]] std::size_t host_count(state::time_point now) const;
+    /// Returns the number of hosts, this one included, whose loads reach this host now, directly
+    /// or through hubs.
+    [[nodiscard]] std::size_t heard_hosts(state::time_point now) const;
     /// Returns the number of hosts that report to this one, which is included.
     [[nodiscard]] std::size_t member_count(state::time_point now) const;
     /// Returns the hashes of the names of all known hosts; the first is that of this host.
@@ -103,8 +106,12 @@
         bool has_lost_store = false;
         state::digest_scope scope = state::digest_scope::member;
         std::size_t counted_hosts = 0; // by a hub, among the hosts of `scope`
+        std::size_t heard_hosts = 0;   // by a hub, those of them whose loads it has
     };
     [[nodiscard]] static bool is_silent(const known_host& host, state::time_point now);
+    /// Adds up `count` of the hubs heard within `max_age`, and the members heard so lately.
+    [[nodiscard]] std::size_t sum_hosts(std::size_t known_host::*count, state::milliseconds max_age,
+                                        state::time_point now) const;
     static void set_name(known_host& host, const std::string& name);
     void update_roles(state::time_point now);
     void await(const std::vector<state::member_address>& addresses, state::time_point now);
--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -74,8 +74,14 @@
                           state::milliseconds time_left, state::time_point now,
                           const std::optional<placement_limits>& limits) {
     return select_admitted(
-        service, call, excluded, time_left, now, limits,
-        [&](const runner_view& runner) { return admit_cold_call(service, runner, now); });
+        service, call, excluded, time_left, now, limits, [&](const runner_view& runner) {
+            if (!admit_cold_call(service, runner, now)) {
+                return call_admission::cold;
+            }
+            return !runner.call_rate.calls_per_s || m_hooks.admit_limited(runner, now)
+                       ? call_admission::admitted
+                       : call_admission::limited;
+        });
 }
 
 std::variant<selected_endpoint, selection_failure>
@@ -87,7 +93,27 @@
         time_left = std::min(time_left, route.timeout);
     }
     return select_admitted(service, call, {}, time_left, now, limits,
-                           [](const runner_view&) { return true; });
+                           [](const runner_view&) { return call_admission::admitted; });
+}
+
+state::milliseconds endpoint_selector::retry_after_limits(const state::service_rule& service,
+                                                          const state::serving_call& call,
+                                                          state::time_point now) const {
+    // Time in which the calls of one second can be sent.
+    constexpr std::chrono::duration<double, std::milli> rate_window{1'000};
+    double least_shortage = 0;
+    const auto fleet = m_fleet.snapshot();
+    for (const auto* runner : find_endpoints(*fleet, service, call.model)) {
+        if (runner->call_rate.calls_per_s && runner->may_take_calls(now)) {
+            const double shortage = m_hooks.call_shortage(*runner, now);
+            least_shortage = least_shortage == 0 ? shortage : std::min(least_shortage, shortage);
+        }
+    }
+    constexpr std::uint64_t steps = 1'000;
+    const double spread = static_cast<double>(m_hooks.random() % steps) / steps;
+    const auto wait = std::chrono::duration_cast<state::milliseconds>(
+        rate_window * std::max(1.0, least_shortage) * spread);
+    return std::clamp(wait, call_rate_limiter::min_retry_after, call_rate_limiter::max_retry_after);
 }
 
 group_prediction endpoint_selector::predict_at(const state::engine_rule& engine,
@@ -102,7 +128,7 @@
     const state::service_rule& service, const state::serving_call& call,
     const std::set<state::endpoint_id>& excluded, state::milliseconds time_left,
     state::time_point now, const std::optional<placement_limits>& limits,
-    const admit_cold_hook& admit_cold) const {
+    const admit_call_hook& admit) const {
     const auto fleet = m_fleet.snapshot();
     const auto* model = service.engine ? service.engine->find_model(call.model) : nullptr;
     auto runners = find_endpoints(*fleet, service, call.model);
@@ -110,6 +136,7 @@
         return !runner->may_take_calls(now) || excluded.contains(runner->record.id);
     });
     bool is_cold_limit_reached = false;
+    bool is_rate_reached = false;
     while (!runners.empty()) {
         auto selected = service.engine
                             ? select_group(service, *model, call, runners, time_left, now, limits)
@@ -118,8 +145,10 @@
             // The snapshot may be older than what the endpoint has said.
             const auto known = m_fleet.find(endpoint->runner.record.id);
             const bool is_unwanted = !known || known->wants_no_calls(now);
-            if (is_unwanted || !admit_cold(endpoint->runner)) {
-                is_cold_limit_reached = is_cold_limit_reached || !is_unwanted;
+            const auto admission = is_unwanted ? call_admission::admitted : admit(*known);
+            if (is_unwanted || admission != call_admission::admitted) {
+                is_cold_limit_reached = is_cold_limit_reached || admission == call_admission::cold;
+                is_rate_reached = is_rate_reached || admission == call_admission::limited;
                 std::erase_if(runners, [&](const auto* each) {
                     return each->record.id == endpoint->runner.record.id;
                 });
@@ -132,6 +161,9 @@
     if (is_cold_limit_reached) {
         return selection_failure::all_full;
     }
+    if (is_rate_reached) {
+        return selection_failure::all_limited;
+    }
     return paused_until(service, call, now) ? selection_failure::all_paused
                                             : selection_failure::none_in_service;
 }
@@ -193,7 +225,17 @@
     const auto fleet = m_fleet.snapshot();
     auto heads = find_endpoints(*fleet, service, model.name);
     std::erase_if(heads, [&](const auto* head) { return !head->may_take_calls(now); });
-    return measure_supply(*service.engine, model, make_candidates(heads, m_loads.all(now)));
+    auto candidates = make_candidates(heads, m_loads.all(now));
+    state::serving_call usual_call;
+    usual_call.prompt_tokens = service.engine->usual_prompt_tokens;
+    constexpr double ms_per_s = 1'000;
+    const double work_s = call_work_ms(*service.engine, model, usual_call) / ms_per_s;
+    for (std::size_t i = 0; i < heads.size(); ++i) {
+        if (const auto& limit = heads[i]->call_rate.calls_per_s) {
+            candidates[i].usable_share = std::min(1.0, *limit * work_s);
+        }
+    }
+    return measure_supply(*service.engine, model, candidates);
 }
 
 std::vector<group_candidate>
--- a/src/savoryrelay/coordination/serving/endpoint_selector.h
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "savoryrelay/coordination/admission/admission_plan.h"
+#include "savoryrelay/coordination/serving/call_rate_limiter.h"
 #include "savoryrelay/coordination/serving/fleet_table.h"
 #include "savoryrelay/coordination/serving/group_choice.h"
 #include "savoryrelay/coordination/serving/group_sample.h"
@@ -40,6 +41,7 @@
     none_in_service, ///< no endpoint is available for this call
     all_paused,      ///< every endpoint for this call has asked this host for a pause
     all_full,        ///< every available endpoint is at its limit of calls
+    all_limited,     ///< every available endpoint gets all the calls a second that it takes
     too_late,        ///< the chosen endpoint is predicted to answer after the deadline
     none_in_time,    ///< none of the compared groups is predicted to be within the limits
 };
@@ -59,6 +61,7 @@
         enum_name<f>{f::none_in_service, "none_in_service"},
         enum_name<f>{f::all_paused, "all_paused"},
         enum_name<f>{f::all_full, "all_full"},
+        enum_name<f>{f::all_limited, "all_limited"},
         enum_name<f>{f::too_late, "too_late"},
         enum_name<f>{f::none_in_time, "none_in_time"},
     };
@@ -66,6 +69,27 @@
 
 namespace savoryrelay::coordination {
 
+/// Whether one more call may be sent to an endpoint.
+enum class call_admission {
+    admitted,
+    cold,    ///< the endpoint is cold, and this host has used its share of the calls
+    limited, ///< the endpoint gets all the calls a second that it takes
+};
+
+} // namespace savoryrelay::coordination
+
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::coordination::call_admission> {
+    using a = savoryrelay::coordination::call_admission;
+    static constexpr std::array rows{
+        enum_name<a>{a::admitted, "admitted"},
+        enum_name<a>{a::cold, "cold"},
+        enum_name<a>{a::limited, "limited"},
+    };
+};
+
+namespace savoryrelay::coordination {
+
 /// Dependencies of the selector.
 struct selector_hooks {
     std::function<std::shared_ptr<const std::set<state::availability_zone_id>>()>
@@ -76,6 +100,13 @@
     /// endpoint; the first is that of this host.
     std::function<std::vector<std::uint64_t>()> host_hashes;
     random_hook random;
+    /// Returns whether a call may be sent to a runner that has named a rate of calls, and counts
+    /// it.
+    std::function<bool(const runner_view& runner, state::time_point now)> admit_limited =
+        [](const auto&, auto) { return true; };
+    /// Returns how many times its limit the hosts want to send to a runner.
+    std::function<double(const runner_view& runner, state::time_point now)> call_shortage =
+        [](const auto&, auto) { return 1.0; };
     choose_group_hook choose = choose_group;
 };
 
@@ -98,8 +129,8 @@
     select(const state::service_rule& service, const state::serving_call& call,
            const std::set<state::endpoint_id>& excluded, state::milliseconds time_left,
            state::time_point now, const std::optional<placement_limits>& limits = std::nullopt);
-    /// Returns what `select` would return for a call of `route` that arrives now, without counting
-    /// a call against the limit of a cold endpoint.
+    /// Returns what `select` would return for a call of `route` that arrives now, apart from the
+    /// limits of cold endpoints and of those that have named a rate of calls.
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
     preview(const state::service_rule& service, const state::route_rule& route,
             const state::serving_call& call, state::time_point now,
@@ -119,15 +150,21 @@
                                                                 const state::serving_call& call,
                                                                 state::time_point now) const;
 
+    /// Returns when the caller of a call that was refused because of the rates of its endpoints
+    /// should come back. The times are spread, so that such callers return apart.
+    [[nodiscard]] state::milliseconds retry_after_limits(const state::service_rule& service,
+                                                         const state::serving_call& call,
+                                                         state::time_point now) const;
+
 private:
-    /// Returns whether a cold endpoint may take one more call.
-    using admit_cold_hook = std::function<bool(const runner_view&)>;
+    /// Decides whether an endpoint may take one more call, and counts it.
+    using admit_call_hook = std::function<call_admission(const runner_view&)>;
 
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
     select_admitted(const state::service_rule& service, const state::serving_call& call,
                     const std::set<state::endpoint_id>& excluded, state::milliseconds time_left,
                     state::time_point now, const std::optional<placement_limits>& limits,
-                    const admit_cold_hook& admit_cold) const;
+                    const admit_call_hook& admit) const;
     /// Returns a head and what is known of its group as a candidate for a call.
     [[nodiscard]] group_candidate make_candidate(const runner_view& head,
                                                  const state::endpoint_load& load) const;
--- a/src/savoryrelay/coordination/serving/fleet_table.cpp
+++ b/src/savoryrelay/coordination/serving/fleet_table.cpp
@@ -18,6 +18,7 @@
     runner.reported_at.reset();
     runner.own_report_at.reset();
     runner.exclusions.clear();
+    runner.call_rate = {};
     runner.has_order_in_pause = false;
     runner.refusal_backoff = state::milliseconds(0);
     runner.is_order_in_progress = false;
@@ -281,6 +282,43 @@
     return is_new;
 }
 
+bool fleet_table::note_call_rate(const state::endpoint_id& id, std::uint64_t started_ms,
+                                 std::optional<double> calls_per_s, exclusion_source source,
+                                 state::time_point shown_at, state::time_point now) {
+    bool is_changed = false;
+    m_runners.update_existing(id, [&](runner_view& runner) {
+        auto& known = runner.call_rate;
+        if (runner.record.started_ms != started_ms || shown_at <= known.shown_at) {
+            return;
+        }
+        known.shown_at = shown_at;
+        if (known.calls_per_s != calls_per_s) {
+            known.calls_per_s = calls_per_s;
+            known.source = source;
+            known.learned_at = now;
+            is_changed = true;
+        }
+    });
+    if (is_changed) {
+        m_is_changed = true;
+    }
+    return is_changed;
+}
+
+std::vector<state::call_rate_notice> fleet_table::recent_call_rates(state::time_point now) const {
+    std::vector<state::call_rate_notice> all;
+    m_runners.for_each([&](const state::endpoint_id& id, const runner_view& runner) {
+        const auto& known = runner.call_rate;
+        if (known.learned_at != state::time_point{} &&
+            now - known.learned_at < call_rate_announced_for &&
+            all.size() < max_call_rates_announced) {
+            all.push_back({id, runner.record.started_ms, known.calls_per_s,
+                           std::chrono::duration_cast<state::milliseconds>(now - known.shown_at)});
+        }
+    });
+    return all;
+}
+
 bool fleet_table::reserve_order(const state::endpoint_id& id, state::time_point now) {
     bool is_reserved = true;
     m_runners.update_existing(id, [&](runner_view& runner) {
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -17,6 +17,14 @@
 
 namespace savoryrelay::coordination {
 
+/// The rate of calls that a runner takes from all hosts together, as this host knows it.
+struct runner_call_rate {
+    std::optional<double> calls_per_s; ///< empty: the runner names no limit
+    exclusion_source source = exclusion_source::answer;
+    state::time_point shown_at{};   ///< arrival of the newest answer that showed it, at any host
+    state::time_point learned_at{}; ///< when this host learned of the present rate
+};
+
 /// A runner as this host knows it.
 struct runner_view {
     /// How long a former head is still reported to other hosts. Covers the lag of
@@ -45,6 +53,7 @@
     std::optional<state::time_point> peer_confirmed_until;
     state::time_point cold_until{};                ///< until then, the rate of its calls is limited
     runner_exclusions exclusions;                  ///< of this incarnation
+    runner_call_rate call_rate;                    ///< of this incarnation
     state::milliseconds refusal_backoff{0};        ///< last backoff; 0 after an answer
     bool has_order_in_pause = false;               ///< an order was sent in the last pause
     std::optional<state::time_point> last_head_at; ///< when it was last seen as a group's head
@@ -138,6 +147,10 @@
     static constexpr state::milliseconds leaving_announced_for{1'200};
     /// The most leaving runners that a host announces at a time.
     static constexpr std::size_t max_leaving_announced = 64;
+    /// A host tells the others of a changed rate of calls for this long.
+    static constexpr state::milliseconds call_rate_announced_for{1'200};
+    /// The most rates of calls that a host announces at a time.
+    static constexpr std::size_t max_call_rates_announced = 128;
 
     fleet_table() : m_snapshot(fleet_snapshot{}) {}
 
@@ -178,6 +191,15 @@
     /// `until`. Returns whether a pause begins.
     bool note_pause(const state::endpoint_id& id, std::uint64_t started_ms, state::time_point now,
                     state::time_point until);
+    /// Records that an answer of the runner's incarnation `started_ms`, which arrived at
+    /// `shown_at`, named the rate `calls_per_s` or none. An older answer changes nothing. Returns
+    /// whether the rate has changed.
+    bool note_call_rate(const state::endpoint_id& id, std::uint64_t started_ms,
+                        std::optional<double> calls_per_s, exclusion_source source,
+                        state::time_point shown_at, state::time_point now);
+    /// Returns the rates of calls that have changed lately.
+    [[nodiscard]] std::vector<state::call_rate_notice>
+    recent_call_rates(state::time_point now) const;
     /// Returns whether an order may be sent to the runner, and counts it. In a pause, only the
     /// first one may be.
     bool reserve_order(const state::endpoint_id& id, state::time_point now);
--- a/src/savoryrelay/coordination/serving/group_choice.h
+++ b/src/savoryrelay/coordination/serving/group_choice.h
@@ -18,6 +18,8 @@
     double time_factor = 1;        ///< slowdown factor of the group; above 1 when it is slow
     double zone_round_trip_ms = 0; ///< round trip to the head
     state::endpoint_load load;     ///< calls in flight from all hosts
+    /// Share of a group that the calls keep busy which the head takes by the rate that it named.
+    double usable_share = 1;
 };
 
 /// Predicted times of a group that takes one more call.
--- a/src/savoryrelay/coordination/serving/load_tracker.cpp
+++ b/src/savoryrelay/coordination/serving/load_tracker.cpp
@@ -1,9 +1,31 @@
 // Counts calls in flight.
 #include "savoryrelay/coordination/serving/load_tracker.h"
 
+#include <algorithm>
 #include <cassert>
+#include <cstdint>
 
 namespace savoryrelay::coordination {
+namespace {
+
+// Wanted calls count half after the time in which the limit allows this many of them: an average
+// of fewer calls would say little.
+constexpr double calls_per_half_life = 2;
+constexpr state::milliseconds min_wanted_half_life{200};
+constexpr state::milliseconds max_wanted_half_life{10'000};
+constexpr state::milliseconds sent_half_life{1'500};
+// Lower rates are not reported.
+constexpr double min_reported_per_s = 0.01;
+
+state::milliseconds wanted_half_life(double limit_per_s) {
+    constexpr double ms_per_s = 1'000;
+    const auto longest = static_cast<double>(max_wanted_half_life.count());
+    const auto shortest = static_cast<double>(min_wanted_half_life.count());
+    const double ms = limit_per_s > 0 ? ms_per_s * calls_per_half_life / limit_per_s : longest;
+    return state::milliseconds(static_cast<std::int64_t>(std::clamp(ms, shortest, longest)));
+}
+
+} // namespace
 
 void load_tracker::begin_call(const state::endpoint_id& endpoint, double prompt_tokens) {
     m_own.update(endpoint, [&](state::endpoint_load& load) {
@@ -38,6 +60,31 @@
     });
 }
 
+void load_tracker::note_wanted_call(const state::endpoint_id& endpoint, double limit_per_s,
+                                    state::time_point now) {
+    m_own_limited.update(endpoint, [&](limited_calls& calls) {
+        const auto half_life = wanted_half_life(limit_per_s);
+        if (calls.wanted_half_life != half_life) {
+            calls.wanted_half_life = half_life;
+            calls.wanted = {};
+        }
+        calls.wanted.note(now, half_life);
+    });
+}
+
+void load_tracker::note_limited_call(const state::endpoint_id& endpoint, state::time_point now) {
+    m_own_limited.update(endpoint,
+                         [&](limited_calls& calls) { calls.sent.note(now, sent_half_life); });
+}
+
+void load_tracker::add_rates(state::endpoint_load& load, const limited_calls& calls,
+                             state::time_point now) {
+    if (calls.wanted_half_life.count() > 0) {
+        load.wanted_calls_per_s += calls.wanted.per_s(now, calls.wanted_half_life);
+    }
+    load.sent_calls_per_s += calls.sent.per_s(now, sent_half_life);
+}
+
 void load_tracker::apply_peer(const std::string& source, state::digest_scope scope,
                               std::vector<state::endpoint_load_entry> loads,
                               state::time_point now) {
@@ -61,17 +108,56 @@
     });
 }
 
-std::vector<state::endpoint_load_entry> load_tracker::own() const {
+std::vector<state::endpoint_load_entry> load_tracker::own(state::time_point now) const {
+    loads_by_endpoint own;
+    add_own(own, now);
     std::vector<state::endpoint_load_entry> loads;
-    m_own.for_each([&](const auto& id, const auto& load) { loads.push_back({id, load}); });
+    for (const auto& [id, load] : own) {
+        loads.push_back({id, load});
+    }
     return loads;
 }
 
+void load_tracker::add_own(loads_by_endpoint& loads, state::time_point now) const {
+    m_own.for_each([&](const auto& id, const auto& load) { loads[id] += load; });
+    m_own_limited.for_each([&](const auto& id, const limited_calls& calls) {
+        state::endpoint_load rates;
+        add_rates(rates, calls, now);
+        if (rates.wanted_calls_per_s + rates.sent_calls_per_s >= min_reported_per_s) {
+            loads[id] += rates;
+        }
+    });
+}
+
+state::endpoint_load load_tracker::load_of(const state::endpoint_id& endpoint,
+                                           state::time_point now) const {
+    auto load = m_own.find(endpoint).value_or(state::endpoint_load{});
+    if (const auto calls = m_own_limited.find(endpoint)) {
+        add_rates(load, *calls, now);
+    }
+    m_peers.for_each([&](const auto&, const peer_loads& peer) {
+        if (now - peer.at > peer_load_age) {
+            return;
+        }
+        for (const auto& entry : peer.loads) {
+            if (entry.endpoint == endpoint) {
+                load += entry.load;
+            }
+        }
+    });
+    return load;
+}
+
 std::vector<state::endpoint_load_entry> load_tracker::report(state::digest_scope scope,
                                                              state::time_point now) {
     using state::digest_scope;
+    m_own_limited.erase_if([&](const auto&, const limited_calls& calls) {
+        state::endpoint_load rates;
+        add_rates(rates, calls, now);
+        return rates.wanted_calls_per_s + rates.sent_calls_per_s < min_reported_per_s;
+    });
     if (scope == digest_scope::member) {
-        auto loads = own();
+        auto loads = own(now);
         loads_by_endpoint reported;
         for (const auto& entry : loads) {
             reported.emplace(entry.endpoint, entry.load);
@@ -88,7 +174,7 @@
 
 load_tracker::loads_by_endpoint load_tracker::sum(state::time_point now, bool members_only) const {
     loads_by_endpoint loads;
-    m_own.for_each([&](const auto& id, const auto& load) { loads[id] += load; });
+    add_own(loads, now);
     m_peers.for_each([&](const auto&, const peer_loads& peer) {
         if (now - peer.at <= peer_load_age &&
             (!members_only || peer.scope == state::digest_scope::member)) {
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -40,6 +40,8 @@
     out.number(static_cast<std::uint16_t>(std::min(entry.load.writing, max_counter)));
     out.number(static_cast<std::uint16_t>(std::min(entry.load.waiting, max_counter)));
     write_amount(out, entry.load.waiting_prompt_tokens);
+    write_amount(out, entry.load.wanted_calls_per_s);
+    write_amount(out, entry.load.sent_calls_per_s);
 }
 
 state::endpoint_load_entry read_load(bounded_reader& in) {
@@ -48,6 +50,8 @@
     entry.load.writing = in.number<std::uint16_t>();
     entry.load.waiting = in.number<std::uint16_t>();
     entry.load.waiting_prompt_tokens = read_amount(in);
+    entry.load.wanted_calls_per_s = read_amount(in);
+    entry.load.sent_calls_per_s = read_amount(in);
     return entry;
 }
 
@@ -117,6 +121,31 @@
     return state::milliseconds(in.number<std::uint16_t>());
 }
 
+// The rate keeps its precision, so that hosts which pass it on agree on it.
+void write_call_rate(bounded_writer& out, const state::call_rate_notice& notice) {
+    out.text(notice.id.value(), max_text_bytes);
+    out.number(notice.started_ms);
+    out.number(static_cast<std::uint8_t>(notice.calls_per_s.has_value()));
+    out.number(notice.calls_per_s.value_or(0));
+    write_time(out, notice.age);
+}
+
+state::call_rate_notice read_call_rate(bounded_reader& in) {
+    state::call_rate_notice notice;
+    notice.id = state::endpoint_id(in.text(max_text_bytes));
+    notice.started_ms = in.number<std::uint64_t>();
+    const bool has_rate = in.number<std::uint8_t>() != 0;
+    const auto rate = in.number<double>();
+    if (!std::isfinite(rate) || rate < 0) {
+        throw cereal::Exception("a rate is not finite or is negative");
+    }
+    if (has_rate) {
+        notice.calls_per_s = rate;
+    }
+    notice.age = read_time(in);
+    return notice;
+}
+
 // The age has a field of 32 bits, because a quarantine lasts longer than the longest time of
 // `write_time`.
 void write_notice(bounded_writer& out, const state::crash_notice& notice) {
@@ -153,6 +182,7 @@
     out.number(static_cast<std::uint8_t>(digest.is_controller));
     write_time(out, digest.controller_age);
     out.number(digest.host_count);
+    out.number(digest.heard_hosts);
     out.count(digest.peers.size(), max_digest_entries);
     for (const auto& peer : digest.peers) {
         write_host(out, peer);
@@ -182,6 +212,10 @@
         out.text(runner.id.value(), max_text_bytes);
         out.number(runner.started_ms);
     }
+    out.count(digest.call_rates.size(), max_digest_call_rates);
+    for (const auto& notice : digest.call_rates) {
+        write_call_rate(out, notice);
+    }
     out.count(digest.crash_notices.size(), max_digest_notices);
     for (const auto& notice : digest.crash_notices) {
         write_notice(out, notice);
@@ -211,6 +245,7 @@
     header.observations.clear();
     header.runners_to_confirm.clear();
     header.leaving_runners.clear();
+    header.call_rates.clear();
     header.crash_notices.clear();
     return header;
 }
@@ -240,11 +275,13 @@
         all.push_back(std::move(part));
     }
     const auto notice_parts =
-        std::max(part_count(digest.crash_notices.size(), max_digest_notices),
-                 part_count(digest.leaving_runners.size(), max_digest_leaving));
+        std::max({part_count(digest.crash_notices.size(), max_digest_notices),
+                  part_count(digest.leaving_runners.size(), max_digest_leaving),
+                  part_count(digest.call_rates.size(), max_digest_call_rates)});
     for (std::size_t i = 0; i < notice_parts; ++i) {
         auto part = without_lists(digest, state::peer_digest::notices_only);
         part.leaving_runners = entries_of_part(digest.leaving_runners, i, max_digest_leaving);
+        part.call_rates = entries_of_part(digest.call_rates, i, max_digest_call_rates);
         part.crash_notices = entries_of_part(digest.crash_notices, i, max_digest_notices);
         all.push_back(std::move(part));
     }
@@ -278,6 +315,7 @@
         digest.is_controller = in.number<std::uint8_t>() != 0;
         digest.controller_age = read_time(in);
         digest.host_count = in.number<std::uint32_t>();
+        digest.heard_hosts = in.number<std::uint32_t>();
         for (auto remaining = in.count(max_digest_entries); remaining > 0; --remaining) {
             digest.peers.push_back(read_host(in));
         }
@@ -303,6 +341,9 @@
             state::endpoint_id id(in.text(max_text_bytes));
             digest.leaving_runners.push_back({std::move(id), in.number<std::uint64_t>()});
         }
+        for (auto remaining = in.count(max_digest_call_rates); remaining > 0; --remaining) {
+            digest.call_rates.push_back(read_call_rate(in));
+        }
         for (auto remaining = in.count(max_digest_notices); remaining > 0; --remaining) {
             digest.crash_notices.push_back(read_notice(in));
         }
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.h
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.h
@@ -12,12 +12,12 @@
 
 namespace savoryrelay::protocol {
 
-/// The most loads, crash notices, leaving runners and entries of each other list that a digest
-/// may have, so that it fits into a datagram. Crash notices and leaving runners travel in
-/// digests of their own.
+/// The most loads, notices of each kind and entries of each other list that a digest may have, so
+/// that it fits into a datagram. Notices travel in digests of their own.
 inline constexpr std::size_t max_digest_loads = 32;
 inline constexpr std::size_t max_digest_notices = 40;
 inline constexpr std::size_t max_digest_leaving = 8;
+inline constexpr std::size_t max_digest_call_rates = 8;
 inline constexpr std::size_t max_digest_entries = 12;
 
 /// Splits `digest` into digests whose lists keep these limits.
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,11 +21,17 @@
     std::uint32_t writing = 0;        ///< streams whose first event was received
     std::uint32_t waiting = 0;        ///< calls that wait for their first event
     double waiting_prompt_tokens = 0; ///< prompt tokens of the waiting calls
+    /// Calls a second that hosts want to send, and send, to an endpoint that has named a limit of
+    /// its calls; 0 for others.
+    double wanted_calls_per_s = 0;
+    double sent_calls_per_s = 0;
 
     endpoint_load& operator+=(const endpoint_load& other) {
         writing += other.writing;
         waiting += other.waiting;
         waiting_prompt_tokens += other.waiting_prompt_tokens;
+        wanted_calls_per_s += other.wanted_calls_per_s;
+        sent_calls_per_s += other.sent_calls_per_s;
         return *this;
     }
     /// Takes `other` off, down to 0: the two may have been counted at different times.
@@ -32,6 +39,8 @@
         writing -= std::min(writing, other.writing);
         waiting -= std::min(waiting, other.waiting);
         waiting_prompt_tokens = std::max(0.0, waiting_prompt_tokens - other.waiting_prompt_tokens);
+        wanted_calls_per_s = std::max(0.0, wanted_calls_per_s - other.wanted_calls_per_s);
+        sent_calls_per_s = std::max(0.0, sent_calls_per_s - other.sent_calls_per_s);
         return *this;
     }
 };
@@ -72,6 +81,16 @@
     friend bool operator==(const leaving_runner&, const leaving_runner&) = default;
 };
 
+/// The rate of calls that a runner named in an answer, or that it no longer names one.
+struct call_rate_notice {
+    endpoint_id id;
+    std::uint64_t started_ms = 0;      ///< of the incarnation that answered
+    std::optional<double> calls_per_s; ///< from all hosts together; empty: no limit
+    milliseconds age{0};               ///< of the answer
+
+    friend bool operator==(const call_rate_notice&, const call_rate_notice&) = default;
+};
+
 /// The hosts whose calls the loads and the work of a digest include.
 enum class digest_scope {
     member,       ///< the sender alone; sent to the hub that it reports to
@@ -104,7 +123,8 @@
 struct peer_digest {
     /// Value of `part` in a datagram that carries only observations.
     static constexpr std::uint8_t observations_only = 255;
-    /// Value of `part` in a datagram that carries only crash notices and leaving runners.
+    /// Value of `part` in a datagram that carries only notices: crashes, leaving runners and
+    /// rates of calls.
     static constexpr std::uint8_t notices_only = 254;
 
     host_entry host;               ///< the sender
@@ -125,6 +145,7 @@
     bool is_controller = false;     ///< the sender holds the lease on the groups
     milliseconds controller_age{0}; ///< time since the sender heard the controller
     std::uint32_t host_count = 1;   ///< entry hosts that the sender knows of
+    std::uint32_t heard_hosts = 1;  ///< those of them whose loads reach the sender now
     std::vector<host_entry> peers;  ///< some of the hosts that the sender knows
     std::vector<endpoint_load_entry> loads;
     std::vector<model_work> work;
@@ -137,6 +158,9 @@
     /// Runners of which the sender has learned lately that they leave. Receivers pass on those
     /// that are new to them.
     std::vector<leaving_runner> leaving_runners;
+    /// Rates that runners have lately begun or ceased to name. Receivers pass on those that are
+    /// new to them.
+    std::vector<call_rate_notice> call_rates;
     /// Notices that the sender made or received lately. Receivers pass on those that are
     /// new to them.
     std::vector<crash_notice> crash_notices;
--- a/src/savoryrelay/state/serving/serving_call.h
+++ b/src/savoryrelay/state/serving/serving_call.h
@@ -50,6 +50,25 @@
     };
 };
 
+/// What was read of the rate of calls that an endpoint takes from all hosts together.
+enum class call_rate_reading {
+    absent,      ///< the answer names none
+    valid,       ///< one rate
+    conflicting, ///< several rates that differ; the lowest that can be read applies
+    unreadable,  ///< no rate
+};
+
+template <>
+struct enum_table<call_rate_reading> {
+    using r = call_rate_reading;
+    static constexpr std::array rows{
+        enum_name<r>{r::absent, "absent"},
+        enum_name<r>{r::valid, "valid"},
+        enum_name<r>{r::conflicting, "conflicting"},
+        enum_name<r>{r::unreadable, "unreadable"},
+    };
+};
+
 /// Data from the status line and header fields of an endpoint's answer.
 struct answer_head {
     unsigned status = 0;
@@ -62,6 +81,9 @@
     /// Time for which the endpoint wants no requests from this host; 0: none.
     milliseconds pause{0};
     pause_reading pause_field = pause_reading::absent;
+    /// Calls a second that the endpoint takes from all hosts together; empty if none can be read.
+    std::optional<double> call_rate_limit;
+    call_rate_reading call_rate_field = call_rate_reading::absent;
     std::string faulty_runner; ///< member that the answering head cannot reach; empty: none
 };
 
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -95,6 +95,15 @@
     return answer;
 }
 
+bool serving_front::take_own_answer(const call_state& call, const state::answer_head& answer) {
+    if (!belongs_to(answer, call.decoded.id)) {
+        return false;
+    }
+    m_dependencies.report_call_rate(call.current->chosen.runner.record, answer,
+                                    call.current->sent_at);
+    return true;
+}
+
 asio::awaitable<serving_front::attempt_result> serving_front::read_whole_answer(call_state& call) {
     attempt_result end;
     std::vector<char> buffer(read_buffer_bytes);
@@ -146,7 +155,7 @@
         const auto status = call.current->connection->status();
         const auto fields = call.current->connection->fields();
         const auto answer = read_answer_head(call);
-        const bool is_own = belongs_to(answer, call.decoded.id);
+        const bool is_own = take_own_answer(call, answer);
         if (is_own && is_head(call.request)) {
             call.current->connection->skip_body();
         }
@@ -206,7 +215,7 @@
             end.set_failed("no answer", failed);
             co_return end;
         }
-        if (belongs_to(read_answer_head(call), call.decoded.id)) {
+        if (take_own_answer(call, read_answer_head(call))) {
             attempt.has_header = true;
             call.events.resume();
             if (is_head(call.request)) {
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -58,7 +58,9 @@
         const auto wait_end = std::min(queue_deadline, call.deadline);
         const auto* none = std::get_if<coordination::selection_failure>(&selected);
         const bool is_short =
-            none != nullptr && *none == coordination::selection_failure::none_in_time;
+            none != nullptr &&
+            (*none == coordination::selection_failure::none_in_time ||
+             (*none == coordination::selection_failure::all_limited && !has_begun));
         if (is_found || is_short || now >= wait_end || call.caller_is_gone) {
             co_return selected;
         }
@@ -218,10 +220,10 @@
     const auto request = m_dependencies.codec.make_endpoint_request(call.request, added_values);
     attempt.counted.emplace(m_dependencies.loads, runner.id, call.decoded.prompt_tokens,
                             attempt.is_writing);
+    attempt.sent_at = m_dependencies.now();
     if (const auto failed = co_await attempt.connection->send(request, send_timeout)) {
         end.set_failed("send", failed);
     } else if (call.route->kind == state::call_kind::streaming) {
-        attempt.sent_at = m_dependencies.now();
         end = co_await relay_stream(call, false);
     } else {
         end = co_await relay_answer(call);
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -159,7 +159,7 @@
     call.progress = &progress;
     std::optional<attempt_result> failure;
     std::string reason;
-    std::optional<milliseconds> retry_after; // of a quarantined call
+    std::optional<milliseconds> retry_after; // if the reason of the refusal sets it
     while (true) {
         const auto now = m_dependencies.now();
         if (call.caller_is_gone) {
@@ -202,6 +202,10 @@
             }
             if (const auto* none = std::get_if<coordination::selection_failure>(&selected)) {
                 reason = state::to_name(*none);
+                if (*none == coordination::selection_failure::all_limited) {
+                    retry_after = m_dependencies.selector.retry_after_limits(
+                        *call.service, call.decoded, m_dependencies.now());
+                }
                 break;
             }
             if (is_interrupted && !progress.may_attempt()) {
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -46,6 +46,11 @@
     /// Called with the head of each answer before its body is read. Records what the endpoint
     /// says of itself.
     std::function<void(const state::runner_record&, const state::answer_head&)> report_answer;
+    /// Called with the head of the endpoint's answer to a call that was sent at `sent_at`, after
+    /// `report_answer`. Records the rate of calls that it names.
+    std::function<void(const state::runner_record&, const state::answer_head&,
+                       state::time_point sent_at)>
+        report_call_rate;
     std::function<state::time_point()> now;
     /// Admits calls to the groups of models; null: all are admitted.
     coordination::serving_admission* admission = nullptr;
@@ -96,6 +101,8 @@
                                const attempt_result& end);
     /// Decodes the head of the answer that the current attempt has read, and reports it.
     state::answer_head read_answer_head(const call_state& call);
+    /// Returns whether an answer is the current attempt's own, and reports the rate of calls in it.
+    bool take_own_answer(const call_state& call, const state::answer_head& answer);
     /// Sets the urgency of a call that arrives.
     void set_urgency(call_state& call);
     /// Returns whether the call is admitted, and counts that. A call is admitted once; its repeats
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -208,7 +208,7 @@
     CHECK(tracker.all(start + load_tracker::peer_load_age + 1ms).at(id).writing == 1);
     tracker.end_call(id, 50, true);
     tracker.end_call(id, 100, false);
-    CHECK(tracker.own().empty());
+    CHECK(tracker.own(start).empty());
 }
 
 TEST_CASE("the measured work of a constant stream of calls equals its rate") {
--- a/tests/coordination/serving/placement_explainer_test.cpp
+++ b/tests/coordination/serving/placement_explainer_test.cpp
@@ -109,7 +109,7 @@
     CHECK(service.candidates[1].load.waiting == 2);
     CHECK(service.candidates[2].verdict == placement_verdict::full);
     CHECK(service.candidates[3].verdict == placement_verdict::not_serving);
-    CHECK(fleet.loads.own().size() == 2);
+    CHECK(fleet.loads.own(start).size() == 2);
 
     const auto configuration = make_configuration();
     const auto selected = fleet.selector.select(configuration.services.at("model"),
--- a/tests/support/exchange_simulation.h
+++ b/tests/support/exchange_simulation.h
@@ -103,6 +103,8 @@
                 .runners_to_confirm = [] { return std::vector<state::endpoint_id>{}; },
                 .leaving_runners =
                     [](state::time_point) { return std::vector<state::leaving_runner>{}; },
+                .call_rates =
+                    [](state::time_point) { return std::vector<state::call_rate_notice>{}; },
                 .crash_notices = [&each](state::time_point at) { return each.notices->due(at); }});
         for (const auto& other : hosts) {
             each.directory->add(other.entry);
--- a/tests/transport/serving_front_test.cpp
+++ b/tests/transport/serving_front_test.cpp
@@ -149,6 +149,7 @@
             [this](const std::string&, state::call_urgency, double) { ++calls_in_work; },
             [](const state::endpoint_id&) {},
             [this](const state::runner_record&, const state::answer_head&) { ++answers; },
+            [](const state::runner_record&, const state::answer_head&, state::time_point) {},
             [this] { return now(); }});
         callers = std::make_unique<transport::http_server>(
             threads, "127.0.0.1", 0, transport::http_limits{},
