Let a digest with the most loads fit into a datagram again

What runners saw: with 58 hosts, a runner that had named 7.2 calls a second still got 57 in 4 s. Cause: a load takes 8 bytes more since it carries two rates. A part of the digest of the fleet with 32 loads exceeded 1,200 bytes, and its receivers dropped it without a word, so that members of hubs knew no rates of others. The codec's test has shorter ids than runners have.

--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -292,7 +292,12 @@
     try {
         bounded_writer out;
         write_digest(out, digest);
-        return out.take();
+        auto text = out.take();
+        if (text.size() > state::max_datagram_bytes) {
+            return state::fail(failure_kind::request_too_large,
+                               "digest of " + std::to_string(text.size()) + " bytes");
+        }
+        return text;
     } catch (const cereal::Exception& error) {
         return state::fail(failure_kind::request_too_large, error.what());
     }
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.h
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.h
@@ -14,7 +14,7 @@
 
 /// The most loads, notices of each kind and entries of each other list that a digest may have, so
 /// that it fits into a datagram. Notices travel in digests of their own.
-inline constexpr std::size_t max_digest_loads = 32;
+inline constexpr std::size_t max_digest_loads = 24;
 inline constexpr std::size_t max_digest_notices = 40;
 inline constexpr std::size_t max_digest_leaving = 8;
 inline constexpr std::size_t max_digest_call_rates = 8;
@@ -24,7 +24,7 @@
 [[nodiscard]] std::vector<state::peer_digest> split_digest(const state::peer_digest& digest);
 
 /// Encodes a digest whose lists keep these limits. Fails with `request_too_large` when a
-/// list or a text exceeds its limit.
+/// list or a text exceeds its limit, or the digest `state::max_datagram_bytes`.
 [[nodiscard]] state::result<std::string> encode_digest(const state::peer_digest& digest);
 /// Decodes a digest. Fails with `message_damaged` when `bytes` is malformed.
 [[nodiscard]] state::result<state::peer_digest> decode_digest(std::string_view bytes);
