--- a/src/standin/runner_standin.cpp
+++ b/src/standin/runner_standin.cpp
@@ -48,6 +48,9 @@
     if (m_switches.leaving) {
         fields.push_back({"Server-Leaving", "1"});
     }
+    if (const auto limit = m_switches.call_limit.load(); !limit->empty()) {
+        fields.push_back({"Server-Limit", *limit});
+    }
     return fields;
 }
 
--- a/src/standin/standin_control.cpp
+++ b/src/standin/standin_control.cpp
@@ -37,6 +37,7 @@
         {"refuse_calls", flag(switches.refuse_calls)},
         {"leaving", flag(switches.leaving)},
         {"pause_calls", text_value(switches.pause_calls)},
+        {"call_limit", text_value(switches.call_limit)},
         {"cross_answers", flag(switches.cross_answers)},
         {"reset_connections", flag(switches.reset_connections)},
         {"crash_on_part", text_value(switches.crash_on_part)},
--- a/src/standin/standin_control.h
+++ b/src/standin/standin_control.h
@@ -29,6 +29,8 @@
         false}; ///< resets all connections, once, after the answer to the control message
     state::snapshot_cell<std::string> pause_calls{
         std::string{}}; ///< a runner refuses calls with 503 and this Retry-After; empty: none
+    state::snapshot_cell<std::string> call_limit{
+        std::string{}}; ///< all answers of a runner have this Server-Limit; empty: none
     state::snapshot_cell<std::string> crash_on_part{
         std::string{}}; ///< part of a prompt, other than the last, that crashes the runner; empty:
                         ///< none
