Test how the rate of calls in an answer is read

Cause: no test covered damaged and repeated Server-Limit fields. Change: a table of fields with any status, and random texts.

--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -7,6 +7,12 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <cmath>
+#include <limits>
+#include <optional>
+#include <string>
+#include <vector>
+
 using namespace savoryrelay;
 using namespace savoryrelay::platform;
 using namespace std::chrono_literals;
@@ -363,6 +369,71 @@
     }));
 }
 
+TEST_CASE("the rate of calls that a runner names is read from answers with any status") {
+    using state::call_rate_reading;
+    struct rate_case {
+        std::vector<std::string> values;
+        call_rate_reading reading;
+        std::optional<double> calls_per_s;
+    };
+    const std::string many_digits(400, '9');
+    const std::vector<rate_case> cases{
+        {{}, call_rate_reading::absent, std::nullopt},
+        {{"6"}, call_rate_reading::valid, 6},
+        {{"6.2"}, call_rate_reading::valid, 6.2},
+        {{"0.25"}, call_rate_reading::valid, 0.25},
+        {{"0"}, call_rate_reading::valid, 0},
+        {{"0.0"}, call_rate_reading::valid, 0},
+        {{"6.2", "6.2"}, call_rate_reading::valid, 6.2},
+        {{many_digits}, call_rate_reading::valid, std::numeric_limits<double>::max()},
+        {{"0." + std::string(400, '0') + "1"}, call_rate_reading::valid, 0},
+        {{"7", "3.5", "5"}, call_rate_reading::conflicting, 3.5},
+        {{"7", "0"}, call_rate_reading::conflicting, 0},
+        {{"many", "3"}, call_rate_reading::conflicting, 3},
+        {{"3", "-1"}, call_rate_reading::conflicting, 3},
+        {{""}, call_rate_reading::unreadable, std::nullopt},
+        {{"-1"}, call_rate_reading::unreadable, std::nullopt},
+        {{"-0"}, call_rate_reading::unreadable, std::nullopt},
+        {{"+6"}, call_rate_reading::unreadable, std::nullopt},
+        {{"many"}, call_rate_reading::unreadable, std::nullopt},
+        {{"6/s"}, call_rate_reading::unreadable, std::nullopt},
+        {{"6, 7"}, call_rate_reading::unreadable, std::nullopt},
+        {{"6e1"}, call_rate_reading::unreadable, std::nullopt},
+        {{"inf"}, call_rate_reading::unreadable, std::nullopt},
+        {{"nan"}, call_rate_reading::unreadable, std::nullopt},
+        {{"many", "nan"}, call_rate_reading::unreadable, std::nullopt},
+    };
+    for (const auto& each : cases) {
+        transport::http_fields fields;
+        for (const auto& value : each.values) {
+            fields.push_back({"Server-Limit", value});
+        }
+        for (const unsigned status : {200U, 202U, 421U, 429U, 500U, 503U}) {
+            CAPTURE(each.values, status);
+            const auto head = decode_answer(status, fields);
+            CHECK(head.call_rate_field == each.reading);
+            CHECK(head.call_rate_limit == each.calls_per_s);
+        }
+    }
+    CHECK(decode_answer(200, {{"server-limit", "2"}}).call_rate_limit == 2);
+}
+
+TEST_CASE("no text makes a rate of calls negative or infinite") {
+    CHECK(rc::check("rates of calls are bounded", [] {
+        transport::http_fields fields;
+        const auto count = *rc::gen::inRange(0, 4);
+        for (int i = 0; i < count; ++i) {
+            const auto text = *rc::gen::oneOf(
+                rc::gen::arbitrary<std::string>(),
+                rc::gen::container<std::string>(rc::gen::elementOf(std::string("0123456789.-+e"))));
+            fields.push_back({"Server-Limit", text});
+        }
+        const auto head = decode_answer(200, fields);
+        RC_ASSERT(!head.call_rate_limit ||
+                  (std::isfinite(*head.call_rate_limit) && *head.call_rate_limit >= 0));
+    }));
+}
+
 TEST_CASE("orders carry the expected sequence, so a late copy has no effect") {
     state::runner_order order;
     order.kind = state::runner_order_kind::join;
