Test the rates of calls in digests

Cause: the codec's tests had no call rates, heard hosts, and wanted and sent rates. Change: round trips, notices over several datagrams, amounts that are not finite or negative, and the lists of the largest digests. The case of malformed leaving runners counted its offset from the end of the datagram, which has had one more count since the rates: it damaged another byte than the count of runners. It now checks that it damages that count.

--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -27,12 +27,13 @@
     digest.tables_age = state::milliseconds(150);
     digest.controller_age = std::chrono::minutes(10);
     digest.host_count = 295;
+    digest.heard_hosts = 290;
     digest.incarnation = 7;
     digest.has_lost_store = true;
     digest.is_controller = true;
     for (std::size_t i = 0; i < entries; ++i) {
         const auto id = state::endpoint_id("i-" + std::to_string(1'000'000 + i));
-        digest.loads.push_back({id, {1, 2, 300}});
+        digest.loads.push_back({id, {1, 2, 300, 1.5, 0.5}});
         state::runner_observation observation;
         observation.id = id;
         observation.model = "daka510000";
@@ -42,6 +43,10 @@
         digest.crash_notices.push_back({state::crash_notice_kind::quarantined, ~std::uint64_t{i}, i,
                                         std::chrono::minutes(15), static_cast<std::uint8_t>(i)});
         digest.leaving_runners.push_back({id, ~std::uint64_t{i}});
+        digest.call_rates.push_back(
+            {id, ~std::uint64_t{i},
+             i % 3 == 0 ? std::nullopt : std::optional(static_cast<double>(i) / 7),
+             state::milliseconds(i)});
     }
     return digest;
 }
@@ -65,6 +70,7 @@
     for (const std::size_t entries : {0U, 1U, 12U, 13U, 40U, 41U, 256U}) {
         std::vector<state::crash_notice> notices;
         std::vector<state::leaving_runner> leaving;
+        std::vector<state::call_rate_notice> call_rates;
         std::size_t loads = 0;
         std::size_t observations = 0;
         std::size_t runners_to_confirm = 0;
@@ -80,6 +86,7 @@
             CHECK(read.value().tables_age == state::milliseconds(150));
             CHECK(read.value().controller_age > std::chrono::minutes(1));
             CHECK(read.value().host_count == 295);
+            CHECK(read.value().heard_hosts == 290);
             CHECK(read.value().has_lost_store);
             CHECK(read.value().is_controller);
             loads += read.value().loads.size();
@@ -87,6 +94,8 @@
             runners_to_confirm += read.value().runners_to_confirm.size();
             leaving.insert(leaving.end(), read.value().leaving_runners.begin(),
                            read.value().leaving_runners.end());
+            call_rates.insert(call_rates.end(), read.value().call_rates.begin(),
+                              read.value().call_rates.end());
             notices.insert(notices.end(), read.value().crash_notices.begin(),
                            read.value().crash_notices.end());
         }
@@ -95,18 +104,21 @@
         CHECK(runners_to_confirm == entries);
         CHECK(notices == make_digest(entries).crash_notices);
         CHECK(leaving == make_digest(entries).leaving_runners);
+        CHECK(call_rates == make_digest(entries).call_rates);
     }
 }
 
 TEST_CASE("the demand and the loads of a digest are decoded as they were encoded") {
     auto digest = make_digest(0);
-    digest.loads.push_back({state::endpoint_id("i-1"), {1, 2, 300}});
+    digest.loads.push_back({state::endpoint_id("i-1"), {1, 2, 300, 12.5, 6.25}});
     digest.work.push_back({"gold", 1.5, {0.25, 1, 2, 4}});
     const auto read = read_digest(encode(digest));
     REQUIRE(read);
     CHECK(read->loads.front().load.writing == 1);
     CHECK(read->loads.front().load.waiting == 2);
     CHECK(read->loads.front().load.waiting_prompt_tokens == 300);
+    CHECK(read->loads.front().load.wanted_calls_per_s == 12.5);
+    CHECK(read->loads.front().load.sent_calls_per_s == 6.25);
     CHECK(read->work.front().groups == 1.5);
     CHECK(read->work.front().demand == state::urgency_amounts{0.25, 1, 2, 4});
 }
@@ -150,18 +162,89 @@
     }
 }
 
+TEST_CASE("datagrams of rates of calls do not replace the loads that their sender reported") {
+    for (const std::size_t entries : {1U, 8U, 9U, 128U}) {
+        auto digest = make_digest(0);
+        digest.part = state::peer_digest::notices_only;
+        digest.call_rates = make_digest(entries).call_rates;
+        const auto parts = split_digest(digest);
+        CHECK(parts.size() == (entries + max_digest_call_rates - 1) / max_digest_call_rates);
+        std::vector<state::call_rate_notice> read_rates;
+        for (const auto& part : parts) {
+            CHECK(part.part == state::peer_digest::notices_only);
+            const auto text = encode(part);
+            CHECK(text.size() <= state::max_datagram_bytes);
+            const auto read = read_digest(text);
+            REQUIRE(read);
+            read_rates.insert(read_rates.end(), read->call_rates.begin(), read->call_rates.end());
+        }
+        CHECK(read_rates == digest.call_rates);
+    }
+}
+
+TEST_CASE("a rate of calls is decoded as it was encoded, without a loss of precision") {
+    for (const std::optional<double> rate :
+         {std::optional<double>{}, std::optional<double>{0}, std::optional<double>{6.2},
+          std::optional<double>{1.0 / 3}, std::optional<double>{1e300},
+          std::optional<double>{std::numeric_limits<double>::max()}}) {
+        for (const auto age : {0ms, 1ms, 1'200ms}) {
+            state::peer_digest digest;
+            digest.part = state::peer_digest::notices_only;
+            digest.call_rates = {{state::endpoint_id("r"), ~std::uint64_t{7}, rate, age}};
+            const auto read = read_digest(encode(digest));
+            REQUIRE(read);
+            CHECK(read->call_rates == digest.call_rates);
+        }
+    }
+}
+
+TEST_CASE("a digest whose rates of calls are malformed is refused") {
+    constexpr double marker = 300.5;
+    const auto bytes_of = [](double value) {
+        std::string bytes(sizeof(value), '\0');
+        std::memcpy(bytes.data(), &value, sizeof(value));
+        return bytes;
+    };
+    state::peer_digest digest;
+    digest.call_rates = {{state::endpoint_id("r"), 7, marker, 5ms}};
+    const auto good = encode(digest);
+    REQUIRE(read_digest(good));
+    const auto at = good.find(bytes_of(marker));
+    REQUIRE(at != std::string::npos);
+    using limits = std::numeric_limits<double>;
+    for (const double rate : {limits::quiet_NaN(), limits::infinity(), -1.0}) {
+        CAPTURE(rate);
+        auto damaged = good;
+        damaged.replace(at, sizeof(rate), bytes_of(rate));
+        CHECK_FALSE(read_digest(damaged));
+    }
+    // Before the rate: the count of rates, the length and text of the id, the start time, and
+    // whether there is a rate.
+    constexpr std::size_t bytes_before_rate = 1 + 1 + 1 + 8 + 1;
+    auto too_many = good;
+    REQUIRE(too_many[at - bytes_before_rate] == 1);
+    too_many[at - bytes_before_rate] = max_digest_call_rates + 1;
+    CHECK_FALSE(read_digest(too_many));
+    CHECK_FALSE(read_digest(good.substr(0, good.size() - 2)));
+    digest.call_rates.resize(max_digest_call_rates + 1);
+    CHECK_FALSE(state::collect([&] { return encode_digest(digest); }));
+}
+
 TEST_CASE("a digest whose leaving runners are malformed is refused") {
     state::peer_digest digest;
     digest.leaving_runners = {{state::endpoint_id("r"), 7}};
     const auto good = encode(digest);
     REQUIRE(read_digest(good));
     // The end of the datagram: the count of runners, the length and text of the id, the start
-    // time, and the count of crash notices.
+    // time, and the counts of rates of calls and of crash notices.
     constexpr std::size_t runner_bytes = 1 + 1 + 8;
+    constexpr std::size_t later_counts = 2;
+    const auto count_at = good.size() - later_counts - runner_bytes - 1;
+    REQUIRE(good[count_at] == 1);
     auto too_many = good;
-    too_many[good.size() - 1 - runner_bytes - 1] = max_digest_leaving + 1;
+    too_many[count_at] = max_digest_leaving + 1;
     CHECK_FALSE(read_digest(too_many));
-    CHECK_FALSE(read_digest(good.substr(0, good.size() - 2)));
+    CHECK_FALSE(read_digest(good.substr(0, good.size() - later_counts - 1)));
     digest.leaving_runners.resize(max_digest_leaving + 1);
     CHECK_FALSE(state::collect([&] { return encode_digest(digest); }));
 }
@@ -299,13 +382,17 @@
     };
     auto of_loads = make_digest(0);
     of_loads.loads.push_back({state::endpoint_id("i-1"), {1, 2, marker}});
+    auto of_wanted = make_digest(0);
+    of_wanted.loads.push_back({state::endpoint_id("i-1"), {1, 2, 3, marker}});
+    auto of_sent = make_digest(0);
+    of_sent.loads.push_back({state::endpoint_id("i-1"), {1, 2, 3, 4, marker}});
     auto of_work = make_digest(0);
     of_work.work.push_back({"gold", marker});
     auto of_observations = make_digest(0);
     of_observations.observations.emplace_back().time_factor = marker;
     auto of_sender = make_digest(0);
     of_sender.host.processor_share = marker;
-    for (const auto& digest : {of_loads, of_work, of_observations, of_sender}) {
+    for (const auto& digest : {of_loads, of_wanted, of_sent, of_work, of_observations, of_sender}) {
         const auto good = encode(digest);
         REQUIRE(read_digest(good));
         const auto at = good.find(bytes_of(marker));
