Test how many hosts' loads reach a host

Cause: heard_hosts, by which a host that hears few others takes only a part, had no test of its own. Change: fleets of 3 to 120 hosts, with hosts that are cut off, ended and started anew.

--- a/tests/coordination/exchange/exchange_test.cpp
+++ b/tests/coordination/exchange/exchange_test.cpp
@@ -430,3 +430,57 @@
     schedule.reset();
     CHECK(schedule.take_due(all, now).size() == 3);
 }
+
+TEST_CASE("exchange: each host knows how many hosts' loads reach it") {
+    for (const std::size_t hosts_per_zone : {1U, 3U, 6U, 7U, 20U, 40U}) {
+        exchange_simulation simulation(1, {}, 3, hosts_per_zone);
+        for (const auto& host : simulation.hosts) {
+            CHECK(host.directory->heard_hosts(simulation.now) == 1); // nothing was heard yet
+        }
+        simulation.advance(20);
+        for (const auto& host : simulation.hosts) {
+            INFO(host.entry.name << " of " << simulation.hosts.size());
+            CHECK(host.directory->heard_hosts(simulation.now) == simulation.hosts.size());
+        }
+    }
+}
+
+TEST_CASE("exchange: a host that is cut off or ended is soon no longer among the heard ones") {
+    for (const auto& size : fleet_sizes) {
+        exchange_simulation simulation(1, {}, size.zones, size.hosts_per_zone);
+        simulation.advance(20);
+        auto& cut_off = simulation.hosts.back();
+        auto& ended = simulation.hosts[simulation.hosts.size() / 2];
+        cut_off.is_cut_off = true;
+        ended.is_up = false;
+        // A hub counts a host until its role ends, and the others count what the hub reports.
+        simulation.advance(4 * second);
+        CHECK(cut_off.directory->heard_hosts(simulation.now) == 1);
+        CHECK(cut_off.directory->host_count(simulation.now) > 1); // it remembers the others
+        for (const auto& host : simulation.hosts) {
+            if (host.is_up && !host.is_cut_off) {
+                INFO(host.entry.name << " of " << simulation.hosts.size());
+                CHECK(host.directory->heard_hosts(simulation.now) == hosts_up(simulation));
+            }
+        }
+        cut_off.is_cut_off = false;
+        simulation.restart(ended);
+        simulation.advance(4 * second);
+        for (const auto& host : simulation.hosts) {
+            INFO(host.entry.name << " of " << simulation.hosts.size());
+            CHECK(host.directory->heard_hosts(simulation.now) == simulation.hosts.size());
+        }
+    }
+}
+
+TEST_CASE("exchange: a host that starts anew hears the others after a few rounds") {
+    for (const auto& size : fleet_sizes) {
+        exchange_simulation simulation(1, {}, size.zones, size.hosts_per_zone);
+        simulation.advance(20);
+        auto& host = simulation.hosts.front();
+        simulation.restart(host);
+        CHECK(host.directory->heard_hosts(simulation.now) == 1);
+        simulation.advance(2 * second);
+        CHECK(host.directory->heard_hosts(simulation.now) == simulation.hosts.size());
+    }
+}
