--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -421,3 +421,91 @@
     fleet.note_pause(id, 5, start + 2s, start + 3s);
     CHECK(fleet.reserve_order(id, start + 2s));
 }
+
+TEST_CASE("the rate of calls of a runner is that of its newest answer") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    const auto note = [&](std::optional<double> rate, state::time_point shown_at,
+                          exclusion_source source = exclusion_source::answer) {
+        return fleet.note_call_rate(id, 5, rate, source, shown_at, shown_at);
+    };
+    const auto known = [&] { return fleet.find(id)->call_rate; };
+    CHECK_FALSE(known().calls_per_s);
+    CHECK_FALSE(note(std::nullopt, start)); // no change
+    CHECK(note(6.5, start + 1s));
+    CHECK(known().calls_per_s == 6.5);
+    CHECK(known().source == exclusion_source::answer);
+    CHECK_FALSE(note(6.5, start + 2s));
+
+    // An older answer, or one of the same time, changes nothing.
+    CHECK_FALSE(note(std::nullopt, start + 1500ms));
+    CHECK_FALSE(note(3, start + 2s));
+    CHECK(known().calls_per_s == 6.5);
+    CHECK(note(3, start + 3s, exclusion_source::peer));
+    CHECK(known().calls_per_s == 3);
+    CHECK(known().source == exclusion_source::peer);
+    CHECK(note(std::nullopt, start + 4s));
+    CHECK_FALSE(known().calls_per_s);
+    CHECK_FALSE(note(3, start + 3500ms)); // a notice that was late
+    CHECK_FALSE(known().calls_per_s);
+    CHECK(note(0, start + 5s));
+    CHECK(known().calls_per_s == 0);
+}
+
+TEST_CASE("the rate of calls belongs to the incarnation that named it") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    const auto note = [&](std::uint64_t started_ms, state::time_point now) {
+        return fleet.note_call_rate(id, started_ms, 6.5, exclusion_source::peer, now, now);
+    };
+    CHECK_FALSE(note(4, start + 1s));
+    CHECK_FALSE(note(6, start + 1s));
+    CHECK_FALSE(fleet.find(id)->call_rate.calls_per_s);
+    CHECK_FALSE(fleet.note_call_rate(state::endpoint_id("unknown"), 5, 6.5, exclusion_source::peer,
+                                     start, start));
+    CHECK(note(5, start + 1s));
+    // An entry of the same incarnation leaves the rate; a new incarnation has named none.
+    fleet.apply_entry(entry(5), start + 2s);
+    CHECK(fleet.find(id)->call_rate.calls_per_s == 6.5);
+    fleet.apply_entry(entry(6), start + 3s);
+    CHECK_FALSE(fleet.find(id)->call_rate.calls_per_s);
+    CHECK(fleet.recent_call_rates(start + 3s).empty());
+    CHECK_FALSE(note(5, start + 4s));
+    CHECK_FALSE(fleet.find(id)->call_rate.calls_per_s);
+}
+
+TEST_CASE("a change of the rate of calls is announced for a time, its end too") {
+    fleet_table fleet;
+    fleet.apply_entry(entry(5), start);
+    CHECK(fleet.recent_call_rates(start).empty());
+    const auto note = [&](std::optional<double> rate, state::time_point now) {
+        return fleet.note_call_rate(id, 5, rate, exclusion_source::answer, now, now);
+    };
+    constexpr auto announced_for = fleet_table::call_rate_announced_for;
+    const auto named_at = start + 1s;
+    CHECK(note(6.5, named_at));
+    CHECK(fleet.recent_call_rates(named_at + 100ms) ==
+          std::vector{state::call_rate_notice{id, 5, 6.5, 100ms}});
+    // A confirmation does not prolong the notice; its age is that of the newest answer.
+    CHECK_FALSE(note(6.5, named_at + 500ms));
+    CHECK(fleet.recent_call_rates(named_at + announced_for - 1ms) ==
+          std::vector{state::call_rate_notice{id, 5, 6.5, announced_for - 1ms - 500ms}});
+    CHECK(fleet.recent_call_rates(named_at + announced_for).empty());
+
+    const auto ended_at = start + 10s;
+    CHECK(note(std::nullopt, ended_at));
+    CHECK(fleet.recent_call_rates(ended_at) ==
+          std::vector{state::call_rate_notice{id, 5, std::nullopt, 0ms}});
+    CHECK(fleet.recent_call_rates(ended_at + announced_for).empty());
+}
+
+TEST_CASE("the rates of calls that are announced at a time are bounded") {
+    fleet_table fleet;
+    for (std::size_t i = 0; i < 2 * fleet_table::max_call_rates_announced; ++i) {
+        auto record = entry(5);
+        record.id = state::endpoint_id("r" + std::to_string(i));
+        fleet.apply_entry(record, start);
+        CHECK(fleet.note_call_rate(record.id, 5, 1, exclusion_source::answer, start, start));
+    }
+    CHECK(fleet.recent_call_rates(start).size() == fleet_table::max_call_rates_announced);
+}
