--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -99,8 +99,9 @@
 state::milliseconds endpoint_selector::retry_after_limits(const state::service_rule& service,
                                                           const state::serving_call& call,
                                                           state::time_point now) const {
+    using limiter = call_rate_limiter;
     // Time in which the calls of one second can be sent.
-    constexpr std::chrono::duration<double, std::milli> rate_window{1'000};
+    constexpr double rate_window_ms = 1'000;
     double least_shortage = 0;
     const auto fleet = m_fleet.snapshot();
     for (const auto* runner : find_endpoints(*fleet, service, call.model)) {
@@ -111,9 +112,10 @@
     }
     constexpr std::uint64_t steps = 1'000;
     const double spread = static_cast<double>(m_hooks.random() % steps) / steps;
-    const auto wait = std::chrono::duration_cast<state::milliseconds>(
-        rate_window * std::max(1.0, least_shortage) * spread);
-    return std::clamp(wait, call_rate_limiter::min_retry_after, call_rate_limiter::max_retry_after);
+    const double wait_ms = rate_window_ms * std::max(1.0, least_shortage) * spread;
+    return state::milliseconds(static_cast<std::int64_t>(
+        std::clamp(wait_ms, static_cast<double>(limiter::min_retry_after.count()),
+                   static_cast<double>(limiter::max_retry_after.count()))));
 }
 
 group_prediction endpoint_selector::predict_at(const state::engine_rule& engine,
