Send rates of calls apart from the other notices

What hosts would see: crash notices and news of leaving runners lost, when a host announces as many of each as a datagram may hold. Cause: one part of a digest held all three lists, 1,363 bytes of the 1,200 that a receiver takes. Change: rates of calls travel in parts of their own. The codec's test has ids as long as those of runners. Evidence: the test of the split failed with 8 checks on the code before, and passes.

--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -275,16 +275,19 @@
         all.push_back(std::move(part));
     }
     const auto notice_parts =
-        std::max({part_count(digest.crash_notices.size(), max_digest_notices),
-                  part_count(digest.leaving_runners.size(), max_digest_leaving),
-                  part_count(digest.call_rates.size(), max_digest_call_rates)});
+        std::max(part_count(digest.crash_notices.size(), max_digest_notices),
+                 part_count(digest.leaving_runners.size(), max_digest_leaving));
     for (std::size_t i = 0; i < notice_parts; ++i) {
         auto part = without_lists(digest, state::peer_digest::notices_only);
         part.leaving_runners = entries_of_part(digest.leaving_runners, i, max_digest_leaving);
-        part.call_rates = entries_of_part(digest.call_rates, i, max_digest_call_rates);
         part.crash_notices = entries_of_part(digest.crash_notices, i, max_digest_notices);
         all.push_back(std::move(part));
     }
+    for (std::size_t i = 0; i < part_count(digest.call_rates.size(), max_digest_call_rates); ++i) {
+        auto part = without_lists(digest, state::peer_digest::notices_only);
+        part.call_rates = entries_of_part(digest.call_rates, i, max_digest_call_rates);
+        all.push_back(std::move(part));
+    }
     return all;
 }
 
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.h
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.h
@@ -13,7 +13,8 @@
 namespace savoryrelay::protocol {
 
 /// The most loads, notices of each kind and entries of each other list that a digest may have, so
-/// that it fits into a datagram. Notices travel in digests of their own.
+/// that it fits into a datagram. Notices travel in digests of their own, and rates of calls apart
+/// from the others.
 inline constexpr std::size_t max_digest_loads = 24;
 inline constexpr std::size_t max_digest_notices = 40;
 inline constexpr std::size_t max_digest_leaving = 8;
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -32,7 +32,7 @@
     digest.has_lost_store = true;
     digest.is_controller = true;
     for (std::size_t i = 0; i < entries; ++i) {
-        const auto id = state::endpoint_id("i-" + std::to_string(1'000'000 + i));
+        const auto id = state::endpoint_id("i-" + std::to_string(1'000'000'000 + i));
         digest.loads.push_back({id, {1, 2, 300, 1.5, 0.5}});
         state::runner_observation observation;
         observation.id = id;
