Move the scripted endpoint of the late-answer tests into tests/support

Cause: the soak of copied refusals needs an endpoint that answers many requests on each connection and whose answers and deliveries a test sets, and that class was local to late_answer_test.cpp. Change: it is persistent_endpoint.h now. The tests and their checks are the same.

--- a/tests/process/late_answer_test.cpp
+++ b/tests/process/late_answer_test.cpp
@@ -3,44 +3,23 @@
 // a truthful failure.
 #include "edge_fixture.h"
 #include "support/kept_connection.h"
-
-#include <netinet/tcp.h>
+#include "support/persistent_endpoint.h"
 
 #include <array>
 #include <chrono>
 #include <functional>
-#include <map>
-#include <mutex>
-#include <thread>
 
 using namespace savoryrelay::tests;
 
 namespace {
 
-// Returns a complete answer to the request with this id.
-using answer_hook = std::function<std::string(const std::string& path, const std::string& id)>;
-// Returns what the endpoint sends for a request: by default, `own`. `previous` is the last
-// answer on the same connection, or empty.
-using delivery_hook =
-    std::function<std::string(const std::string& previous, const std::string& own)>;
-
-std::string head_of(const std::string& status, const std::string& id) {
-    return "HTTP/1.1 " + status + "\r\nContent-Type: text/plain\r\nAttempt-Id: " + id +
-           "\r\nServer-Seal: seal-" + id + "\r\n";
-}
-
-std::string plain_answer(const std::string& status, const std::string& id) {
-    const auto body = "ran " + id;
-    return head_of(status, id) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
-}
-
 std::string stream_body(const std::string& id) {
     return "id: 0\ndata: " + id + "\n\nid: 1\ndata: " + id + "\n\n";
 }
 
-std::string own_answer(const std::string& path, const std::string& id) {
-    if (path != "/feed/1") {
+std::string own_answer(const endpoint_request& request) {
+    const auto& id = request.id;
+    if (request.path != "/feed/1") {
         return plain_answer("200 OK", id);
     }
     const auto body = stream_body(id);
@@ -53,158 +32,6 @@
            "\r\n" + body + "\r\n0\r\n\r\n";
 }
 
-std::string rejection(const std::string& status, const std::string& id) {
-    return head_of(status, id) + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-}
-
-std::string own_only(const std::string&, const std::string& own) {
-    return own;
-}
-
-// An endpoint whose answers and deliveries the test sets. Counts the runs of each request.
-class scripted_endpoint {
-public:
-    scripted_endpoint() {
-        m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        constexpr int backlog = 16;
-        REQUIRE(::bind(m_listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
-        REQUIRE(::listen(m_listener, backlog) == 0);
-        REQUIRE(::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-        port = std::to_string(ntohs(address.sin_port));
-        m_acceptor = std::thread([this] { accept_connections(); });
-    }
-    scripted_endpoint(const scripted_endpoint&) = delete;
-    scripted_endpoint& operator=(const scripted_endpoint&) = delete;
-    ~scripted_endpoint() {
-        ::shutdown(m_listener, SHUT_RDWR);
-        m_acceptor.join();
-        ::close(m_listener);
-        {
-            const std::scoped_lock lock(m_mutex);
-            for (const auto& [connection, last] : m_last_answers) {
-                ::shutdown(connection, SHUT_RDWR);
-            }
-        }
-        for (auto& thread : m_threads) {
-            thread.join();
-        }
-    }
-
-    void set(answer_hook answer, delivery_hook deliver) {
-        const std::scoped_lock lock(m_mutex);
-        m_answer = std::move(answer);
-        m_deliver = std::move(deliver);
-    }
-
-    [[nodiscard]] int runs(const std::string& id) {
-        const std::scoped_lock lock(m_mutex);
-        return m_runs[id];
-    }
-
-    /// Returns the number of requests that came.
-    [[nodiscard]] int received() {
-        const std::scoped_lock lock(m_mutex);
-        return m_received;
-    }
-
-    /// Returns the number of requests that came on a connection that had carried another.
-    [[nodiscard]] int reused() {
-        const std::scoped_lock lock(m_mutex);
-        return m_reused;
-    }
-
-    /// Sends `text_of` the last answer on each open connection that has carried one.
-    void send_on_idle(const std::function<std::string(const std::string& last)>& text_of) {
-        const std::scoped_lock lock(m_mutex);
-        for (const auto& [connection, last] : m_last_answers) {
-            if (!last.empty()) {
-                send_text(connection, text_of(last));
-            }
-        }
-    }
-
-    std::string port;
-
-private:
-    static void send_text(int connection, const std::string& text) {
-        static_cast<void>(::send(connection, text.data(), text.size(), MSG_NOSIGNAL));
-    }
-
-    void accept_connections() {
-        for (int connection = ::accept(m_listener, nullptr, nullptr); connection >= 0;
-             connection = ::accept(m_listener, nullptr, nullptr)) {
-            // A part of an answer is sent at once.
-            const int enabled = 1;
-            ::setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
-            const std::scoped_lock lock(m_mutex);
-            m_last_answers[connection];
-            m_threads.emplace_back([this, connection] { serve(connection); });
-        }
-    }
-
-    void serve(int connection) {
-        std::string received;
-        std::array<char, 4096> buffer{};
-        for (auto size = ::recv(connection, buffer.data(), buffer.size(), 0); size > 0;
-             size = ::recv(connection, buffer.data(), buffer.size(), 0)) {
-            received.append(buffer.data(), static_cast<std::size_t>(size));
-            if (is_whole(received)) {
-                answer(connection, received);
-                received.clear();
-            }
-        }
-        const std::scoped_lock lock(m_mutex);
-        m_last_answers.erase(connection);
-        ::close(connection);
-    }
-
-    static std::string field(const std::string& request, const std::string& name) {
-        const auto at = request.find("\r\n" + name + ": ");
-        if (at == std::string::npos) {
-            return {};
-        }
-        const auto begin = at + name.size() + 4;
-        return request.substr(begin, request.find("\r\n", begin) - begin);
-    }
-
-    static bool is_whole(const std::string& request) {
-        const auto head_end = request.find("\r\n\r\n");
-        const auto length = field(request, "Content-Length");
-        return head_end != std::string::npos &&
-               request.size() >= head_end + 4 + (length.empty() ? 0 : std::stoul(length));
-    }
-
-    void answer(int connection, const std::string& request) {
-        const auto path_begin = request.find(' ') + 1;
-        const auto path = request.substr(path_begin, request.find(' ', path_begin) - path_begin);
-        const auto id = field(request, "Attempt-Id");
-        const std::scoped_lock lock(m_mutex);
-        auto& last = m_last_answers[connection];
-        ++m_received;
-        m_reused += last.empty() ? 0 : 1;
-        const auto own = m_answer(path, id);
-        m_runs[id] += own.find("\r\nNot-Executed:") == std::string::npos ? 1 : 0;
-        send_text(connection, m_deliver(last, own));
-        last = own;
-    }
-
-    int m_listener = -1;
-    std::thread m_acceptor;
-    std::vector<std::thread> m_threads; // added by m_acceptor only
-
-    std::mutex m_mutex; // guards the members below
-    answer_hook m_answer = own_answer;
-    delivery_hook m_deliver = own_only;
-    std::map<std::string, int> m_runs;
-    std::map<int, std::string> m_last_answers; // of each open connection; empty: none yet
-    int m_received = 0;
-    int m_reused = 0;
-};
-
 constexpr std::array<const char*, 3> paths{"/look/1", "/book/1", "/feed/1"};
 
 struct call_result {
@@ -272,7 +99,7 @@
     /// rejected at one of them is sent to the other.
     void add_runner_id() {
         const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
-        endpoint.set([](const auto&, const auto& id) { return rejection("503 Full", id); },
+        endpoint.set([](const auto& request) { return rejection("503 Full", request.id); },
                      own_only);
         for (int attempts = 0; attempts < 2;) {
             REQUIRE(std::chrono::steady_clock::now() < limit);
@@ -293,8 +120,8 @@
             call_until_served(path); // leaves an idle connection
             int attempts = 0;
             endpoint.set(
-                [&](const auto& called, const auto& id) {
-                    return attempts++ == 0 ? rejection(status, id) : own_answer(called, id);
+                [&](const auto& request) {
+                    return attempts++ == 0 ? rejection(status, request.id) : own_answer(request);
                 },
                 [](const auto& previous, const auto& own) {
                     const bool is_rejected = previous.find("Not-Executed") != std::string::npos;
@@ -317,7 +144,7 @@
         return result.answer.status == 200 && result.answer.is_complete;
     }
 
-    scripted_endpoint endpoint;
+    persistent_endpoint endpoint{own_answer};
     std::optional<kept_connection> callers; // one connection is served by one thread of the host
 
 private:
@@ -391,7 +218,7 @@
         for (const std::string status : {"503 Service Unavailable", "421 Misdirected Request"}) {
             INFO(path << " " << status);
             const auto next = fixture.call_on_reused(
-                path, [&](const auto&, const auto& id) { return rejection(status, id); },
+                path, [&](const auto& request) { return rejection(status, request.id); },
                 own_answer, previous_and_own);
             CHECK(fixture.is_served(next));
         }
@@ -413,7 +240,7 @@
 
 TEST_CASE("edge: a second copy of a rejection without an id doesn't reject the next request") {
     late_fixture fixture;
-    const answer_hook rejects = [](const auto&, const auto&) {
+    const answer_hook rejects = [](const auto&) {
         return std::string("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
                            "Content-Length: 0\r\n\r\n");
     };
@@ -433,7 +260,7 @@
     for (const std::string path : paths) {
         INFO(path);
         const auto next = fixture.call_on_reused(
-            path, [](const auto&, const auto& id) { return plain_answer("500 Failed", id); },
+            path, [](const auto& request) { return plain_answer("500 Failed", request.id); },
             own_answer, previous_and_own);
         CHECK(fixture.is_served(next));
     }
@@ -446,8 +273,8 @@
         [](const std::string& copy) { return copy.substr(0, copy.find("OK\r\n") + 1); },
         [](const std::string& copy) { return copy.substr(0, copy.find("text/") + 5); },
         [](const std::string& copy) { return copy.substr(0, copy.find("\r\n\r\n") + 8); }};
-    const answer_hook failure = [](const std::string&, const std::string& id) {
-        return plain_answer("500 Failed", id);
+    const answer_hook failure = [](const endpoint_request& request) {
+        return plain_answer("500 Failed", request.id);
     };
     for (const std::string path : paths) {
         for (std::size_t part = 0; part < parts.size(); ++part) {
