Let tests start an entry host again on its ports

Cause: edge_fixture::start gave a host that is started again another peer address, the same for each, and made it a seed of its own. Change: a host keeps its peer address and is no seed of its own.

--- a/tests/process/edge_fixture.h
+++ b/tests/process/edge_fixture.h
@@ -75,14 +75,19 @@
         return *hosts.back();
     }
 
+    /// Starts a host, or starts it again on its ports after its process has ended.
     void start(edge_process& host, const std::string& name) {
         // The settings replace the port of a seed by the port of `peers`.
         std::string seeds;
         for (const auto& other : hosts) {
-            seeds += (seeds.empty() ? "" : ",") + (other->peer_address + ":1");
+            if (other.get() != &host) {
+                seeds += (seeds.empty() ? "" : ",") + (other->peer_address + ":1");
+            }
+        }
+        if (host.peer_address.empty()) {
+            constexpr std::size_t first_address = 10;
+            host.peer_address = "127.0.0." + std::to_string(first_address + hosts.size());
         }
-        constexpr std::size_t first_address = 10;
-        host.peer_address = "127.0.0." + std::to_string(first_address + hosts.size());
         const auto path = folder.write(
             name + ".yaml",
             "host: " + name + "\navailability_zone: zone-a\ncallers: 127.0.0.1:" + host.callers +
