Count only the hosts whose loads a host takes as heard

Cause: a host that had just become a hub counted the hosts of its former hub's digest as heard for up to a second, without their loads, and kept to no part of a limit. Notices counted as loads too. Found by review. Change: members and hubs count by their loads, and digests of the fleet only at hosts that are no hub.

--- a/src/savoryrelay/coordination/exchange/host_directory.cpp
+++ b/src/savoryrelay/coordination/exchange/host_directory.cpp
@@ -86,6 +86,7 @@
         known.heard_as_member_at.reset();
         known.counted_hosts = digest.host_count;
         known.heard_hosts = digest.heard_hosts;
+        known.sums_fleet = digest.scope == state::digest_scope::fleet;
         break;
     case state::digest_scope::probe:
         known.has_probed = true;
@@ -225,20 +226,11 @@
 }
 
 std::size_t host_directory::host_count(state::time_point now) const {
-    return sum_hosts(&known_host::counted_hosts, counted_age, now);
-}
-
-std::size_t host_directory::heard_hosts(state::time_point now) const {
-    return sum_hosts(&known_host::heard_hosts, role_duration, now);
-}
-
-std::size_t host_directory::sum_hosts(std::size_t known_host::*count, state::milliseconds max_age,
-                                      state::time_point now) const {
     const std::scoped_lock lock(m_mutex);
     std::size_t own_count = 1;
     std::size_t fleet_count = 0;
     for (const auto& [key, host] : m_hosts) {
-        if (!is_recent(host.heard_at, max_age, now)) {
+        if (!is_recent(host.heard_at, counted_age, now)) {
             continue;
         }
         switch (host.scope) {
@@ -246,10 +238,10 @@
             ++own_count;
             break;
         case state::digest_scope::hub:
-            own_count += host.*count;
+            own_count += host.counted_hosts;
             break;
         case state::digest_scope::fleet:
-            fleet_count = std::max(fleet_count, host.*count);
+            fleet_count = std::max(fleet_count, host.counted_hosts);
             break;
         case state::digest_scope::probe:
         case state::digest_scope::introduction:
@@ -259,6 +251,22 @@
     return std::max(own_count, fleet_count);
 }
 
+std::size_t host_directory::heard_hosts(state::time_point now) const {
+    const std::scoped_lock lock(m_mutex);
+    std::size_t own_count = 1;
+    std::size_t fleet_count = 0;
+    for (const auto& [key, host] : m_hosts) {
+        if (is_recent(host.heard_as_member_at, role_duration, now)) {
+            ++own_count;
+        } else if (is_recent(host.heard_as_hub_at, role_duration, now) && !host.sums_fleet) {
+            own_count += host.heard_hosts;
+        } else if (is_recent(host.heard_as_hub_at, role_duration, now) && !m_roles.is_hub) {
+            fleet_count = std::max(fleet_count, host.heard_hosts);
+        }
+    }
+    return std::max(own_count, fleet_count);
+}
+
 std::size_t host_directory::member_count(state::time_point now) const {
     const std::scoped_lock lock(m_mutex);
     return 1 + static_cast<std::size_t>(
--- a/src/savoryrelay/coordination/exchange/host_directory.h
+++ b/src/savoryrelay/coordination/exchange/host_directory.h
@@ -107,11 +107,9 @@
         state::digest_scope scope = state::digest_scope::member;
         std::size_t counted_hosts = 0; // by a hub, among the hosts of `scope`
         std::size_t heard_hosts = 0;   // by a hub, those of them whose loads it has
+        bool sums_fleet = false;       // the last loads of a hub were those of the fleet
     };
     [[nodiscard]] static bool is_silent(const known_host& host, state::time_point now);
-    /// Adds up `count` of the hubs heard within `max_age`, and the members heard so lately.
-    [[nodiscard]] std::size_t sum_hosts(std::size_t known_host::*count, state::milliseconds max_age,
-                                        state::time_point now) const;
     static void set_name(known_host& host, const std::string& name);
     void update_roles(state::time_point now);
     void await(const std::vector<state::member_address>& addresses, state::time_point now);
