End a limit of calls only with an answer that has the runner's receipt

Cause: any answer without the field ended the limit for all hosts, a rejection without an id too. Found by review.

--- a/src/edge/runner_signals.cpp
+++ b/src/edge/runner_signals.cpp
@@ -58,9 +58,10 @@
     case call_rate_reading::valid:
         break;
     case call_rate_reading::absent: {
-        // An answer to a request that was sent before the limit was named is no sign of its end.
+        // Neither an answer to a request that was sent before the limit was named nor one that
+        // lacks the runner's receipt shows its end.
         const auto known = m_shared.fleet.find(runner.id);
-        if (!is_call || !known || !known->call_rate.calls_per_s ||
+        if (!is_call || !answer.has_receipt || !known || !known->call_rate.calls_per_s ||
             sent_at <= known->call_rate.shown_at) {
             return;
         }
