Keep the rates of limited calls continuous and finite

Cause: each change of a limit cleared the wanted rate, so a runner that varies its limit got more calls; a limit near the largest number made the share not a number, which admitted every call. The names of hosts were read under the lock of a shard. Found by review. Change: the rate goes on with the new half life, limits are bounded on both sides, names are read first. Evidence: with a limit of 1.7e308 the new check fails on the code before.

--- a/src/savoryrelay/coordination/serving/call_rate_limiter.cpp
+++ b/src/savoryrelay/coordination/serving/call_rate_limiter.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 double share_within_rate(double limit_per_s, double wanted_per_s, double sent_per_s) {
-    const double limit = std::max(limit_per_s, min_call_rate_per_s);
+    const double limit = std::clamp(limit_per_s, min_call_rate_per_s, max_call_rate_per_s);
     const double max_sent_per_s = max_sent_factor * limit + max_sent_excess_per_s;
     const double correction =
         std::clamp((max_sent_per_s - sent_per_s) / (max_sent_per_s - limit), 0.0, 1.0);
@@ -40,11 +40,12 @@
     const auto load = fleet_load(id, now);
     const double share = share_within_rate(*limit, load.wanted_calls_per_s, load.sent_calls_per_s);
     m_loads.note_wanted_call(id, *limit, now);
-    bool is_new = false;
+    const auto known = m_credits.find(id);
+    const bool is_new = !known || known->started_ms != runner.record.started_ms;
+    const double first_credit = is_new ? initial_credit(id) : 0;
     const bool is_admitted = m_credits.update(id, [&](call_credit& credit) {
-        is_new = !credit.used_at || credit.started_ms != runner.record.started_ms;
-        if (is_new) {
-            credit = {runner.record.started_ms, initial_credit(id), {}};
+        if (!credit.used_at || credit.started_ms != runner.record.started_ms) {
+            credit = {runner.record.started_ms, first_credit, {}};
         }
         credit.used_at = now;
         credit.value += share;
@@ -60,7 +61,7 @@
         });
     }
     if (is_admitted) {
-        m_loads.note_limited_call(id, now);
+        m_loads.note_sent_call(id, now);
     }
     return is_admitted;
 }
--- a/src/savoryrelay/coordination/serving/call_rate_limiter.h
+++ b/src/savoryrelay/coordination/serving/call_rate_limiter.h
@@ -11,21 +11,25 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace savoryrelay::coordination {
 
-/// Lowest rate that is kept to. At an endpoint without any calls no host would notice the end of
-/// the limit.
+/// Lower limits count as this rate, so that some call shows the end of the limit.
 inline constexpr double min_call_rate_per_s = 0.25;
+/// Higher limits count as this rate, which keeps the arithmetic finite.
+inline constexpr double max_call_rate_per_s = 1e9;
 
 /// Returns the share, from 0 to 1, of the wanted calls that all hosts send to an endpoint which
 /// takes `limit_per_s`. `wanted_per_s` and `sent_per_s` are the rates of all hosts.
 [[nodiscard]] double share_within_rate(double limit_per_s, double wanted_per_s, double sent_per_s);
 
 /// Returns the factor from the rates of the `heard` hosts to those that a host assumes of all
-/// `known` ones. A host that hears fewer than half of them takes no more than their part: the
-/// others may be using the rest.
+/// `known` ones. If it hears more than half of them, the others may have ended, and it counts
+/// nothing for them. Otherwise more than half may be keeping to the whole limit among themselves,
+/// so it takes half of its part.
 [[nodiscard]] double unheard_factor(std::size_t known, std::size_t heard);
 
 /// Dependencies of the limiter.
--- a/src/savoryrelay/coordination/serving/decayed_rate.h
+++ b/src/savoryrelay/coordination/serving/decayed_rate.h
@@ -18,6 +18,11 @@
         m_per_s = per_s(now, half_life) + std::numbers::ln2 / to_seconds(half_life);
         m_at = now;
     }
+    /// Goes on with another half life.
+    void change_half_life(state::time_point now, state::milliseconds previous) {
+        m_per_s = per_s(now, previous);
+        m_at = now;
+    }
     /// Returns the events a second.
     [[nodiscard]] double per_s(state::time_point now, state::milliseconds half_life) const {
         return m_per_s * std::exp2(-to_seconds(now - m_at) / to_seconds(half_life));
--- a/src/savoryrelay/coordination/serving/load_tracker.cpp
+++ b/src/savoryrelay/coordination/serving/load_tracker.cpp
@@ -1,4 +1,4 @@
-// Counts calls in flight.
+// Counts calls in flight and the rates of calls at limited endpoints.
 #include "savoryrelay/coordination/serving/load_tracker.h"
 
 #include <algorithm>
@@ -64,15 +64,15 @@
                                     state::time_point now) {
     m_own_limited.update(endpoint, [&](limited_calls& calls) {
         const auto half_life = wanted_half_life(limit_per_s);
-        if (calls.wanted_half_life != half_life) {
-            calls.wanted_half_life = half_life;
-            calls.wanted = {};
+        if (calls.wanted_half_life.count() > 0 && calls.wanted_half_life != half_life) {
+            calls.wanted.change_half_life(now, calls.wanted_half_life);
         }
+        calls.wanted_half_life = half_life;
         calls.wanted.note(now, half_life);
     });
 }
 
-void load_tracker::note_limited_call(const state::endpoint_id& endpoint, state::time_point now) {
+void load_tracker::note_sent_call(const state::endpoint_id& endpoint, state::time_point now) {
     m_own_limited.update(endpoint,
                          [&](limited_calls& calls) { calls.sent.note(now, sent_half_life); });
 }
--- a/src/savoryrelay/coordination/serving/load_tracker.h
+++ b/src/savoryrelay/coordination/serving/load_tracker.h
@@ -32,7 +32,7 @@
     void note_wanted_call(const state::endpoint_id& endpoint, double limit_per_s,
                           state::time_point now);
     /// Records that this host sends a call to an endpoint that has named a limit.
-    void note_limited_call(const state::endpoint_id& endpoint, state::time_point now);
+    void note_sent_call(const state::endpoint_id& endpoint, state::time_point now);
 
     /// Replaces the loads from one part of a peer's digest. `source` names the host and
     /// the part. Loads of the scope `fleet` include those that this host reported last,
@@ -73,6 +73,7 @@
     [[nodiscard]] loads_by_endpoint sum(state::time_point now, bool members_only) const;
 
     state::sharded_map<state::endpoint_id, state::endpoint_load> m_own;
+    // Of endpoints that have named a limit; `report` erases those whose rates have decayed.
     state::sharded_map<state::endpoint_id, limited_calls> m_own_limited;
     state::sharded_map<std::string, peer_loads> m_peers;
     state::snapshot_cell<loads_by_endpoint> m_reported{loads_by_endpoint{}}; // to this host's hub
--- a/tests/coordination/serving/call_rate_limiter_test.cpp
+++ b/tests/coordination/serving/call_rate_limiter_test.cpp
@@ -37,16 +37,17 @@
     CHECK(share_within_rate(6, 6, 6) == 1);
     CHECK(share_within_rate(6, 12, 6) == 0.5);
     CHECK(share_within_rate(6, 12, 60) == 0);
+    CHECK(share_within_rate(1.7e308, 12, 6) == 1);
     CHECK(share_within_rate(0, 12, 0) > 0); // its end would not be noticed otherwise
     CHECK(unheard_factor(9, 9) == 1);
     CHECK(unheard_factor(9, 5) == 1);
-    CHECK(unheard_factor(9, 3) == 3);
-    CHECK(unheard_factor(8, 4) == 2);
+    CHECK(unheard_factor(9, 3) == 6);
+    CHECK(unheard_factor(8, 4) == 4);
     CHECK(unheard_factor(1, 1) == 1);
 }
 
 TEST_CASE("hosts with even demand keep to a limit and use it") {
-    const std::size_t host_count = GENERATE(1, 9, 60, 104);
+    const std::size_t host_count = GENERATE(1U, 9U, 60U, 104U);
     const double limit = GENERATE(0.5, 6.5, 40);
     constexpr auto measured = 30s;
     std::size_t sent = 0; // of all seeds: a low limit allows few calls in one run
@@ -65,7 +66,7 @@
 }
 
 TEST_CASE("one host with much demand among others with little uses what they leave") {
-    const std::size_t host_count = GENERATE(9, 60);
+    const std::size_t host_count = GENERATE(9U, 60U);
     const std::uint64_t seed = GENERATE(range(std::uint64_t{1}, seeds + 1));
     constexpr double limit = 6.5;
     CAPTURE(host_count, seed);
@@ -80,7 +81,7 @@
 }
 
 TEST_CASE("calls that come to all hosts at once after a calm keep to the limit") {
-    const std::size_t host_count = GENERATE(9, 60, 104);
+    const std::size_t host_count = GENERATE(9U, 60U, 104U);
     const double limit = GENERATE(0.5, 6.5, 40);
     const double calm_per_s = GENERATE(0.0, 0.2);
     const std::uint64_t seed = GENERATE(range(std::uint64_t{1}, seeds + 1));
@@ -94,7 +95,7 @@
 }
 
 TEST_CASE("calls below the limit are all sent") {
-    const std::size_t host_count = GENERATE(1, 9, 104);
+    const std::size_t host_count = GENERATE(1U, 9U, 104U);
     const std::uint64_t seed = GENERATE(range(std::uint64_t{1}, seeds + 1));
     CAPTURE(host_count, seed);
     call_rate_simulation simulation(seed, host_count, 6.5);
@@ -132,7 +133,7 @@
 }
 
 TEST_CASE("the halves of a fleet that don't hear each other send the limit once together") {
-    const std::size_t host_count = GENERATE(8, 9, 60);
+    const std::size_t host_count = GENERATE(8U, 9U, 60U);
     const std::uint64_t seed = GENERATE(range(std::uint64_t{1}, seeds + 1));
     constexpr double limit = 6.5;
     call_rate_simulation simulation(seed, host_count, limit);
