Ask a limited endpoint once a second for a waiting call, and spread its refusals

Cause: a call that waits for a free endpoint asks every 20 ms, and each time counted as a call that the host wants to send, which lowered the shares of all hosts. Retry-After was bounded after it was spread, so that many callers came back at the same moment. A limit of 0 made admission take a group for none and admit all. Found by review. Change: a waiting call asks limited endpoints once a second; the spread is within the bounds; supply has the same lowest limit as the limiter. Result: the process cases of limits and the transport tests pass, one run each.

--- a/src/savoryrelay/coordination/serving/endpoint_selector.cpp
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.cpp
@@ -72,15 +72,19 @@
 endpoint_selector::select(const state::service_rule& service, const state::serving_call& call,
                           const std::set<state::endpoint_id>& excluded,
                           state::milliseconds time_left, state::time_point now,
-                          const std::optional<placement_limits>& limits) {
+                          const std::optional<placement_limits>& limits,
+                          limited_endpoints limited) {
     return select_admitted(
         service, call, excluded, time_left, now, limits, [&](const runner_view& runner) {
+            const bool is_limited = runner.call_rate.calls_per_s.has_value();
+            if (is_limited && limited == limited_endpoints::leave_out) {
+                return call_admission::limited;
+            }
             if (!admit_cold_call(service, runner, now)) {
                 return call_admission::cold;
             }
-            return !runner.call_rate.calls_per_s || m_hooks.admit_limited(runner, now)
-                       ? call_admission::admitted
-                       : call_admission::limited;
+            return !is_limited || m_hooks.admit_limited(runner, now) ? call_admission::admitted
+                                                                     : call_admission::limited;
         });
 }
 
@@ -99,7 +103,8 @@
 state::milliseconds endpoint_selector::retry_after_limits(const state::service_rule& service,
                                                           const state::serving_call& call,
                                                           state::time_point now) const {
-    using limiter = call_rate_limiter;
+    constexpr auto shortest = static_cast<double>(call_rate_limiter::min_retry_after.count());
+    constexpr auto longest = static_cast<double>(call_rate_limiter::max_retry_after.count());
     // Time in which the calls of one second can be sent.
     constexpr double rate_window_ms = 1'000;
     double least_shortage = 0;
@@ -112,10 +117,9 @@
     }
     constexpr std::uint64_t steps = 1'000;
     const double spread = static_cast<double>(m_hooks.random() % steps) / steps;
-    const double wait_ms = rate_window_ms * std::max(1.0, least_shortage) * spread;
-    return state::milliseconds(static_cast<std::int64_t>(
-        std::clamp(wait_ms, static_cast<double>(limiter::min_retry_after.count()),
-                   static_cast<double>(limiter::max_retry_after.count()))));
+    const double window_ms = std::clamp(rate_window_ms * least_shortage, shortest, longest);
+    return state::milliseconds(
+        static_cast<std::int64_t>(shortest + spread * (window_ms - shortest)));
 }
 
 group_prediction endpoint_selector::predict_at(const state::engine_rule& engine,
@@ -147,8 +151,8 @@
             // The snapshot may be older than what this host has learned of the endpoint.
             const auto known = m_fleet.find(endpoint->runner.record.id);
             const bool is_unwanted = !known || !known->may_take_calls(now);
-            const auto admission = is_unwanted ? call_admission::admitted : admit(*known);
-            if (is_unwanted || admission != call_admission::admitted) {
+            const auto admission = is_unwanted ? call_admission::excluded : admit(*known);
+            if (admission != call_admission::admitted) {
                 is_cold_limit_reached = is_cold_limit_reached || admission == call_admission::cold;
                 is_rate_reached = is_rate_reached || admission == call_admission::limited;
                 std::erase_if(runners, [&](const auto* each) {
@@ -234,7 +238,8 @@
     const double work_s = call_work_ms(*service.engine, model, usual_call) / ms_per_s;
     for (std::size_t i = 0; i < heads.size(); ++i) {
         if (const auto& limit = heads[i]->call_rate.calls_per_s) {
-            candidates[i].usable_share = std::min(1.0, *limit * work_s);
+            candidates[i].usable_share =
+                std::min(1.0, std::max(*limit, min_call_rate_per_s) * work_s);
         }
     }
     return measure_supply(*service.engine, model, candidates);
--- a/src/savoryrelay/coordination/serving/endpoint_selector.h
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -72,8 +72,9 @@
 /// Whether one more call may be sent to an endpoint.
 enum class call_admission {
     admitted,
-    cold,    ///< the endpoint is cold, and this host has used its share of the calls
-    limited, ///< the endpoint gets all the calls a second that it takes
+    excluded, ///< it takes no calls of this host
+    cold,     ///< the endpoint is cold, and this host has used its share of the calls
+    limited,  ///< the endpoint gets all the calls a second that it takes
 };
 
 } // namespace savoryrelay::coordination
@@ -83,6 +84,7 @@
     using a = savoryrelay::coordination::call_admission;
     static constexpr std::array rows{
         enum_name<a>{a::admitted, "admitted"},
+        enum_name<a>{a::excluded, "excluded"},
         enum_name<a>{a::cold, "cold"},
         enum_name<a>{a::limited, "limited"},
     };
@@ -90,6 +92,23 @@
 
 namespace savoryrelay::coordination {
 
+/// Whether a selection considers endpoints that have named a rate of calls. Each time it does, it
+/// counts as one more call that the host wants to send to them.
+enum class limited_endpoints { ask, leave_out };
+
+} // namespace savoryrelay::coordination
+
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::coordination::limited_endpoints> {
+    using l = savoryrelay::coordination::limited_endpoints;
+    static constexpr std::array rows{
+        enum_name<l>{l::ask, "ask"},
+        enum_name<l>{l::leave_out, "leave_out"},
+    };
+};
+
+namespace savoryrelay::coordination {
+
 /// Dependencies of the selector.
 struct selector_hooks {
     std::function<std::shared_ptr<const std::set<state::availability_zone_id>>()>
@@ -128,7 +147,8 @@
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
     select(const state::service_rule& service, const state::serving_call& call,
            const std::set<state::endpoint_id>& excluded, state::milliseconds time_left,
-           state::time_point now, const std::optional<placement_limits>& limits = std::nullopt);
+           state::time_point now, const std::optional<placement_limits>& limits = std::nullopt,
+           limited_endpoints limited = limited_endpoints::ask);
     /// Returns what `select` would return for a call of `route` that arrives now, apart from the
     /// limits of cold endpoints and of those that have named a rate of calls.
     [[nodiscard]] std::variant<selected_endpoint, selection_failure>
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -33,6 +33,8 @@
 // outcome of the call would be unknown.
 constexpr double non_repeatable_idle_share = 0.25;
 constexpr milliseconds queue_poll_interval{20};
+// A waiting call asks an endpoint that has named a rate of calls this often.
+constexpr milliseconds limited_poll_interval{1'000};
 // The loss of a group interrupts many streams at once.
 constexpr milliseconds interrupted_poll_interval{100};
 
@@ -48,11 +50,16 @@
     const auto queue_deadline =
         progress.queue_deadline(call.interrupted_at.value_or(m_dependencies.now()));
     const auto* excluded = &call.tried;
+    state::time_point limited_asked_at{};
     while (true) {
         const auto now = m_dependencies.now();
+        const bool asks_limited = now - limited_asked_at >= limited_poll_interval;
+        limited_asked_at = asks_limited ? now : limited_asked_at;
         const auto limits = placement_limits_of(call);
-        auto selected = m_dependencies.selector.select(*call.service, call.decoded, *excluded,
-                                                       time_until(call.deadline, now), now, limits);
+        auto selected = m_dependencies.selector.select(
+            *call.service, call.decoded, *excluded, time_until(call.deadline, now), now, limits,
+            asks_limited ? coordination::limited_endpoints::ask
+                         : coordination::limited_endpoints::leave_out);
         const bool is_found = std::holds_alternative<selected_endpoint>(selected) &&
                               (!has_begun || progress.reserve_attempt());
         const auto wait_end = std::min(queue_deadline, call.deadline);
