--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -127,7 +127,7 @@
                },
                [this](const state::runner_record& runner, const state::answer_head& answer,
                       state::time_point sent_at) {
-                   m_signals.note_call_rate(runner, answer, sent_at, true);
+                   m_signals.note_call_rate(runner, answer, sent_at, answered_request::call);
                },
                read_clock, &m_admission}) {}
 
--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -187,7 +187,7 @@
 platform::answer_head_hook group_part::signal_hook(const state::runner_record& runner) {
     return [this, runner, sent_at = m_now()](const state::answer_head& answer) {
         m_signals.note_answer(runner, answer);
-        m_signals.note_call_rate(runner, answer, sent_at, false);
+        m_signals.note_call_rate(runner, answer, sent_at, answered_request::control);
     };
 }
 
--- a/src/edge/runner_signals.cpp
+++ b/src/edge/runner_signals.cpp
@@ -48,7 +48,7 @@
 
 void runner_signals::note_call_rate(const state::runner_record& runner,
                                     const state::answer_head& answer, state::time_point sent_at,
-                                    bool is_call) {
+                                    answered_request request) {
     using state::call_rate_reading;
     if (answer.is_other_endpoint) {
         return; // the answer says nothing of this runner
@@ -61,8 +61,8 @@
         // Neither an answer to a request that was sent before the limit was named nor one that
         // lacks the runner's receipt shows its end.
         const auto known = m_shared.fleet.find(runner.id);
-        if (!is_call || !answer.has_receipt || !known || !known->call_rate.calls_per_s ||
-            sent_at <= known->call_rate.shown_at) {
+        if (request != answered_request::call || !answer.has_receipt || !known ||
+            !known->call_rate.calls_per_s || sent_at <= known->call_rate.shown_at) {
             return;
         }
         break;
