Record a plain endpoint's answer before its caller gets it

Cause: the answer that ends a backoff was recorded after it had been sent to the caller, so the next call could still find the endpoint left out. Change: it is recorded once the answer is judged.

--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -177,6 +177,10 @@
         end.is_other_endpoint = answer.is_other_endpoint;
         const auto verdict = coordination::judge_answer(answer);
         end.outcome = verdict.outcome;
+        if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed) {
+            m_dependencies.fleet.note_answer(call.current->chosen.runner.record.id,
+                                             m_dependencies.now());
+        }
         if (end.outcome != attempt_outcome::delivered) {
             end.reason = reason_of(verdict, status);
             co_return end;
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -259,9 +259,6 @@
         co_return;
     }
     attempt.counted.reset();
-    if (end.outcome == attempt_outcome::delivered || end.outcome == attempt_outcome::failed) {
-        m_dependencies.fleet.note_answer(runner.id, m_dependencies.now());
-    }
     if (end.outcome == attempt_outcome::not_run && call.service->engine) {
         m_dependencies.fleet.note_refusal(runner.id, m_dependencies.now());
     } else if (end.is_other_endpoint) {
