Rank the hosts of an endpoint in one place

The limiter of call rates counted the hosts before its own by rendezvous weight as the share of a cold endpoint's calls does. Both call host_rank now; no behaviour changes. Checked: format, layers, coroutines and clang-tidy clean; the tests of cold endpoints and of call rates and the four process cases of limits pass, one run each.

--- a/src/savoryrelay/coordination/serving/call_rate_limiter.cpp
+++ b/src/savoryrelay/coordination/serving/call_rate_limiter.cpp
@@ -1,6 +1,7 @@
 // Computes the share of the wanted calls that may be sent, and counts it call by call.
 #include "savoryrelay/coordination/serving/call_rate_limiter.h"
 
+#include "savoryrelay/coordination/serving/cold_limit.h"
 #include "savoryrelay/state/digest/digest.h"
 
 #include <algorithm>
@@ -73,11 +74,7 @@
 
 double call_rate_limiter::initial_credit(const state::endpoint_id& endpoint) const {
     const auto hosts = m_hooks.host_hashes();
-    const auto key = state::stable_hash(endpoint.value());
-    const auto own_weight = state::rendezvous_weight(hosts.front(), key);
-    const auto rank = std::count_if(hosts.begin(), hosts.end(), [&](std::uint64_t host) {
-        return state::rendezvous_weight(host, key) > own_weight;
-    });
+    const auto rank = host_rank(hosts, state::stable_hash(endpoint.value()));
     return static_cast<double>(rank) / static_cast<double>(hosts.size());
 }
 
--- a/src/savoryrelay/coordination/serving/cold_limit.cpp
+++ b/src/savoryrelay/coordination/serving/cold_limit.cpp
@@ -13,6 +13,14 @@
 
 } // namespace
 
+std::size_t host_rank(const std::vector<std::uint64_t>& hosts, std::uint64_t endpoint) {
+    const auto own_weight = state::rendezvous_weight(hosts.front(), endpoint);
+    return static_cast<std::size_t>(
+        std::count_if(hosts.begin(), hosts.end(), [&](std::uint64_t host) {
+            return state::rendezvous_weight(host, endpoint) > own_weight;
+        }));
+}
+
 std::size_t cold_call_share(const std::vector<std::uint64_t>& hosts, std::uint64_t endpoint,
                             double limit) {
     const auto calls = static_cast<std::size_t>(std::max(0.0, limit));
@@ -20,12 +28,7 @@
     if (owners == 0) {
         return 0;
     }
-    const auto own_weight = state::rendezvous_weight(hosts.front(), endpoint);
-    const auto rank =
-        static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [&](std::uint64_t host) {
-            return state::rendezvous_weight(host, endpoint) > own_weight;
-        }));
-    return rank < owners ? calls / owners : 0;
+    return host_rank(hosts, endpoint) < owners ? calls / owners : 0;
 }
 
 bool is_host_list_complete(std::size_t listed, std::size_t counted) {
--- a/src/savoryrelay/coordination/serving/cold_limit.h
+++ b/src/savoryrelay/coordination/serving/cold_limit.h
@@ -8,6 +8,11 @@
 
 namespace savoryrelay::coordination {
 
+/// Returns how many hosts come before the host `hosts.front()` in the order, equal on all hosts,
+/// in which they own the calls of an endpoint. The arguments are those of `cold_call_share`.
+[[nodiscard]] std::size_t host_rank(const std::vector<std::uint64_t>& hosts,
+                                    std::uint64_t endpoint);
+
 /// Returns the calls that the host `hosts.front()` may send to a cold endpoint in each
 /// window. `hosts` holds the hashes of the names of all hosts, `endpoint` that of the
 /// endpoint's id, and `limit` is the number of calls of all hosts. The shares of hosts with
