--- a/review/support-2/lab.py
+++ b/review/support-2/lab.py
@@ -6,6 +6,7 @@
 import asyncio
 import base64
 import json
+import logging
 import os
 import random
 import resource
@@ -15,6 +16,7 @@
 import sys
 import tempfile
 import time
+import urllib.parse
 
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 SUPPORT = os.path.dirname(os.path.abspath(__file__))
@@ -182,8 +184,7 @@
         values = {}
         for pair in query.split("&"):
             key, _, value = pair.partition("=")
-            values[key] = bytes(value, "latin-1").decode("unicode_escape") if "%" not in value \
-                else __import__("urllib.parse", fromlist=["unquote"]).unquote(value)
+            values[key] = urllib.parse.unquote(value)
         table, part = values.get("table", ""), values.get("part", "")
         status, text = 404, "{}"
         if path == "/rows-tx":
@@ -307,6 +308,9 @@
         program = os.path.join(REPOSITORY, "target", "savoryrelay_edge")
         if not os.path.exists(program):
             raise CannotRun("the build of the deploy file is missing")
+        _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if most != resource.RLIM_INFINITY and most < self._max_fds:
+            raise CannotRun("this machine allows fewer descriptors than the site's machines have")
 
         def limit():
             resource.setrlimit(resource.RLIMIT_NOFILE, (self._max_fds, self._max_fds))
@@ -369,8 +373,12 @@
 
 def run_case(play, folder):
     """Runs `play(record, temporary folder, children)` and exits with its verdict."""
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     record = Record(folder)
     children = Children()
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    usable = 8192 if most == resource.RLIM_INFINITY else min(8192, most)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (usable, most))
 
     def stop(*_):
         raise CannotRun("the case was stopped or took too long")
