--- a/review/support-2/lab.py
+++ b/review/support-2/lab.py
@@ -392,6 +392,10 @@
             record.note(f"could not run: {reason}")
             print(f"could not run: {reason}")
             verdict = NOT_RUN
+        except Exception as error:  # a fault of the case says nothing about the rule
+            record.note(f"could not run: {error!r}")
+            print(f"could not run: {error!r}")
+            verdict = NOT_RUN
         finally:
             signal.alarm(0)
             children.end()
