Let each host decide by the store's answers to any host whether it was away

Cause: entries that lapse in an outage of the store return, so removed ones are called on for 2.2 s after it. A host took any second without answers to its own calls for such an outage, stated the grace in its digests, and all hosts took it over, also those that the store had answered all the while. Change: digests state the store's answers and losses instead of a grace. store_outage_detector finds an outage only if the store answered nobody while a host had no answers; hubs that hear of a loss ask the store, so that a cut of one host is refuted within half a second. Nothing is concluded from what members state, since the hubs don't hear it. Why this works: a host in touch has an answer of its own, or of a hub, within each 0.3 to 0.5 s of a doubt, and an outage takes 0.8 s without any. The grace after a restore rests on the era in the rows that a host reads, from the store or a peer. The digests have a new format: all hosts are restarted together.

--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -142,8 +142,7 @@
     digest.runners_version = m_shared.runners.newest_row_version();
     digest.configuration_version = m_shared.configuration.load()->version;
     digest.tables_age = m_tables.age(now);
-    digest.has_lost_store = m_tables.has_lost_store(now);
-    digest.return_grace = m_tables.return_grace(now);
+    m_tables.describe_contact(digest, now);
     digest.is_controller = m_groups.is_controller();
     digest.controller_age = m_groups.controller_age(now);
 }
@@ -151,6 +150,7 @@
 void peer_part::send_digests(state::time_point now) {
     const auto outgoing = m_exchange.next_round(now);
     m_shared.is_store_reader = m_exchange.is_store_reader() && m_knows_hosts;
+    m_shared.is_hub = m_exchange.is_hub();
     for (const auto& [digest, receivers] : outgoing) {
         for (const auto& part : protocol::split_digest(digest)) {
             const auto datagram = state::collect([&] { return protocol::encode_digest(part); });
@@ -193,9 +193,6 @@
     } else if (digest.scope == digest_scope::fleet) {
         m_groups.note_controller_digest(now - digest.controller_age);
     }
-    if (digest.scope == digest_scope::hub || digest.scope == digest_scope::fleet) {
-        m_tables.note_return_grace(digest.return_grace, now, digest.host.name);
-    }
     apply_observations(digest, now);
     m_signals.note_peer_notices(digest.leaving_runners);
     m_signals.note_peer_notices(digest.call_rates);
@@ -206,6 +203,7 @@
         m_groups.poll_runners_to_confirm(digest.runners_to_confirm);
     }
     if (received.is_load_source) {
+        m_tables.note_peer_contact(digest, now);
         m_shared.loads.apply_peer(digest.host.name + "/" + std::to_string(digest.part),
                                   digest.scope, digest.loads, now);
         if (digest.part == 0) {
@@ -359,7 +357,11 @@
         transport::log_warning("peer_table_damaged", {{"detail", image.error().message()}});
         co_return false;
     }
-    const bool was_empty = mirror.synced_version().number == 0;
+    const auto held = mirror.synced_version();
+    const bool was_empty = held.number == 0;
+    if (!was_empty && image.value().version.era > held.era) {
+        m_tables.note_restore(std::string(state::to_name(table)), held, image.value().version);
+    }
     const auto changed = mirror.apply_image(image.value());
     if (table == shared_table::operators) {
         m_tables.apply_operators(changed);
--- a/src/edge/shared_state.h
+++ b/src/edge/shared_state.h
@@ -66,6 +66,8 @@
     std::atomic<bool> is_store_reachable{false};
     /// This host follows the tables of the store for the hosts of its zone.
     std::atomic<bool> is_store_reader{false};
+    /// The store readers hear what this host states in its digests.
+    std::atomic<bool> is_hub{false};
     /// Number of entry hosts, this one included, among which the limits of the whole fleet
     /// are divided.
     std::atomic<std::size_t> host_count{1};
--- a/src/edge/store_part.cpp
+++ b/src/edge/store_part.cpp
@@ -30,11 +30,6 @@
 constexpr milliseconds operators_feed_wait{2'000};
 constexpr milliseconds runners_feed_wait{2'000};
 constexpr milliseconds retry_pause{250};
-// Entries that lapsed during an outage return within about two seconds of its end, as the
-// platform specifies.
-constexpr milliseconds return_grace_after_outage{2'200};
-// Entries do not lapse during an outage shorter than this.
-constexpr milliseconds min_outage{1'000};
 // A host whose copies come from its hub reads the store for itself when they are older
 // than this, plus a part of `max_age_spread` by its name.
 constexpr milliseconds max_copy_age{3'000};
@@ -46,6 +41,9 @@
 // it when the store is back.
 constexpr milliseconds member_retry_pause{2'000};
 constexpr milliseconds follow_check_interval{200};
+constexpr milliseconds contact_check_interval{100};
+// A call that only checks the contact doesn't wait for a change.
+constexpr milliseconds contact_check_wait{1};
 // A host that follows the store copies from peers after this time without an answer: a
 // call that hangs fails only at its time-out.
 constexpr milliseconds contact_duration{1'000};
@@ -87,6 +85,7 @@
         return follow(std::string(platform::wire::runners_table), m_shared.runners,
                       {runners_feed_wait, m_shared.entry_interval()}, &store_part::apply_runners);
     });
+    transport::start_control_loop(context, "store_contact", [this] { return check_contact(); });
 }
 
 bool store_part::follows_store() const {
@@ -111,17 +110,13 @@
     }
 }
 
-void store_part::note_return_grace(milliseconds left, state::time_point now,
-                                   const std::string& source) {
-    if (left.count() > 0 && now + left > m_grace_end.load()) {
-        const auto extension = now + left - std::max(now, m_grace_end.load());
-        log_info("return_grace",
-                 {{"source", source},
-                  {"extended_by_ms",
-                   std::to_string(std::chrono::duration_cast<milliseconds>(extension).count())},
-                  {"left_ms", std::to_string(left.count())}});
-        m_grace_end = now + left;
-    }
+void store_part::note_peer_contact(const state::peer_digest& digest, state::time_point now) {
+    log_outage(m_outages.apply(digest, now));
+}
+
+void store_part::describe_contact(state::peer_digest& digest, state::time_point now) const {
+    digest.has_lost_store = has_lost_store(now);
+    m_outages.describe(digest, now);
 }
 
 milliseconds store_part::age(state::time_point now) const {
@@ -129,9 +124,32 @@
                     std::chrono::duration_cast<milliseconds>(now - m_current_at.load()));
 }
 
-milliseconds store_part::return_grace(state::time_point now) const {
-    return std::max(milliseconds(0),
-                    std::chrono::duration_cast<milliseconds>(m_grace_end.load() - now));
+void store_part::note_own_loss(state::time_point now) {
+    if (m_shared.is_hub) {
+        m_outages.note_loss(now, coordination::contact_source::own);
+    }
+}
+
+void store_part::log_outage(std::optional<milliseconds> outage) {
+    if (outage) {
+        log_warning("store_outage", {{"unanswered_ms", std::to_string(outage->count())}});
+        m_shared.metrics.counter_of("savoryrelay_store_outages_total").add();
+    }
+}
+
+asio::awaitable<void> store_part::check_contact() {
+    while (true) {
+        co_await pause_for(contact_check_interval);
+        const auto now = m_now();
+        if (has_lost_store(now)) {
+            note_own_loss(now);
+        } else if (m_shared.is_hub && m_outages.needs_check(now)) {
+            const std::string table(platform::wire::runners_table);
+            const auto answer = co_await m_store.wait_for_changes(
+                table, m_shared.runners.synced_version(), contact_check_wait);
+            note_store_call(answer.has_value(), answer ? "" : answer.error().message());
+        }
+    }
 }
 
 void store_part::note_store_call(bool succeeded, const std::string& detail) {
@@ -139,6 +157,7 @@
     m_shared.is_store_reachable = succeeded;
     if (!succeeded) {
         m_store_lost_until = now + lost_store_duration;
+        note_own_loss(now);
         if (!m_failing_since) {
             m_failing_since = now;
             log_warning("store_lost", {{"detail", detail}});
@@ -148,14 +167,10 @@
     m_contact_at = now;
     m_current_at = now;
     m_store_lost_until = state::time_point{};
+    log_outage(m_outages.note_answer(now, coordination::contact_source::own));
     if (m_failing_since) {
-        const auto outage = now - *m_failing_since;
-        if (outage >= min_outage) {
-            note_return_grace(return_grace_after_outage, now, "own_calls");
-        }
-        log_info("store_regained",
-                 {{"after_ms",
-                   std::to_string(std::chrono::duration_cast<milliseconds>(outage).count())}});
+        const auto lost_for = std::chrono::duration_cast<milliseconds>(now - *m_failing_since);
+        log_info("store_regained", {{"after_ms", std::to_string(lost_for.count())}});
         m_failing_since.reset();
     }
 }
@@ -177,7 +192,8 @@
         // A reader that has just started may have read the copy of a restore.
         const bool may_be_copy = before.number > 0 || follows_store();
         if (may_be_copy && held.era > before.era) {
-            confirm_at = m_now() + return_grace_after_outage + confirm_delay();
+            confirm_at =
+                m_now() + coordination::store_outage_detector::return_grace + confirm_delay();
         }
         // The hub's copy does not tell a host whether the hub knew the rows of before.
         const bool must_confirm = confirm_at && m_now() >= *confirm_at;
@@ -256,8 +272,7 @@
 
 void store_part::note_restore(const std::string& table, state::store_version held,
                               state::store_version read) {
-    // Entries that the copy lacks return as they do after an outage.
-    note_return_grace(return_grace_after_outage, m_now(), "restore");
+    m_outages.note_restore(m_now());
     log_warning("store_restored", {{"table", table},
                                    {"era_before", std::to_string(held.era)},
                                    {"version_before", std::to_string(held.number)},
@@ -302,14 +317,13 @@
 
 void store_part::apply_runners(const std::vector<state::mirrored_row>& changed) {
     const auto now = m_now();
-    const auto grace_end = m_grace_end.load();
+    const auto grace = m_outages.grace_left(now);
     for (const auto& row : changed) {
         const state::endpoint_id id(row.key);
         if (row.is_removed) {
-            m_shared.fleet.apply_removal(id, std::max(now, grace_end));
+            m_shared.fleet.apply_removal(id, now + grace);
             log_info("runner_unlisted",
-                     {{"runner", row.key},
-                      {"called_for_ms", std::to_string(return_grace(now).count())}});
+                     {{"runner", row.key}, {"called_for_ms", std::to_string(grace.count())}});
             continue;
         }
         const auto entry =
--- a/src/edge/store_part.h
+++ b/src/edge/store_part.h
@@ -4,6 +4,7 @@
 #include "shared_state.h"
 
 #include "platform/store_client.h"
+#include "savoryrelay/coordination/exchange/store_outage_detector.h"
 #include "savoryrelay/transport/process/io_threads.h"
 
 #include <atomic>
@@ -39,13 +40,16 @@
     [[nodiscard]] bool has_lost_store(state::time_point now) const;
     /// Records that the copies were current at `at`, according to a peer.
     void note_current(state::time_point at);
-    /// Records that entries may return for another `left`, as `source` has found.
-    void note_return_grace(state::milliseconds left, state::time_point now,
-                           const std::string& source);
+    /// Records what a peer states of the store's answers to it.
+    void note_peer_contact(const state::peer_digest& digest, state::time_point now);
+    /// Reports that rows of a later era than those of the copy were read, from the store or a
+    /// peer, and lets entries return. Called before the rows are applied.
+    void note_restore(const std::string& table, state::store_version held,
+                      state::store_version read);
+    /// Fills in what this host knows of the store's answers.
+    void describe_contact(state::peer_digest& digest, state::time_point now) const;
     /// Returns the time since the copies were known to be current.
     [[nodiscard]] state::milliseconds age(state::time_point now) const;
-    /// Returns the time left in which lapsed entries may return.
-    [[nodiscard]] state::milliseconds return_grace(state::time_point now) const;
 
 private:
     struct feed_times {
@@ -56,10 +60,14 @@
 
     boost::asio::awaitable<void> follow(std::string table, state::table_mirror& mirror,
                                         feed_times times, apply_rows_hook apply_rows);
+    /// States losses to the detector. A hub asks the store when a peer's loss puts it in doubt,
+    /// because it passes the doubt on to its members.
+    boost::asio::awaitable<void> check_contact();
     void note_store_call(bool succeeded, const std::string& detail);
-    /// Reports that a full read is of a later era than the copy, and lets entries return.
-    void note_restore(const std::string& table, state::store_version held,
-                      state::store_version read);
+    /// Records a loss if this host is a hub. The store readers hear of the losses of hubs and ask
+    /// the store themselves; nobody would refute those of a member.
+    void note_own_loss(state::time_point now);
+    void log_outage(std::optional<state::milliseconds> outage);
     /// Returns how much later than the readers this host confirms the rows of a restored store.
     [[nodiscard]] state::milliseconds confirm_delay() const;
     [[nodiscard]] state::milliseconds milliseconds_until(state::time_point at) const;
@@ -68,6 +76,7 @@
     platform::store_client& m_store;
     shared_state& m_shared;
     std::function<state::time_point()> m_now;
+    coordination::store_outage_detector m_outages;
     std::optional<state::time_point> m_failing_since; // control context only
     /// Longest age of the copies of a host that does not follow the store. Differs between
     /// hosts, so that they do not all turn to the store at once.
@@ -78,7 +87,6 @@
     std::atomic<state::time_point> m_call_began_at{state::time_point{}};
     std::atomic<int> m_pending_calls{0};
     std::atomic<state::time_point> m_store_lost_until{state::time_point{}};
-    std::atomic<state::time_point> m_grace_end{state::time_point{}};
 };
 
 } // namespace savoryrelay::edge
--- a/src/savoryrelay/coordination/exchange/digest_exchange.cpp
+++ b/src/savoryrelay/coordination/exchange/digest_exchange.cpp
@@ -15,6 +15,7 @@
     m_hosts.set_store_lost(own.has_lost_store);
     auto receivers = m_hosts.next_receivers(now);
     m_is_store_reader = receivers.is_store_reader;
+    m_is_hub = receivers.is_hub;
     std::vector<outgoing_digest> outgoing;
 
     own.scope = receivers.is_hub ? digest_scope::hub : digest_scope::member;
--- a/src/savoryrelay/coordination/exchange/digest_exchange.h
+++ b/src/savoryrelay/coordination/exchange/digest_exchange.h
@@ -37,8 +37,10 @@
 
 /// What to do with a received digest.
 struct received_digest {
-    bool is_accepted = false;    ///< false for digests of this host and of ended processes
-    bool is_load_source = false; ///< its loads and work count here
+    bool is_accepted = false; ///< false for digests of this host and of ended processes
+    /// Its loads and work count here, and what it states of the store: it is from a host that
+    /// reports to this hub, from another hub, or from the hub that this host reports to.
+    bool is_load_source = false;
     /// Hosts to which the datagram is passed on unchanged.
     std::vector<state::member_address> forward_to;
 };
@@ -63,6 +65,9 @@
     /// Returns whether this host follows the tables of the store for its zone, as of the
     /// last round.
     [[nodiscard]] bool is_store_reader() const { return m_is_store_reader.load(); }
+    /// Returns whether this host sends its digests to the hubs as one of them, as of the last
+    /// round.
+    [[nodiscard]] bool is_hub() const { return m_is_hub.load(); }
 
 private:
     [[nodiscard]] bool counts_loads(const state::peer_digest& digest) const;
@@ -72,6 +77,7 @@
     std::uint64_t m_round = 0;           // used by next_round only
     observation_schedule m_observations; // used by next_round only
     std::atomic<bool> m_is_store_reader{false};
+    std::atomic<bool> m_is_hub{false};
 
     std::mutex m_mutex;                                // guards the members below
     digest_receivers m_receivers;                      // of the last round
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -177,7 +177,9 @@
     write_version(out, digest.runners_version);
     out.number(digest.configuration_version);
     write_time(out, digest.tables_age);
-    write_time(out, digest.return_grace);
+    write_time(out, digest.store_answer_age);
+    write_time(out, digest.hub_answer_age);
+    out.number(static_cast<std::uint8_t>(digest.is_store_in_doubt));
     out.number(static_cast<std::uint8_t>(digest.has_lost_store));
     out.number(static_cast<std::uint8_t>(digest.is_controller));
     write_time(out, digest.controller_age);
@@ -318,7 +320,9 @@
         digest.runners_version = read_version(in);
         digest.configuration_version = in.number<std::uint64_t>();
         digest.tables_age = read_time(in);
-        digest.return_grace = read_time(in);
+        digest.store_answer_age = read_time(in);
+        digest.hub_answer_age = read_time(in);
+        digest.is_store_in_doubt = in.number<std::uint8_t>() != 0;
         digest.has_lost_store = in.number<std::uint8_t>() != 0;
         digest.is_controller = in.number<std::uint8_t>() != 0;
         digest.controller_age = read_time(in);
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -139,8 +139,11 @@
     /// Time since the sender's copies of the tables were known to be current, by its own
     /// calls to the store or through other hosts.
     milliseconds tables_age{0};
-    /// Time left in which entries that lapsed during an outage of the store may return.
-    milliseconds return_grace{0};
+    milliseconds store_answer_age = max_duration; ///< since the store last answered the sender
+    /// Since the store last answered a hub that the sender hears. For members, which hear one hub.
+    milliseconds hub_answer_age = max_duration;
+    /// The sender hears other hubs, and one of them or the sender has lost the store. For members.
+    bool is_store_in_doubt = false;
     bool has_lost_store = false;    ///< the store refuses the sender's calls or does not answer
     bool is_controller = false;     ///< the sender holds the lease on the groups
     milliseconds controller_age{0}; ///< time since the sender heard the controller
--- a/tests/process/edge_fixture.h
+++ b/tests/process/edge_fixture.h
@@ -53,6 +53,7 @@
     std::string peer_port = free_port();     ///< the same on all hosts
     std::string configuration_limits = "{}"; ///< JSON, of the configurations written later
     std::string extra_settings;              ///< YAML, of the hosts started later
+    std::string store_port = store.port;     ///< at which the hosts started later call the store
 
     explicit edge_fixture(std::size_t host_count = 1, std::size_t model_count = 3) {
         for (std::size_t i = 0; i < model_count; ++i) {
@@ -92,7 +93,7 @@
             name + ".yaml",
             "host: " + name + "\navailability_zone: zone-a\ncallers: 127.0.0.1:" + host.callers +
                 "\nreadiness: 127.0.0.1:" + host.readiness +
-                "\nmetrics: 127.0.0.1:" + host.metrics + "\nstore: 127.0.0.1:" + store.port +
+                "\nmetrics: 127.0.0.1:" + host.metrics + "\nstore: 127.0.0.1:" + store_port +
                 "\npeers: {address: " + host.peer_address + ", port: " + peer_port + ", seeds: '" +
                 seeds + "'}\n" + extra_settings);
         host.process = std::make_unique<child_process>(
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -30,6 +30,9 @@
     digest.heard_hosts = 290;
     digest.incarnation = 7;
     digest.has_lost_store = true;
+    digest.store_answer_age = state::milliseconds(170);
+    digest.hub_answer_age = state::milliseconds(190);
+    digest.is_store_in_doubt = true;
     digest.is_controller = true;
     for (std::size_t i = 0; i < entries; ++i) {
         const auto id = state::endpoint_id("i-" + std::to_string(1'000'000'000 + i));
@@ -88,6 +91,9 @@
             CHECK(read.value().host_count == 295);
             CHECK(read.value().heard_hosts == 290);
             CHECK(read.value().has_lost_store);
+            CHECK(read.value().store_answer_age == state::milliseconds(170));
+            CHECK(read.value().hub_answer_age == state::milliseconds(190));
+            CHECK(read.value().is_store_in_doubt);
             CHECK(read.value().is_controller);
             loads += read.value().loads.size();
             observations += read.value().observations.size();
--- a/tests/support/exchange_simulation.h
+++ b/tests/support/exchange_simulation.h
@@ -4,6 +4,7 @@
 
 #include "savoryrelay/coordination/exchange/crash_notice_schedule.h"
 #include "savoryrelay/coordination/exchange/digest_exchange.h"
+#include "savoryrelay/coordination/exchange/store_outage_detector.h"
 #include "savoryrelay/coordination/serving/load_tracker.h"
 #include "savoryrelay/state/serving/table_mirror.h"
 
@@ -38,6 +39,14 @@
         bool is_up = true;
         bool is_cut_off = false;
         bool is_refused = false; ///< by the store
+        /// While the store does not answer, the calls of this host fail at once; else they wait
+        /// for an answer until they time out.
+        bool fails_at_once = true;
+        std::optional<state::time_point> unanswered_since; ///< call to the store
+        state::time_point lost_until{};                    ///< after a call that failed
+        state::time_point answer_due{};                    ///< of the call without a change
+        std::unique_ptr<coordination::store_outage_detector> outages;
+        int found_outages = 0;
         std::unique_ptr<coordination::host_directory> directory;
         std::unique_ptr<coordination::load_tracker> loads;
         std::unique_ptr<coordination::digest_exchange> exchange;
@@ -81,16 +90,20 @@
         each.loads = std::make_unique<coordination::load_tracker>();
         each.rows = std::make_unique<state::table_mirror>();
         each.notices = std::make_unique<coordination::crash_notice_schedule>();
+        each.outages = std::make_unique<coordination::store_outage_detector>();
+        each.unanswered_since.reset();
+        each.lost_until = {};
         each.known_notices.clear();
         each.is_up = true;
         each.exchange = std::make_unique<coordination::digest_exchange>(
             *each.directory,
             coordination::digest_sources{
                 .describe =
-                    [&each](state::peer_digest& digest, state::time_point) {
+                    [this, &each](state::peer_digest& digest, state::time_point at) {
                         digest.host = each.entry;
                         digest.incarnation = each.incarnation;
-                        digest.has_lost_store = each.is_refused;
+                        digest.has_lost_store = each.is_refused || has_lost_store(each);
+                        each.outages->describe(digest, at);
                         digest.operators_version = each.rows->newest_row_version();
                         digest.configuration_version = each.configuration_version;
                     },
@@ -152,6 +165,7 @@
         for (auto& each : hosts) {
             if (each.is_up) {
                 copy_rows(each);
+                call_store(each);
             }
         }
     }
@@ -173,6 +187,7 @@
     std::vector<host> hosts;
     /// The operators' table as the store holds it.
     std::unique_ptr<state::table_mirror> store = std::make_unique<state::table_mirror>();
+    bool is_store_away = false;  ///< the store answers nobody
     std::uint64_t went_back = 0; ///< times that a host's copy lost a version
 
 private:
@@ -182,6 +197,45 @@
         state::peer_digest digest;
     };
 
+    /// A call without a change is answered after this time.
+    static constexpr state::milliseconds feed_wait{2'000};
+    static constexpr state::milliseconds call_timeout{2'500};
+
+    /// A host whose call has failed leaves the store to another host of its zone for this long.
+    static constexpr state::milliseconds lost_duration{5'000};
+
+    [[nodiscard]] bool has_lost_store(const host& each) const { return now < each.lost_until; }
+
+    // A store reader always has a call at the store that waits for a change, and there is none.
+    void call_store(host& each) {
+        if (has_lost_store(each) && each.exchange->is_hub()) {
+            each.outages->note_loss(now, coordination::contact_source::own);
+        }
+        const bool must_check =
+            each.exchange->is_hub() && !has_lost_store(each) && each.outages->needs_check(now);
+        if (!each.exchange->is_store_reader() && !must_check) {
+            each.unanswered_since.reset();
+            return;
+        }
+        if (each.is_refused || each.is_cut_off || is_store_away) {
+            if (!each.unanswered_since) {
+                each.unanswered_since = now;
+            }
+            if (each.fails_at_once || now - *each.unanswered_since >= call_timeout) {
+                each.lost_until = now + lost_duration;
+            }
+            return;
+        }
+        const bool has_returned = each.unanswered_since.has_value();
+        each.unanswered_since.reset();
+        if (has_returned || now >= each.answer_due || must_check) {
+            each.lost_until = {};
+            each.found_outages +=
+                each.outages->note_answer(now, coordination::contact_source::own) ? 1 : 0;
+            each.answer_due = now + feed_wait;
+        }
+    }
+
     [[nodiscard]] bool happens(double chance) {
         return std::uniform_real_distribution<>(0, 1)(m_random) < chance;
     }
@@ -236,6 +290,7 @@
             }
         }
         if (received.is_load_source) {
+            receiver.found_outages += receiver.outages->apply(digest, now) ? 1 : 0;
             receiver.loads->apply_peer(digest.host.name + "/0", digest.scope, digest.loads, now);
         }
     }
