State the store's answers to the sender, not ages that hosts pass around

A zone whose readers have lost the store would learn of changes late, since its other hosts take their copies for current. Cause: the age of a host's copies went from peer to peer and back. A digest has no time of sending, so each transfer made it younger by its delay; with delays as long as the exchange's interval it never grew. It can't go round in a circle: what a host was told it states once, as that of a hub, and receivers don't state that again.

--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -141,7 +141,6 @@
     digest.operators_version = m_shared.operators.newest_row_version();
     digest.runners_version = m_shared.runners.newest_row_version();
     digest.configuration_version = m_shared.configuration.load()->version;
-    digest.tables_age = m_tables.age(now);
     m_tables.describe_contact(digest, now);
     digest.is_controller = m_groups.is_controller();
     digest.controller_age = m_groups.controller_age(now);
--- a/src/savoryrelay/coordination/exchange/host_directory.cpp
+++ b/src/savoryrelay/coordination/exchange/host_directory.cpp
@@ -98,7 +98,7 @@
     known.operators_version = digest.operators_version;
     known.runners_version = digest.runners_version;
     known.configuration_version = digest.configuration_version;
-    known.tables_current_at = now - digest.tables_age;
+    known.tables_current_at = now - std::min(digest.store_answer_age, digest.hub_answer_age);
     if (std::exchange(known.has_lost_store, digest.has_lost_store) != digest.has_lost_store) {
         m_roles_expire_at = {};
     }
--- a/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
+++ b/src/savoryrelay/protocol/serving/peer_digest_codec.cpp
@@ -176,7 +176,6 @@
     write_version(out, digest.operators_version);
     write_version(out, digest.runners_version);
     out.number(digest.configuration_version);
-    write_time(out, digest.tables_age);
     write_time(out, digest.store_answer_age);
     write_time(out, digest.hub_answer_age);
     out.number(static_cast<std::uint8_t>(digest.is_store_in_doubt));
@@ -319,7 +318,6 @@
         digest.operators_version = read_version(in);
         digest.runners_version = read_version(in);
         digest.configuration_version = in.number<std::uint64_t>();
-        digest.tables_age = read_time(in);
         digest.store_answer_age = read_time(in);
         digest.hub_answer_age = read_time(in);
         digest.is_store_in_doubt = in.number<std::uint8_t>() != 0;
--- a/src/savoryrelay/state/serving/peer_digest.h
+++ b/src/savoryrelay/state/serving/peer_digest.h
@@ -136,11 +136,11 @@
     /// The operators' own version of the configuration in force. A restored store may hold an
     /// older one, so the versions of its rows do not show which host has the newest.
     std::uint64_t configuration_version = 0;
-    /// Time since the sender's copies of the tables were known to be current, by its own
-    /// calls to the store or through other hosts.
-    milliseconds tables_age{0};
-    milliseconds store_answer_age = max_duration; ///< since the store last answered the sender
-    /// Since the store last answered a hub that the sender hears. For members, which hear one hub.
+    /// Time since the store last answered the sender itself. What a host knows of the store's
+    /// answers to others is never stated as its own: an age that hosts pass around grows younger
+    /// by the time of each transfer.
+    milliseconds store_answer_age = max_duration;
+    /// Time since the store last answered a hub, as that hub has told the sender.
     milliseconds hub_answer_age = max_duration;
     /// The sender hears other hubs, and one of them or the sender has lost the store. For members.
     bool is_store_in_doubt = false;
--- a/tests/coordination/exchange/exchange_test.cpp
+++ b/tests/coordination/exchange/exchange_test.cpp
@@ -484,3 +484,21 @@
         CHECK(host.directory->heard_hosts(simulation.now) == simulation.hosts.size());
     }
 }
+
+// Guards against hosts without the store that take their copies for current, because each hears
+// of a younger age from another one, and then do not turn to the store themselves.
+TEST_CASE("exchange: copies grow old at the pace of time while hosts pass their age around") {
+    const auto hosts_per_zone = GENERATE(std::size_t{3}, std::size_t{10});
+    constexpr tests::datagram_faults all_late{0, 0, 1};
+    exchange_simulation simulation(1, all_late, 3, hosts_per_zone);
+    simulation.advance(3 * second);
+    simulation.is_store_away = true;
+    simulation.advance(10 * second);
+    // The longest delay of a datagram, on the way to a hub and from it.
+    constexpr auto transfers = 2 * latest_datagram * exchange_simulation::round;
+    for (const auto& host : simulation.hosts) {
+        CHECK(
+            host.directory->best_source(shared_table::runners, simulation.now).value().current_at <=
+            simulation.now - 10s + transfers);
+    }
+}
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -24,7 +24,6 @@
     state::peer_digest digest;
     digest.host = {"edge-a-1", {"10.1.0.40", 7340}, state::availability_zone_id("zone-a"), 0.5};
     digest.scope = state::digest_scope::hub;
-    digest.tables_age = state::milliseconds(150);
     digest.controller_age = std::chrono::minutes(10);
     digest.host_count = 295;
     digest.heard_hosts = 290;
@@ -86,7 +85,6 @@
             CHECK(read.value().host.address == state::member_address{"10.1.0.40", 7340});
             CHECK(read.value().host.availability_zone.value() == "zone-a");
             CHECK(read.value().scope == state::digest_scope::hub);
-            CHECK(read.value().tables_age == state::milliseconds(150));
             CHECK(read.value().controller_age > std::chrono::minutes(1));
             CHECK(read.value().host_count == 295);
             CHECK(read.value().heard_hosts == 290);
