Apply the rows that a check of the store's contact returns

Cause: a check that succeeded counted as contact of the host's feeds, although its rows were dropped. A reader whose feed hangs on one broken connection would have taken itself for current and not copied from peers for up to 3 s. Change: the check's rows are applied like those of the feed, and count as contact only then. Where they can't be (no copy yet, another era, history gone), the answer is only evidence that the store is there. Result: store_contact_test, the restored store's case of peers and the unit tests of the exchange pass. No test shows the hanging feed.

--- a/src/edge/store_part.cpp
+++ b/src/edge/store_part.cpp
@@ -144,14 +144,29 @@
         if (has_lost_store(now)) {
             note_own_loss(now);
         } else if (m_shared.is_hub && m_outages.needs_check(now)) {
-            const std::string table(platform::wire::runners_table);
-            const auto answer = co_await m_store.wait_for_changes(
-                table, m_shared.runners.synced_version(), contact_check_wait);
-            note_store_call(answer.has_value(), answer ? "" : answer.error().message());
+            co_await ask_store();
         }
     }
 }
 
+asio::awaitable<void> store_part::ask_store() {
+    const std::string table(platform::wire::runners_table);
+    const auto held = m_shared.runners.synced_version();
+    const auto feed = co_await m_store.wait_for_changes(table, held, contact_check_wait);
+    if (!feed) {
+        note_store_call(false, feed.error().message());
+        co_return;
+    }
+    const auto& answer = feed.value();
+    if (held.number == 0 || answer.history_expired || answer.version.era != held.era) {
+        // The store has answered, but these rows do not make the copy current.
+        log_outage(m_outages.note_answer(m_now(), coordination::contact_source::own));
+        co_return;
+    }
+    note_store_call(true, "");
+    apply_runners(m_shared.runners.apply_changes(answer.changes, answer.version));
+}
+
 void store_part::note_store_call(bool succeeded, const std::string& detail) {
     const auto now = m_now();
     m_shared.is_store_reachable = succeeded;
--- a/src/edge/store_part.h
+++ b/src/edge/store_part.h
@@ -63,6 +63,8 @@
     /// States losses to the detector. A hub asks the store when a peer's loss puts it in doubt,
     /// because it passes the doubt on to its members.
     boost::asio::awaitable<void> check_contact();
+    /// Asks the store for changes without a wait, and applies them.
+    boost::asio::awaitable<void> ask_store();
     void note_store_call(bool succeeded, const std::string& detail);
     /// Records a loss if this host is a hub. The store readers hear of the losses of hubs and ask
     /// the store themselves; nobody would refute those of a member.
--- a/src/savoryrelay/coordination/exchange/store_outage_detector.h
+++ b/src/savoryrelay/coordination/exchange/store_outage_detector.h
@@ -15,7 +15,7 @@
 enum class contact_source {
     own,   ///< a call of this host
     hub,   ///< a hub stated it of its own calls
-    relay, ///< a hub passed on what another hub stated; never passed on again
+    relay, ///< a hub passed it on to this member, which never passes it on again
 };
 
 /// Knows when the store last answered any host, and since when hosts doubt that it does.
@@ -75,7 +75,7 @@
     std::optional<state::time_point> m_answered_at;   // newest answer from any source
     std::optional<state::time_point> m_hub_heard_at;
     std::optional<state::time_point> m_hub_loss_at;
-    /// Begin of the losses that no known answer has followed. Invariant: later than
+    /// Begin of the losses that no known answer has followed. Invariant: not before
     /// `m_answered_at`.
     std::optional<state::time_point> m_doubt_since;
     state::time_point m_loss_at{}; // last loss from any source
