Share the soaks' settings and numbers

Cause: the soak of store contacts wrote number_from_environment and the seeded numbers again that the soak of copied refusals had. Change: both use tests/support/soak.h. No check, bound or seed changes, and the numbers of a seed are the same.

--- a/tests/process/copied_refusal_soak_test.cpp
+++ b/tests/process/copied_refusal_soak_test.cpp
@@ -4,6 +4,7 @@
 #include "edge_fixture.h"
 #include "support/kept_connection.h"
 #include "support/persistent_endpoint.h"
+#include "support/soak.h"
 
 #include <algorithm>
 #include <array>
@@ -37,31 +38,6 @@
            refusal_statuses.end();
 }
 
-unsigned number_from_environment(const char* name, unsigned usual) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? usual : static_cast<unsigned>(std::stoul(text));
-}
-
-// Numbers from one seed, for all threads.
-class shared_random {
-public:
-    explicit shared_random(unsigned seed) : m_numbers(seed) {}
-
-    /// Returns a number from 0 to `limit` - 1.
-    unsigned below(unsigned limit) {
-        const std::scoped_lock lock(m_mutex);
-        return static_cast<unsigned>(m_numbers() % limit);
-    }
-    bool one_in(unsigned count) { return below(count) == 0; }
-    std::chrono::milliseconds time_between(unsigned least_ms, unsigned most_ms) {
-        return std::chrono::milliseconds(least_ms + below(most_ms - least_ms + 1));
-    }
-
-private:
-    std::mutex m_mutex;
-    std::mt19937 m_numbers;
-};
-
 // What the runners did with each request.
 class run_ledger {
 public:
--- a/tests/process/store_contact_soak_test.cpp
+++ b/tests/process/store_contact_soak_test.cpp
@@ -5,15 +5,14 @@
 
 #include "support/cuttable_link.h"
 #include "support/kept_connection.h"
+#include "support/soak.h"
 
 #include <array>
 #include <atomic>
 #include <chrono>
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <mutex>
-#include <random>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -39,11 +38,6 @@
 // Entries that lapsed return within two seconds.
 constexpr unsigned latest_return_ms = 1'600;
 
-unsigned number_from_environment(const char* name, unsigned usual) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? usual : static_cast<unsigned>(std::stoul(text));
-}
-
 struct time_span {
     instant begin;
     instant end;
@@ -111,14 +105,6 @@
     }
     void remove(const std::string& id) { write(id, "null"); }
 
-    unsigned below(unsigned limit) {
-        const std::scoped_lock lock(mutex);
-        return static_cast<unsigned>(random() % limit);
-    }
-    std::chrono::milliseconds between(unsigned least_ms, unsigned most_ms) {
-        return std::chrono::milliseconds(least_ms + below(most_ms - least_ms + 1));
-    }
-
     // Sends call after call on a connection that it keeps.
     void run_client(std::size_t host, std::size_t number) {
         kept_connection connection(hosts[host]->callers);
@@ -138,7 +124,7 @@
     void disturb_paths(const std::vector<std::size_t>& which, std::chrono::milliseconds time) {
         const auto begin = test_clock::now();
         for (const auto host : which) {
-            links[host]->set(below(2) == 0 ? path::cut : path::held);
+            links[host]->set(random.below(2) == 0 ? path::cut : path::held);
         }
         std::this_thread::sleep_for(time);
         for (const auto host : which) {
@@ -150,7 +136,7 @@
     void pause_one(std::size_t host) {
         const auto begin = test_clock::now();
         hosts[host]->process->pause();
-        std::this_thread::sleep_for(between(300, 3'000));
+        std::this_thread::sleep_for(random.time_between(300, 3'000));
         hosts[host]->process->send(SIGCONT);
         disturbed[host].push_back({begin, test_clock::now()});
     }
@@ -160,10 +146,10 @@
         std::this_thread::sleep_for(contact_time);
         const auto begin = test_clock::now();
         for (auto& link : links) {
-            link->set(below(2) == 0 ? path::cut : path::held);
+            link->set(random.below(2) == 0 ? path::cut : path::held);
         }
-        links[below(host_count)]->set(path::cut);
-        std::this_thread::sleep_for(between(1'500, 4'000));
+        links[random.below(host_count)]->set(path::cut);
+        std::this_thread::sleep_for(random.time_between(1'500, 4'000));
         for (std::size_t i = 0; i < runner_count; ++i) {
             remove(id_of(i));
         }
@@ -172,7 +158,7 @@
             disturbed[i].push_back({begin, test_clock::now()});
         }
         const auto returned_at = test_clock::now();
-        std::this_thread::sleep_for(between(0, latest_return_ms));
+        std::this_thread::sleep_for(random.time_between(0, latest_return_ms));
         for (std::size_t i = 0; i < runner_count; ++i) {
             list(i);
         }
@@ -182,10 +168,10 @@
 
     // A runner leaves, and is back under its id after a while.
     void replace_one() {
-        const auto runner = below(runner_count);
+        const auto runner = random.below(runner_count);
         remove(id_of(runner));
         absence left{runner, test_clock::now()};
-        std::this_thread::sleep_for(leave_limit + between(500, 1'500));
+        std::this_thread::sleep_for(leave_limit + random.time_between(500, 1'500));
         left.listed_at = test_clock::now();
         list(runner);
         absences.push_back(left);
@@ -194,25 +180,25 @@
     void run(std::chrono::seconds length) {
         const auto end = test_clock::now() + length;
         while (test_clock::now() < end) {
-            if (below(5) == 0) {
+            if (random.below(5) == 0) {
                 store_away();
                 continue;
             }
             // A runner leaves while hosts are cut off, or as they reach the store again.
-            const auto cut_time = between(300, 4'000);
-            const auto leaves_after =
-                below(3) == 0 ? between(0, 4'000) : cut_time + between(0, 300);
-            const bool is_one_paused = below(3) == 0;
+            const auto cut_time = random.time_between(300, 4'000);
+            const auto leaves_after = random.below(3) == 0 ? random.time_between(0, 4'000)
+                                                           : cut_time + random.time_between(0, 300);
+            const bool is_one_paused = random.below(3) == 0;
             std::thread leaving([this, leaves_after] {
                 std::this_thread::sleep_for(leaves_after);
                 replace_one();
             });
-            const auto first = below(host_count);
+            const auto first = random.below(host_count);
             if (is_one_paused) {
                 pause_one((first + 2) % host_count);
             }
-            below(3) == 0 ? disturb_paths({first, (first + 1) % host_count}, cut_time)
-                          : disturb_paths({first}, cut_time);
+            random.below(3) == 0 ? disturb_paths({first, (first + 1) % host_count}, cut_time)
+                                 : disturb_paths({first}, cut_time);
             leaving.join();
         }
     }
@@ -226,7 +212,7 @@
         return true;
     }
 
-    std::mt19937 random; // guarded by `mutex`; threads side by side take its numbers
+    shared_random random;
     std::vector<std::unique_ptr<standin_process>> runners;
     std::vector<std::unique_ptr<cuttable_link>> links;
     std::array<std::vector<time_span>, host_count> disturbed;
