Connect to endpoints through another host

Change: endpoint_connection::connect_through opens a tunnel and reports the reply. The pool keeps relayed and direct idle connections apart and closes those of one path on demand. Socket options and the close that discards unacknowledged bytes are shared with the tunnels.

--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -1,23 +1,24 @@
 // Implements an HTTP exchange in which every step has its own time limit.
 #include "savoryrelay/transport/http/endpoint_connection.h"
 
+#include "savoryrelay/transport/http/socket_options.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
+#include <chrono>
 #include <limits>
+#include <tuple>
 
 namespace savoryrelay::transport {
 
@@ -30,16 +31,9 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
-// The kernel closes a connection whose data stays unacknowledged for this long.
-// The progress deadline of a stream is usually shorter; this limit covers
-// connections without such a deadline.
-constexpr int user_timeout_ms = 20'000;
-constexpr int keepalive_idle_s = 10;
-constexpr int keepalive_interval_s = 5;
-constexpr int keepalive_probes = 3;
-
 constexpr std::uint32_t max_answer_header_bytes = 16 * 1024;
 constexpr int max_informational_heads = 8;
+constexpr std::size_t max_reply_bytes = 64; // of another host, about a tunnel
 
 // Returns whether `text` contains the status line of an answer up to its status.
 bool contains_status_line(std::string_view text) {
@@ -69,18 +63,6 @@
     return http::to_status_class(head.result_int()) == http::status_class::informational;
 }
 
-void set_socket_options(tcp::socket& socket) {
-    const auto set = [&](int level, int name, int value) {
-        ::setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
-    };
-    set(IPPROTO_TCP, TCP_NODELAY, 1);
-    set(SOL_SOCKET, SO_KEEPALIVE, 1);
-    set(IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
-    set(IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
-    set(IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
-    set(IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
-}
-
 } // namespace
 
 bool is_closed_by_peer(const error_code& failed) {
@@ -106,6 +88,64 @@
     co_return failed;
 }
 
+asio::awaitable<relayed_connect>
+endpoint_connection::connect_through(const state::member_address& relay,
+                                     const state::endpoint_id& endpoint, std::uint64_t started_ms,
+                                     state::milliseconds timeout) {
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    const auto line = protocol::encode_relay_request({endpoint, started_ms});
+    relayed_connect result;
+    if (!line) {
+        result.failed = asio::error::invalid_argument;
+        co_return result;
+    }
+    result.failed = co_await connect(relay.ip, relay.port, timeout);
+    if (!result.failed) {
+        result = co_await open_tunnel(*line, deadline);
+    }
+    if (result.failed) {
+        close();
+        co_return result;
+    }
+    m_path = connection_path::relayed;
+    co_return result;
+}
+
+asio::awaitable<relayed_connect> endpoint_connection::open_tunnel(const std::string& line,
+                                                                  state::time_point deadline) {
+    const auto extend = [&] {
+        m_watchdog.extend(
+            std::chrono::ceil<state::milliseconds>(deadline - std::chrono::steady_clock::now()));
+    };
+    relayed_connect result;
+    extend();
+    std::tie(result.failed, std::ignore) =
+        co_await asio::async_write(m_stream, asio::buffer(line), use_tuple);
+
+    // No bytes follow the reply, because an endpoint sends none before a request.
+    std::array<char, max_reply_bytes> reply{};
+    std::size_t received = 0;
+    while (!result.failed && received < reply.size() &&
+           std::find(reply.begin(), reply.begin() + received, '\n') == reply.begin() + received) {
+        extend();
+        std::size_t size = 0;
+        std::tie(result.failed, size) = co_await m_stream.async_read_some(
+            asio::buffer(reply.data() + received, reply.size() - received), use_tuple);
+        received += size;
+    }
+    m_watchdog.disarm();
+    if (result.failed) {
+        co_return result;
+    }
+    result.reply = protocol::decode_relay_reply({reply.data(), received});
+    if (!result.reply) {
+        result.failed = http::error::bad_value;
+    } else if (*result.reply != protocol::relay_reply::connected) {
+        result.failed = asio::error::connection_refused;
+    }
+    co_return result;
+}
+
 void endpoint_connection::reset_parser() {
     m_parser.emplace();
     m_parser->header_limit(max_answer_header_bytes);
@@ -248,20 +288,8 @@
     return m_stream.socket().is_open() && peek() == input_state::closed;
 }
 
-bool endpoint_connection::has_unacknowledged_bytes() {
-    int bytes = 0;
-    return ::ioctl(m_stream.socket().native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
-}
-
 void endpoint_connection::close() {
-    if (!m_stream.socket().is_open()) {
-        return;
-    }
-    error_code ignored;
-    if (has_unacknowledged_bytes()) {
-        m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-    }
-    m_stream.socket().close(ignored);
+    close_at_once(m_stream.socket());
 }
 
 } // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -3,11 +3,15 @@
 // connection turns out to be closed.
 #pragma once
 
+#include "savoryrelay/protocol/relay/relay_messages.h"
+#include "savoryrelay/state/core/enum_names.h"
 #include "savoryrelay/state/core/identifier.h"
 #include "savoryrelay/state/core/time.h"
+#include "savoryrelay/state/member/member.h"
 #include "savoryrelay/transport/http/http_message.h"
 #include "savoryrelay/transport/http/progress_watchdog.h"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -17,6 +21,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/system/error_code.hpp>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -30,6 +35,18 @@
 /// Returns whether an operation failed because the peer closed or reset the connection.
 [[nodiscard]] bool is_closed_by_peer(const boost::system::error_code& failed);
 
+/// How a connection reaches its endpoint.
+enum class connection_path {
+    direct,
+    relayed, ///< by a tunnel through another host
+};
+
+/// The result of connecting through another host.
+struct relayed_connect {
+    boost::system::error_code failed;           ///< not set exactly if `reply` is `connected`
+    std::optional<protocol::relay_reply> reply; ///< nothing if the other host sent none
+};
+
 /// A connection that carries one exchange at a time. Not thread-safe.
 class endpoint_connection {
 public:
@@ -44,6 +61,20 @@
     boost::asio::awaitable<boost::system::error_code>
     connect(const std::string& address, std::uint16_t port, state::milliseconds timeout);
 
+    /// Connects to an endpoint through the host that listens for tunnels at `relay`. `timeout`
+    /// covers all steps. Nothing was sent to the endpoint if this fails. Afterwards the
+    /// connection is used as a direct one.
+    boost::asio::awaitable<relayed_connect> connect_through(const state::member_address& relay,
+                                                            const state::endpoint_id& endpoint,
+                                                            std::uint64_t started_ms,
+                                                            state::milliseconds timeout);
+
+    /// Returns how the connection reaches its endpoint; `direct` before it is connected.
+    [[nodiscard]] connection_path path() const { return m_path; }
+    [[nodiscard]] bool is_relayed() const { return m_path == connection_path::relayed; }
+    /// Returns the executor of the thread that uses the connection.
+    [[nodiscard]] boost::asio::any_io_executor executor() { return m_stream.get_executor(); }
+
     /// Sends `request`. Even if this fails, the peer may have received bytes.
     boost::asio::awaitable<boost::system::error_code> send(const http_request& request,
                                                            state::milliseconds timeout);
@@ -111,10 +142,13 @@
     enum class input_state { none, bytes, closed };
 
     [[nodiscard]] input_state peek();
-    [[nodiscard]] bool has_unacknowledged_bytes();
+    /// Sends the request line of a tunnel and reads the reply, until `deadline`.
+    boost::asio::awaitable<relayed_connect> open_tunnel(const std::string& line,
+                                                        state::time_point deadline);
     void reset_parser();
 
     boost::beast::tcp_stream m_stream;
+    connection_path m_path = connection_path::direct;
     state::time_point m_idle_since{};
     progress_watchdog m_watchdog; // cancels the pending operation when its time limit expires
     boost::beast::flat_buffer m_buffer{max_buffered_bytes};
@@ -125,3 +159,12 @@
 };
 
 } // namespace savoryrelay::transport
+
+template <>
+struct savoryrelay::state::enum_table<savoryrelay::transport::connection_path> {
+    using p = savoryrelay::transport::connection_path;
+    static constexpr std::array rows{
+        enum_name<p>{p::direct, "direct"},
+        enum_name<p>{p::relayed, "relayed"},
+    };
+};
--- a/src/savoryrelay/transport/http/endpoint_pool.cpp
+++ b/src/savoryrelay/transport/http/endpoint_pool.cpp
@@ -1,6 +1,8 @@
 // Stores idle connections and hands them out again.
 #include "savoryrelay/transport/http/endpoint_pool.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <iterator>
@@ -9,9 +11,9 @@
 namespace savoryrelay::transport {
 
 std::string endpoint_pool::key_of(boost::asio::io_context& context, const std::string& address,
-                                  std::uint16_t port) {
+                                  std::uint16_t port, connection_path path) {
     return std::to_string(reinterpret_cast<std::uintptr_t>(&context)) + '/' + address + ':' +
-           std::to_string(port);
+           std::to_string(port) + '/' + std::string(state::to_name(path));
 }
 
 std::unique_ptr<endpoint_connection> endpoint_pool::take(boost::asio::io_context& context,
@@ -21,7 +23,7 @@
     const auto now = std::chrono::steady_clock::now();
     while (true) {
         std::unique_ptr<endpoint_connection> taken;
-        m_idle.update_existing(key_of(context, address, port), [&](auto& connections) {
+        m_idle.update_existing(key_of(context, address, port, use.path), [&](auto& connections) {
             const auto found =
                 std::find_if(connections.rbegin(), connections.rend(),
                              [&](const auto& each) { return each->may_carry(use.request); });
@@ -39,11 +41,27 @@
 void endpoint_pool::keep(boost::asio::io_context& context, const std::string& address,
                          std::uint16_t port, std::unique_ptr<endpoint_connection> connection) {
     connection->set_idle_since(std::chrono::steady_clock::now());
-    m_idle.update(key_of(context, address, port), [&](auto& connections) {
+    const auto key = key_of(context, address, port, connection->path());
+    m_idle.update(key, [&](auto& connections) {
         if (connections.size() < max_idle_connections) {
             connections.push_back(std::move(connection));
         }
     });
 }
 
+std::size_t endpoint_pool::drop_idle(connection_path path) {
+    std::vector<std::unique_ptr<endpoint_connection>> dropped;
+    m_idle.update_each([&](const std::string&, auto& connections) {
+        if (!connections.empty() && connections.front()->path() == path) {
+            std::move(connections.begin(), connections.end(), std::back_inserter(dropped));
+            connections.clear();
+        }
+    });
+    for (auto& connection : dropped) {
+        const auto executor = connection->executor();
+        boost::asio::post(executor, [closed = std::move(connection)]() { closed->close(); });
+    }
+    return dropped.size();
+}
+
 } // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/http/endpoint_pool.h
+++ b/src/savoryrelay/transport/http/endpoint_pool.h
@@ -22,6 +22,7 @@
 
     double idle_share = default_idle_share;
     state::request_id request{}; ///< empty: a request without an id
+    connection_path path = connection_path::direct;
 };
 
 /// Stores idle connections that may carry another request. A connection is returned
@@ -36,14 +37,20 @@
     std::unique_ptr<endpoint_connection> take(boost::asio::io_context& context,
                                               const std::string& address, std::uint16_t port,
                                               const connection_use& use = {});
-    /// Stores `connection`, which must be reusable, for a later request.
+    /// Stores `connection`, which must be reusable, for a later request. `address` and `port` are
+    /// those of the endpoint, also if the connection is relayed.
     void keep(boost::asio::io_context& context, const std::string& address, std::uint16_t port,
               std::unique_ptr<endpoint_connection> connection);
 
+    /// Closes the idle connections of one path, each on its thread. Returns their number. May be
+    /// called from any thread.
+    std::size_t drop_idle(connection_path path);
+
 private:
     static std::string key_of(boost::asio::io_context& context, const std::string& address,
-                              std::uint16_t port);
+                              std::uint16_t port, connection_path path);
 
+    // The connections of one key have the same context, endpoint and path.
     state::sharded_map<std::string, std::vector<std::unique_ptr<endpoint_connection>>> m_idle;
 };
 
