--- a/src/savoryrelay/protocol/settings/edge_settings.cpp
+++ b/src/savoryrelay/protocol/settings/edge_settings.cpp
@@ -48,6 +48,11 @@
 state::result<void> read_peers(yaml_fields fields, edge_settings& settings) {
     settings.peers.address = fields.required_text("address");
     settings.peers.port = static_cast<std::uint16_t>(fields.number("port", 0, 1, max_port));
+    settings.relay_port = static_cast<std::uint16_t>(fields.number("relay_port", 0, 0, max_port));
+    // A platform that lends a single port has none for tunnels.
+    if (settings.relay_port == settings.peers.port) {
+        settings.relay_port = 0;
+    }
     std::istringstream seeds(fields.text("seeds", ""));
     for (std::string seed; std::getline(seeds, seed, ',');) {
         settings.seeds.push_back({seed.substr(0, seed.rfind(':')), settings.peers.port});
--- a/src/savoryrelay/protocol/settings/edge_settings.h
+++ b/src/savoryrelay/protocol/settings/edge_settings.h
@@ -19,6 +19,8 @@
     network_address callers;   ///< listens for callers' requests
     network_address readiness; ///< queried by the load balancer
     network_address peers;     ///< receives datagrams and table reads from other entry hosts
+    /// Port of tunnels to endpoints for other entry hosts, the same on all hosts; 0: none.
+    std::uint16_t relay_port = 0;
     network_address metrics;
     network_address store;
     /// Hosts to contact first. Each has the port of `peers`; the ports in the `seeds` field
--- a/tests/protocol/serving/peer_digest_codec_test.cpp
+++ b/tests/protocol/serving/peer_digest_codec_test.cpp
@@ -371,6 +371,22 @@
         REQUIRE_FALSE(failed);
         return failed.error().message();
     };
+    CHECK(read.value().relay_port == 0);
+    const auto with_relay_port = [&](const std::string& port) {
+        return std::string(good).replace(good.find("port: 7340"), 10,
+                                         "port: 7340, relay_port: " + port);
+    };
+    const auto relaying =
+        state::collect([&] { return read_edge_settings(with_relay_port("7355")); });
+    REQUIRE(relaying);
+    CHECK(relaying.value().relay_port == 7355);
+    const auto shared = state::collect([&] { return read_edge_settings(with_relay_port("7340")); });
+    REQUIRE(shared);
+    CHECK(shared.value().relay_port == 0);
+    for (const auto* invalid : {"65536", "-1", "x"}) {
+        CHECK_THAT(message_of(with_relay_port(invalid)), Catch::Contains("peers.relay_port"));
+    }
+
     CHECK_THAT(message_of(good + "call_thread: 2\n"), Catch::Contains("call_threads"));
     CHECK_THAT(message_of(std::string(good).replace(good.find("10.1.0.4:8080"), 13, "nowhere")),
                Catch::Contains("callers"));
