--- a/src/savoryrelay/coordination/exchange/host_directory.cpp
+++ b/src/savoryrelay/coordination/exchange/host_directory.cpp
@@ -225,6 +225,17 @@
     return entries;
 }
 
+std::vector<state::host_entry> host_directory::answering_hosts(state::time_point now) const {
+    const std::scoped_lock lock(m_mutex);
+    std::vector<state::host_entry> entries;
+    for (const auto& [key, host] : m_hosts) {
+        if (!host.entry.name.empty() && !is_silent(host, now)) {
+            entries.push_back(host.entry);
+        }
+    }
+    return entries;
+}
+
 std::size_t host_directory::host_count(state::time_point now) const {
     const std::scoped_lock lock(m_mutex);
     std::size_t own_count = 1;
--- a/src/savoryrelay/coordination/exchange/host_directory.h
+++ b/src/savoryrelay/coordination/exchange/host_directory.h
@@ -75,6 +75,8 @@
     /// Returns up to `count` known hosts, other ones in each round.
     [[nodiscard]] std::vector<state::host_entry> sample(std::uint64_t round,
                                                         std::size_t count) const;
+    /// Returns the known hosts, without this one and those that do not answer it.
+    [[nodiscard]] std::vector<state::host_entry> answering_hosts(state::time_point now) const;
     /// Returns the number of hosts, this one included, as this host or a hub that it hears
     /// has counted them.
     [[nodiscard]] std::size_t host_count(state::time_point now) const;
--- /dev/null
+++ b/src/savoryrelay/coordination/reach/endpoint_reach.cpp
@@ -0,0 +1,105 @@
+// Counts the endpoints that were reached, and those that were not, since the other happened last.
+#include "savoryrelay/coordination/reach/endpoint_reach.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace savoryrelay::coordination {
+
+endpoint_reach::endpoint_reach(std::function<std::uint64_t()> random)
+    : m_random(std::move(random)) {}
+
+void endpoint_reach::note_reached(const state::endpoint_id& endpoint, std::size_t known,
+                                  state::time_point now) {
+    const std::scoped_lock lock(m_mutex);
+    m_unreached.clear();
+    m_reached_at = now;
+    if (m_is_cut_off) {
+        m_reached.insert(endpoint);
+        if (m_reached.size() < std::min(min_reached, known)) {
+            m_probed_at.reset();
+            return;
+        }
+        m_is_cut_off = false;
+        m_reached.clear();
+    }
+    m_doubt_at.reset();
+}
+
+void endpoint_reach::note_unreached(const state::endpoint_id& endpoint, std::size_t known,
+                                    state::time_point now) {
+    const std::scoped_lock lock(m_mutex);
+    m_reached.clear();
+    std::erase_if(m_unreached, [&](const unreached_endpoint& earlier) {
+        return earlier.id == endpoint || now - earlier.at > evidence_age;
+    });
+    const bool is_first = m_unreached.empty();
+    m_unreached.push_back({endpoint, now});
+    m_doubt_at = now;
+    const auto needed = std::max<std::size_t>(1, std::min(min_unreached, known));
+    if (m_unreached.size() >= needed) {
+        m_is_cut_off = true;
+    } else if (is_first) {
+        m_probed_at.reset();
+    }
+}
+
+void endpoint_reach::note_doubt(state::time_point now) {
+    const std::scoped_lock lock(m_mutex);
+    if (!m_reached_at || now - *m_reached_at >= trust_time) {
+        m_doubt_at = now;
+    }
+}
+
+bool endpoint_reach::is_cut_off() const {
+    const std::scoped_lock lock(m_mutex);
+    return m_is_cut_off;
+}
+
+void endpoint_reach::pick(std::vector<state::endpoint_id>& candidates, std::size_t count) const {
+    count = std::min(count, candidates.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto offset = static_cast<std::size_t>(m_random() % (candidates.size() - i));
+        std::swap(candidates[i], candidates[i + offset]);
+    }
+    candidates.resize(count);
+}
+
+std::vector<state::endpoint_id>
+endpoint_reach::choose(std::vector<state::endpoint_id> candidates) const {
+    const std::scoped_lock lock(m_mutex);
+    pick(candidates, min_unreached);
+    return candidates;
+}
+
+bool endpoint_reach::is_known_unreached(const state::endpoint_id& id) const {
+    return std::any_of(m_unreached.begin(), m_unreached.end(),
+                       [&](const unreached_endpoint& known) { return known.id == id; });
+}
+
+bool endpoint_reach::is_probe_due(state::time_point now) const {
+    const bool is_in_doubt = m_doubt_at && now - *m_doubt_at <= evidence_age;
+    return (is_in_doubt || m_is_cut_off) && (!m_probed_at || now - *m_probed_at >= probe_interval);
+}
+
+bool endpoint_reach::has_due_probes(state::time_point now) const {
+    const std::scoped_lock lock(m_mutex);
+    return is_probe_due(now);
+}
+
+std::vector<state::endpoint_id>
+endpoint_reach::due_probes(std::vector<state::endpoint_id> candidates, state::time_point now) {
+    const std::scoped_lock lock(m_mutex);
+    if (!is_probe_due(now)) {
+        return {};
+    }
+    m_probed_at = now;
+    std::erase_if(candidates, [&](const state::endpoint_id& id) {
+        return m_reached.contains(id) || (!m_is_cut_off && is_known_unreached(id));
+    });
+    const bool is_single = m_is_cut_off || m_unreached.empty();
+    pick(candidates, is_single ? 1 : probes_in_doubt);
+    return candidates;
+}
+
+} // namespace savoryrelay::coordination
