Connect through a peer while this host is cut off from all endpoints

Cause: each call tried the host's own path, and nothing in the host knew that it was gone. The same fault of the host was taken for crashes of endpoints when connections were reset, and the lease holder kept the lease. Crash evidence needs another endpoint in reach, or a peer's word. The holder of the lease releases it. With no peer in touch the host isn't ready and refuses at once. Tunnels idle for a second are closed: kept as long as direct connections they filled the 256 of each host in touch.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -79,7 +79,7 @@
                 m_settings.availability_zone,
                 m_settings.processor_share},
                {m_settings.repeat_ratio, m_settings.repeat_burst, m_settings.repeat_window},
-               m_settings.leave_limit, make_crash_hooks()),
+               m_settings.leave_limit, make_crash_hooks(), make_random(m_incarnation)),
       m_account(coordination::limits_of_machine(m_settings.memory_mb, m_settings.max_descriptors)),
       m_threads(1 + m_settings.call_threads),
       m_store(m_threads, {m_settings.store.address, m_settings.store.port}),
@@ -87,6 +87,7 @@
       m_groups(m_threads, m_store, m_shared, m_signals, m_settings, m_incarnation, read_clock),
       m_peers(m_threads, m_account, m_store, m_shared, m_tables, m_groups, m_signals, m_settings,
               m_incarnation, read_clock),
+      m_reach(m_threads, m_account, m_shared, m_settings, make_random(m_incarnation), read_clock),
       m_call_rates(
           m_shared.loads,
           {.host_count = [this] { return m_shared.host_count.load(); },
@@ -116,8 +117,8 @@
            .host_count = [this] { return m_shared.host_count.load(); },
            .random = make_random(m_incarnation)}),
       m_front({m_shared.fleet, m_shared.loads, m_selector, m_shared.correction, m_shared.repeats,
-               m_shared.crashes, m_shared.metrics, platform::make_serving_codec(),
-               [this] { return m_shared.configuration.load(); },
+               m_shared.crashes, m_reach.connector(), m_shared.metrics,
+               platform::make_serving_codec(), [this] { return m_shared.configuration.load(); },
                [this](const std::string& model, state::call_urgency urgency, double work_ms) {
                    m_shared.work.note(model, urgency, work_ms, read_clock());
                },
@@ -179,6 +180,7 @@
     m_tables.start();
     m_groups.start();
     m_peers.start();
+    m_reach.start([this](milliseconds min_idle) { m_front.drop_idle_tunnels(min_idle); });
     log_info("started",
              {{"host", m_settings.host.value()}, {"incarnation", std::to_string(m_incarnation)}});
 }
@@ -212,13 +214,16 @@
 
 asio::awaitable<void> edge_host::answer_readiness(transport::http_request,
                                                   transport::response_writer& writer) {
-    const bool is_ready = !m_is_stopping && m_shared.configuration.load()->version > 0;
+    const bool is_ready = !m_is_stopping && m_shared.configuration.load()->version > 0 &&
+                          !m_reach.connector().is_stranded();
     co_await writer.send(is_ready ? status_ok : status_unavailable,
                          transport::content_type_field("text/plain"), is_ready ? "ready" : "");
 }
 
 asio::awaitable<void> edge_host::answer_metrics(transport::response_writer& writer) {
     set_state_gauges(m_shared, m_groups.is_controller(), read_clock());
+    m_shared.metrics.gauge_of("savoryrelay_relayed_for_others")
+        .set(static_cast<std::int64_t>(m_reach.open_tunnels()));
     set_admission_gauges(m_shared, m_admission, read_clock());
     set_account_gauges(m_shared.metrics, m_account);
     const auto text = m_shared.metrics.to_prometheus();
@@ -249,7 +254,9 @@
     const auto close_at = std::min(exit_deadline, requested_at + balancer_notice_time);
     wait_condition.wait_until(lock, close_at, [&] { return read_clock() >= close_at; });
     m_caller_server->stop_accepting();
-    while (m_caller_server->open_connections() > 0 && read_clock() < exit_deadline) {
+    m_reach.stop_accepting();
+    while (m_caller_server->open_connections() + m_reach.open_tunnels() > 0 &&
+           read_clock() < exit_deadline) {
         wait_condition.wait_for(lock, open_calls_check_interval);
     }
     log_info("stopped", {{"open_calls", std::to_string(m_caller_server->open_requests())}});
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -3,6 +3,7 @@
 
 #include "group_part.h"
 #include "peer_part.h"
+#include "reach_part.h"
 #include "runner_signals.h"
 #include "shared_state.h"
 #include "store_part.h"
@@ -55,6 +56,7 @@
     store_part m_tables;
     group_part m_groups;
     peer_part m_peers;
+    reach_part m_reach;
     coordination::call_rate_limiter m_call_rates;
     coordination::endpoint_selector m_selector;
     coordination::placement_explainer m_explainer;
--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -105,6 +105,10 @@
     return controller_silence + (is_first ? milliseconds(0) : successor_delay);
 }
 
+bool group_part::wants_lease() const {
+    return !m_is_resigning && !m_shared.reach.is_cut_off();
+}
+
 void group_part::maintain_lease() {
     const auto now = m_now();
     const auto phase = m_lease.phase(groups_lease, now);
@@ -115,12 +119,11 @@
     }
     const bool has_ended =
         phase == state::lease_phase::observing || phase == state::lease_phase::lapsed;
-    if (m_is_resigning ? has_ended
-                       : phase == state::lease_phase::observing && controller_is_alive) {
+    const bool is_wanted = wants_lease();
+    if (is_wanted ? phase == state::lease_phase::observing && controller_is_alive : has_ended) {
         return;
     }
-    const auto done =
-        state::collect([&] { return m_lease.maintain(groups_lease, !m_is_resigning.load()); });
+    const auto done = state::collect([&] { return m_lease.maintain(groups_lease, is_wanted); });
     if (!done) {
         m_shared.metrics.counter_of("savoryrelay_lease_store_failures_total").add();
     }
@@ -255,7 +258,7 @@
         }
         if (is_holder) {
             poll_due_runners(now);
-            if (!m_is_resigning) {
+            if (wants_lease()) {
                 plan_orders(now);
             }
         }
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -65,6 +65,9 @@
         state::time_point next{};
     };
 
+    /// Returns whether this host may control the groups. One that is cut off from the runners
+    /// can neither observe nor order them.
+    [[nodiscard]] bool wants_lease() const;
     void maintain_lease();
     /// Returns the time without a controller's digest after which this host tries to take
     /// the lease.
--- a/src/edge/shared_state.h
+++ b/src/edge/shared_state.h
@@ -4,6 +4,7 @@
 #include "platform/configuration_codec.h"
 #include "platform/runner_codec.h"
 #include "savoryrelay/coordination/exchange/host_directory.h"
+#include "savoryrelay/coordination/reach/endpoint_reach.h"
 #include "savoryrelay/coordination/retry/crash_watch.h"
 #include "savoryrelay/coordination/serving/fleet_table.h"
 #include "savoryrelay/coordination/serving/load_tracker.h"
@@ -18,15 +19,18 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <set>
+#include <utility>
 
 namespace savoryrelay::edge {
 
 /// The state that the parts of an entry host share.
 struct shared_state {
     shared_state(const state::host_entry& host, coordination::repeat_limit repeat_limit,
-                 state::milliseconds limit, coordination::crash_hooks crash_hooks)
-        : own_host(host), hosts(host), repeats(repeat_limit),
+                 state::milliseconds limit, coordination::crash_hooks crash_hooks,
+                 std::function<std::uint64_t()> random)
+        : own_host(host), hosts(host), reach(std::move(random)), repeats(repeat_limit),
           crashes(crash_settings_of(host), std::move(crash_hooks)), leave_limit(limit) {}
 
     /// Returns the settings of the quarantine on `host`.
@@ -49,6 +53,7 @@
     const state::host_entry own_host;
     state::metrics metrics;
     coordination::host_directory hosts;                             ///< the other entry hosts
+    coordination::endpoint_reach reach;                             ///< whether it is cut off
     state::table_mirror operators{platform::compare_operator_rows}; ///< the operators' table
     state::table_mirror runners{platform::compare_runner_entries};  ///< the runners' entries
     state::snapshot_cell<state::serving_configuration> configuration{
--- a/src/edge/state_gauges.cpp
+++ b/src/edge/state_gauges.cpp
@@ -21,6 +21,7 @@
     set("savoryrelay_store_reachable", shared.is_store_reachable.load() ? 1 : 0);
     set("savoryrelay_hosts", shared.host_count.load());
     set("savoryrelay_controller", is_controller ? 1 : 0);
+    set("savoryrelay_cut_off", shared.reach.is_cut_off() ? 1 : 0);
     set("savoryrelay_fingerprints_quarantined", shared.crashes.quarantined_count());
 
     // Each model and state gets a value, so that a gauge falls to 0 when its groups are gone.
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -119,6 +119,7 @@
 
     /// Marks the connection as idle since `now`.
     void set_idle_since(state::time_point now) { m_idle_since = now; }
+    [[nodiscard]] state::time_point idle_since() const { return m_idle_since; }
     /// Returns true if an idle connection may still carry a request at `now`: the
     /// peer has neither closed it nor sent anything, and it has been idle for at most
     /// `share` of `keep_alive_timeout`, or of `default_keep_alive_timeout` if the peer
--- a/src/savoryrelay/transport/http/endpoint_pool.cpp
+++ b/src/savoryrelay/transport/http/endpoint_pool.cpp
@@ -49,13 +49,16 @@
     });
 }
 
-std::size_t endpoint_pool::drop_idle(connection_path path) {
+std::size_t endpoint_pool::drop_idle(connection_path path, state::milliseconds min_idle,
+                                     state::time_point now) {
     std::vector<std::unique_ptr<endpoint_connection>> dropped;
     m_idle.update_each([&](const std::string&, auto& connections) {
-        if (!connections.empty() && connections.front()->path() == path) {
-            std::move(connections.begin(), connections.end(), std::back_inserter(dropped));
-            connections.clear();
-        }
+        const auto first = std::stable_partition(
+            connections.begin(), connections.end(), [&](const auto& connection) {
+                return connection->path() != path || now - connection->idle_since() < min_idle;
+            });
+        std::move(first, connections.end(), std::back_inserter(dropped));
+        connections.erase(first, connections.end());
     });
     for (auto& connection : dropped) {
         const auto executor = connection->executor();
--- a/src/savoryrelay/transport/http/endpoint_pool.h
+++ b/src/savoryrelay/transport/http/endpoint_pool.h
@@ -42,9 +42,10 @@
     void keep(boost::asio::io_context& context, const std::string& address, std::uint16_t port,
               std::unique_ptr<endpoint_connection> connection);
 
-    /// Closes the idle connections of one path, each on its thread. Returns their number. May be
-    /// called from any thread.
-    std::size_t drop_idle(connection_path path);
+    /// Closes the connections of one path that have been idle for `min_idle` or longer at `now`,
+    /// each on its thread. Returns their number. May be called from any thread.
+    std::size_t drop_idle(connection_path path, state::milliseconds min_idle,
+                          state::time_point now);
 
 private:
     static std::string key_of(boost::asio::io_context& context, const std::string& address,
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -22,9 +22,6 @@
 
 namespace {
 
-// A round trip inside a region takes some milliseconds. An endpoint that does not
-// accept a connection within this time is dead or unreachable.
-constexpr milliseconds connect_timeout{250};
 constexpr milliseconds send_timeout{1'000};
 // An endpoint that did not answer gets no call for this long.
 constexpr milliseconds avoidance_after_failure{500};
@@ -99,6 +96,7 @@
          .prepare_next = [&] { return prepare_next_attempt(call); },
          .is_lost =
              [&] {
+                 m_dependencies.connector.note_doubt();
                  m_dependencies.report_suspect(endpoint.id);
                  const auto known = m_dependencies.fleet.find(endpoint.id);
                  return !known || known->has_dropped_calls(endpoint.started_ms,
@@ -177,18 +175,19 @@
     attempt_result end;
 
     // Take or open a connection. The request cannot have run before it is sent.
-    attempt.connection =
-        m_pool.take(context, runner.address, runner.port,
-                    {.idle_share = call.route->may_run_again() ? connection_use::default_idle_share
-                                                               : non_repeatable_idle_share,
-                     .request = call.decoded.id});
+    const connection_use use{
+        .idle_share = call.route->may_run_again() ? connection_use::default_idle_share
+                                                  : non_repeatable_idle_share,
+        .request = call.decoded.id,
+        .path = m_dependencies.connector.path(),
+    };
+    attempt.connection = m_pool.take(context, runner.address, runner.port, use);
     attempt.origin =
         attempt.connection == nullptr ? connection_origin::opened : connection_origin::reused;
     if (attempt.connection == nullptr) {
         attempt.connection = std::make_unique<endpoint_connection>(context);
-        const auto failed = co_await attempt.connection->connect(
-            runner.address, runner.port,
-            std::min(connect_timeout, time_until(call.deadline, m_dependencies.now())));
+        const auto failed = co_await m_dependencies.connector.open(
+            *attempt.connection, runner, time_until(call.deadline, m_dependencies.now()));
         if (failed) {
             if (!call.caller_is_gone) {
                 avoid(runner.id);
@@ -250,9 +249,11 @@
     co_return end;
 }
 
-asio::awaitable<void> serving_front::conclude_attempt(call_state& call, const attempt_result& end,
+asio::awaitable<void> serving_front::conclude_attempt(call_state& call, attempt_result& end,
                                                       asio::io_context& context) {
     auto& attempt = *call.current;
+    // The process that has ended may be the other host's.
+    end.endpoint_ended = end.endpoint_ended && !attempt.connection->is_relayed();
     const auto& runner = attempt.chosen.runner.record;
     if (end.is_kept) {
         avoid(runner.id);
@@ -283,6 +284,7 @@
 void serving_front::avoid(const state::endpoint_id& endpoint) {
     const auto now = m_dependencies.now();
     m_dependencies.fleet.avoid(endpoint, now, now + avoidance_after_failure);
+    m_dependencies.connector.note_doubt();
     m_dependencies.report_suspect(endpoint);
 }
 
@@ -294,12 +296,16 @@
                      {"outcome", std::string(state::to_name(end.outcome))}})
         .add();
     const auto& runner = attempt.chosen.runner.record;
-    log_info("attempt_failed", {{"id", call.decoded.id.value()},
-                                {"endpoint", runner.id.value()},
-                                {"address", runner.address + ":" + std::to_string(runner.port)},
-                                {"connection", std::string(state::to_name(attempt.origin))},
-                                {"outcome", std::string(state::to_name(end.outcome))},
-                                {"reason", end.reason}});
+    log_info("attempt_failed",
+             {{"id", call.decoded.id.value()},
+              {"endpoint", runner.id.value()},
+              {"address", runner.address + ":" + std::to_string(runner.port)},
+              {"connection", std::string(state::to_name(attempt.origin))},
+              {"path", attempt.connection == nullptr
+                           ? ""
+                           : std::string(state::to_name(attempt.connection->path()))},
+              {"outcome", std::string(state::to_name(end.outcome))},
+              {"reason", end.reason}});
 }
 
 } // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/serving/ended_endpoints.cpp
+++ b/src/savoryrelay/transport/serving/ended_endpoints.cpp
@@ -21,41 +21,16 @@
 // A process that ends may still accept connections after it has closed others, for at most
 // this long. Another one takes longer to start.
 constexpr milliseconds process_end_time{50};
-// A round trip inside a region takes some milliseconds.
-constexpr milliseconds probe_timeout{250};
-
-asio::awaitable<bool> accepts_connection(asio::io_context& context,
-                                         const state::runner_record& endpoint) {
-    endpoint_connection probe(context);
-    const auto failed = co_await probe.connect(endpoint.address, endpoint.port, probe_timeout);
-    co_return !failed;
-}
-
 // Returns whether an endpoint that has closed a connection goes on to accept others.
-asio::awaitable<bool> keeps_accepting(asio::io_context& context,
-                                      const state::runner_record& endpoint) {
-    const bool accepts_now = co_await accepts_connection(context, endpoint);
-    if (!accepts_now) {
-        co_return false;
+asio::awaitable<endpoint_contact> find_out_contact(endpoint_connector& connector,
+                                                   asio::io_context& context,
+                                                   const state::runner_record& endpoint) {
+    const auto contact = co_await connector.check(context, endpoint);
+    if (contact != endpoint_contact::accepts) {
+        co_return contact;
     }
     co_await pause_for(process_end_time);
-    const bool accepts_later = co_await accepts_connection(context, endpoint);
-    co_return accepts_later;
-}
-
-// Returns whether no process listens at the endpoint's address, at once or after the time in
-// which a process that ends may still accept connections.
-asio::awaitable<bool> refuses_connections(asio::io_context& context,
-                                          const state::runner_record& endpoint) {
-    for (const auto pause : {milliseconds(0), process_end_time}) {
-        co_await pause_for(pause);
-        endpoint_connection probe(context);
-        const auto failed = co_await probe.connect(endpoint.address, endpoint.port, probe_timeout);
-        if (failed) {
-            co_return failed == asio::error::connection_refused;
-        }
-    }
-    co_return false;
+    co_return co_await connector.check(context, endpoint);
 }
 
 } // namespace
@@ -68,18 +43,19 @@
     if (end.outcome == attempt_outcome::lost) {
         // The host itself closes the connection when the caller is gone.
         if (end.closed_by_endpoint && !call.caller_is_gone) {
-            const bool still_accepts = co_await keeps_accepting(context, runner);
-            report_close(call, runner, still_accepts);
+            const auto contact =
+                co_await find_out_contact(m_dependencies.connector, context, runner);
+            report_close(call, runner, contact);
         }
         co_return;
     }
     // An answer without a length ends with its connection, which a crash ends too.
     const bool is_delivered = end.outcome == attempt_outcome::delivered;
     if (is_delivered && attempt.connection->ends_answer_by_closing()) {
-        const bool still_accepts = co_await accepts_connection(context, runner);
-        if (!still_accepts) {
+        const auto contact = co_await m_dependencies.connector.check(context, runner);
+        if (contact != endpoint_contact::accepts) {
             if (!is_unwanted(call)) {
-                report_close(call, runner, still_accepts);
+                report_close(call, runner, contact);
             }
             co_return;
         }
@@ -97,8 +73,8 @@
 asio::awaitable<void> serving_front::report_kept_closes(call_state& call) {
     auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
     for (const auto& endpoint : std::exchange(call.closed_while_kept, {})) {
-        const bool still_accepts = co_await accepts_connection(context, endpoint);
-        report_close(call, endpoint, still_accepts);
+        const auto contact = co_await m_dependencies.connector.check(context, endpoint);
+        report_close(call, endpoint, contact);
     }
 }
 
@@ -108,7 +84,9 @@
         const auto known = m_dependencies.fleet.find(endpoint.id);
         bool has_ended = known && known->record.started_ms != endpoint.started_ms;
         if (!has_ended) {
-            has_ended = co_await refuses_connections(context, endpoint);
+            const auto contact =
+                co_await find_out_contact(m_dependencies.connector, context, endpoint);
+            has_ended = contact == endpoint_contact::refuses;
         }
         if (has_ended) {
             call.progress->note_ended_during_answer();
@@ -119,9 +97,9 @@
 }
 
 void serving_front::report_close(const call_state& call, const state::runner_record& endpoint,
-                                 bool still_accepts) {
+                                 endpoint_contact contact) {
     // Overload and faults of the network end connections too.
-    if (!still_accepts) {
+    if (contact == endpoint_contact::refuses || contact == endpoint_contact::silent) {
         m_dependencies.crashes.record_crash(endpoint.id, endpoint.started_ms, call.fingerprints,
                                             m_dependencies.now());
     }
@@ -140,7 +118,7 @@
     log_info("closed_by_endpoint", {{"id", call.decoded.id.value()},
                                     {"endpoint", endpoint.id.value()},
                                     {"started_ms", std::to_string(endpoint.started_ms)},
-                                    {"accepts_connections", still_accepts ? "yes" : "no"},
+                                    {"contact", std::string(state::to_name(contact))},
                                     {"prompt_parts", parts},
                                     {"fingerprints", fingerprints}});
 }
--- a/src/savoryrelay/transport/serving/serving_front.cpp
+++ b/src/savoryrelay/transport/serving/serving_front.cpp
@@ -42,6 +42,8 @@
 constexpr milliseconds retry_after_refusal{1'000};
 constexpr milliseconds retry_after_unknown_service{500};
 constexpr milliseconds retry_after_no_configuration{300};
+// Another host may serve the call at once.
+constexpr milliseconds retry_after_cut_off{250};
 
 constexpr double ms_per_s = 1'000;
 
@@ -186,6 +188,11 @@
             if (is_interrupted ? !progress.allows_attempt() : !progress.may_attempt()) {
                 break;
             }
+            if (m_dependencies.connector.is_stranded() && !is_interrupted) {
+                reason = "cut_off";
+                retry_after = retry_after_cut_off;
+                break;
+            }
             if (const auto time_left = m_dependencies.crashes.accept(call.fingerprints, now)) {
                 reason = state::properties_of(state::failure_kind::request_quarantined).name;
                 retry_after = time_left;
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -14,6 +14,7 @@
 #include "savoryrelay/transport/http/endpoint_pool.h"
 #include "savoryrelay/transport/http/http_message.h"
 #include "savoryrelay/transport/http/response_writer.h"
+#include "savoryrelay/transport/reach/endpoint_connector.h"
 #include "savoryrelay/transport/serving/serving_codec.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -34,6 +35,7 @@
     coordination::prediction_correction& correction;
     coordination::repeat_window& repeats;
     coordination::crash_watch& crashes;
+    endpoint_connector& connector;
     state::metrics& metrics;
     serving_codec codec;
     std::function<std::shared_ptr<const state::serving_configuration>()> configuration;
@@ -66,6 +68,11 @@
     /// Answers a request of which only the head has arrived, if it has no route or an unknown
     /// key. Returns whether it has answered.
     boost::asio::awaitable<bool> answer_head(const http_request& head, response_writer& writer);
+    /// Closes the connections to endpoints through other hosts that have been idle for `min_idle`
+    /// or longer.
+    void drop_idle_tunnels(state::milliseconds min_idle) {
+        m_pool.drop_idle(connection_path::relayed, min_idle, m_dependencies.now());
+    }
 
 private:
     struct call_state;
@@ -128,7 +135,7 @@
     boost::asio::awaitable<attempt_result> resume_attempt(call_state& call);
     /// Notes what the end of the current attempt says of its endpoint, and keeps a connection
     /// that can be used again.
-    boost::asio::awaitable<void> conclude_attempt(call_state& call, const attempt_result& end,
+    boost::asio::awaitable<void> conclude_attempt(call_state& call, attempt_result& end,
                                                   boost::asio::io_context& context);
     /// Records whether the endpoint crashed while it worked on the call, or whether its answer
     /// shows that the call crashes none.
@@ -174,7 +181,7 @@
     /// Counts and logs that the endpoint closed the connection before it had answered the call
     /// completely, and records a crash unless the endpoint still accepts connections.
     void report_close(const call_state& call, const state::runner_record& endpoint,
-                      bool still_accepts);
+                      endpoint_contact contact);
     /// Counts and logs a call that has ended.
     void report_end(const call_state& call) const;
 
--- a/tests/transport/relay_connection_test.cpp
+++ b/tests/transport/relay_connection_test.cpp
@@ -289,8 +289,11 @@
     pool.keep(context, "127.0.0.1", port, std::move(host.connection));
 
     keep_one(other(path));
-    CHECK(pool.drop_idle(path) == 1);
-    CHECK(pool.drop_idle(path) == 0);
+    constexpr state::milliseconds min_idle{60'000};
+    const auto now = std::chrono::steady_clock::now();
+    CHECK(pool.drop_idle(path, min_idle, now) == 0);
+    CHECK(pool.drop_idle(path, min_idle, now + min_idle) == 1);
+    CHECK(pool.drop_idle(path, state::milliseconds(0), now) == 0);
     CHECK_FALSE(take(path));
     CHECK(take(other(path)));
     host.close();
--- a/tests/transport/serving_front_test.cpp
+++ b/tests/transport/serving_front_test.cpp
@@ -136,6 +136,7 @@
             correction,
             *repeats,
             crashes,
+            connector,
             metrics,
             {decode_call, make_endpoint_request, decode_answer,
              [](const transport::http_fields&) { return transport::http_fields(); },
@@ -218,6 +219,15 @@
     std::unique_ptr<coordination::repeat_window> repeats;
     coordination::crash_watch crashes{coordination::entry_host_crash_settings(),
                                       coordination::default_crash_hooks()};
+    coordination::endpoint_reach reach{[] { return std::uint64_t{0}; }};
+    coordination::relay_choice relays{state::availability_zone_id(""),
+                                      [] { return std::uint64_t{0}; }};
+    transport::endpoint_connector connector{
+        reach,
+        relays,
+        {.hosts = [](auto) { return std::vector<state::host_entry>(); },
+         .endpoints = [](auto) { return std::vector<state::runner_record>(); },
+         .now = [this] { return now(); }}};
     state::metrics metrics;
     std::unique_ptr<coordination::endpoint_selector> selector =
         std::make_unique<coordination::endpoint_selector>(
