Count the ends of streams by what was seen at them

A stream that ends as complete too early left no trace: no attempt has failed, and the parser adds trailer fields to the header. savoryrelay_stream_ends_total tells apart an end within an event, one with trailer fields that the answer does not announce, and one with bytes behind the last chunk. Header fields are now those of the header alone.

--- /dev/null
+++ b/src/savoryrelay/coordination/serving/stream_end.cpp
@@ -0,0 +1,16 @@
+// Implements the judgement of a stream's end.
+#include "savoryrelay/coordination/serving/stream_end.h"
+
+namespace savoryrelay::coordination {
+
+stream_end judge_stream_end(const stream_end_evidence& evidence) {
+    if (evidence.has_partial_event) {
+        return stream_end::partial_event;
+    }
+    if (evidence.has_unannounced_trailer) {
+        return stream_end::unannounced_trailer;
+    }
+    return evidence.has_bytes_after ? stream_end::bytes_after_end : stream_end::complete;
+}
+
+} // namespace savoryrelay::coordination
--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -4,7 +4,9 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <netinet/in.h>
@@ -15,6 +17,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <limits>
@@ -22,6 +25,7 @@
 namespace savoryrelay::transport {
 
 namespace asio = boost::asio;
+namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
@@ -65,6 +69,27 @@
            });
 }
 
+// Fields that decide how a message is read or where it goes; a recipient must know them before
+// the body.
+constexpr std::array<std::string_view, 11> forbidden_trailer_fields{
+    "Connection",     "Content-Encoding",
+    "Content-Length", "Content-Range",
+    "Content-Type",   "Host",
+    "Keep-Alive",     "TE",
+    "Trailer",        "Transfer-Encoding",
+    "Upgrade"};
+
+// Returns whether the trailer of an answer with these header fields may contain field `name`.
+bool is_announced_trailer(const http_fields& header, std::string_view name) {
+    const auto is_name = [&](std::string_view other) { return beast::iequals(other, name); };
+    return std::none_of(forbidden_trailer_fields.begin(), forbidden_trailer_fields.end(),
+                        is_name) &&
+           std::any_of(header.begin(), header.end(), [&](const http_field& field) {
+               return beast::iequals(field.name, "Trailer") &&
+                      http::token_list{field.value}.exists(name);
+           });
+}
+
 bool is_informational(const http::response_header<>& head) {
     return http::to_status_class(head.result_int()) == http::status_class::informational;
 }
@@ -107,6 +132,7 @@
 }
 
 void endpoint_connection::reset_parser() {
+    m_fields.clear();
     m_parser.emplace();
     m_parser->header_limit(max_answer_header_bytes);
     m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -134,6 +160,11 @@
         reset_parser();
     }
     m_watchdog.disarm();
+    if (!result) {
+        for (const auto& field : m_parser->get()) {
+            m_fields.push_back({std::string(field.name_string()), std::string(field.value())});
+        }
+    }
     if (!result && is_spliced(m_parser->get())) {
         co_return http::error::bad_value;
     }
@@ -170,16 +201,35 @@
 }
 
 std::string endpoint_connection::header(std::string_view name) const {
-    const auto found = m_parser->get().find(name);
-    return found == m_parser->get().end() ? std::string{} : std::string(found->value());
+    const auto found = std::find_if(m_fields.begin(), m_fields.end(), [&](const auto& field) {
+        return beast::iequals(field.name, name);
+    });
+    return found == m_fields.end() ? std::string{} : found->value;
 }
 
 http_fields endpoint_connection::fields() const {
-    http_fields all;
-    for (const auto& field : m_parser->get()) {
-        all.push_back({std::string(field.name_string()), std::string(field.value())});
+    return m_fields;
+}
+
+bool endpoint_connection::has_chunks() const {
+    return !m_skips_body && m_parser && m_parser->chunked();
+}
+
+bool endpoint_connection::has_unannounced_trailer() const {
+    if (!has_chunks()) {
+        return false;
     }
-    return all;
+    // The parser adds the trailer fields to those of the header.
+    const auto& all = m_parser->get();
+    return std::any_of(all.begin(), all.end(), [&](const auto& field) {
+        const auto name = field.name_string();
+        const auto in_header =
+            std::count_if(m_fields.begin(), m_fields.end(), [&](const auto& known) {
+                return beast::iequals(known.name, {name.data(), name.size()});
+            });
+        return all.count(name) > static_cast<std::size_t>(in_header) &&
+               !is_announced_trailer(m_fields, {name.data(), name.size()});
+    });
 }
 
 bool endpoint_connection::reusable() const {
@@ -244,6 +294,10 @@
     return peek() == input_state::bytes;
 }
 
+bool endpoint_connection::has_bytes_after_end() {
+    return m_buffer.size() > 0 || has_unread_bytes();
+}
+
 bool endpoint_connection::is_closed_by_peer() {
     return m_stream.socket().is_open() && peek() == input_state::closed;
 }
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -73,6 +73,13 @@
     /// Returns true if the answer has neither a length nor chunks, so that the end of the
     /// connection is its end. Call it only after `read_header`.
     [[nodiscard]] bool ends_answer_by_closing() const;
+    /// Returns true if the answer has a body in chunks. Call it only after `read_header`.
+    [[nodiscard]] bool has_chunks() const;
+    /// Returns true if fields follow the last chunk that the `Trailer` field of the answer does
+    /// not name, or that may not stand there. Call it only after the end of the answer.
+    [[nodiscard]] bool has_unannounced_trailer() const;
+    /// Returns true if bytes of the peer have arrived behind the end of the answer.
+    [[nodiscard]] bool has_bytes_after_end();
     /// Prepares to read the next answer on the connection. Called after reading an
     /// answer that belonged to an earlier request.
     void expect_another_answer();
@@ -119,6 +126,7 @@
     progress_watchdog m_watchdog; // cancels the pending operation when its time limit expires
     boost::beast::flat_buffer m_buffer{max_buffered_bytes};
     bool m_skips_body = false;
+    http_fields m_fields; // of the answer's header; without those of its trailer
     // Ids of requests that the connection must not carry again.
     std::vector<state::request_id> m_repeatable_requests;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -294,10 +294,22 @@
     co_return failed;
 }
 
+coordination::stream_end serving_front::note_stream_end(const call_state& call) {
+    auto& connection = *call.current->connection;
+    const auto end = coordination::judge_stream_end(
+        {.has_partial_event = call.events.has_partial_event(),
+         .has_unannounced_trailer = connection.has_unannounced_trailer(),
+         .has_bytes_after = connection.has_chunks() && connection.has_bytes_after_end()});
+    m_dependencies.metrics
+        .counter_of("savoryrelay_stream_ends_total", {{"end", std::string(state::to_name(end))}})
+        .add();
+    return end;
+}
+
 asio::awaitable<serving_front::attempt_result>
 serving_front::finish_stream(call_state& call, const http_fields& fields) {
     attempt_result end;
-    if (call.events.has_partial_event()) {
+    if (note_stream_end(call) == coordination::stream_end::partial_event) {
         end.reason = "the last event is not whole";
         co_return end;
     }
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -9,6 +9,7 @@
 #include "savoryrelay/coordination/serving/fleet_table.h"
 #include "savoryrelay/coordination/serving/load_tracker.h"
 #include "savoryrelay/coordination/serving/repeat_window.h"
+#include "savoryrelay/coordination/serving/stream_end.h"
 #include "savoryrelay/state/metrics/metrics.h"
 #include "savoryrelay/state/serving/serving_configuration.h"
 #include "savoryrelay/transport/http/endpoint_pool.h"
@@ -153,6 +154,8 @@
     /// of them.
     boost::asio::awaitable<boost::system::error_code> relay_events(call_state& call,
                                                                    const http_fields& fields);
+    /// Judges and counts the end of the current attempt's stream.
+    coordination::stream_end note_stream_end(const call_state& call);
     /// Ends the caller's answer after a stream whose end was read.
     boost::asio::awaitable<attempt_result> finish_stream(call_state& call,
                                                          const http_fields& fields);
