End a stream as complete only if nothing contradicts its end

Cause: the end of a body was what the parser called done. The parser reads event lines behind a last chunk as trailer fields, merges them into the header and is done, and an empty piece that is written as a chunk ends the body although the runner goes on.

An answer in chunks is whole only if its trailer section is empty or holds fields that its Trailer field names and that may stand there; these are dropped. Others fail the read with answer_error::unannounced_trailer, for all users of endpoint_connection. Behind the last chunk of an event stream the front waits for up to 100 ms for bytes; if some come, the attempt is lost, and the stream goes on at another endpoint or is cut. judge_stream_end decides; the endpoint's load is not counted meanwhile.

--- a/src/savoryrelay/coordination/serving/stream_end.cpp
+++ b/src/savoryrelay/coordination/serving/stream_end.cpp
@@ -7,9 +7,6 @@
     if (evidence.has_partial_event) {
         return stream_end::partial_event;
     }
-    if (evidence.has_unannounced_trailer) {
-        return stream_end::unannounced_trailer;
-    }
     return evidence.has_bytes_after ? stream_end::bytes_after_end : stream_end::complete;
 }
 
--- a/src/savoryrelay/coordination/serving/stream_end.h
+++ b/src/savoryrelay/coordination/serving/stream_end.h
@@ -10,16 +10,14 @@
 
 /// What was seen when the body of a stream ended.
 struct stream_end_evidence {
-    bool has_partial_event = false;       ///< the body ended within an event
-    bool has_unannounced_trailer = false; ///< trailer fields that the answer did not announce
-    bool has_bytes_after = false;         ///< the endpoint sent bytes after the last chunk
+    bool has_partial_event = false; ///< the body ended within an event
+    bool has_bytes_after = false;   ///< the endpoint sent bytes after the last chunk
 };
 
 /// Whether a stream has ended with its body.
 enum class stream_end {
     complete,
     partial_event,
-    unannounced_trailer,
     bytes_after_end,
 };
 
@@ -31,7 +29,6 @@
     static constexpr std::array rows{
         enum_name<e>{e::complete, "complete"},
         enum_name<e>{e::partial_event, "partial_event"},
-        enum_name<e>{e::unannounced_trailer, "unannounced_trailer"},
         enum_name<e>{e::bytes_after_end, "bytes_after_end"},
     };
 };
--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -1,6 +1,8 @@
 // Implements an HTTP exchange in which every step has its own time limit.
 #include "savoryrelay/transport/http/endpoint_connection.h"
 
+#include "savoryrelay/transport/http/answer_error.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -193,6 +195,9 @@
         }
     }
     m_watchdog.disarm();
+    if (has_unannounced_trailer()) {
+        co_return std::pair{make_error_code(answer_error::unannounced_trailer), std::size_t{0}};
+    }
     co_return std::pair{error_code{}, std::size_t{0}};
 }
 
@@ -234,7 +239,8 @@
 
 bool endpoint_connection::reusable() const {
     return !m_skips_body && m_parser && m_parser->is_done() && m_parser->keep_alive() &&
-           m_buffer.size() == 0 && m_repeatable_requests.size() < max_repeatable_requests;
+           !has_unannounced_trailer() && m_buffer.size() == 0 &&
+           m_repeatable_requests.size() < max_repeatable_requests;
 }
 
 void endpoint_connection::note_repeatable(const state::request_id& request) {
@@ -294,6 +300,15 @@
     return peek() == input_state::bytes;
 }
 
+asio::awaitable<void> endpoint_connection::wait_behind_end(state::milliseconds limit) {
+    if (has_bytes_after_end()) {
+        co_return;
+    }
+    m_watchdog.extend(limit);
+    co_await m_stream.socket().async_wait(tcp::socket::wait_read, use_tuple);
+    m_watchdog.disarm();
+}
+
 bool endpoint_connection::has_bytes_after_end() {
     return m_buffer.size() > 0 || has_unread_bytes();
 }
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -53,7 +53,10 @@
     boost::asio::awaitable<boost::system::error_code> read_header(state::milliseconds timeout);
 
     /// Reads at least one byte of the body into `buffer`. Returns 0 bytes and no
-    /// error after the end of a complete answer.
+    /// error after the end of a complete answer. Fails with
+    /// `answer_error::unannounced_trailer` if fields follow the last chunk that the `Trailer`
+    /// field of the answer does not name, or that may not stand there: they may be a part of the
+    /// body. Drops other trailer fields.
     boost::asio::awaitable<std::pair<boost::system::error_code, std::size_t>>
     read_some(boost::asio::mutable_buffer buffer, state::milliseconds timeout);
 
@@ -75,9 +78,9 @@
     [[nodiscard]] bool ends_answer_by_closing() const;
     /// Returns true if the answer has a body in chunks. Call it only after `read_header`.
     [[nodiscard]] bool has_chunks() const;
-    /// Returns true if fields follow the last chunk that the `Trailer` field of the answer does
-    /// not name, or that may not stand there. Call it only after the end of the answer.
-    [[nodiscard]] bool has_unannounced_trailer() const;
+    /// Waits until the peer sends something behind the end of the answer or closes the
+    /// connection, for at most `limit`.
+    boost::asio::awaitable<void> wait_behind_end(state::milliseconds limit);
     /// Returns true if bytes of the peer have arrived behind the end of the answer.
     [[nodiscard]] bool has_bytes_after_end();
     /// Prepares to read the next answer on the connection. Called after reading an
@@ -117,6 +120,7 @@
     /// What can be read from the socket without waiting.
     enum class input_state { none, bytes, closed };
 
+    [[nodiscard]] bool has_unannounced_trailer() const;
     [[nodiscard]] input_state peek();
     [[nodiscard]] bool has_unacknowledged_bytes();
     void reset_parser();
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -38,6 +38,8 @@
 constexpr double event_gap_factor = 2;
 // Interval of the check whether a call leaves an endpoint that has exceeded its limit.
 constexpr milliseconds silence_check_interval{200};
+// A runner that ends the chunks of a stream too early goes on at the pace of its events.
+constexpr milliseconds max_end_wait{100};
 constexpr int max_mismatched_answers = 3;
 // A read that only the deadline of its call limits.
 constexpr milliseconds max_read_time = milliseconds::max();
@@ -294,23 +296,28 @@
     co_return failed;
 }
 
-coordination::stream_end serving_front::note_stream_end(const call_state& call) {
+asio::awaitable<coordination::stream_end> serving_front::await_stream_end(call_state& call) {
     auto& connection = *call.current->connection;
-    const auto end = coordination::judge_stream_end(
-        {.has_partial_event = call.events.has_partial_event(),
-         .has_unannounced_trailer = connection.has_unannounced_trailer(),
-         .has_bytes_after = connection.has_chunks() && connection.has_bytes_after_end()});
+    coordination::stream_end_evidence evidence;
+    evidence.has_partial_event = call.events.has_partial_event();
+    if (!evidence.has_partial_event && connection.has_chunks()) {
+        call.current->counted.reset(); // the endpoint has ended its work, or will be left
+        co_await connection.wait_behind_end(bounded_by_deadline(call, max_end_wait));
+        evidence.has_bytes_after = connection.has_bytes_after_end();
+    }
+    const auto end = coordination::judge_stream_end(evidence);
     m_dependencies.metrics
         .counter_of("savoryrelay_stream_ends_total", {{"end", std::string(state::to_name(end))}})
         .add();
-    return end;
+    co_return end;
 }
 
 asio::awaitable<serving_front::attempt_result>
 serving_front::finish_stream(call_state& call, const http_fields& fields) {
     attempt_result end;
-    if (note_stream_end(call) == coordination::stream_end::partial_event) {
-        end.reason = "the last event is not whole";
+    const auto verdict = co_await await_stream_end(call);
+    if (verdict != coordination::stream_end::complete) {
+        end.reason = "stream has no sound end: " + std::string(state::to_name(verdict));
         co_return end;
     }
     end_kept_attempts(call);
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -154,8 +154,9 @@
     /// of them.
     boost::asio::awaitable<boost::system::error_code> relay_events(call_state& call,
                                                                    const http_fields& fields);
-    /// Judges and counts the end of the current attempt's stream.
-    coordination::stream_end note_stream_end(const call_state& call);
+    /// Judges and counts the end of the current attempt's stream. Waits for bytes behind a last
+    /// chunk, for at most `max_end_wait`.
+    boost::asio::awaitable<coordination::stream_end> await_stream_end(call_state& call);
     /// Ends the caller's answer after a stream whose end was read.
     boost::asio::awaitable<attempt_result> finish_stream(call_state& call,
                                                          const http_fields& fields);
--- a/tests/coordination/serving/stream_end_test.cpp
+++ b/tests/coordination/serving/stream_end_test.cpp
@@ -9,17 +9,7 @@
     // Guards against a stream that is ended as complete although its endpoint goes on.
     CHECK(judge_stream_end({}) == stream_end::complete);
     CHECK(judge_stream_end({.has_partial_event = true}) == stream_end::partial_event);
-    CHECK(judge_stream_end({.has_unannounced_trailer = true}) == stream_end::unannounced_trailer);
     CHECK(judge_stream_end({.has_bytes_after = true}) == stream_end::bytes_after_end);
-    for (const bool has_partial_event : {false, true}) {
-        for (const bool has_unannounced_trailer : {false, true}) {
-            for (const bool has_bytes_after : {false, true}) {
-                const bool is_doubtful =
-                    has_partial_event || has_unannounced_trailer || has_bytes_after;
-                const auto end =
-                    judge_stream_end({has_partial_event, has_unannounced_trailer, has_bytes_after});
-                CHECK((end != stream_end::complete) == is_doubtful);
-            }
-        }
-    }
+    CHECK(judge_stream_end({.has_partial_event = true, .has_bytes_after = true}) ==
+          stream_end::partial_event);
 }
--- a/tests/transport/caller_front_test.cpp
+++ b/tests/transport/caller_front_test.cpp
@@ -157,3 +157,28 @@
     CHECK(answer.is_complete);
     CHECK(answer.body == rest);
 }
+
+TEST_CASE("calls: an answer with a part of its body as trailer fields is not complete") {
+    const scripted_engine engine([](const auto& connection, const auto& request) {
+        connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" +
+                        id_field(request.field("Savoryrelay-Request-Id")) +
+                        "Transfer-Encoding: chunked\r\n\r\n6\r\na part\r\n0\r\nthe: rest\r\n\r\n");
+    });
+    const front_fixture front({engine.port});
+    CHECK(front.book(deadline_ms).outcome == "unknown");
+}
+
+TEST_CASE("calls: a stream whose chunks end before its final event is not ended as complete") {
+    for (const std::string end : {"0\r\n\r\n", "0\r\nid: 1\r\ndata: t1\r\n\r\n"}) {
+        CAPTURE(end);
+        const scripted_engine engine([&](const auto& connection, const auto& request) {
+            connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+                            id_field(request.field("Savoryrelay-Request-Id")) +
+                            "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 0\ndata: t0\n\n\r\n" + end);
+        });
+        const front_fixture front({engine.port});
+        const auto answer = front.stream(deadline_ms);
+        CHECK(answer.body.starts_with("id: 0\ndata: t0\n\n"));
+        CHECK_FALSE(answer.is_complete);
+    }
+}
--- a/tests/transport/endpoint_connection_test.cpp
+++ b/tests/transport/endpoint_connection_test.cpp
@@ -76,6 +76,30 @@
     }
 }
 
+/// Returns header field `name` after the end of an answer without a body.
+asio::awaitable<std::string> read_field_behind_end(asio::io_context& context, std::uint16_t port,
+                                                   std::string name) {
+    transport::endpoint_connection connection(context);
+    co_await connection.connect("127.0.0.1", port, step_timeout);
+    const transport::http_request request{boost::beast::http::verb::get, "/", 11};
+    co_await connection.send(request, step_timeout);
+    co_await connection.read_header(step_timeout);
+    std::string buffer(1024, '\0');
+    const auto [failed, size] = co_await connection.read_some(asio::buffer(buffer), step_timeout);
+    co_return failed || size > 0 ? "no end" : connection.header(name);
+}
+
+/// Returns the error that ends an answer in chunks with header field `field` and these bytes
+/// behind its only chunk.
+error_code end_of_chunks(const std::string& field, const std::string& rest) {
+    const raw_endpoint endpoint("HTTP/1.1 200 OK\r\n" + field +
+                                "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n" + rest);
+    transport::io_threads threads{1};
+    return asio::co_spawn(threads.context(0), read_answer(threads.context(0), endpoint.port()),
+                          asio::use_future)
+        .get();
+}
+
 /// Sends a request that its peer does not read, and gives it up. Destroys the connection
 /// if `destroys`, or else closes it first. Returns the error of the send.
 asio::awaitable<error_code> give_up_request(asio::io_context& context, std::uint16_t port,
@@ -141,3 +165,30 @@
         CHECK(failed);
     }
 }
+
+TEST_CASE("an answer whose trailer fields are not announced is not whole") {
+    // Guards against the rest of a body that is read as trailer fields.
+    CHECK_FALSE(end_of_chunks("", "0\r\n\r\n"));
+    CHECK(end_of_chunks("", "0\r\nid: 7\r\ndata: x\r\n\r\n"));
+    CHECK_FALSE(end_of_chunks("Trailer: X-Sum\r\n", "0\r\nx-sum: 7\r\n\r\n"));
+    CHECK_FALSE(end_of_chunks("Trailer: A\r\nTrailer: B, C\r\n", "0\r\nC: 1\r\nA: 2\r\n\r\n"));
+    CHECK(end_of_chunks("Trailer: X-Sum\r\n", "0\r\nX-Sum: 7\r\nid: 7\r\n\r\n"));
+    CHECK(end_of_chunks("id: 1\r\n", "0\r\nid: 7\r\n\r\n"));
+    for (const std::string name : {"Content-Length", "Transfer-Encoding", "Host", "Connection",
+                                   "Content-Encoding", "Trailer"}) {
+        CAPTURE(name);
+        CHECK(end_of_chunks("Trailer: " + name + "\r\n", "0\r\n" + name + ": 7\r\n\r\n"));
+    }
+}
+
+TEST_CASE("trailer fields are not added to the header") {
+    const raw_endpoint endpoint("HTTP/1.1 200 OK\r\nTrailer: X-Sum\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Sum: 7\r\n\r\n");
+    transport::io_threads threads{1};
+    const auto field =
+        asio::co_spawn(threads.context(0),
+                       read_field_behind_end(threads.context(0), endpoint.port(), "X-Sum"),
+                       asio::use_future)
+            .get();
+    CHECK(field.empty());
+}
