--- a/tests/transport/caller_front_test.cpp
+++ b/tests/transport/caller_front_test.cpp
@@ -174,7 +174,8 @@
         const scripted_engine engine([&](const auto& connection, const auto& request) {
             connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
                             id_field(request.field("Savoryrelay-Request-Id")) +
-                            "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 0\ndata: t0\n\n\r\n" + end);
+                            "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 0\ndata: t0\n\n\r\n" +
+                            end);
         });
         const front_fixture front({engine.port});
         const auto answer = front.stream(deadline_ms);
