Test a stream with a second answer behind it

The second answer's bytes contradict the end of the stream, which is resumed elsewhere behind its last event and ends there. process_tests "edge: a stream with a second answer behind it has each event once" passes.

--- a/tests/process/stream_end_test.cpp
+++ b/tests/process/stream_end_test.cpp
@@ -81,6 +81,9 @@
         connection.send(head + events(0, 2) + early->second);
     } else if (const auto sound = sound_ends.find(name); sound != sound_ends.end()) {
         connection.send(head + events(0, event_count) + sound->second);
+    } else if (name == "second-answer") {
+        const auto whole = head + events(0, event_count) + last_chunk;
+        connection.send(whole + whole);
     } else if (name == "paced") {
         connection.send(head + events(0, 2) + last_chunk);
         for (int number = 2; number < event_count; ++number) {
@@ -185,6 +188,16 @@
     }
 }
 
+TEST_CASE("edge: a stream with a second answer behind it has each event once") {
+    stream_end_fixture fixture;
+    for (int i = 0; i < 3; ++i) {
+        const auto answer = fixture.call("/tell/second-answer");
+        CHECK(answer.status == 200);
+        CHECK(answer.is_complete);
+        CHECK(answer.body == all_events(event_count));
+    }
+}
+
 TEST_CASE("edge: a plain answer with a part of its body as trailer fields reaches no caller") {
     stream_end_fixture fixture;
     for (const std::string route : {"/book/", "/look/"}) {
