--- a/tests/transport/endpoint_connection_test.cpp
+++ b/tests/transport/endpoint_connection_test.cpp
@@ -2,6 +2,7 @@
 // requests that are given up.
 #include "savoryrelay/transport/http/endpoint_connection.h"
 #include "savoryrelay/transport/process/io_threads.h"
+#include "support/scripted_engine.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -89,6 +90,20 @@
     co_return failed || size > 0 ? "no end" : connection.header(name);
 }
 
+/// Returns whether bytes come within `limit` behind the end of an answer without a body.
+asio::awaitable<bool> receives_behind_end(asio::io_context& context, std::uint16_t port,
+                                          state::milliseconds limit) {
+    transport::endpoint_connection connection(context);
+    co_await connection.connect("127.0.0.1", port, step_timeout);
+    const transport::http_request request{boost::beast::http::verb::get, "/", 11};
+    co_await connection.send(request, step_timeout);
+    co_await connection.read_header(step_timeout);
+    std::string buffer(1024, '\0');
+    co_await connection.read_some(asio::buffer(buffer), step_timeout);
+    co_await connection.wait_behind_end(limit);
+    co_return connection.has_bytes_after_end();
+}
+
 /// Returns the error that ends an answer in chunks with header field `field` and these bytes
 /// behind its only chunk.
 error_code end_of_chunks(const std::string& field, const std::string& rest) {
@@ -181,6 +196,33 @@
     }
 }
 
+TEST_CASE("bytes behind the end of an answer are noticed, and a close or silence ends the wait") {
+    // Guards against a stream that goes on behind its last chunk and is ended as complete.
+    const std::string whole = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    transport::io_threads threads{1};
+    const auto receives = [&](std::uint16_t port, state::milliseconds limit) {
+        return asio::co_spawn(threads.context(0),
+                              receives_behind_end(threads.context(0), port, limit),
+                              asio::use_future)
+            .get();
+    };
+    const raw_endpoint goes_on(whole + "4\r\n");
+    CHECK(receives(goes_on.port(), step_timeout));
+    const raw_endpoint closes(whole);
+    CHECK_FALSE(receives(closes.port(), step_timeout));
+
+    using tests::scripted_engine;
+    const scripted_engine is_silent(
+        [&](const auto& connection, const auto&) { connection.send(whole); });
+    CHECK_FALSE(receives(is_silent.port, state::milliseconds(20)));
+    const scripted_engine goes_on_later([&](const auto& connection, const auto&) {
+        connection.send(whole);
+        static_cast<void>(connection.wait_until_closed(state::milliseconds(50)));
+        connection.send("4\r\n");
+    });
+    CHECK(receives(goes_on_later.port, step_timeout));
+}
+
 TEST_CASE("trailer fields are not added to the header") {
     const raw_endpoint endpoint("HTTP/1.1 200 OK\r\nTrailer: X-Sum\r\n"
                                 "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Sum: 7\r\n\r\n");
