--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -84,7 +84,10 @@
     boost::asio::awaitable<boost::system::error_code> read_header(state::milliseconds timeout);
 
     /// Reads at least one byte of the body into `buffer`. Returns 0 bytes and no
-    /// error after the end of a complete answer.
+    /// error after the end of a complete answer. Fails with
+    /// `answer_error::unannounced_trailer` if fields follow the last chunk that the `Trailer`
+    /// field of the answer does not name, or that may not stand there: they may be a part of the
+    /// body. Drops other trailer fields.
     boost::asio::awaitable<std::pair<boost::system::error_code, std::size_t>>
     read_some(boost::asio::mutable_buffer buffer, state::milliseconds timeout);
 
@@ -104,6 +107,13 @@
     /// Returns true if the answer has neither a length nor chunks, so that the end of the
     /// connection is its end. Call it only after `read_header`.
     [[nodiscard]] bool ends_answer_by_closing() const;
+    /// Returns true if the answer has a body in chunks. Call it only after `read_header`.
+    [[nodiscard]] bool has_chunks() const;
+    /// Waits until the peer sends something behind the end of the answer or closes the
+    /// connection, for at most `limit`.
+    boost::asio::awaitable<void> wait_behind_end(state::milliseconds limit);
+    /// Returns true if bytes of the peer have arrived behind the end of the answer.
+    [[nodiscard]] bool has_bytes_after_end();
     /// Prepares to read the next answer on the connection. Called after reading an
     /// answer that belonged to an earlier request.
     void expect_another_answer();
@@ -142,6 +152,7 @@
     /// What can be read from the socket without waiting.
     enum class input_state { none, bytes, closed };
 
+    [[nodiscard]] bool has_unannounced_trailer() const;
     [[nodiscard]] input_state peek();
     /// Sends the request line of a tunnel and reads the reply, until `deadline`.
     boost::asio::awaitable<relayed_connect> open_tunnel(const std::string& line,
@@ -154,6 +165,7 @@
     progress_watchdog m_watchdog; // cancels the pending operation when its time limit expires
     boost::beast::flat_buffer m_buffer{max_buffered_bytes};
     bool m_skips_body = false;
+    http_fields m_fields; // of the answer's header; without those of its trailer
     // Ids of requests that the connection must not carry again.
     std::vector<state::request_id> m_repeatable_requests;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
