Store stand-in: show a caller other addresses of runners

Cause: all hosts under test learn the runners' addresses from one store, so a test could not cut one host off from the runners while others reach them. Change: POST /view replaces the addresses in the rows of `servers` that one caller, told by its Host field, reads. A host under test reaches the store through a port of its own, which its requests name there. A host therefore knows a runner under an address that other hosts do not know; what hosts pass to each other about a runner has to name its id.

--- a/src/standin/store_standin.cpp
+++ b/src/standin/store_standin.cpp
@@ -22,6 +22,7 @@
 constexpr unsigned status_conflict = 409;
 constexpr unsigned status_gone = 410;
 constexpr state::milliseconds feed_poll_interval{10};
+constexpr std::string_view runners_table = "servers";
 
 std::string base64(const std::string& bytes) {
     std::vector<unsigned char> text(4 * ((bytes.size() + 2) / 3) + 1);
@@ -31,6 +32,17 @@
     return {text.begin(), text.begin() + size};
 }
 
+std::string from_base64(const std::string& text) {
+    std::string bytes(text.size(), '\0');
+    const auto size = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                                      reinterpret_cast<const unsigned char*>(text.data()),
+                                      static_cast<int>(text.size()));
+    const auto end = text.find_last_not_of('=');
+    const auto padding = end == std::string::npos ? 0 : text.size() - 1 - end;
+    bytes.resize(size < 0 ? 0 : static_cast<std::size_t>(size) - padding);
+    return bytes;
+}
+
 transport::http_field era_field(std::uint64_t era) {
     return {"Store-Era", std::to_string(era)};
 }
@@ -87,17 +99,35 @@
     return {status_ok, json::serialize(answer), m_era};
 }
 
-store_standin::found_rows store_standin::rows_after(const std::string& table,
+store_standin::row store_standin::seen_through(const address_map& view, const row& stored) {
+    if (stored.is_removed) {
+        return stored;
+    }
+    auto value = json::parse(from_base64(stored.value)).as_object();
+    const auto shown = view.find(string_field(value, "address"));
+    if (shown == view.end()) {
+        return stored;
+    }
+    value["address"] = shown->second;
+    return {base64(json::serialize(value)), stored.version, false};
+}
+
+store_standin::found_rows store_standin::rows_after(const std::string& caller,
+                                                    const std::string& table,
                                                     const std::string& from,
                                                     std::uint64_t after_version,
                                                     bool include_removed) {
     const std::scoped_lock lock(m_mutex);
+    const auto view = m_views.find(caller);
+    const bool has_view = view != m_views.end() && table == runners_table;
     json::array rows;
     for (auto stored = m_contents.rows.lower_bound({table, from});
          stored != m_contents.rows.end() && stored->first.first == table; ++stored) {
         if (stored->second.version > after_version &&
             (include_removed || !stored->second.is_removed)) {
-            rows.push_back(to_json(stored->first, stored->second));
+            rows.push_back(to_json(stored->first, has_view
+                                                      ? seen_through(view->second, stored->second)
+                                                      : stored->second));
         }
     }
     const auto count = rows.size();
@@ -136,6 +166,17 @@
     return {status_ok, "{}", m_era};
 }
 
+store_standin::reply store_standin::set_view(const std::string& body) {
+    const auto object = json::parse(body).as_object();
+    address_map addresses;
+    for (const auto& [address, shown] : object.at("addresses").as_object()) {
+        addresses[std::string(address)] = std::string(shown.as_string());
+    }
+    const std::scoped_lock lock(m_mutex);
+    m_views[string_field(object, "caller")] = std::move(addresses);
+    return {status_ok, "{}", m_era};
+}
+
 transport::http_fields store_standin::answer_fields() {
     const std::scoped_lock lock(m_mutex);
     return {era_field(m_era)};
@@ -148,10 +189,11 @@
 }
 
 asio::awaitable<void> store_standin::answer_feed(transport::response_writer& writer,
-                                                 std::string table, std::uint64_t after_version,
+                                                 std::string caller, std::string table,
+                                                 std::uint64_t after_version,
                                                  state::milliseconds wait) {
     const auto end = std::chrono::steady_clock::now() + wait;
-    auto found = rows_after(table, {}, after_version, true);
+    auto found = rows_after(caller, table, {}, after_version, true);
     const auto era = found.page.era;
     if (after_version > found.version) {
         const reply gone{status_gone, "{}", era};
@@ -160,7 +202,7 @@
     }
     while (found.count == 0 && std::chrono::steady_clock::now() < end) {
         co_await pause_for(feed_poll_interval);
-        found = rows_after(table, {}, after_version, true);
+        found = rows_after(caller, table, {}, after_version, true);
         if (found.page.era != era) {
             writer.abandon();
             co_return;
@@ -177,8 +219,11 @@
         const auto found = url.params().find(name);
         return found == url.params().end() ? std::string{} : std::string((*found).value);
     };
+    const auto caller = transport::header_of(request, "Host");
     if (path == "/operator") {
         co_await answer(writer, write_as_operator(request.body()));
+    } else if (path == "/view") {
+        co_await answer(writer, set_view(request.body()));
     } else if (path == "/copy") {
         co_await answer(writer, keep_copy());
     } else if (path == "/restore") {
@@ -192,10 +237,11 @@
         }
         co_await answer(writer, done);
     } else if (path == "/rows-get") {
-        const auto found = rows_after(parameter("table"), parameter("from"), 0, false);
+        const auto found = rows_after(caller, parameter("table"), parameter("from"), 0, false);
         co_await answer(writer, found.page);
     } else if (path == "/rows-feed") {
-        co_await answer_feed(writer, parameter("table"), std::stoull(parameter("after_rev")),
+        co_await answer_feed(writer, caller, parameter("table"),
+                             std::stoull(parameter("after_rev")),
                              state::milliseconds(std::stoll(parameter("wait_ms"))));
     } else {
         co_await writer.send(status_not_found, answer_fields(), "{}");
