--- a/tests/process/edge_fixture.h
+++ b/tests/process/edge_fixture.h
@@ -53,6 +53,7 @@
     std::string peer_port = free_port();     ///< the same on all hosts
     std::string configuration_limits = "{}"; ///< JSON, of the configurations written later
     std::string extra_settings;              ///< YAML, of the hosts started later
+    std::string extra_peer_settings;         ///< further fields of `peers`, each after a comma
     std::string store_port = store.port;     ///< at which the hosts started later call the store
 
     explicit edge_fixture(std::size_t host_count = 1, std::size_t model_count = 3) {
@@ -95,7 +96,7 @@
                 "\nreadiness: 127.0.0.1:" + host.readiness +
                 "\nmetrics: 127.0.0.1:" + host.metrics + "\nstore: 127.0.0.1:" + store_port +
                 "\npeers: {address: " + host.peer_address + ", port: " + peer_port + ", seeds: '" +
-                seeds + "'}\n" + extra_settings);
+                seeds + "'" + extra_peer_settings + "}\n" + extra_settings);
         host.process = std::make_unique<child_process>(
             "savoryrelay_edge", std::vector<std::string>{"--settings=" + path});
         host.process->read_until("event=started");
