Cuttable paths: pass no sockets on to processes

Cause: processes that a test starts inherited the listeners of the paths, so a path that was reset or refused new connections went on accepting them into a queue that nobody read. Seen with tunnels in place: calls opened direct connections and waited for answers until their deadlines. Change: all sockets of the paths close on exec.

--- a/tests/support/cuttable_paths.h
+++ b/tests/support/cuttable_paths.h
@@ -44,9 +44,10 @@
 }
 
 /// Listens on one port of 127.0.0.1 for each target port there, and forwards connections to it.
+/// Processes started by the test inherit none of its sockets, which would keep them open.
 class cuttable_paths {
 public:
-    cuttable_paths() : m_wake_up(::eventfd(0, EFD_NONBLOCK)) {
+    cuttable_paths() : m_wake_up(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
         m_forwarder = std::thread([this] { forward(); });
     }
     cuttable_paths(const cuttable_paths&) = delete;
@@ -131,7 +132,7 @@
 
     // A socket that does not listen can hold the port while another one gives it up.
     static int bound_socket(std::uint16_t port) {
-        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
         constexpr int on = 1;
         const auto address = loopback(port);
         if (::setsockopt(descriptor, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) != 0 ||
@@ -142,7 +143,7 @@
     }
 
     static int begin_connection(std::uint16_t port) {
-        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
         const auto address = loopback(port);
         const int done =
             ::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
@@ -344,7 +345,7 @@
             sockaddr_in peer{};
             socklen_t size = sizeof(peer);
             const int near = ::accept4(m_paths[index].listener, reinterpret_cast<sockaddr*>(&peer),
-                                       &size, SOCK_NONBLOCK);
+                                       &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (near < 0) {
                 return;
             }
