Doubt the reach of a lease holder whose requests for reports fail

What callers would see: groups that nobody replaces while the lease holder is cut off from the runners and serves no calls, so that nothing raises a doubt. Cause: only calls raised doubts. Found by "edge: the groups stay under control while the lease holder is cut off from the runners", which failed in both ways with the tunnels in place. Change: a report request without an answer raises one too.

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -310,6 +310,7 @@
         co_return;
     }
     if (!report) {
+        m_shared.reach.note_doubt(now);
         ++poll.failures;
         poll.next = poll.failures < silent_after_failures ? now : now + report_interval;
         {
--- a/tests/process/cut_off_fixture.h
+++ b/tests/process/cut_off_fixture.h
@@ -20,7 +20,7 @@
 namespace savoryrelay::tests {
 
 /// Whether hosts have the setting `peers.relay_port`.
-inline constexpr bool hosts_have_relay_port = false;
+inline constexpr bool hosts_have_relay_port = true;
 
 /// Hosts that reach the store and the runners each through paths of its own. The store shows a
 /// host the ports of its paths as those of the runners, so the runners' addresses differ
