Don't lose the way back from a cut, and don't call a host cut off for long

Cause: the lease holder marks runners silent before it knows that it is cut off; only its reports end that, and silent runners were no candidates for probes.

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -312,7 +312,9 @@
     if (!report) {
         m_shared.reach.note_doubt(now);
         ++poll.failures;
-        poll.next = poll.failures < silent_after_failures ? now : now + report_interval;
+        poll.next = poll.failures < silent_after_failures ? now
+                    : m_shared.reach.is_in_doubt(now)     ? now + report_interval_busy
+                                                          : now + report_interval;
         {
             const std::scoped_lock lock(m_mutex);
             m_runners_to_confirm.insert(runner.id);
@@ -320,8 +322,9 @@
         const auto known = m_shared.fleet.find(runner.id);
         const bool is_confirmed =
             known && known->peer_confirmed_until && now < *known->peer_confirmed_until;
+        // A host in doubt may be cut off itself.
         if (poll.failures >= silent_after_failures && known && !known->silent_since &&
-            !is_confirmed) {
+            !is_confirmed && !m_shared.reach.is_in_doubt(now)) {
             m_shared.fleet.note_silence(runner.id, runner.started_ms, now);
             log_info("runner_silent",
                      {{"runner", runner.id.value()}, {"detail", report.error().message()}});
--- a/src/savoryrelay/coordination/reach/endpoint_reach.cpp
+++ b/src/savoryrelay/coordination/reach/endpoint_reach.cpp
@@ -15,7 +15,10 @@
     m_unreached.clear();
     m_reached_at = now;
     if (m_is_cut_off) {
-        m_reached.insert(endpoint);
+        forget_old_evidence(now);
+        std::erase_if(m_reached,
+                      [&](const tried_endpoint& earlier) { return earlier.id == endpoint; });
+        m_reached.push_back({endpoint, now});
         if (m_reached.size() < std::min(min_reached, known)) {
             m_probed_at.reset();
             return;
@@ -29,10 +32,9 @@
 void endpoint_reach::note_unreached(const state::endpoint_id& endpoint, std::size_t known,
                                     state::time_point now) {
     const std::scoped_lock lock(m_mutex);
-    m_reached.clear();
-    std::erase_if(m_unreached, [&](const unreached_endpoint& earlier) {
-        return earlier.id == endpoint || now - earlier.at > evidence_age;
-    });
+    forget_old_evidence(now);
+    std::erase_if(m_unreached,
+                  [&](const tried_endpoint& earlier) { return earlier.id == endpoint; });
     const bool is_first = m_unreached.empty();
     m_unreached.push_back({endpoint, now});
     m_doubt_at = now;
@@ -44,6 +46,23 @@
     }
 }
 
+void endpoint_reach::forget_old_evidence(state::time_point now) {
+    const auto is_old = [&](const tried_endpoint& tried) { return now - tried.at > evidence_age; };
+    std::erase_if(m_unreached, is_old);
+    std::erase_if(m_reached, is_old);
+}
+
+bool endpoint_reach::contains(const std::vector<tried_endpoint>& tried,
+                              const state::endpoint_id& id) {
+    return std::any_of(tried.begin(), tried.end(),
+                       [&](const tried_endpoint& known) { return known.id == id; });
+}
+
+bool endpoint_reach::is_in_doubt(state::time_point now) const {
+    const std::scoped_lock lock(m_mutex);
+    return m_is_cut_off || (m_doubt_at && now - *m_doubt_at <= evidence_age);
+}
+
 void endpoint_reach::note_doubt(state::time_point now) {
     const std::scoped_lock lock(m_mutex);
     if (!m_reached_at || now - *m_reached_at >= trust_time) {
@@ -72,11 +91,6 @@
     return candidates;
 }
 
-bool endpoint_reach::is_known_unreached(const state::endpoint_id& id) const {
-    return std::any_of(m_unreached.begin(), m_unreached.end(),
-                       [&](const unreached_endpoint& known) { return known.id == id; });
-}
-
 bool endpoint_reach::is_probe_due(state::time_point now) const {
     const bool is_in_doubt = m_doubt_at && now - *m_doubt_at <= evidence_age;
     return (is_in_doubt || m_is_cut_off) && (!m_probed_at || now - *m_probed_at >= probe_interval);
@@ -94,11 +108,12 @@
         return {};
     }
     m_probed_at = now;
+    forget_old_evidence(now);
     std::erase_if(candidates, [&](const state::endpoint_id& id) {
-        return m_reached.contains(id) || (!m_is_cut_off && is_known_unreached(id));
+        return contains(m_reached, id) || (!m_is_cut_off && contains(m_unreached, id));
     });
-    const bool is_single = m_is_cut_off || m_unreached.empty();
-    pick(candidates, is_single ? 1 : probes_in_doubt);
+    const auto in_doubt = m_unreached.empty() ? 1 : probes_in_doubt;
+    pick(candidates, m_is_cut_off ? probes_when_cut_off : in_doubt);
     return candidates;
 }
 
--- a/src/savoryrelay/coordination/reach/endpoint_reach.h
+++ b/src/savoryrelay/coordination/reach/endpoint_reach.h
@@ -10,7 +10,6 @@
 #include <functional>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace savoryrelay::coordination {
@@ -31,8 +30,8 @@
     /// Endpoints out of reach, with none in reach in between, that make a host cut off. Fewer
     /// suffice where it knows no more.
     static constexpr std::size_t min_unreached = 3;
-    /// Endpoints reached, with none out of reach in between, after which a host that was cut off
-    /// connects by itself again. A partition may end in steps. Fewer suffice as above.
+    /// Endpoints reached within `evidence_age` after which a host that was cut off connects by
+    /// itself again. A partition may end in steps. Fewer suffice as above.
     static constexpr std::size_t min_reached = 2;
     /// A failure or a doubt is forgotten after this time.
     static constexpr state::milliseconds evidence_age{3'000};
@@ -41,8 +40,10 @@
     /// A doubt is ignored for this long after an endpoint was reached. Endpoints under load are
     /// silent often, and each probe is a new connection.
     static constexpr state::milliseconds trust_time{1'000};
-    /// Endpoints that are probed at once after the first one was not reached.
+    /// Endpoints that are probed at once after the first one was not reached, and by a host that
+    /// is cut off.
     static constexpr std::size_t probes_in_doubt = 3;
+    static constexpr std::size_t probes_when_cut_off = 2;
 
     explicit endpoint_reach(std::function<std::uint64_t()> random);
 
@@ -62,6 +63,8 @@
 
     /// Returns whether the host has lost its own path to all endpoints.
     [[nodiscard]] bool is_cut_off() const;
+    /// Returns whether the host is cut off, or has not reached an endpoint since its last doubt.
+    [[nodiscard]] bool is_in_doubt(state::time_point now) const;
     /// Returns whether `due_probes` would choose an endpoint.
     [[nodiscard]] bool has_due_probes(state::time_point now) const;
     /// Returns the endpoints among `candidates` to which the host opens a connection now, to
@@ -70,13 +73,14 @@
     due_probes(std::vector<state::endpoint_id> candidates, state::time_point now);
 
 private:
-    struct unreached_endpoint {
+    struct tried_endpoint {
         state::endpoint_id id;
         state::time_point at;
     };
 
-    // These two require m_mutex.
-    [[nodiscard]] bool is_known_unreached(const state::endpoint_id& id) const;
+    // These three require m_mutex.
+    void forget_old_evidence(state::time_point now);
+    static bool contains(const std::vector<tried_endpoint>& tried, const state::endpoint_id& id);
     [[nodiscard]] bool is_probe_due(state::time_point now) const;
     /// Reduces `candidates` to at most `count` random ones.
     void pick(std::vector<state::endpoint_id>& candidates, std::size_t count) const;
@@ -85,10 +89,10 @@
     mutable std::mutex m_mutex; // guards the members below
     /// Endpoints that could not be reached since the last one that was, each once and none older
     /// than `evidence_age`.
-    std::vector<unreached_endpoint> m_unreached;
-    /// While cut off: the endpoints that were reached since the last one that was not. Empty
-    /// otherwise.
-    std::set<state::endpoint_id> m_reached;
+    std::vector<tried_endpoint> m_unreached;
+    /// While cut off: endpoints that were reached, each once and none longer than `evidence_age`
+    /// ago. Empty otherwise.
+    std::vector<tried_endpoint> m_reached;
     bool m_is_cut_off = false;
     std::optional<state::time_point> m_doubt_at; // the last doubt, unless ended by a connection
     std::optional<state::time_point> m_reached_at;
--- a/src/savoryrelay/coordination/reach/relay_choice.cpp
+++ b/src/savoryrelay/coordination/reach/relay_choice.cpp
@@ -74,7 +74,7 @@
 }
 
 void relay_choice::note_failed_search(state::time_point now) {
-    if (!m_without_since || now - m_without_until >= search_time) {
+    if (!m_without_since || now - m_without_until >= search_age) {
         m_without_since = now;
     }
     m_without_until = now;
@@ -83,7 +83,7 @@
 bool relay_choice::has_no_relay(state::time_point now) const {
     const std::scoped_lock lock(m_mutex);
     return m_without_since && now - *m_without_since >= search_time &&
-           now - m_without_until < search_time;
+           now - m_without_until < search_age;
 }
 
 bool relay_choice::needs_search(state::time_point now) const {
--- a/src/savoryrelay/coordination/reach/relay_choice.h
+++ b/src/savoryrelay/coordination/reach/relay_choice.h
@@ -60,7 +60,9 @@
     /// Hosts that are tried for one connection. Bounds its time.
     static constexpr std::size_t max_tries = 4;
     /// A host that has found no relay for this long has none.
-    static constexpr state::milliseconds search_time{1'000};
+    static constexpr state::milliseconds search_time{500};
+    /// A search that was not gone on with for this long says nothing any more.
+    static constexpr state::milliseconds search_age{2'000};
 
     relay_choice(state::availability_zone_id own_zone, std::function<std::uint64_t()> random)
         : m_own_zone(std::move(own_zone)), m_random(std::move(random)) {}
@@ -74,8 +76,7 @@
     void note(const state::host_entry& relay, relay_outcome outcome, state::time_point now);
     /// Records that no host could be asked.
     void note_no_candidate(state::time_point now);
-    /// Returns whether no attempt has found a relay for `search_time` or longer, although some
-    /// were made.
+    /// Returns whether no attempt has found a relay for `search_time` or longer.
     [[nodiscard]] bool has_no_relay(state::time_point now) const;
     /// Returns whether no host in touch was met for `search_time`, so that one should be looked
     /// for even without a call.
