Tell the fault of a relay from that of an endpoint

What callers saw: sound calls refused as quarantined (48 in a test) after a peer that was newly cut off itself had said that the runner refuses connections. Cause: "unreachable" was taken for the endpoint's fault; a tunnel that its host gave up ended like a complete answer without a length; a tunnel counted as two connections of peers, so from 121 on new ones were closed without a reply; a caller that left while a tunnel opened made the relay pass for silent. Found by the test of quarantines and by a review.

--- a/src/edge/reach_part.cpp
+++ b/src/edge/reach_part.cpp
@@ -5,6 +5,7 @@
 #include "savoryrelay/transport/process/log.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -25,7 +26,7 @@
 constexpr milliseconds max_tunnel_idle{1'000};
 constexpr milliseconds tunnel_drop_interval{250};
 // Each tunnel has two sockets; most descriptors are for callers.
-constexpr std::uint64_t descriptors_per_tunnel = 16;
+constexpr std::uint64_t descriptors_per_tunnel = 24;
 
 transport::relay_limits limits_for(std::uint64_t max_descriptors) {
     transport::relay_limits limits;
@@ -95,7 +96,7 @@
 std::vector<state::runner_record> reach_part::endpoints(state::time_point now) const {
     std::vector<state::runner_record> all;
     for (const auto& runner : *m_shared.fleet.snapshot()) {
-        if (runner.has_entry && !runner.silent_since && !runner.is_leaving(now)) {
+        if (runner.has_entry && !runner.is_leaving(now)) {
             all.push_back(runner.record);
         }
     }
@@ -115,6 +116,13 @@
     return state::member_address{runner->record.address, runner->record.port};
 }
 
+asio::awaitable<protocol::relay_reply>
+reach_part::explain_failure(const state::endpoint_id& endpoint) {
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    const bool is_in_touch = co_await m_connector.reaches_another(context, endpoint, 1);
+    co_return is_in_touch ? protocol::relay_reply::unreachable : protocol::relay_reply::cut_off;
+}
+
 asio::awaitable<void> reach_part::watch_reach() {
     auto& context = m_threads.context(0);
     asio::steady_timer timer(context);
--- a/src/edge/reach_part.h
+++ b/src/edge/reach_part.h
@@ -38,6 +38,9 @@
     [[nodiscard]] std::vector<state::runner_record> endpoints(state::time_point now) const;
     [[nodiscard]] transport::relay_route find_route(const state::endpoint_id& endpoint,
                                                     std::uint64_t started_ms) const;
+    /// Returns whether this host failed to reach the endpoint for a fault of its own.
+    boost::asio::awaitable<protocol::relay_reply>
+    explain_failure(const state::endpoint_id& endpoint);
     boost::asio::awaitable<void> watch_reach();
     /// Logs that the host was cut off or is no longer.
     void report_change(bool is_cut_off, bool is_stranded);
--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -133,6 +133,7 @@
         co_return result;
     }
     m_path = connection_path::relayed;
+    m_relay = relay;
     co_return result;
 }
 
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -72,6 +72,8 @@
     /// Returns how the connection reaches its endpoint; `direct` before it is connected.
     [[nodiscard]] connection_path path() const { return m_path; }
     [[nodiscard]] bool is_relayed() const { return m_path == connection_path::relayed; }
+    /// Returns where the host listens through which the connection was opened last.
+    [[nodiscard]] const state::member_address& relay() const { return m_relay; }
     /// Returns the executor of the thread that uses the connection.
     [[nodiscard]] boost::asio::any_io_executor executor() { return m_stream.get_executor(); }
 
@@ -161,6 +163,7 @@
 
     boost::beast::tcp_stream m_stream;
     connection_path m_path = connection_path::direct;
+    state::member_address m_relay; // used if m_path is `relayed`
     state::time_point m_idle_since{};
     progress_watchdog m_watchdog; // cancels the pending operation when its time limit expires
     boost::beast::flat_buffer m_buffer{max_buffered_bytes};
--- a/src/savoryrelay/transport/reach/endpoint_connector.cpp
+++ b/src/savoryrelay/transport/reach/endpoint_connector.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/error.hpp>
+#include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -21,8 +22,10 @@
 // A round trip inside a region takes some milliseconds. An endpoint that does not
 // accept a connection within this time is dead or unreachable.
 constexpr milliseconds connect_timeout{250};
-// A relay replies after it has tried to connect to the endpoint for as long.
-constexpr milliseconds relay_timeout{300};
+// A probe that is wrong about an endpoint costs little.
+constexpr milliseconds probe_timeout{150};
+// A relay replies after it has tried to connect to the endpoint and, if that failed, to another.
+constexpr milliseconds relay_timeout = connect_timeout + probe_timeout;
 // A relay answers within a few milliseconds if the endpoint accepts the connection.
 constexpr milliseconds min_relay_time{50};
 // Of all that is tried for one connection; within `selected_endpoint::validity`.
@@ -122,8 +125,14 @@
             break;
         }
         const state::member_address relay{host.address.ip, m_hooks.relay_port};
-        const auto result = co_await connection.connect_through(
-            relay, endpoint.id, endpoint.started_ms, std::min(left, relay_timeout));
+        const auto asked_at = m_hooks.now();
+        const auto time_limit = std::min(left, relay_timeout);
+        const auto result = co_await connection.connect_through(relay, endpoint.id,
+                                                                endpoint.started_ms, time_limit);
+        if (result.failed == asio::error::operation_aborted &&
+            m_hooks.now() - asked_at < time_limit) {
+            co_return result.failed; // the caller has gone
+        }
         const auto outcome = outcome_of(result);
         // A relay that had less time may have waited for the endpoint.
         if (outcome != relay_outcome::silent || left >= relay_timeout) {
@@ -141,6 +150,22 @@
     co_return no_relay;
 }
 
+bool endpoint_connector::is_own_failure(const error_code& failed) {
+    return failed == no_relay;
+}
+
+asio::awaitable<bool> endpoint_connector::confirm_end(const endpoint_connection& connection,
+                                                      const state::runner_record& endpoint) {
+    if (!connection.is_relayed() || !connection.ends_answer_by_closing()) {
+        co_return true;
+    }
+    auto& context = static_cast<asio::io_context&>((co_await asio::this_coro::executor).context());
+    endpoint_connection probe(context);
+    const auto result = co_await probe.connect_through(connection.relay(), endpoint.id,
+                                                       endpoint.started_ms, relay_timeout);
+    co_return !result.failed;
+}
+
 asio::awaitable<endpoint_contact> endpoint_connector::check(asio::io_context& context,
                                                             const state::runner_record& endpoint) {
     endpoint_connection connection(context);
@@ -152,7 +177,8 @@
         connection.close();
         bool is_own_fault = false;
         if (m_hooks.relay_port != 0) {
-            is_own_fault = !co_await reaches_another(context, endpoint);
+            is_own_fault = !co_await reaches_another(context, endpoint.id,
+                                                     coordination::endpoint_reach::min_unreached);
         }
         if (!is_own_fault) {
             co_return failed == asio::error::connection_refused ? endpoint_contact::refuses
@@ -171,26 +197,24 @@
 }
 
 asio::awaitable<bool> endpoint_connector::reaches_another(asio::io_context& context,
-                                                          const state::runner_record& endpoint) {
+                                                          const state::endpoint_id& endpoint,
+                                                          std::size_t max_probes) {
     auto others = m_hooks.endpoints(m_hooks.now());
     const auto known = others.size();
-    std::erase_if(others, [&](const auto& other) { return other.id == endpoint.id; });
+    std::erase_if(others, [&](const auto& other) { return other.id == endpoint; });
     if (others.empty()) {
         co_return true; // nothing speaks against it
     }
-    for (const auto& id : m_reach.choose(ids_of(others))) {
+    auto chosen = m_reach.choose(ids_of(others));
+    chosen.resize(std::min(chosen.size(), max_probes));
+    for (const auto& id : chosen) {
         if (m_reach.is_cut_off()) {
             co_return false;
         }
-        const auto& other = find(others, id);
-        endpoint_connection probe(context);
-        const auto failed = co_await probe.connect(other.address, other.port, connect_timeout);
-        const auto now = m_hooks.now();
-        if (!failed) {
-            m_reach.note_reached(id, known, now);
+        const bool is_reached = co_await probe_endpoint(context, find(others, id), known);
+        if (is_reached) {
             co_return true;
         }
-        m_reach.note_unreached(id, known, now);
     }
     co_return false;
 }
@@ -212,24 +236,26 @@
     }
 }
 
-asio::awaitable<void> endpoint_connector::probe_endpoint(asio::io_context& context,
+asio::awaitable<bool> endpoint_connector::probe_endpoint(asio::io_context& context,
                                                          state::runner_record endpoint,
                                                          std::size_t known) {
     endpoint_connection connection(context);
-    const auto failed =
-        co_await connection.connect(endpoint.address, endpoint.port, connect_timeout);
+    const auto failed = co_await connection.connect(endpoint.address, endpoint.port, probe_timeout);
     const auto now = m_hooks.now();
     if (failed) {
         m_reach.note_unreached(endpoint.id, known, now);
     } else {
         m_reach.note_reached(endpoint.id, known, now);
     }
+    co_return !failed;
 }
 
 asio::awaitable<void> endpoint_connector::search_relay(asio::io_context& context) {
     const auto endpoints = m_hooks.endpoints(m_hooks.now());
     const auto chosen = m_reach.choose(ids_of(endpoints));
-    if (!chosen.empty()) {
+    if (chosen.empty()) {
+        m_relays.note_no_candidate(m_hooks.now());
+    } else {
         endpoint_connection connection(context);
         co_await open_through_relay(connection, find(endpoints, chosen.front()),
                                     m_hooks.now() + search_timeout);
--- a/src/savoryrelay/transport/reach/endpoint_connector.h
+++ b/src/savoryrelay/transport/reach/endpoint_connector.h
@@ -76,6 +76,17 @@
     /// Finds out whether the endpoint's process accepts connections.
     boost::asio::awaitable<endpoint_contact> check(boost::asio::io_context& context,
                                                    const state::runner_record& endpoint);
+    /// Returns whether `failed`, of `open`, says nothing of the endpoint.
+    [[nodiscard]] static bool is_own_failure(const boost::system::error_code& failed);
+    /// Returns whether the end of an answer without a length on `connection` is the endpoint's.
+    /// The process of another host ends its tunnels when it ends.
+    boost::asio::awaitable<bool> confirm_end(const endpoint_connection& connection,
+                                             const state::runner_record& endpoint);
+    /// Returns whether another endpoint than `endpoint` is in reach, by the first of up to
+    /// `max_probes` that is.
+    boost::asio::awaitable<bool> reaches_another(boost::asio::io_context& context,
+                                                 const state::endpoint_id& endpoint,
+                                                 std::size_t max_probes);
     /// Records that a call lost its connection or got no answer.
     void note_doubt();
     /// Makes the probes that are due. Called regularly.
@@ -88,11 +99,8 @@
     boost::asio::awaitable<boost::system::error_code>
     open_through_relay(endpoint_connection& connection, const state::runner_record& endpoint,
                        state::time_point deadline);
-    /// Returns whether any endpoint but `endpoint` is in reach.
-    boost::asio::awaitable<bool> reaches_another(boost::asio::io_context& context,
-                                                 const state::runner_record& endpoint);
-    /// Probes one endpoint.
-    boost::asio::awaitable<void> probe_endpoint(boost::asio::io_context& context,
+    /// Probes one endpoint. Returns whether it is in reach.
+    boost::asio::awaitable<bool> probe_endpoint(boost::asio::io_context& context,
                                                 state::runner_record endpoint, std::size_t known);
     /// Looks for a relay while no call does.
     boost::asio::awaitable<void> search_relay(boost::asio::io_context& context);
--- a/src/savoryrelay/transport/relay/relay_server.cpp
+++ b/src/savoryrelay/transport/relay/relay_server.cpp
@@ -20,6 +20,7 @@
 
 #include <array>
 #include <chrono>
+#include <ctime>
 #include <exception>
 #include <optional>
 #include <tuple>
@@ -50,7 +51,11 @@
 constexpr std::size_t max_waiting_connections = 64;
 
 state::time_point now() {
-    return std::chrono::steady_clock::now();
+    // The steady clock does not count the time in which the host was suspended.
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return state::time_point(std::chrono::seconds(time.tv_sec) +
+                             std::chrono::nanoseconds(time.tv_nsec));
 }
 
 // Returns whether the peer has closed or reset the connection, also if bytes of it are unread.
@@ -71,7 +76,6 @@
     tunnel(relay_server& server, std::uint64_t id, pause_detector& pauses, tcp::socket asking)
         : m_server(server), m_id(id), m_pauses(pauses), m_asking(std::move(asking)),
           m_endpoint(m_asking.get_executor()), m_memory(server.m_account),
-          m_endpoint_memory(server.m_account),
           m_step_watch(m_asking.get_executor(), [this] { end_step(); }),
           m_request_watch(m_asking.get_executor(), [this] { check_request_write(); }),
           m_answer_watch(m_asking.get_executor(), [this] { abandon(); }) {}
@@ -147,17 +151,13 @@
         if (!request) {
             co_return relay_reply::malformed;
         }
-        if (!take_slot() || !m_memory.hold(relay_limits::buffer_bytes)) {
+        if (!take_slot() || !m_memory.hold(2 * relay_limits::buffer_bytes)) {
             co_return relay_reply::overloaded;
         }
         const auto route = m_server.m_hooks.find_route(request->endpoint, request->started_ms);
         if (const auto* refusal = std::get_if<relay_reply>(&route)) {
             co_return *refusal;
         }
-        open_memory(m_endpoint_memory);
-        if (!m_endpoint_memory.hold(relay_limits::buffer_bytes)) {
-            co_return relay_reply::overloaded;
-        }
         const auto& address = std::get<state::member_address>(route);
         const auto failed = co_await connect_endpoint(address);
         if (m_is_withdrawn || is_gone(m_asking)) {
@@ -166,7 +166,13 @@
         if (m_server.m_hooks.note_connect) {
             m_server.m_hooks.note_connect(request->endpoint, failed);
         }
-        co_return failed ? relay_reply::unreachable : relay_reply::connected;
+        if (!failed) {
+            co_return relay_reply::connected;
+        }
+        if (!m_server.m_hooks.explain_failure) {
+            co_return relay_reply::unreachable;
+        }
+        co_return co_await m_server.m_hooks.explain_failure(request->endpoint);
     }
 
     /// Returns the bytes up to the first line end or the size limit, or nothing.
@@ -228,7 +234,6 @@
     /// Confirms the connection and copies both ways until the tunnel has ended.
     asio::awaitable<void> copy() {
         m_memory.enter(holder_phase::serving);
-        m_endpoint_memory.enter(holder_phase::serving);
         begin_step(m_server.m_limits.line_timeout);
         const auto line = protocol::encode_relay_reply(relay_reply::connected);
         const auto [failed, size] =
@@ -346,10 +351,10 @@
         m_asking.close(ignored);
     }
 
-    /// Passes on the end or the reset of the endpoint's connection. A connection that was lost
-    /// otherwise is no reset, because a reset says that the endpoint's process has ended.
+    /// Passes on the end of the endpoint's connection, or resets the asking host's if the
+    /// endpoint's was reset or lost.
     void end_by_endpoint(const error_code& failed) {
-        if (m_was_reset || is_reset(failed)) {
+        if (m_was_reset || failed != asio::error::eof) {
             m_is_closed = true;
             reset_connection(m_asking);
             close_at_once(m_endpoint);
@@ -359,10 +364,12 @@
         }
     }
 
-    /// Ends the tunnel for a reason of this host.
+    /// Ends the tunnel for a reason of this host. An end without a reset would complete an answer
+    /// that has no length.
     void abandon() {
+        m_is_closed = true;
         reset_connection(m_endpoint);
-        send_end();
+        reset_connection(m_asking);
     }
 
     /// Sends the end of the bytes, and closes when the asking host does or after a time.
@@ -401,11 +408,11 @@
     pause_detector& m_pauses; // of the thread of the tunnel
     tcp::socket m_asking;
     tcp::socket m_endpoint;
-    connection_memory m_memory;          // of m_asking and m_request
-    connection_memory m_endpoint_memory; // of m_endpoint and m_answer
-    std::vector<char> m_request;         // on its way to the endpoint
-    std::vector<char> m_answer;          // on its way to the asking host
-    progress_watchdog m_step_watch;      // before the copying and at its end
+    connection_memory
+        m_memory; // of both sides; endpoints take no part of the listener's connections
+    std::vector<char> m_request;    // on its way to the endpoint
+    std::vector<char> m_answer;     // on its way to the asking host
+    progress_watchdog m_step_watch; // before the copying and at its end
     progress_watchdog m_request_watch;
     progress_watchdog m_answer_watch;
     state::time_point m_request_progress{}; // of the write to the endpoint
--- a/src/savoryrelay/transport/relay/relay_server.h
+++ b/src/savoryrelay/transport/relay/relay_server.h
@@ -39,6 +39,10 @@
     /// than `relay_limits::connect_timeout`. May be empty.
     std::function<void(const state::endpoint_id& endpoint, const boost::system::error_code& failed)>
         note_connect;
+    /// Finds out why a connect to the endpoint failed, `unreachable` or `cut_off`: the asking host
+    /// takes the former for a fault of the endpoint. May be empty: always `unreachable`.
+    std::function<boost::asio::awaitable<protocol::relay_reply>(const state::endpoint_id& endpoint)>
+        explain_failure;
 };
 
 /// Limits of a server's tunnels. Each has two sockets and two buffers of `buffer_bytes`.
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -41,6 +41,7 @@
 // A runner that ends the chunks of a stream too early goes on at the pace of its events.
 constexpr milliseconds max_end_wait{100};
 constexpr int max_mismatched_answers = 3;
+constexpr auto unconfirmed_end = "the end of the answer may be that of a relay";
 // A read that only the deadline of its call limits.
 constexpr milliseconds max_read_time = milliseconds::max();
 
@@ -139,7 +140,10 @@
             co_return end;
         }
         if (size == 0) {
-            end.outcome = attempt_outcome::delivered;
+            const bool is_whole = co_await m_dependencies.connector.confirm_end(
+                *call.current->connection, call.current->chosen.runner.record);
+            end.outcome = is_whole ? attempt_outcome::delivered : attempt_outcome::lost;
+            end.reason = is_whole ? "" : unconfirmed_end;
             co_return end;
         }
         end.body.append(buffer.data(), size);
--- a/src/savoryrelay/transport/serving/call_attempts.cpp
+++ b/src/savoryrelay/transport/serving/call_attempts.cpp
@@ -189,7 +189,7 @@
         const auto failed = co_await m_dependencies.connector.open(
             *attempt.connection, runner, time_until(call.deadline, m_dependencies.now()));
         if (failed) {
-            if (!call.caller_is_gone) {
+            if (!call.caller_is_gone && !endpoint_connector::is_own_failure(failed)) {
                 avoid(runner.id);
             }
             end.outcome = attempt_outcome::not_run;
