Believe two relays that an endpoint is out of reach, not one

Cause: by the logs, a relay that was losing its paths one after the other reached some endpoints and not others, and said so for 50 ms and longer. Change: the next relay is asked too; evidence of a crash needs two that agree, unless there is one other host. An endpoint that accepts at the second look lives.

--- a/src/savoryrelay/transport/reach/endpoint_connector.cpp
+++ b/src/savoryrelay/transport/reach/endpoint_connector.cpp
@@ -31,6 +31,10 @@
 // Of all that is tried for one connection; within `selected_endpoint::validity`.
 constexpr milliseconds search_timeout{450};
 
+// Other hosts that must find an endpoint out of reach, unless there are fewer. One alone may be
+// losing its paths.
+constexpr std::size_t min_agreeing = 2;
+
 const error_code refused_by_endpoint = asio::error::connection_refused;
 const error_code no_relay = asio::error::network_unreachable;
 
@@ -94,7 +98,8 @@
         }
         connection.close();
     }
-    co_return co_await open_through_relay(connection, endpoint, deadline);
+    const auto opened = co_await open_through_relay(connection, endpoint, deadline);
+    co_return opened.failed;
 }
 
 asio::awaitable<error_code> endpoint_connector::open_directly(endpoint_connection& connection,
@@ -110,7 +115,7 @@
     co_return failed;
 }
 
-asio::awaitable<error_code>
+asio::awaitable<endpoint_connector::relayed_open>
 endpoint_connector::open_through_relay(endpoint_connection& connection,
                                        const state::runner_record& endpoint,
                                        state::time_point deadline) {
@@ -119,6 +124,7 @@
     if (hosts.empty()) {
         m_relays.note_no_candidate(start);
     }
+    relayed_open opened{no_relay, 0};
     for (const auto& host : hosts) {
         const auto left = std::chrono::duration_cast<milliseconds>(deadline - m_hooks.now());
         if (left < min_relay_time) {
@@ -131,7 +137,8 @@
                                                                 endpoint.started_ms, time_limit);
         if (result.failed == asio::error::operation_aborted &&
             m_hooks.now() - asked_at < time_limit) {
-            co_return result.failed; // the caller has gone
+            opened.failed = result.failed; // the caller has gone
+            co_return opened;
         }
         const auto outcome = outcome_of(result);
         // A relay that had less time may have waited for the endpoint.
@@ -140,14 +147,16 @@
         }
         m_hooks.count_relay(outcome);
         if (outcome == relay_outcome::connected) {
-            co_return error_code{};
+            opened.failed = {};
+            co_return opened;
         }
         connection.close();
         if (outcome == relay_outcome::unreachable) {
-            co_return refused_by_endpoint;
+            opened.failed = refused_by_endpoint;
+            ++opened.unreachable;
         }
     }
-    co_return no_relay;
+    co_return opened;
 }
 
 bool endpoint_connector::is_own_failure(const error_code& failed) {
@@ -188,12 +197,14 @@
     if (path() == connection_path::direct) {
         co_return endpoint_contact::unknown;
     }
-    const auto failed =
-        co_await open_through_relay(connection, endpoint, m_hooks.now() + search_timeout);
-    if (!failed) {
+    const auto now = m_hooks.now();
+    const auto opened = co_await open_through_relay(connection, endpoint, now + search_timeout);
+    if (!opened.failed) {
         co_return endpoint_contact::accepts;
     }
-    co_return failed == refused_by_endpoint ? endpoint_contact::refuses : endpoint_contact::unknown;
+    const bool is_agreed = opened.unreachable >= std::min(min_agreeing, m_hooks.hosts(now).size());
+    co_return opened.unreachable > 0 && is_agreed ? endpoint_contact::refuses
+                                                  : endpoint_contact::unknown;
 }
 
 asio::awaitable<bool> endpoint_connector::reaches_another(asio::io_context& context,
--- a/src/savoryrelay/transport/reach/endpoint_connector.h
+++ b/src/savoryrelay/transport/reach/endpoint_connector.h
@@ -96,9 +96,14 @@
     boost::asio::awaitable<boost::system::error_code>
     open_directly(endpoint_connection& connection, const state::runner_record& endpoint,
                   state::milliseconds timeout);
-    boost::asio::awaitable<boost::system::error_code>
-    open_through_relay(endpoint_connection& connection, const state::runner_record& endpoint,
-                       state::time_point deadline);
+    /// The result of the attempts through other hosts.
+    struct relayed_open {
+        boost::system::error_code failed;
+        std::size_t unreachable = 0; ///< hosts in touch that did not reach the endpoint
+    };
+    boost::asio::awaitable<relayed_open> open_through_relay(endpoint_connection& connection,
+                                                            const state::runner_record& endpoint,
+                                                            state::time_point deadline);
     /// Probes one endpoint. Returns whether it is in reach.
     boost::asio::awaitable<bool> probe_endpoint(boost::asio::io_context& context,
                                                 state::runner_record endpoint, std::size_t known);
--- a/src/savoryrelay/transport/serving/ended_endpoints.cpp
+++ b/src/savoryrelay/transport/serving/ended_endpoints.cpp
@@ -21,8 +21,9 @@
 // A process that ends may still accept connections after it has closed others, for at most
 // this long. Another one takes longer to start.
 constexpr milliseconds process_end_time{50};
-// Returns whether an endpoint that has closed a connection goes on to accept others. A host that
-// is cut off finds that out within the time between the two checks.
+// Returns whether an endpoint that has closed a connection goes on to accept others. Looks again
+// after the time in which a process that ends may still accept connections, and in which a
+// partition reaches all paths. Another process takes longer to start.
 asio::awaitable<endpoint_contact> find_out_contact(endpoint_connector& connector,
                                                    asio::io_context& context,
                                                    const state::runner_record& endpoint) {
@@ -31,10 +32,7 @@
         co_return first;
     }
     co_await pause_for(process_end_time);
-    const auto second = co_await connector.check(context, endpoint);
-    const bool is_settled =
-        first == endpoint_contact::accepts || second == endpoint_contact::unknown;
-    co_return is_settled ? second : first;
+    co_return co_await connector.check(context, endpoint);
 }
 
 } // namespace
