Tests: a sound 204 in place of one with a length, and the log's reason

Cause: the endpoint of endpoint_answer_test.cpp sent a length with 204, which is a defect of its own now, so the case no longer showed that a success without a receipt is withheld. No test read the reason in the log. Change: its 204 has no length. The case of impossible statuses reads the line attempt_failed: outcome lost, reason "no answer: status_out_of_range".

--- a/tests/process/endpoint_answer_test.cpp
+++ b/tests/process/endpoint_answer_test.cpp
@@ -33,6 +33,9 @@
     if (path.ends_with("/not-run")) {
         answer += "Not-Executed: 1\r\n";
     }
+    if (path.starts_with("204")) {
+        return answer + "\r\n"; // RFC 9110 section 8.6 forbids a length
+    }
     const std::string body = "made by the endpoint";
     return answer + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
--- a/tests/process/malformed_answer_test.cpp
+++ b/tests/process/malformed_answer_test.cpp
@@ -142,6 +142,9 @@
     // Guards against a status such as 000, which no caller can interpret.
     malformed_fixture fixture;
     CHECK(fixture.count_relayed(impossible_statuses) == 0);
+    const auto line = fixture.hosts[0]->process->read_until("event=attempt_failed");
+    CHECK(line.find("outcome=lost") != std::string::npos);
+    CHECK(line.find("no answer: status_out_of_range") != std::string::npos);
 }
 
 TEST_CASE("edge: an answer with a malformed field line does not reach the caller") {
