--- a/src/savoryrelay/protocol/http_answer/answer_reader.h
+++ b/src/savoryrelay/protocol/http_answer/answer_reader.h
@@ -66,6 +66,10 @@
     [[nodiscard]] bool ends_by_closing() const {
         return has_head() && m_head.framing == body_framing::close;
     }
+    /// Returns whether the answer has a body in chunks.
+    [[nodiscard]] bool has_chunks() const {
+        return has_head() && m_head.framing == body_framing::chunks;
+    }
     /// Returns whether the answer is complete and lets its connection carry another one. Bytes
     /// that the reader left over forbid that as well.
     [[nodiscard]] bool allows_reuse() const {
--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -154,7 +154,8 @@
             const auto step = m_reader->read_body(received(), out);
             m_buffer.consume(step.consumed);
             produced = step.produced;
-            failed = reading_error();
+            // The bytes before a defect come first; the next call reports it.
+            failed = produced > 0 ? error_code{} : reading_error();
         }
     }
     m_watchdog.disarm();
@@ -179,6 +180,10 @@
     return all;
 }
 
+bool endpoint_connection::has_chunks() const {
+    return !m_skips_body && m_reader && m_reader->has_chunks();
+}
+
 bool endpoint_connection::reusable() const {
     return !m_skips_body && m_reader && m_reader->allows_reuse() && m_buffer.size() == 0 &&
            m_repeatable_requests.size() < max_repeatable_requests;
@@ -241,6 +246,19 @@
     return peek() == input_state::bytes;
 }
 
+asio::awaitable<void> endpoint_connection::wait_behind_end(state::milliseconds limit) {
+    if (has_bytes_after_end()) {
+        co_return;
+    }
+    m_watchdog.extend(limit);
+    co_await m_stream.socket().async_wait(tcp::socket::wait_read, use_tuple);
+    m_watchdog.disarm();
+}
+
+bool endpoint_connection::has_bytes_after_end() {
+    return m_buffer.size() > 0 || has_unread_bytes();
+}
+
 bool endpoint_connection::is_closed_by_peer() {
     return m_stream.socket().is_open() && peek() == input_state::closed;
 }
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -53,7 +53,9 @@
     boost::asio::awaitable<boost::system::error_code> read_header(state::milliseconds timeout);
 
     /// Reads at least one byte of the body into `buffer`. Returns 0 bytes and no
-    /// error after the end of a complete answer.
+    /// error after the end of a complete answer. Fields behind the last chunk that the `Trailer`
+    /// field of the answer does not name, or that may not stand there, are a defect: they may be
+    /// a part of the body. Drops other trailer fields.
     boost::asio::awaitable<std::pair<boost::system::error_code, std::size_t>>
     read_some(boost::asio::mutable_buffer buffer, state::milliseconds timeout);
 
@@ -73,6 +75,13 @@
     /// Returns true if the answer has neither a length nor chunks, so that the end of the
     /// connection is its end. Call it only after `read_header`.
     [[nodiscard]] bool ends_answer_by_closing() const;
+    /// Returns true if the answer has a body in chunks. Call it only after `read_header`.
+    [[nodiscard]] bool has_chunks() const;
+    /// Waits until the peer sends something behind the end of the answer or closes the
+    /// connection, for at most `limit`.
+    boost::asio::awaitable<void> wait_behind_end(state::milliseconds limit);
+    /// Returns true if bytes of the peer have arrived behind the end of the answer.
+    [[nodiscard]] bool has_bytes_after_end();
     /// Prepares to read the next answer on the connection. Called after reading an
     /// answer that belonged to an earlier request.
     void expect_another_answer();
