A second answer behind a stream does not contradict its end

Cause: behind the last chunk of a stream any byte made the attempt lost, also the begin of a second copy of the answer. "edge: a second copy of an answer reaches no caller" failed in 3 assertions: a stream that can't be resumed was cut although it was whole. Change: bytes that begin like an answer ("HTTP/") say nothing about the end. A chunk can't begin so. The connection is not used again, as before.

--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -17,6 +17,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <span>
@@ -247,7 +248,7 @@
 }
 
 asio::awaitable<void> endpoint_connection::wait_behind_end(state::milliseconds limit) {
-    if (has_bytes_after_end()) {
+    if (m_buffer.size() > 0) {
         co_return;
     }
     m_watchdog.extend(limit);
@@ -256,7 +257,16 @@
 }
 
 bool endpoint_connection::has_bytes_after_end() {
-    return m_buffer.size() > 0 || has_unread_bytes();
+    // A chunk cannot begin like an answer, because H is no hexadecimal digit.
+    constexpr std::string_view answer_begin = "HTTP/";
+    std::array<char, answer_begin.size()> peeked{};
+    auto bytes = received().substr(0, answer_begin.size());
+    if (bytes.empty()) {
+        const auto size = ::recv(m_stream.socket().native_handle(), peeked.data(), peeked.size(),
+                                 MSG_PEEK | MSG_DONTWAIT);
+        bytes = {peeked.data(), size > 0 ? static_cast<std::size_t>(size) : 0};
+    }
+    return !bytes.empty() && !answer_begin.starts_with(bytes);
 }
 
 bool endpoint_connection::is_closed_by_peer() {
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -80,7 +80,8 @@
     /// Waits until the peer sends something behind the end of the answer or closes the
     /// connection, for at most `limit`.
     boost::asio::awaitable<void> wait_behind_end(state::milliseconds limit);
-    /// Returns true if bytes of the peer have arrived behind the end of the answer.
+    /// Returns true if bytes of the peer have arrived behind the end of the answer, except those of
+    /// another answer: a second copy says nothing about the end of the first.
     [[nodiscard]] bool has_bytes_after_end();
     /// Prepares to read the next answer on the connection. Called after reading an
     /// answer that belonged to an earlier request.
