--- a/src/savoryrelay/transport/http/answer_error.cpp
+++ b/src/savoryrelay/transport/http/answer_error.cpp
@@ -1,29 +1,32 @@
-// Implements the category of the errors of answers.
+// Implements the error category of defective answers.
 #include "savoryrelay/transport/http/answer_error.h"
 
+#include <cassert>
 #include <string>
 
 namespace savoryrelay::transport {
+
 namespace {
 
-class answer_error_category final : public boost::system::error_category {
+class answer_defect_category final : public boost::system::error_category {
 public:
-    answer_error_category() = default;
-    answer_error_category(const answer_error_category&) = delete;
-    answer_error_category& operator=(const answer_error_category&) = delete;
-    virtual ~answer_error_category() = default;
+    answer_defect_category() = default;
+    answer_defect_category(const answer_defect_category&) = delete;
+    answer_defect_category& operator=(const answer_defect_category&) = delete;
+    virtual ~answer_defect_category() = default;
 
-    [[nodiscard]] const char* name() const noexcept override { return "answer"; }
+    [[nodiscard]] const char* name() const noexcept override { return "http_answer"; }
     [[nodiscard]] std::string message(int value) const override {
-        return std::string(state::to_name(static_cast<answer_error>(value)));
+        return std::string(state::to_name(static_cast<protocol::answer_defect>(value)));
     }
 };
 
 } // namespace
 
-boost::system::error_code make_error_code(answer_error error) {
-    static const answer_error_category category;
-    return {static_cast<int>(error), category};
+boost::system::error_code make_error_code(protocol::answer_defect defect) {
+    assert(defect != protocol::answer_defect::none);
+    static const answer_defect_category category;
+    return {static_cast<int>(defect), category};
 }
 
 } // namespace savoryrelay::transport
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -3,6 +3,7 @@
 // connection turns out to be closed.
 #pragma once
 
+#include "savoryrelay/protocol/http_answer/answer_reader.h"
 #include "savoryrelay/protocol/relay/relay_messages.h"
 #include "savoryrelay/state/core/enum_names.h"
 #include "savoryrelay/state/core/identifier.h"
@@ -17,8 +18,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/system/error_code.hpp>
 
 #include <array>
@@ -47,7 +46,8 @@
     std::optional<protocol::relay_reply> reply; ///< nothing if the other host sent none
 };
 
-/// A connection that carries one exchange at a time. Not thread-safe.
+/// A connection that carries one exchange at a time. Its answers are read by
+/// `protocol::answer_reader` alone. Not thread-safe.
 class endpoint_connection {
 public:
     explicit endpoint_connection(boost::asio::io_context& context)
@@ -81,15 +81,14 @@
     boost::asio::awaitable<boost::system::error_code> send(const http_request& request,
                                                            state::milliseconds timeout);
 
-    /// Reads the answer's header, after a few informational ones at most.
-    /// Fails if another answer begins within it, after a part of an earlier one.
+    /// Reads the answer's header, after a few informational ones at most. Bytes that are no
+    /// answer fail with the code of their `protocol::answer_defect`, here and in `read_some`.
     boost::asio::awaitable<boost::system::error_code> read_header(state::milliseconds timeout);
 
     /// Reads at least one byte of the body into `buffer`. Returns 0 bytes and no
-    /// error after the end of a complete answer. Fails with
-    /// `answer_error::unannounced_trailer` if fields follow the last chunk that the `Trailer`
-    /// field of the answer does not name, or that may not stand there: they may be a part of the
-    /// body. Drops other trailer fields.
+    /// error after the end of a complete answer. Fields behind the last chunk that the `Trailer`
+    /// field of the answer does not name, or that may not stand there, are a defect: they may be
+    /// a part of the body. Drops other trailer fields.
     boost::asio::awaitable<std::pair<boost::system::error_code, std::size_t>>
     read_some(boost::asio::mutable_buffer buffer, state::milliseconds timeout);
 
@@ -114,7 +113,8 @@
     /// Waits until the peer sends something behind the end of the answer or closes the
     /// connection, for at most `limit`.
     boost::asio::awaitable<void> wait_behind_end(state::milliseconds limit);
-    /// Returns true if bytes of the peer have arrived behind the end of the answer.
+    /// Returns true if bytes of the peer have arrived behind the end of the answer, except those of
+    /// another answer: a second copy says nothing about the end of the first.
     [[nodiscard]] bool has_bytes_after_end();
     /// Prepares to read the next answer on the connection. Called after reading an
     /// answer that belonged to an earlier request.
@@ -150,28 +150,35 @@
     static constexpr state::milliseconds default_keep_alive_timeout{4'000};
     // A connection that has carried this many repeatable requests is not used again.
     static constexpr std::size_t max_repeatable_requests = 32;
+    static constexpr std::size_t receive_bytes = 4 * 1024; // bytes of one read
 
     /// What can be read from the socket without waiting.
     enum class input_state { none, bytes, closed };
 
-    [[nodiscard]] bool has_unannounced_trailer() const;
     [[nodiscard]] input_state peek();
     /// Sends the request line of a tunnel and reads the reply, until `deadline`.
     boost::asio::awaitable<relayed_connect> open_tunnel(const std::string& line,
                                                         state::time_point deadline);
-    void reset_parser();
+    void reset_reader();
+    /// Waits for bytes and adds them to the empty buffer, or tells the reader that the
+    /// connection has ended.
+    boost::asio::awaitable<boost::system::error_code> receive();
+    /// Returns the bytes that were received and not read.
+    [[nodiscard]] std::string_view received() const;
+    /// Returns the error for what the reader has found wrong, or none.
+    [[nodiscard]] boost::system::error_code reading_error() const;
 
     boost::beast::tcp_stream m_stream;
     connection_path m_path = connection_path::direct;
     state::member_address m_relay; // used if m_path is `relayed`
     state::time_point m_idle_since{};
     progress_watchdog m_watchdog; // cancels the pending operation when its time limit expires
-    boost::beast::flat_buffer m_buffer{max_buffered_bytes};
+    boost::beast::flat_buffer m_buffer{receive_bytes}; // not empty after an answer: stray bytes
     bool m_skips_body = false;
-    http_fields m_fields; // of the answer's header; without those of its trailer
     // Ids of requests that the connection must not carry again.
     std::vector<state::request_id> m_repeatable_requests;
-    std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
+    std::optional<protocol::answer_reader> m_reader; // empty before the first request
+    bool m_is_answer_begun = false;                  // the reader has taken bytes
 };
 
 } // namespace savoryrelay::transport
