An open that its caller abandons may fail with a closed descriptor

What callers would see: a relay passed over for 4 s because a caller left. Cause: a connection that is closed between two steps of an open fails with bad_descriptor, not with an abort. "connector: an abandoned open blames no relay and asks no other" failed once, in the first run of the whole program. Change: both are no outcome of the relay. Result: 8 of 8 runs of the connector's cases, eight at a time.

--- a/src/savoryrelay/transport/reach/endpoint_connector.cpp
+++ b/src/savoryrelay/transport/reach/endpoint_connector.cpp
@@ -135,8 +135,9 @@
         const auto time_limit = std::min(left, relay_timeout);
         const auto result = co_await connection.connect_through(relay, endpoint.id,
                                                                 endpoint.started_ms, time_limit);
-        if (result.failed == asio::error::operation_aborted &&
-            m_hooks.now() - asked_at < time_limit) {
+        const bool is_aborted = result.failed == asio::error::operation_aborted &&
+                                m_hooks.now() - asked_at < time_limit;
+        if (is_aborted || result.failed == asio::error::bad_descriptor) {
             opened.failed = result.failed; // the caller has gone
             co_return opened;
         }
