Take 204 with a length of 0 for an answer

Cause: the strict reader rejected what many servers send with 204; a runner that does would have served no call with it. Change: a length of 0 with 204 leaves no doubt about the end and is accepted; other lengths and codings with 204 and 1xx are not.

--- a/src/savoryrelay/protocol/http_answer/answer_head.cpp
+++ b/src/savoryrelay/protocol/http_answer/answer_head.cpp
@@ -152,7 +152,10 @@
     if (m_is_chunked && m_length_text) {
         return answer_defect::coding_and_length;
     }
-    if ((is_informational() || m_head.status == no_content) && (m_is_chunked || m_length_text)) {
+    // Servers often state a length of 0 with 204, which leaves no doubt about the end.
+    const bool has_harmless_length = m_head.status == no_content && m_head.length == 0;
+    if ((is_informational() || m_head.status == no_content) &&
+        (m_is_chunked || (m_length_text && !has_harmless_length))) {
         return answer_defect::framed_without_body;
     }
     // RFC 9110 section 15.3.6 allows a length of 0 and an empty chunked body.
