--- a/tests/coordination/reach/relay_choice_test.cpp
+++ b/tests/coordination/reach/relay_choice_test.cpp
@@ -109,7 +109,7 @@
     relay_fixture fixture;
     fixture.hosts.push_back(host(7, "zone-a"));
     fixture.hosts.push_back(host(8, "zone-a"));
-    for (const auto index : {0, 1, 6}) {
+    for (const std::size_t index : {0U, 1U, 6U}) {
         CHECK(fixture.names("zone-b").size() == relay_choice::max_tries);
         fixture.relays.note(fixture.hosts[index], relay_outcome::cut_off, fixture.now);
     }
