Confirm the end of a relayed stream that has no length

Cause: a relay whose process ends closes its tunnels, which completes an answer that ends with its connection; plain answers are confirmed by their relay since, streams were not (found by the review, by reading). Change: the end of such a stream is confirmed too; judge_stream_end says so. Result: the cases of the judgement, 5 assertions; direct connections and streams in chunks take the same path as before.

--- a/src/savoryrelay/coordination/serving/stream_end.cpp
+++ b/src/savoryrelay/coordination/serving/stream_end.cpp
@@ -7,7 +7,10 @@
     if (evidence.has_partial_event) {
         return stream_end::partial_event;
     }
-    return evidence.has_bytes_after ? stream_end::bytes_after_end : stream_end::complete;
+    if (evidence.has_bytes_after) {
+        return stream_end::bytes_after_end;
+    }
+    return evidence.is_unconfirmed ? stream_end::unconfirmed : stream_end::complete;
 }
 
 } // namespace savoryrelay::coordination
--- a/src/savoryrelay/coordination/serving/stream_end.h
+++ b/src/savoryrelay/coordination/serving/stream_end.h
@@ -12,6 +12,7 @@
 struct stream_end_evidence {
     bool has_partial_event = false; ///< the body ended within an event
     bool has_bytes_after = false;   ///< the endpoint sent bytes after the last chunk
+    bool is_unconfirmed = false;    ///< the end may be that of another host between the two
 };
 
 /// Whether a stream has ended with its body.
@@ -19,6 +20,7 @@
     complete,
     partial_event,
     bytes_after_end,
+    unconfirmed,
 };
 
 } // namespace savoryrelay::coordination
@@ -30,6 +32,7 @@
         enum_name<e>{e::complete, "complete"},
         enum_name<e>{e::partial_event, "partial_event"},
         enum_name<e>{e::bytes_after_end, "bytes_after_end"},
+        enum_name<e>{e::unconfirmed, "unconfirmed"},
     };
 };
 
--- a/src/savoryrelay/transport/serving/answer_relay.cpp
+++ b/src/savoryrelay/transport/serving/answer_relay.cpp
@@ -308,6 +308,10 @@
         call.current->counted.reset(); // the endpoint has ended its work, or will be left
         co_await connection.wait_behind_end(bounded_by_deadline(call, max_end_wait));
         evidence.has_bytes_after = connection.has_bytes_after_end();
+    } else if (!evidence.has_partial_event) {
+        const bool is_confirmed = co_await m_dependencies.connector.confirm_end(
+            connection, call.current->chosen.runner.record);
+        evidence.is_unconfirmed = !is_confirmed;
     }
     const auto end = coordination::judge_stream_end(evidence);
     m_dependencies.metrics
--- a/tests/coordination/serving/stream_end_test.cpp
+++ b/tests/coordination/serving/stream_end_test.cpp
@@ -10,6 +10,7 @@
     CHECK(judge_stream_end({}) == stream_end::complete);
     CHECK(judge_stream_end({.has_partial_event = true}) == stream_end::partial_event);
     CHECK(judge_stream_end({.has_bytes_after = true}) == stream_end::bytes_after_end);
+    CHECK(judge_stream_end({.is_unconfirmed = true}) == stream_end::unconfirmed);
     CHECK(judge_stream_end({.has_partial_event = true, .has_bytes_after = true}) ==
           stream_end::partial_event);
 }
