Without relays no host is in doubt of its reach

What callers would see: groups that lost a member not replaced for seconds, on hosts without a port for tunnels. Cause: a holder in doubt declares no runner silent, and only probes end a doubt; hosts without relays make none. Change: such hosts note no doubt.

--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -76,12 +76,13 @@
                        std::function<state::time_point()> now)
     : m_threads(threads), m_shared(shared), m_signals(signals), m_host(settings.host),
       m_is_first_start(settings.is_first_start), m_processor_share(settings.processor_share),
-      m_now(std::move(now)), m_lease(lease_times, state::member_id(m_host.value()), incarnation,
-                                     {.platform = store.lease_hooks(lease_table, m_host.value()),
-                                      .codec = protocol::lease_text_codec(),
-                                      .clock = m_now,
-                                      .is_first_start = m_is_first_start},
-                                     shared.metrics) {
+      m_has_relays(settings.relay_port != 0), m_now(std::move(now)),
+      m_lease(lease_times, state::member_id(m_host.value()), incarnation,
+              {.platform = store.lease_hooks(lease_table, m_host.value()),
+               .codec = protocol::lease_text_codec(),
+               .clock = m_now,
+               .is_first_start = m_is_first_start},
+              shared.metrics) {
     m_controller_digest_at = m_now();
 }
 
@@ -310,7 +311,9 @@
         co_return;
     }
     if (!report) {
-        m_shared.reach.note_doubt(now);
+        if (m_has_relays) {
+            m_shared.reach.note_doubt(now);
+        }
         ++poll.failures;
         poll.next = poll.failures < silent_after_failures ? now
                     : m_shared.reach.is_in_doubt(now)     ? now + report_interval_busy
--- a/src/edge/group_part.h
+++ b/src/edge/group_part.h
@@ -87,6 +87,7 @@
     const state::host_id m_host;
     const bool m_is_first_start;
     const double m_processor_share;
+    const bool m_has_relays; // this host probes endpoints when in doubt
     std::function<state::time_point()> m_now;
     coordination::lease_coordinator m_lease;
     // Of the services, under the fencing number m_reconcilers_epoch. Control context only.
--- a/src/savoryrelay/transport/reach/endpoint_connector.cpp
+++ b/src/savoryrelay/transport/reach/endpoint_connector.cpp
@@ -82,7 +82,10 @@
 }
 
 void endpoint_connector::note_doubt() {
-    m_reach.note_doubt(m_hooks.now());
+    // Without relays nothing probes, so a doubt would not end.
+    if (m_hooks.relay_port != 0) {
+        m_reach.note_doubt(m_hooks.now());
+    }
 }
 
 asio::awaitable<error_code> endpoint_connector::open(endpoint_connection& connection,
@@ -108,7 +111,7 @@
     const auto failed = co_await connection.connect(endpoint.address, endpoint.port, timeout);
     const auto now = m_hooks.now();
     if (failed) {
-        m_reach.note_doubt(now);
+        note_doubt();
     } else {
         m_reach.note_reached(endpoint.id, m_hooks.endpoints(now).size(), now);
     }
