--- a/src/edge/reach_part.h
+++ b/src/edge/reach_part.h
@@ -38,7 +38,8 @@
     [[nodiscard]] std::vector<state::runner_record> endpoints(state::time_point now) const;
     [[nodiscard]] transport::relay_route find_route(const state::endpoint_id& endpoint,
                                                     std::uint64_t started_ms) const;
-    /// Returns whether this host failed to reach the endpoint for a fault of its own.
+    /// Returns `cut_off` if this host failed to reach the endpoint for a fault of its own, else
+    /// `unreachable`.
     boost::asio::awaitable<protocol::relay_reply>
     explain_failure(const state::endpoint_id& endpoint);
     boost::asio::awaitable<void> watch_reach();
--- a/src/savoryrelay/coordination/reach/endpoint_reach.cpp
+++ b/src/savoryrelay/coordination/reach/endpoint_reach.cpp
@@ -1,4 +1,4 @@
-// Counts the endpoints that were reached, and those that were not, since the other happened last.
+// Counts the endpoints that were not reached since one was, and while cut off those that were.
 #include "savoryrelay/coordination/reach/endpoint_reach.h"
 
 #include <algorithm>
