--- a/review/support-3/standins.py
+++ b/review/support-3/standins.py
@@ -114,7 +114,7 @@
 
 
 class Server:
-    """A listener whose connections are handled by `handle(connection)`."""
+    """A listener whose connections are handled by `handle(connection)`. `listen` returns its port."""
 
     def __init__(self):
         self.open = set()
@@ -137,7 +137,12 @@
                 if not writer.transport.is_closing():
                     writer.close()
 
-        self.listener = await asyncio.start_server(accept, address, port, limit=1 << 20)
+        while True:
+            try:
+                self.listener = await asyncio.start_server(accept, address, port, limit=1 << 20)
+                return port
+            except OSError:  # another process has taken the port meanwhile
+                port = free_port()
 
     def stop(self):
         """Ends the listener and resets all connections, as the end of a process does."""
@@ -162,7 +167,7 @@
         self.server = Server()
 
     async def start(self):
-        await self.server.listen(self.address, self.port, self.handle)
+        self.port = await self.server.listen(self.address, self.port, self.handle)
 
     def put(self, table, key, value):
         """Writes a row as the operator or a runner does; None removes it."""
@@ -270,7 +275,7 @@
         task.add_done_callback(self.tasks.discard)
 
     async def start(self):
-        await self.server.listen("127.0.0.1", self.port, self.handle)
+        self.port = await self.server.listen("127.0.0.1", self.port, self.handle)
         self.is_alive = True
         self.spawn(self.beat())
 
