--- a/review/11/run.py
+++ b/review/11/run.py
@@ -149,4 +149,4 @@
 if sys.argv[1:2] == ["client"]:
     asyncio.run(run_client(int(sys.argv[2]), int(sys.argv[3]), sys.argv[4:]))
 else:
-    standins.run_script(main, FOLDER)
+    standins.run_script(main, FOLDER, os.environ.get("TROUBLE", "1") != "0")
--- a/review/12/run.py
+++ b/review/12/run.py
@@ -86,4 +86,4 @@
     return 1 if wrong else 0
 
 
-standins.run_script(main, FOLDER)
+standins.run_script(main, FOLDER, os.environ.get("TROUBLE", "1") != "0")
--- a/review/support-3/standins.py
+++ b/review/support-3/standins.py
@@ -520,7 +520,7 @@
     answer.is_complete = True
 
 
-def run_script(main, folder):
+def run_script(main, folder, has_trouble):
     """Runs `main(record, temporary folder, has trouble)` and exits with its result."""
     async def limited():
         work = asyncio.ensure_future(main(record, temporary, has_trouble))
@@ -530,7 +530,6 @@
         return await asyncio.wait_for(work, 110)
 
     record = Record(os.path.join(folder, "record.txt"))
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     result = 2
     try:
         with tempfile.TemporaryDirectory() as temporary:
