--- a/review/11/run.py
+++ b/review/11/run.py
@@ -14,10 +14,11 @@
 import standins  # noqa: E402
 
 DURATION_S = 95.0
-CLIENT_PROCESSES = 2
-CHANNELS = 45  # kept ones of each client process, spread over the hosts
-WORK_S = 0.1
-ORDERS = 9  # runners of the plain service
+CLIENT_PROCESSES = 3
+CHANNELS = 40  # kept ones of each client process, spread over the hosts
+WORK_S = 0.05
+RUNNER_PROCESSES = 3
+ORDERS = 3  # runners of the plain service in each of these processes
 PAUSE_S = 0.05  # of a client between an answer and its next request
 ALLOWED = 3
 ROUTE = {"name": "look", "host": "ficu95.example", "path_prefix": "/puxa403/",
@@ -29,8 +30,7 @@
 class Orders:
     """What the runners of the plain service do."""
 
-    def __init__(self, record, ends_channels):
-        self.record = record
+    def __init__(self, ends_channels):
         self.ends_channels = ends_channels
         self.reached = collections.Counter()  # requests at runners, by id
 
@@ -91,6 +91,40 @@
     print(json.dumps([results, cut]))
 
 
+class Elsewhere(standins.Runner):
+    """A runner whose requests another process serves; here it only writes its entry."""
+
+    async def start(self):
+        self.is_alive = True
+        self.spawn(self.beat())
+
+
+async def serve_orders(names, ends_channels):
+    """The work of a process of runners. Prints their ports, and when its input has ended the ids
+    of the requests that have reached them."""
+    orders = Orders(ends_channels)
+    store = standins.Store()  # not started: the other process writes the entries
+    runners = [standins.Runner(store, None, name, SERVICE["name"], "", orders.serve)
+               for name in names]
+    for runner in runners:
+        await runner.start()
+    print(json.dumps([runner.port for runner in runners]), flush=True)
+    await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+    print(json.dumps(list(orders.reached)))
+
+
+async def start_orders(number, deployment, record, ends_channels):
+    """Starts a process of runners and enters them into the deployment."""
+    names = [f"o-{number * ORDERS + index}" for index in range(ORDERS)]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, os.path.abspath(__file__), "runners", str(int(ends_channels)), *names,
+        stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE)
+    for index, (name, port) in enumerate(zip(names, json.loads(await process.stdout.readline()))):
+        deployment.runners[name] = Elsewhere(deployment.store, record, name, SERVICE["name"],
+                                             deployment.zones[index % 3], None, slots=6, port=port)
+    return process
+
+
 async def start_client(number, deployment):
     return await asyncio.create_subprocess_exec(
         sys.executable, os.path.abspath(__file__), "client", str(number * CHANNELS),
@@ -110,17 +144,16 @@
 
 async def main(record, folder, has_trouble):
     deployment = models.Deployment(record, folder, domains=21)
-    orders = Orders(record, has_trouble)
-    for index in range(ORDERS):
-        runner = standins.Runner(deployment.store, record, f"o-{index}", "vane-orders",
-                                 deployment.zones[index % 3], orders.serve, slots=6)
-        deployment.runners[runner.name] = runner
     watches = []
+    servers = []
     clients = []
     ended = []
     results = collections.Counter()
     cut = []  # ids of requests whose channels ended without an answer
+    reached = set()  # ids of requests that have reached a runner
     try:
+        for number in range(RUNNER_PROCESSES):
+            servers.append(await start_orders(number, deployment, record, has_trouble))
         await deployment.start([models.stream_route(), ROUTE], [models.model_service(), SERVICE])
         watches = [asyncio.ensure_future(watch(host, record, ended)) for host in deployment.hosts]
         clients = [await start_client(number, deployment) for number in range(CLIENT_PROCESSES)]
@@ -128,14 +161,16 @@
             counts, without_answer = json.loads(output)
             results.update({int(status): count for status, count in counts.items()})
             cut += without_answer
+        for output, _ in await asyncio.gather(*(server.communicate(b"") for server in servers)):
+            reached.update(json.loads(output))
     finally:
         for task in watches:
             task.cancel()
-        for client in clients:
-            if client.returncode is None:
-                client.kill()
+        for process in clients + servers:
+            if process.returncode is None:
+                process.kill()
         await deployment.stop()
-    lost = [request_id for request_id in cut if orders.reached[request_id]]
+    lost = [request_id for request_id in cut if request_id in reached]
     record.note(f"reached a runner and got no answer: {lost}")
     text = (f"answers by status: {dict(results)}; processes that ended by themselves: {ended}; "
             f"{len(lost)} requests on kept channels reached runners and got no answer")
@@ -146,7 +181,9 @@
     return 1 if len(lost) > ALLOWED else 0
 
 
-if sys.argv[1:2] == ["client"]:
+if sys.argv[1:2] == ["runners"]:
+    asyncio.run(serve_orders(sys.argv[3:], sys.argv[2] == "1"))
+elif sys.argv[1:2] == ["client"]:
     asyncio.run(run_client(int(sys.argv[2]), int(sys.argv[3]), sys.argv[4:]))
 else:
     standins.run_script(main, FOLDER, os.environ.get("TROUBLE", "1") != "0")
