--- a/review/11/run.py
+++ b/review/11/run.py
@@ -19,6 +19,8 @@
 WORK_S = 0.05
 RUNNER_PROCESSES = 3
 ORDERS = 3  # runners of the plain service in each of these processes
+TURNED_AWAY = 15  # a runner turns away one request in this many
+RETRY_AFTER = "0.05"  # of these answers
 PAUSE_S = 0.05  # of a client between an answer and its next request
 ALLOWED = 3
 ROUTE = {"name": "look", "host": "ficu95.example", "path_prefix": "/puxa403/",
@@ -32,13 +34,20 @@
 
     def __init__(self, ends_channels):
         self.ends_channels = ends_channels
-        self.reached = collections.Counter()  # requests at runners, by id
+        self.received = collections.Counter()  # requests, by runner
+        self.reached = collections.Counter()  # requests that runners have taken, by id
 
     async def serve(self, runner, connection, method, target, headers, body):
         if target == "/health":
             await connection.answer(200, b"", [("Instance-Id", runner.name)])
             return True
         request_id = headers["attempt-id"]
+        self.received[runner.name] += 1
+        if self.received[runner.name] % TURNED_AWAY == 0:
+            await connection.answer(503, b"{}", [("Attempt-Id", request_id), ("Not-Executed", "1"),
+                                                 ("At-Server", runner.name),
+                                                 ("Retry-After", RETRY_AFTER)])
+            return True
         self.reached[request_id] += 1
         await asyncio.sleep(WORK_S)
         fields = [("Attempt-Id", request_id), ("Server-Seal", f"{runner.name}.{request_id}")]
