--- a/fuzz/fuzz_peer_digest.cpp
+++ b/fuzz/fuzz_peer_digest.cpp
@@ -72,7 +72,8 @@
         for (const auto& [model, groups] : work.all(now)) {
             require(std::isfinite(groups) && groups >= 0);
         }
-        for (const auto& runner : *fleet.snapshot()) {
+        const auto runners = fleet.snapshot();
+        for (const auto& runner : *runners) {
             require(std::isfinite(runner.time_factor));
         }
         state::model_rule model;
--- a/src/daemon/membership_part.cpp
+++ b/src/daemon/membership_part.cpp
@@ -326,14 +326,16 @@
         return state::fail(failure_kind::isolated,
                            "the state of this member is " + std::string(state::to_name(service)));
     }
-    if (m_in_force.load()->revision == 0) {
+    const auto in_force = m_in_force.load();
+    if (in_force->revision == 0) {
         return state::fail(failure_kind::isolated, "no configuration is known yet");
     }
     return {};
 }
 
 bool membership_part::ready(time_point now) {
-    return m_holder.service(now) == service_state::serving && m_in_force.load()->revision > 0;
+    const auto in_force = m_in_force.load();
+    return m_holder.service(now) == service_state::serving && in_force->revision > 0;
 }
 
 state::result<std::uint64_t> membership_part::submit(const std::string& document,
--- a/src/daemon/routing_part.cpp
+++ b/src/daemon/routing_part.cpp
@@ -82,7 +82,8 @@
       m_queue({},
               [this](const state::customer_id& customer,
                      const coordination::admission_settings& settings) {
-                  return quantum_of(*m_configuration.load(), customer, settings);
+                  const auto in_force = m_configuration.load();
+                  return quantum_of(*in_force, customer, settings);
               }),
       m_budget({}), m_suspects({}, coordination::default_crash_hooks()),
       m_broken(broken_attempt_retention) {}
@@ -107,7 +108,8 @@
 }
 
 void routing_part::apply_newer_configuration() {
-    if (m_configuration.load()->revision == m_catalog_revision.load()) {
+    const auto seen = m_configuration.load();
+    if (seen->revision == m_catalog_revision.load()) {
         return;
     }
     const std::scoped_lock lock(m_rebuild_mutex);
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -155,7 +155,8 @@
             return m_front.answer_head(head, writer);
         });
     m_caller_server->set_limits_hook([this] {
-        const auto limits = m_shared.configuration.load()->limits;
+        const auto configuration = m_shared.configuration.load();
+        const auto& limits = configuration->limits;
         transport::http_limits server_limits;
         server_limits.header_bytes = limits.header_bytes;
         server_limits.body_bytes = limits.body_bytes;
@@ -206,16 +207,17 @@
                              protocol::encode_operator_failure(call.error()));
         co_return;
     }
-    const auto report =
-        m_explainer.explain(*m_shared.configuration.load(), call.value(), read_clock());
+    const auto configuration = m_shared.configuration.load();
+    const auto report = m_explainer.explain(*configuration, call.value(), read_clock());
     const auto text = protocol::encode_placement(report);
     co_await writer.send(status_ok, fields, text);
 }
 
 asio::awaitable<void> edge_host::answer_readiness(transport::http_request,
                                                   transport::response_writer& writer) {
-    const bool is_ready = !m_is_stopping && m_shared.configuration.load()->version > 0 &&
-                          !m_reach.connector().is_stranded();
+    const auto configuration = m_shared.configuration.load();
+    const bool is_ready =
+        !m_is_stopping && configuration->version > 0 && !m_reach.connector().is_stranded();
     co_await writer.send(is_ready ? status_ok : status_unavailable,
                          transport::content_type_field("text/plain"), is_ready ? "ready" : "");
 }
--- a/src/edge/group_part.cpp
+++ b/src/edge/group_part.cpp
@@ -356,6 +356,7 @@
     m_shared.fleet.refresh(now);
     const auto fleet = m_shared.fleet.snapshot();
     const auto configuration = m_shared.configuration.load();
+    const auto out_of_service = m_shared.zones_out_of_service.load();
     // No message is sent for this order. It is begun only to check that the lease lasts long
     // enough for an order, and to get the fencing number.
     const auto ticket = state::collect([&] { return m_lease.begin_order(groups_lease, now); });
@@ -376,8 +377,8 @@
         }
         coordination::group_reconciler_input input;
         input.service = &service;
-        input.fleet = fleet.get();
-        input.zones_out_of_service = *m_shared.zones_out_of_service.load();
+        input.fleet = &*fleet;
+        input.zones_out_of_service = *out_of_service;
         input.work = m_shared.work.all(now);
         input.is_first_start = m_is_first_start;
         input.epoch = ticket.value().fencing_number;
--- a/src/edge/peer_part.cpp
+++ b/src/edge/peer_part.cpp
@@ -140,7 +140,8 @@
     digest.incarnation = m_incarnation;
     digest.operators_version = m_shared.operators.newest_row_version();
     digest.runners_version = m_shared.runners.newest_row_version();
-    digest.configuration_version = m_shared.configuration.load()->version;
+    const auto configuration = m_shared.configuration.load();
+    digest.configuration_version = configuration->version;
     m_tables.describe_contact(digest, now);
     digest.is_controller = m_groups.is_controller();
     digest.controller_age = m_groups.controller_age(now);
@@ -325,8 +326,9 @@
 asio::awaitable<bool> peer_part::copy_newest_configuration() {
     const auto now = m_now();
     const auto source = m_directory.newest_configuration(now);
+    const auto known = m_shared.configuration.load();
     if (!source || now - m_configuration_copied_at < configuration_copy_interval ||
-        source->configuration_version <= m_shared.configuration.load()->version) {
+        source->configuration_version <= known->version) {
         co_return true;
     }
     m_configuration_copied_at = now;
--- a/src/edge/reach_part.cpp
+++ b/src/edge/reach_part.cpp
@@ -95,7 +95,8 @@
 
 std::vector<state::runner_record> reach_part::endpoints(state::time_point now) const {
     std::vector<state::runner_record> all;
-    for (const auto& runner : *m_shared.fleet.snapshot()) {
+    const auto fleet = m_shared.fleet.snapshot();
+    for (const auto& runner : *fleet) {
         if (runner.has_entry && !runner.is_leaving(now)) {
             all.push_back(runner.record);
         }
--- a/src/edge/state_gauges.cpp
+++ b/src/edge/state_gauges.cpp
@@ -14,7 +14,8 @@
                          const state::metric_labels& labels = {}) {
         metrics.gauge_of(name, labels).set(static_cast<std::int64_t>(value));
     };
-    set("savoryrelay_configuration_version", shared.configuration.load()->version);
+    const auto configuration = shared.configuration.load();
+    set("savoryrelay_configuration_version", configuration->version);
     set("savoryrelay_store_era", shared.runners.synced_version().era);
     set("savoryrelay_operators_version", shared.operators.synced_version().number);
     set("savoryrelay_runners_version", shared.runners.synced_version().number);
@@ -51,7 +52,7 @@
         set("savoryrelay_runners_excluded", excluded[row.value],
             {{"reason", std::string(row.name)}});
     }
-    for (const auto& [name, service] : shared.configuration.load()->services) {
+    for (const auto& [name, service] : configuration->services) {
         if (!service.engine) {
             continue;
         }
--- a/src/savoryrelay/coordination/call/call.h
+++ b/src/savoryrelay/coordination/call/call.h
@@ -72,7 +72,7 @@
 /// `may_have_run` never changes from true to false.
 struct call {
     state::request_id id;
-    std::shared_ptr<const state::configuration> configuration;
+    state::snapshot<state::configuration> configuration;
     const state::deployment_config* deployment = nullptr;
     const state::customer_config* customer = nullptr;
     std::string body_digest; ///< SHA-256 of customer and request body, 64 hex digits
--- a/src/savoryrelay/coordination/configuration/configuration_holder.h
+++ b/src/savoryrelay/coordination/configuration/configuration_holder.h
@@ -83,9 +83,7 @@
                          configuration_hooks hooks);
 
     /// Returns the configuration in force.
-    [[nodiscard]] std::shared_ptr<const state::configuration> current() const {
-        return m_current.load();
-    }
+    [[nodiscard]] state::snapshot<state::configuration> current() const { return m_current.load(); }
     /// Returns the document in force and the known revisions, for a peer that fetches them.
     [[nodiscard]] state::peer_state make_peer_state() const;
     /// Returns the revisions that this member publishes through the membership.
--- a/src/savoryrelay/coordination/serving/endpoint_selector.h
+++ b/src/savoryrelay/coordination/serving/endpoint_selector.h
@@ -111,8 +111,7 @@
 
 /// Dependencies of the selector.
 struct selector_hooks {
-    std::function<std::shared_ptr<const std::set<state::availability_zone_id>>()>
-        zones_out_of_service;
+    std::function<state::snapshot<std::set<state::availability_zone_id>>()> zones_out_of_service;
     /// Returns the number of hosts, this one included.
     std::function<std::size_t()> host_count;
     /// Returns the hashes of the names of the hosts that share the call limit of a cold
--- a/src/savoryrelay/coordination/serving/fleet_table.h
+++ b/src/savoryrelay/coordination/serving/fleet_table.h
@@ -216,9 +216,7 @@
     /// and rebuilds the snapshot if the runners have changed.
     void refresh(state::time_point now);
     /// Returns all runners as of the last refresh, ordered by their ids.
-    [[nodiscard]] std::shared_ptr<const fleet_snapshot> snapshot() const {
-        return m_snapshot.load();
-    }
+    [[nodiscard]] state::snapshot<fleet_snapshot> snapshot() const { return m_snapshot.load(); }
 
 private:
     struct departure {
--- a/src/savoryrelay/coordination/serving/placement_explainer.cpp
+++ b/src/savoryrelay/coordination/serving/placement_explainer.cpp
@@ -54,7 +54,8 @@
     state::service_placement placement;
     const auto loads = m_loads.all(now);
     const auto* model = service.engine ? service.engine->find_model(call.model) : nullptr;
-    for (const auto& runner : *m_fleet.snapshot()) {
+    const auto fleet = m_fleet.snapshot();
+    for (const auto& runner : *fleet) {
         const auto& record = runner.record;
         const bool is_group_member = service.engine && record.membership && !record.is_head();
         if (record.service != service.name || is_group_member) {
@@ -103,7 +104,8 @@
     if (service.engine && runner.record.model != call.model) {
         return placement_verdict::other_model;
     }
-    if (m_zones_out_of_service()->contains(runner.record.availability_zone)) {
+    const auto out_of_service = m_zones_out_of_service();
+    if (out_of_service->contains(runner.record.availability_zone)) {
         return placement_verdict::zone_in_drain;
     }
     if (!runner.is_listed(now)) {
--- a/src/savoryrelay/coordination/serving/placement_explainer.h
+++ b/src/savoryrelay/coordination/serving/placement_explainer.h
@@ -13,7 +13,7 @@
 namespace savoryrelay::coordination {
 
 /// Returns the availability zones that are out of service.
-using zones_hook = std::function<std::shared_ptr<const std::set<state::availability_zone_id>>()>;
+using zones_hook = std::function<state::snapshot<std::set<state::availability_zone_id>>()>;
 
 /// Explains the placing of calls on one host. Thread-safe.
 class placement_explainer {
--- a/src/savoryrelay/transport/serving/call_state.h
+++ b/src/savoryrelay/transport/serving/call_state.h
@@ -91,7 +91,7 @@
     http_request request;
     response_writer& writer;
     state::serving_call decoded; // values decoded from `request`
-    std::shared_ptr<const state::serving_configuration> configuration;
+    state::snapshot<state::serving_configuration> configuration;
     const state::route_rule* route = nullptr;
     const state::service_rule* service = nullptr;
     const state::model_rule* model = nullptr; // null: the call needs no model
--- a/src/savoryrelay/transport/serving/serving_front.h
+++ b/src/savoryrelay/transport/serving/serving_front.h
@@ -39,7 +39,7 @@
     endpoint_connector& connector;
     state::metrics& metrics;
     serving_codec codec;
-    std::function<std::shared_ptr<const state::serving_configuration>()> configuration;
+    std::function<state::snapshot<state::serving_configuration>()> configuration;
     /// Called when a call for `model` arrives that will occupy a group for `work_ms`
     /// milliseconds.
     std::function<void(const std::string& model, state::call_urgency, double work_ms)> report_work;
--- a/tests/coordination/configuration_holder_test.cpp
+++ b/tests/coordination/configuration_holder_test.cpp
@@ -92,7 +92,8 @@
     holder_fixture one(platform, "one");
     platform.lose_next_replies = 1;
     CHECK(one.submit("amina", 0).value() == 1);
-    CHECK(one.holder.current()->revision == 1);
+    const auto in_force = one.holder.current();
+    CHECK(in_force->revision == 1);
 
     auto hooks = one.hooks();
     hooks.platform.transact = [](const auto&) -> state::result<state::transaction_result> {
@@ -105,7 +106,8 @@
         return unknown.submit(submission, announcement, start);
     });
     CHECK(result.error().kind == failure_kind::store_result_unknown);
-    CHECK(unknown.current()->revision == 0);
+    const auto held = unknown.current();
+    CHECK(held->revision == 0);
 }
 
 // Guards against a change that is written with a minority of acknowledgements, long after its
@@ -152,7 +154,8 @@
         CHECK(one.holder.service(start) == service_state::starting);
         one.peer = {{}, {4, 4, 0}, "d"};
         one.holder.poll(start);
-        CHECK(one.holder.current()->revision == 4);
+        const auto in_force = one.holder.current();
+        CHECK(in_force->revision == 4);
         CHECK(one.holder.service(start) == service_state::serving);
     }
 }
--- a/tests/coordination/membership_test.cpp
+++ b/tests/coordination/membership_test.cpp
@@ -70,8 +70,10 @@
         return false;
     }
     cluster.run(6s);
-    return std::all_of(cluster.nodes.begin(), cluster.nodes.end(),
-                       [](const auto& node) { return node.holder->current()->revision == 1; });
+    return std::all_of(cluster.nodes.begin(), cluster.nodes.end(), [](const auto& node) {
+        const auto current = node.holder->current();
+        return current->revision == 1;
+    });
 }
 
 /// Injects random faults and submits revisions in between. The faults are partitions in one or both
--- a/tests/coordination/serving/cold_limit_test.cpp
+++ b/tests/coordination/serving/cold_limit_test.cpp
@@ -23,12 +23,13 @@
 // An entry host that sends calls to one cold endpoint whenever its selector lets it.
 struct cold_host {
     explicit cold_host(const std::string& name)
-        : selector(fleet, loads, correction, {name, {}, state::availability_zone_id("z"), 1},
-                   {.zones_out_of_service =
-                        [] { return std::make_shared<std::set<state::availability_zone_id>>(); },
-                    .host_count = [this] { return host_count; },
-                    .host_hashes = [this] { return hosts; },
-                    .random = [] { return std::uint64_t{0}; }}) {}
+        : selector(
+              fleet, loads, correction, {name, {}, state::availability_zone_id("z"), 1},
+              {.zones_out_of_service =
+                   [] { return state::make_snapshot(std::set<state::availability_zone_id>()); },
+               .host_count = [this] { return host_count; },
+               .host_hashes = [this] { return hosts; },
+               .random = [] { return std::uint64_t{0}; }}) {}
 
     std::size_t host_count = 1;
     std::vector<std::uint64_t> hosts;
--- a/tests/coordination/serving/endpoint_selector_test.cpp
+++ b/tests/coordination/serving/endpoint_selector_test.cpp
@@ -64,7 +64,7 @@
         correction,
         {"edge-0", {}, state::availability_zone_id("z"), 1},
         {.zones_out_of_service =
-             [] { return std::make_shared<std::set<state::availability_zone_id>>(); },
+             [] { return state::make_snapshot(std::set<state::availability_zone_id>()); },
          .host_count = [] { return std::size_t{1}; },
          .host_hashes = [] { return std::vector<std::uint64_t>{1}; },
          .random = [this] { return random_value; },
--- a/tests/coordination/serving/fleet_table_test.cpp
+++ b/tests/coordination/serving/fleet_table_test.cpp
@@ -87,7 +87,8 @@
     }
     const auto tell = [&](state::time_point now) {
         controller.refresh(now);
-        for (const auto& runner : *controller.snapshot()) {
+        const auto runners = controller.snapshot();
+        for (const auto& runner : *runners) {
             if (const auto told = observe_as_controller(runner, true, now)) {
                 successor.apply_observation(*told, now);
             }
@@ -190,9 +191,11 @@
     fleet.apply_entry(entry(5), start);
     fleet.apply_removal(id, start);
     fleet.refresh(start + fleet_table::forget_after);
-    CHECK(fleet.snapshot()->size() == 1);
+    const auto kept = fleet.snapshot();
+    CHECK(kept->size() == 1);
     fleet.refresh(start + fleet_table::forget_after + 1ms);
-    CHECK(fleet.snapshot()->empty());
+    const auto forgotten = fleet.snapshot();
+    CHECK(forgotten->empty());
 }
 
 TEST_CASE("loads of all hosts are summed, except those of silent hosts") {
--- a/tests/coordination/serving/group_reconciler_test.cpp
+++ b/tests/coordination/serving/group_reconciler_test.cpp
@@ -144,7 +144,7 @@
         const auto snapshot = fleet.snapshot();
         group_reconciler_input input;
         input.service = &simulation.service;
-        input.fleet = snapshot.get();
+        input.fleet = &*snapshot;
         input.work = simulation.work;
         input.epoch = 2;
         return reconciler.plan(input, now);
@@ -194,7 +194,7 @@
         const auto snapshot = fleet.snapshot();
         group_reconciler_input input;
         input.service = &simulation.service;
-        input.fleet = snapshot.get();
+        input.fleet = &*snapshot;
         input.work = simulation.work;
         input.epoch = 2;
         input.holder_since = holder_since;
--- a/tests/coordination/serving/placement_explainer_test.cpp
+++ b/tests/coordination/serving/placement_explainer_test.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
+#include <string>
+
 using namespace savoryrelay;
 using namespace savoryrelay::coordination;
 using namespace std::chrono_literals;
@@ -46,16 +49,18 @@
         correction,
         {"h1", {}, state::availability_zone_id("a"), 1},
         {.zones_out_of_service =
-             [] { return std::make_shared<std::set<state::availability_zone_id>>(); },
+             [] { return state::make_snapshot(std::set<state::availability_zone_id>()); },
          .host_count = [] { return std::size_t{1}; },
          .host_hashes = [] { return std::vector<std::uint64_t>{1}; },
          .random = [] { return std::uint64_t{0}; }}};
-    placement_explainer explainer{
-        fleet, loads, selector, "h1",
-        [] { return std::make_shared<std::set<state::availability_zone_id>>(); }};
+    std::function<void()> at_judgement = [] {}; // called before the verdict on each group
+    placement_explainer explainer{fleet, loads, selector, "h1", [this] {
+                                      at_judgement();
+                                      return state::make_snapshot(
+                                          std::set<state::availability_zone_id>());
+                                  }};
 
-    void add_group(const std::string& id,
-                   state::membership_state state = state::membership_state::open) {
+    void apply_group(const std::string& id, state::membership_state state) {
         state::runner_record runner;
         runner.id = state::endpoint_id(id);
         runner.service = "model";
@@ -64,6 +69,10 @@
         runner.model = "gold";
         runner.membership = state::group_membership{"g-" + id, 1, 0, state};
         fleet.apply_entry(runner, start);
+    }
+    void add_group(const std::string& id,
+                   state::membership_state state = state::membership_state::open) {
+        apply_group(id, state);
         fleet.refresh(start);
     }
     void send(const std::string& id, int calls) {
@@ -132,3 +141,24 @@
     CHECK(fleet.explain(elsewhere).refusal == "no_route");
     CHECK(fleet.explainer.explain({}, elsewhere, start).refusal == "no_configuration");
 }
+
+// Guards against reading a snapshot of the fleet that has been freed. A process that does so
+// crashes, and the requests that it has accepted get no answer.
+TEST_CASE("a call is explained by the snapshot with which the explanation began") {
+    constexpr int group_count = 400; // their snapshot is so large that freeing it unmaps it
+    explained_fleet fleet;
+    for (int i = 0; i < group_count; ++i) {
+        fleet.apply_group("i-" + std::to_string(i), state::membership_state::open);
+    }
+    fleet.fleet.refresh(start);
+    int judgements = 0;
+    fleet.at_judgement = [&] {
+        if (++judgements == 1) {
+            fleet.fleet.apply_removal(state::endpoint_id("i-0"), start);
+            fleet.fleet.refresh(start); // replaces the snapshot
+        }
+    };
+    const auto report = fleet.explain(explained_fleet::call());
+    REQUIRE(report.services.size() == 1);
+    CHECK(report.services.front().candidates.size() == group_count);
+}
--- a/tests/support/handover_model.h
+++ b/tests/support/handover_model.h
@@ -605,7 +605,8 @@
             sender.next_free_models = m_now + free_models_interval;
         }
         std::vector<state::runner_observation> told;
-        for (const auto& runner : *sender.fleet.snapshot()) {
+        const auto fleet = sender.fleet.snapshot();
+        for (const auto& runner : *fleet) {
             if (const auto observation =
                     coordination::observe_as_controller(runner, sends_free, m_now)) {
                 told.push_back(*observation);
@@ -702,7 +703,7 @@
         const auto fleet = each.fleet.snapshot();
         coordination::group_reconciler_input input;
         input.service = &m_service;
-        input.fleet = fleet.get();
+        input.fleet = &*fleet;
         input.work = {{"m", 2.0}};
         input.epoch = epoch;
         input.holder_since = each.controller_since;
@@ -805,7 +806,8 @@
         }
         for (auto& each : m_hosts) {
             hash.add(static_cast<std::uint64_t>(each.lease->phase(lease_name, m_now)));
-            for (const auto& view : *each.fleet.snapshot()) {
+            const auto fleet = each.fleet.snapshot();
+            for (const auto& view : *fleet) {
                 hash.add(view.record.started_ms);
                 hash.add(view.record.sequence);
                 hash.add(view.record.membership);
--- a/tests/support/member_cluster.h
+++ b/tests/support/member_cluster.h
@@ -113,8 +113,9 @@
         if (node.paused) {
             return "paused";
         }
+        const auto current = node.holder->current();
         coordination::configuration_submission submission{
-            "document", "operator-" + std::to_string(i), {}, node.holder->current()->revision};
+            "document", "operator-" + std::to_string(i), {}, current->revision};
         const auto announced =
             state::collect([&] { return node.holder->announce(submission, now); });
         if (!announced) {
@@ -222,7 +223,8 @@
     }
 
     void record_violations(cluster_node& node) {
-        const auto held = node.holder->current()->revision;
+        const auto current = node.holder->current();
+        const auto held = current->revision;
         const auto service = node.holder->service(now);
         reverted = reverted || held < node.highest_in_force;
         node.highest_in_force = std::max(node.highest_in_force, held);
--- a/tests/support/runner_simulation.h
+++ b/tests/support/runner_simulation.h
@@ -85,7 +85,7 @@
         coordination::group_reconciler_input input;
         const auto snapshot = fleet.snapshot();
         input.service = &service;
-        input.fleet = snapshot.get();
+        input.fleet = &*snapshot;
         input.work = work;
         input.epoch = epoch;
         for (const auto& order : reconciler.plan(input, now)) {
--- a/tests/transport/serving_front_test.cpp
+++ b/tests/transport/serving_front_test.cpp
@@ -113,7 +113,7 @@
         next.services["model"].name = "model";
         next.services["model"].engine.emplace().models.push_back({"gold"});
         next.index();
-        configuration = std::make_shared<const state::serving_configuration>(std::move(next));
+        configuration = state::make_snapshot(std::move(next));
 
         repeats = std::make_unique<coordination::repeat_window>(
             coordination::repeat_limit{0, burst / coordination::repeat_window::usable_share, 1s});
@@ -212,7 +212,7 @@
     std::function<void()> at_choice = [] {};     // guarded by `mutex`
     std::function<void()> at_cold_check = [] {}; // guarded by `mutex`
     std::atomic<int> answers{0};                 // heads that were reported
-    std::shared_ptr<const state::serving_configuration> configuration;
+    state::snapshot<state::serving_configuration> configuration;
     coordination::fleet_table fleet;
     coordination::load_tracker loads;
     coordination::prediction_correction correction;
@@ -233,21 +233,21 @@
         std::make_unique<coordination::endpoint_selector>(
             fleet, loads, correction,
             state::host_entry{"edge-0", {}, state::availability_zone_id(""), 1},
-            coordination::selector_hooks{
-                .zones_out_of_service =
-                    [this] {
-                        const std::scoped_lock lock(mutex);
-                        at_choice();
-                        return std::make_shared<const std::set<state::availability_zone_id>>();
-                    },
-                .host_count = [] { return std::size_t{1}; },
-                .host_hashes =
-                    [this] {
-                        const std::scoped_lock lock(mutex);
-                        std::exchange(at_cold_check, [] {})();
-                        return std::vector<std::uint64_t>{1};
-                    },
-                .random = [] { return std::uint64_t{0}; }});
+            coordination::selector_hooks{.zones_out_of_service =
+                                             [this] {
+                                                 const std::scoped_lock lock(mutex);
+                                                 at_choice();
+                                                 return state::make_snapshot(
+                                                     std::set<state::availability_zone_id>());
+                                             },
+                                         .host_count = [] { return std::size_t{1}; },
+                                         .host_hashes =
+                                             [this] {
+                                                 const std::scoped_lock lock(mutex);
+                                                 std::exchange(at_cold_check, [] {})();
+                                                 return std::vector<std::uint64_t>{1};
+                                             },
+                                         .random = [] { return std::uint64_t{0}; }});
     transport::io_threads threads{1};
     std::deque<test_endpoint> endpoints;
     std::unique_ptr<transport::serving_front> front;
