Keep the error that a look at a connection takes off its socket

Cause: the kernel reports a reset to one operation only. A look at the connection of a silent endpoint, recv with MSG_PEEK, took it and dropped it; the next read found 0 bytes, as behind a regular end, which completes an answer without a length.

Evidence: endpoint_connection_test plays each use alone. After each of four looks (kept, given up, idle, behind the end) and after a send that the reset has ended, the end was regular; without a look, and after a close, it was told right.

Change: endpoint_connection keeps the error of each look, send and read, and returns it in place of the end. EPIPE is not kept, because it comes behind a regular end.

Why this works: every use of the socket goes through the class, so no error is taken without being kept.

--- a/src/savoryrelay/transport/http/endpoint_connection.cpp
+++ b/src/savoryrelay/transport/http/endpoint_connection.cpp
@@ -50,6 +50,7 @@
     if (invalid) {
         co_return invalid;
     }
+    m_socket_error = {};
     m_watchdog.extend(timeout);
     const auto [failed] = co_await m_stream.async_connect(tcp::endpoint(ip, port), use_tuple);
     m_watchdog.disarm();
@@ -131,6 +132,7 @@
     m_watchdog.extend(timeout);
     const auto [failed, size] = co_await http::async_write(m_stream, request, use_tuple);
     m_watchdog.disarm();
+    note_socket_error(failed);
     co_return failed;
 }
 
@@ -154,9 +156,13 @@
     const auto [failed, size] =
         co_await m_stream.async_read_some(m_buffer.prepare(receive_bytes), use_tuple);
     m_buffer.commit(size);
+    note_socket_error(failed);
     if (failed != asio::error::eof) {
         co_return failed;
     }
+    if (m_socket_error) {
+        co_return m_socket_error;
+    }
     m_reader->end_connection();
     co_return reading_error();
 }
@@ -272,15 +278,33 @@
     return peek() == input_state::none;
 }
 
-endpoint_connection::input_state endpoint_connection::peek() {
-    char byte = 0;
+void endpoint_connection::note_socket_error(const error_code& failed) {
+    // A send fails with EPIPE behind a regular end, and a cancelled operation took no error.
+    if (failed && failed != asio::error::eof && failed != asio::error::broken_pipe &&
+        failed != asio::error::operation_aborted) {
+        m_socket_error = failed;
+    }
+}
+
+std::pair<endpoint_connection::input_state, std::size_t>
+endpoint_connection::peek(std::span<char> out) {
     const auto received =
-        ::recv(m_stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+        ::recv(m_stream.socket().native_handle(), out.data(), out.size(), MSG_PEEK | MSG_DONTWAIT);
     if (received > 0) {
-        return input_state::bytes;
+        return {input_state::bytes, static_cast<std::size_t>(received)};
     }
-    const bool is_open = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    return is_open ? input_state::none : input_state::closed;
+    if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        return {input_state::none, 0};
+    }
+    if (received < 0) {
+        note_socket_error(error_code(errno, boost::system::system_category()));
+    }
+    return {input_state::closed, 0};
+}
+
+endpoint_connection::input_state endpoint_connection::peek() {
+    std::array<char, 1> byte{};
+    return peek(byte).first;
 }
 
 bool endpoint_connection::has_unread_bytes() {
@@ -302,9 +326,7 @@
     std::array<char, answer_begin.size()> peeked{};
     auto bytes = received().substr(0, answer_begin.size());
     if (bytes.empty()) {
-        const auto size = ::recv(m_stream.socket().native_handle(), peeked.data(), peeked.size(),
-                                 MSG_PEEK | MSG_DONTWAIT);
-        bytes = {peeked.data(), size > 0 ? static_cast<std::size_t>(size) : 0};
+        bytes = {peeked.data(), peek(peeked).second};
     }
     return !bytes.empty() && !answer_begin.starts_with(bytes);
 }
--- a/src/savoryrelay/transport/http/endpoint_connection.h
+++ b/src/savoryrelay/transport/http/endpoint_connection.h
@@ -24,6 +24,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -155,7 +156,12 @@
     /// What can be read from the socket without waiting.
     enum class input_state { none, bytes, closed };
 
+    /// Copies bytes that can be read without waiting to `out`, leaves them unread, and returns
+    /// their number too.
+    [[nodiscard]] std::pair<input_state, std::size_t> peek(std::span<char> out);
     [[nodiscard]] input_state peek();
+    /// Keeps the error of an operation on the socket that shows how the connection has ended.
+    void note_socket_error(const boost::system::error_code& failed);
     /// Sends the request line of a tunnel and reads the reply, until `deadline`.
     boost::asio::awaitable<relayed_connect> open_tunnel(const std::string& line,
                                                         state::time_point deadline);
@@ -178,7 +184,10 @@
     // Ids of requests that the connection must not carry again.
     std::vector<state::request_id> m_repeatable_requests;
     std::optional<protocol::answer_reader> m_reader; // empty before the first request
-    bool m_is_answer_begun = false;                  // the reader has taken bytes
+    // The socket reports an error to one operation only. If set, the connection has not ended
+    // regularly, although later reads find its end.
+    boost::system::error_code m_socket_error;
+    bool m_is_answer_begun = false; // the reader has taken bytes
 };
 
 } // namespace savoryrelay::transport
--- a/tests/support/scripted_engine.h
+++ b/tests/support/scripted_engine.h
@@ -56,6 +56,12 @@
     }
     /// Ends the connection after what was sent.
     void close() const { ::shutdown(m_socket, SHUT_RDWR); }
+    /// Resets the connection. Its descriptor stays open, as the engine closes it.
+    void reset() const {
+        sockaddr unconnected{};
+        unconnected.sa_family = AF_UNSPEC;
+        ::connect(m_socket, &unconnected, sizeof(unconnected));
+    }
     /// Waits until the peer closes the connection. Returns false after `limit`.
     [[nodiscard]] bool wait_until_closed(std::chrono::milliseconds limit) const {
         const auto end = std::chrono::steady_clock::now() + limit;
--- a/tests/transport/endpoint_connection_test.cpp
+++ b/tests/transport/endpoint_connection_test.cpp
@@ -25,10 +25,15 @@
 
 constexpr state::milliseconds step_timeout{5'000};
 
-/// Accepts one connection, reads the head of a request and answers with fixed bytes.
+/// How an endpoint ends a connection.
+enum class connection_end { close, reset };
+
+/// Accepts one connection, reads the head of a request, answers with fixed bytes and ends the
+/// connection.
 class raw_endpoint {
 public:
-    explicit raw_endpoint(std::string answer) : m_answer(std::move(answer)) {
+    explicit raw_endpoint(std::string answer, connection_end end = connection_end::close)
+        : m_answer(std::move(answer)), m_end(end) {
         m_thread = std::thread([this] { serve(); });
     }
     raw_endpoint(const raw_endpoint&) = delete;
@@ -45,9 +50,15 @@
         std::string request;
         asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", ended);
         asio::write(socket, asio::buffer(m_answer), ended);
+        if (m_end == connection_end::reset) {
+            // The destructor would end the connection regularly.
+            socket.set_option(asio::socket_base::linger(true, 0), ended);
+            socket.close(ended);
+        }
     }
 
     std::string m_answer;
+    connection_end m_end;
     asio::io_context m_context;
     tcp::acceptor m_acceptor{m_context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
     std::uint16_t m_port = m_acceptor.local_endpoint().port();
@@ -104,6 +115,73 @@
     co_return connection.has_bytes_after_end();
 }
 
+/// What uses a connection after its end.
+enum class end_user { none, unread_bytes, closed, idle, bytes_after_end };
+
+/// Reads the head and the body "part" of an answer, waits until its connection has ended, lets
+/// `user` look at it, and reads on. Returns the error of the last read.
+asio::awaitable<error_code> read_on_after(asio::io_context& context, std::uint16_t port,
+                                          end_user user) {
+    transport::endpoint_connection connection(context);
+    co_await connection.connect("127.0.0.1", port, step_timeout);
+    const transport::http_request request{boost::beast::http::verb::get, "/", 11};
+    co_await connection.send(request, step_timeout);
+    co_await connection.read_header(step_timeout);
+    std::string buffer(1024, '\0');
+    co_await connection.read_some(asio::buffer(buffer), step_timeout);
+    co_await connection.wait_behind_end(step_timeout);
+    switch (user) {
+    case end_user::none:
+        break;
+    case end_user::unread_bytes:
+        CHECK_FALSE(connection.has_unread_bytes());
+        break;
+    case end_user::closed:
+        CHECK(connection.is_closed_by_peer());
+        break;
+    case end_user::idle:
+        CHECK_FALSE(connection.usable_when_idle({}, 1));
+        break;
+    case end_user::bytes_after_end:
+        CHECK_FALSE(connection.has_bytes_after_end());
+        break;
+    }
+    const auto [failed, size] = co_await connection.read_some(asio::buffer(buffer), step_timeout);
+    CHECK(size == 0);
+    co_return failed;
+}
+
+/// What a client sees of an answer that comes before its request was sent.
+struct early_answer {
+    error_code sent;
+    std::string body;
+    error_code end;
+};
+
+/// Sends a request that does not fit into socket buffers, and reads the answer that came in spite
+/// of the failure.
+asio::awaitable<early_answer> read_early_answer(asio::io_context& context, std::uint16_t port) {
+    constexpr std::size_t larger_than_socket_buffers = 64 * 1024 * 1024;
+    early_answer seen;
+    transport::endpoint_connection connection(context);
+    co_await connection.connect("127.0.0.1", port, step_timeout);
+    transport::http_request request{boost::beast::http::verb::post, "/", 11};
+    request.body().assign(larger_than_socket_buffers, 'x');
+    request.prepare_payload();
+    seen.sent = co_await connection.send(request, step_timeout);
+    co_await connection.read_header(step_timeout);
+    std::string buffer(1024, '\0');
+    while (true) {
+        const auto [failed, size] =
+            co_await connection.read_some(asio::buffer(buffer), step_timeout);
+        if (failed || size == 0) {
+            seen.end = failed;
+            co_return seen;
+        }
+        seen.body.append(buffer, 0, size);
+    }
+}
+
 /// Returns the error that ends an answer in chunks with header field `field` and these bytes
 /// behind its only chunk.
 error_code end_of_chunks(const std::string& field, const std::string& rest) {
@@ -234,3 +312,32 @@
             .get();
     CHECK(field.empty());
 }
+
+// Guards against streams that end as complete although their endpoint has reset the connection.
+TEST_CASE("an answer without a length is not whole after a reset that something else has seen") {
+    const auto user = GENERATE(end_user::none, end_user::unread_bytes, end_user::closed,
+                               end_user::idle, end_user::bytes_after_end);
+    const auto end = GENERATE(connection_end::close, connection_end::reset);
+    CAPTURE(static_cast<int>(user));
+    const raw_endpoint endpoint("HTTP/1.1 200 OK\r\n\r\npart", end);
+    transport::io_threads threads{1};
+    const auto failed =
+        asio::co_spawn(threads.context(0), read_on_after(threads.context(0), endpoint.port(), user),
+                       asio::use_future)
+            .get();
+    CHECK(failed == (end == connection_end::reset ? error_code(asio::error::connection_reset)
+                                                  : error_code()));
+}
+
+// Guards against the same after a send that the reset has ended.
+TEST_CASE("an answer without a length is not whole if a reset has ended the sending") {
+    const raw_endpoint endpoint("HTTP/1.1 200 OK\r\n\r\npart", connection_end::reset);
+    transport::io_threads threads{1};
+    const auto seen =
+        asio::co_spawn(threads.context(0), read_early_answer(threads.context(0), endpoint.port()),
+                       asio::use_future)
+            .get();
+    CHECK(seen.sent == asio::error::connection_reset);
+    CHECK(seen.body == "part");
+    CHECK(seen.end == asio::error::connection_reset);
+}
