Let a tunnel's write tell of a reset before the end is passed on

Cause: a write to the endpoint took the reset off the socket, and its completion was queued behind the read that found the end. The tunnel then shut the asking host's connection down regularly, which completes an answer without a length there. Found while the paths that take errors off sockets were read; no caller was seen harmed by it. Change: a read that finds the end lets the queued completions run before it decides. Why this works: a write that has taken the reset has queued its completion already, and each tunnel runs on one thread.

--- a/src/savoryrelay/transport/relay/relay_server.cpp
+++ b/src/savoryrelay/transport/relay/relay_server.cpp
@@ -317,6 +317,10 @@
         while (!m_is_closed) {
             const auto [failed, size] =
                 co_await m_endpoint.async_read_some(asio::buffer(m_answer), use_tuple);
+            if (failed == asio::error::eof) {
+                // A write may have taken a reset off the socket and be about to complete.
+                co_await asio::post(executor(), asio::use_awaitable);
+            }
             if (m_is_closed || !m_endpoint.is_open()) {
                 co_return;
             }
--- a/tests/transport/relay_copying_test.cpp
+++ b/tests/transport/relay_copying_test.cpp
@@ -69,6 +69,31 @@
     CHECK(fixture.becomes_empty());
 }
 
+// Guards against answers without a length that end as whole although their endpoint has reset the
+// connection: a write of the tunnel may be the first to see the reset.
+TEST_CASE("a reset that a write to the endpoint has seen is passed on as a reset",
+          "[transport][relay]") {
+    relay_fixture fixture;
+    raw_socket asking(fixture.server.port());
+    raw_socket reached;
+    fixture.open(asking, reached);
+    asking.send("request");
+    CHECK(reached.receive(7) == "request");
+    reached.send("part");
+    CHECK(asking.receive(4) == "part");
+    // The tunnel finds the bytes and the reset at once, and the bytes first.
+    constexpr auto arrival = 50ms; // longer than bytes and resets take on the loopback
+    fixture.block();
+    asking.send("more");
+    std::this_thread::sleep_for(arrival);
+    reached.reset();
+    std::this_thread::sleep_for(arrival);
+    fixture.unblock();
+    CHECK(asking.receive_all().empty());
+    CHECK(asking.end() == stream_end::reset);
+    CHECK(fixture.becomes_empty());
+}
+
 TEST_CASE("an endpoint that closes without reading the request resets the tunnel",
           "[transport][relay]") {
     relay_fixture fixture;
